--- /dev/null
+++ b/src/cli/checkCommands.ts
@@ -0,0 +1,63 @@
+/**
+ * `pepperwood check FILE` and `pepperwood config check FILE`: what is wrong with a file, changing nothing.
+ */
+import { readFileSync } from 'node:fs'
+import { defineCommand } from 'citty'
+import { GateSettingsSchema } from '../gate/gateSettings.ts'
+import { checkDocument } from '../platform/configuration/common/configurationDocument.ts'
+import { exitCodes, exitWith } from '../platform/program/node/program.ts'
+import { PepperwoodError } from '../platform/result/common/pepperwoodError.ts'
+import { loadSettings } from '../platform/settings/node/settingsFile.ts'
+import { LoadProfileSchema } from '../load/loadProfile.ts'
+import { StandinSettingsSchema } from '../standin/standinSettings.ts'
+import { StewardSettingsSchema } from '../steward/stewardSettings.ts'
+import { jsonArgument, writeLine } from './commonArgs.ts'
+
+const fileArgument = { type: 'positional', description: 'The file', valueHint: 'FILE', required: true } as const
+
+function checkSettingsFile (file: string, program: string): PepperwoodError | undefined {
+  if (program === 'gate') return loadSettings(file, GateSettingsSchema).swap().toMaybe().extract()
+  if (program === 'steward') return loadSettings(file, StewardSettingsSchema).swap().toMaybe().extract()
+  if (program === 'standin') return loadSettings(file, StandinSettingsSchema).swap().toMaybe().extract()
+  if (program === 'profile') return loadSettings(file, LoadProfileSchema).swap().toMaybe().extract()
+  return new PepperwoodError({ name: 'settingsInvalid', message: 'expected gate, steward, standin or profile', place: '--program', value: program })
+}
+
+function finish (problems: readonly PepperwoodError[], file: string, isJson: boolean): never {
+  if (isJson) writeLine(JSON.stringify({ file, problems: problems.map(({ code, resultName, place, value, message }) => ({ code, name: resultName, place, value, message })) }))
+  else if (problems.length === 0) writeLine(`${file}: no problems`)
+  else for (const problem of problems) process.stderr.write(`${problem.toString()}\n`)
+  process.exit(problems.length === 0 ? exitCodes.ok : exitCodes.refused)
+}
+
+export const checkCommand = defineCommand({
+  meta: { name: 'check', description: 'Check a settings file. Example: pepperwood check --program gate gate.toml' },
+  args: {
+    file: fileArgument,
+    program: { type: 'string', description: 'Whose settings: gate, steward, standin or profile', default: 'gate' },
+    json: jsonArgument
+  },
+  run ({ args }) {
+    const problem = checkSettingsFile(args.file, args.program)
+    finish(problem === undefined ? [] : [problem], args.file, args.json)
+  }
+})
+
+const configCheckCommand = defineCommand({
+  meta: { name: 'check', description: 'Check a configuration document (JSON). Example: pepperwood config check configuration.json' },
+  args: { file: fileArgument, json: jsonArgument },
+  run ({ args }) {
+    let text = ''
+    try {
+      text = readFileSync(args.file, 'utf8')
+    } catch (thrown) {
+      exitWith(new PepperwoodError({ name: 'configurationUnreadable', message: String(thrown), place: args.file }), exitCodes.usage)
+    }
+    finish(checkDocument(text), args.file, args.json)
+  }
+})
+
+export const configCommand = defineCommand({
+  meta: { name: 'config', description: 'Work on configuration documents' },
+  subCommands: { check: configCheckCommand }
+})
--- a/src/cli/demoCommand.ts
+++ b/src/cli/demoCommand.ts
@@ -27,7 +27,7 @@
   async run ({ args }) {
     const plan = planFleet({ profile: demoProfile, network: 1 + process.pid % NETWORKS, seed: SEED, usesRelays: false })
     const fleet = new InProcessFleet(plan, !args.verbose)
-    process.stderr.write(`starting ${plan.hosts.length} stewards, ${plan.hosts.length} gates and ${plan.standin.upstreams.length} stand-in upstreams in ${demoProfile.halls.length} halls\n`)
+    process.stderr.write(`starting ${plan.hosts.length} stewards, ${plan.hosts.length} gates and ${plan.configuration.upstreams.length} stand-in upstreams in ${demoProfile.halls.length} halls\n`)
     await fleet.start()
     const shape = { rate: RATE, burstFactor: 1, burstFromMs: 0, burstToMs: 0, floodCustomer: '', floodFactor: 1 }
     const arrivals = planArrivals(demoProfile, shape, Number(args.seconds) * 1000, RUN_ID, new SeededRandom(SEED))
--- a/src/load/fleetPlan.ts
+++ b/src/load/fleetPlan.ts
@@ -6,7 +6,7 @@
 import { ConfigurationSchema, UpstreamKind } from '../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { Configuration } from '../generated/pepperwood/v1/pepperwood_pb.ts'
 import { GateSettingsSchema } from '../gate/gateSettings.ts'
-import type { GateSettings } from '../gate/gateSettings.ts'
+import type { GateSettings, PolicySettings } from '../gate/gateSettings.ts'
 import { StewardSettingsSchema } from '../steward/stewardSettings.ts'
 import type { StewardSettings } from '../steward/stewardSettings.ts'
 import type { StandinSettings, StandinUpstream } from '../standin/standinSettings.ts'
@@ -19,6 +19,10 @@
   readonly seed: number
   /** Processes list their own address behind a relay when there is one. */
   readonly usesRelays: boolean
+  /** Processes that the stand-in upstreams are spread over; the platform's is the first of them. */
+  readonly standinCount?: number
+  /** Replaces the profile's policy. */
+  readonly policy?: PolicySettings
 }
 
 /** One entry host with its two processes. */
@@ -39,7 +43,8 @@
 
 export interface FleetPlan {
   readonly hosts: readonly HostPlan[]
-  readonly standin: StandinSettings
+  /** The first one holds the platform's values. */
+  readonly standins: readonly StandinSettings[]
   readonly relays: readonly RelayPlan[]
   readonly configuration: Configuration
   readonly configurationText: string
@@ -62,8 +67,7 @@
 }
 
 export function planFleet (options: FleetPlanOptions): FleetPlan {
-  const { profile, network, seed, usesRelays } = options
-  const platform = `127.${network}.1.1:${PORTS.platform}`
+  const { profile, network, usesRelays } = options
   const halls = new Map<string, string>()
   const relays: RelayPlan[] = []
   const place = (block: number, blockBehind: number, hallIndex: number, item: number, port: number): { readonly address: string, readonly listen: string } => {
@@ -76,12 +80,12 @@
     relays.push({ address, target: listen, hall })
     return { address, listen }
   }
-  const hosts = planHosts(profile, platform, place)
+  const hosts = planHosts({ ...profile, policy: options.policy ?? profile.policy }, formatStandinAddress(network, 0), place)
   const upstreams = planUpstreams(profile, place)
   const configuration = createConfiguration(profile, upstreams)
   return {
     hosts,
-    standin: { listen: platform, seed, configuration_file: undefined, upstreams: upstreams.map(item => item.settings) },
+    standins: planStandins(options, upstreams.map(item => item.settings)),
     relays,
     configuration,
     configurationText: toJsonString(ConfigurationSchema, configuration),
@@ -89,6 +93,21 @@
   }
 }
 
+/** The control server of a stand-in process. */
+function formatStandinAddress (network: number, index: number): string {
+  return `127.${network}.1.${1 + index}:${PORTS.platform}`
+}
+
+function planStandins (options: FleetPlanOptions, upstreams: readonly StandinUpstream[]): readonly StandinSettings[] {
+  const count = options.standinCount ?? 1
+  return Array.from({ length: count }, (_, index) => ({
+    listen: formatStandinAddress(options.network, index),
+    seed: options.seed + index,
+    configuration_file: undefined,
+    upstreams: upstreams.filter((_upstream, position) => position % count === index)
+  }))
+}
+
 type Place = (block: number, blockBehind: number, hallIndex: number, item: number, port: number) => { readonly address: string, readonly listen: string }
 
 function planHosts (profile: LoadProfile, platform: string, place: Place): readonly HostPlan[] {
--- a/src/load/inProcessFleet.ts
+++ b/src/load/inProcessFleet.ts
@@ -20,13 +20,12 @@
   readonly stewards: Steward[] = []
 
   constructor (private readonly _plan: FleetPlan, private readonly _silent = true) {
-    this.control = new StandinControl(_plan.standin.listen)
+    this.control = new StandinControl(_plan.standins.map(standin => standin.listen))
   }
 
   /** Resolves when every gate is ready. */
   async start (): Promise<void> {
-    const standin = this._store.add(new Standin({ settings: this._plan.standin, log: this._createLog('standin') }))
-    await standin.start()
+    for (const settings of this._plan.standins) await this._store.add(new Standin({ settings, log: this._createLog('standin') })).start()
     await this.control.publish('pepperwood/configuration', JSON.parse(this._plan.configurationText))
     const context = { clock: new SystemClock(), random: createRandom(), incarnation: Date.now() }
     for (const host of this._plan.hosts) {
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -1,1 +1,16 @@
-console.log('x')
+/**
+ * The program `pepperwood-load`: load and experiments, for development only.
+ */
+import { defineCommand, runMain } from 'citty'
+import { relayCommand } from './relayCommand.ts'
+import { runCommand } from './runCommand.ts'
+
+const command = defineCommand({
+  meta: {
+    name: 'pepperwood-load',
+    description: 'Send load to a fleet that it starts on loopback, and measure. Exit codes: 0 correct, 1 a counter that must be 0 is not, 2 wrong usage'
+  },
+  subCommands: { run: runCommand, relay: relayCommand }
+})
+
+void runMain(command)
--- a/src/load/standinControl.ts
+++ b/src/load/standinControl.ts
@@ -10,35 +10,44 @@
   readonly upstreams: readonly { readonly name: string, readonly role: string, readonly kind: string, readonly busyMs: number }[]
 }
 
-/** Calls the control server of a stand-in. */
+/** Calls the control servers of a fleet's stand-ins as if they were one. */
 export class StandinControl {
-  constructor (private readonly _address: string) {}
+  /** The first address is the platform's. */
+  constructor (private readonly _addresses: readonly string[]) {}
 
   async readRuns (): Promise<readonly RunRecord[]> {
-    return (await this._call<{ readonly runs: readonly RunRecord[] }>('GET', '/v1/runs')).runs
+    const answers = await Promise.all(this._addresses.map(address => this._call<{ readonly runs: readonly RunRecord[] }>(address, 'GET', '/v1/runs')))
+    return answers.flatMap(answer => answer.runs)
   }
 
-  async readState (): Promise<StandinState> {
-    return await this._call<StandinState>('GET', '/v1/state')
+  /** Calls that the platform has answered so far. */
+  async readPlatformCalls (): Promise<number> {
+    return (await this._call<StandinState>(this._addresses[0] ?? '', 'GET', '/v1/state')).platformCalls
   }
 
   /** Busy time by role, in milliseconds. */
   async readBusyByRole (): Promise<ReadonlyMap<string, number>> {
+    const states = await Promise.all(this._addresses.map(address => this._call<StandinState>(address, 'GET', '/v1/state')))
     const busy = new Map<string, number>()
-    for (const upstream of (await this.readState()).upstreams) busy.set(upstream.role, (busy.get(upstream.role) ?? 0) + upstream.busyMs)
+    for (const upstream of states.flatMap(state => state.upstreams)) busy.set(upstream.role, (busy.get(upstream.role) ?? 0) + upstream.busyMs)
     return busy
   }
 
-  async setFaults (name: string, faults: object): Promise<void> {
-    await this._call('PUT', `/v1/faults/${name}`, faults)
+  async setPlatformFaults (faults: object): Promise<void> {
+    await this._call(this._addresses[0] ?? '', 'PUT', '/v1/faults/platform', faults)
+  }
+
+  /** Switches the faults of all upstreams whose name is given, or starts with it where it ends in `*`. */
+  async setFaults (pattern: string, faults: object): Promise<void> {
+    await Promise.all(this._addresses.map(address => this._call(address, 'PUT', `/v1/faults/${pattern}`, faults)))
   }
 
   async publish (key: string, value: unknown): Promise<void> {
-    await this._call('PUT', `/v1/values/${key}`, value)
+    await this._call(this._addresses[0] ?? '', 'PUT', `/v1/values/${key}`, value)
   }
 
-  private _call<T> (method: string, path: string, body?: unknown): Promise<T> {
-    const address = parseAddress(this._address)
+  private _call<T> (at: string, method: string, path: string, body?: unknown): Promise<T> {
+    const address = parseAddress(at)
     return new Promise((resolve, reject) => {
       const call = request({ host: address?.host, port: address?.port, method, path, agent: false }, response => {
         const parts: Buffer[] = []
--- /dev/null
+++ b/src/platform/rpc/node/rpcClients.ts
@@ -0,0 +1,19 @@
+/**
+ * Clients of the schema's services, for the command line and the experiments.
+ */
+import { createClient } from '@connectrpc/connect'
+import type { Client } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { OperatorService, RequestService } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+
+function createTransport (address: string) {
+  return createConnectTransport({ baseUrl: `http://${address}`, httpVersion: '1.1' })
+}
+
+export function createOperatorClient (address: string): Client<typeof OperatorService> {
+  return createClient(OperatorService, createTransport(address))
+}
+
+export function createRequestClient (address: string): Client<typeof RequestService> {
+  return createClient(RequestService, createTransport(address))
+}
--- a/src/standin/standin.ts
+++ b/src/standin/standin.ts
@@ -86,10 +86,11 @@
       this._platform.setFaults({ down: false, stale: false, slow_ms: 0, ...body as Partial<PlatformFaults> })
       return sendJson(response, 200, {})
     }
-    const upstream = this._upstreams.find(item => item.name === name)
     const faults = checkSettings('faults', body, FaultsSchema)
-    if (upstream === undefined || faults.isLeft()) return sendJson(response, 400, { message: String(faults.extract()) })
-    await upstream.setFaults(faults.unsafeCoerce())
-    sendJson(response, 200, {})
+    if (faults.isLeft()) return sendJson(response, 400, { message: String(faults.extract()) })
+    const hasName = (upstream: string) => name.endsWith('*') ? upstream.startsWith(name.slice(0, -1)) : upstream === name
+    const chosen = this._upstreams.filter(upstream => hasName(upstream.name))
+    await Promise.all(chosen.map(upstream => upstream.setFaults(faults.unsafeCoerce())))
+    sendJson(response, 200, { upstreams: chosen.length })
   }
 }
