Show the promises under faults: tables, 10,000 random histories, real processes

Cause: the path was shown without faults only. Until now a fault that doubles work would have gone unseen.

--- a/src/cli/demoCommand.ts
+++ b/src/cli/demoCommand.ts
@@ -43,7 +43,8 @@
       configuration: plan.configuration,
       outcomes,
       runs: await fleet.control.readRuns(),
-      busyByRole: await fleet.control.readBusyByRole()
+      busyByRole: await fleet.control.readBusyByRole(),
+      callsAfterLeaving: await fleet.control.readCallsAfterLeaving()
     })
     process.stdout.write(`${args.json ? JSON.stringify(report) : formatReport(report)}\n`)
     fleet.dispose()
--- a/src/client/pepperwoodClient.ts
+++ b/src/client/pepperwoodClient.ts
@@ -16,6 +16,7 @@
 import type { ClientError } from './clientError.ts'
 import { createClientError } from './clientError.ts'
 import { GateDirectory } from './gateDirectory.ts'
+import { maySubmitAnew } from './resubmission.ts'
 
 export interface PepperwoodClientOptions {
   /** Addresses of gates to ask first. */
@@ -121,7 +122,7 @@
       lastError = end.error
       checkpoint = submission.reader.checkpoint ?? checkpoint
       if (lastError.execution !== 'notRun') mayHaveRun = true
-      if (!this._mayGoElsewhere(lastError, options, mayHaveRun) || resubmissions++ >= (this._options.maxResubmissions ?? 2)) break
+      if (!maySubmitAnew({ error: lastError, isUnrepeatable: options.unrepeatable === true, mayHaveRun }) || resubmissions++ >= (this._options.maxResubmissions ?? 2)) break
       if (lastError.resultName === 'checkpointInvalid') checkpoint = undefined
       const waitMs = Math.min(lastError.retryAfterMs, REATTACH_WAIT_MS)
       if (waitMs > 0) await waitFor(waitMs)
@@ -236,13 +237,6 @@
     }
   }
 
-  private _mayGoElsewhere (error: ClientError, options: SubmitOptions, mayHaveRun: boolean): boolean {
-    if (error.resultName === 'sessionUnknown') return error.execution === 'notRun' || options.unrepeatable !== true
-    const isHopeless = error.code >= 201 && error.code <= 212 && error.resultName !== 'checkpointInvalid'
-    if (isHopeless || error.resultName === 'deadlinePassed' || error.resultName === 'cancelled' || error.resultName === 'deadlineTooShort') return false
-    return !mayHaveRun || options.unrepeatable !== true
-  }
-
   private _leave (home: string): void {
     this._sessions.delete(home)
     this._gates.avoid(home)
--- a/src/gate/requestHandlers.ts
+++ b/src/gate/requestHandlers.ts
@@ -33,7 +33,7 @@
   return OPEN_RESULTS.has(error.resultName) ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN
 }
 
-function createRefusal (refused: RefusedRequest): Refusal {
+export function createRefusal (refused: RefusedRequest): Refusal {
   const { error, retryAfterMs, gates } = refused
   return create(RefusalSchema, {
     code: error.code,
@@ -47,7 +47,7 @@
   })
 }
 
-function createEndEvent (run: RequestRun, end: RunEnd): AnswerEvent {
+export function createEndEvent (run: RequestRun, end: RunEnd): AnswerEvent {
   if (end.kind === 'whole') {
     return createEvent({ case: 'end', value: { chunkCount: run.chunks.length, digest: end.digest, costs: [...end.costs] } })
   }
--- /dev/null
+++ b/src/gate/test/atMostOnce.test.ts
@@ -0,0 +1,254 @@
+/**
+ * Random histories of callers, gates and upstreams: sends, copies that come late, gates that die and come back, pauses,
+ * lost answers, cancels. What must hold in each: an unrepeatable request runs at most once, and what was refused as
+ * not run did not run, then or later.
+ */
+import { create } from '@bufbuild/protobuf'
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { readRefusal } from '../../client/answerReader.ts'
+import type { ClientExecution } from '../../client/clientError.ts'
+import { maySubmitAnew } from '../../client/resubmission.ts'
+import { ConfigurationSchema, SubmitRequestSchema, UpstreamKind } from '../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { SubmitRequest } from '../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { AdmitAll } from '../../platform/admission/common/admissionPolicy.ts'
+import type { AcceptedConfiguration, IConfigurationService } from '../../platform/configuration/common/configurationService.ts'
+import { createHarness } from '../../platform/pipeline/test/fakes.ts'
+import type { Harness, ScriptedCall } from '../../platform/pipeline/test/fakes.ts'
+import type { RequestRun } from '../../platform/session/common/requestRun.ts'
+import { SessionService } from '../../platform/session/common/sessionService.ts'
+import { CheckpointSeal } from '../../platform/session/node/checkpointSeal.ts'
+import { GateRequests } from '../gateRequests.ts'
+import { createRefusal, createEndEvent } from '../requestHandlers.ts'
+
+const SEED = 20261206
+const HISTORIES = 10_000
+const test = suite('atMostOnce')
+
+/** How many requests of the histories came to each end; a history that reaches none of them would prove nothing. */
+const reached = { ranOnce: 0, refusedNotRun: 0, resubmitted: 0, homeGone: 0 }
+
+const STAGES = [{ role: 'encode' }, { role: 'book', unrepeatable: true }]
+
+const accepted: AcceptedConfiguration = {
+  text: '',
+  revision: 1,
+  number: { epoch: 1, version: 1 },
+  source: 'test',
+  acceptedAt: 0,
+  configuration: create(ConfigurationSchema, {
+    epoch: 1,
+    version: 1,
+    customers: [{ name: 'c' }],
+    upstreams: [{ name: 'u', kind: UpstreamKind.SERVICE, role: 'encode' }],
+    pipelines: [{ name: 'p', deadlineMs: 1000, stages: STAGES.map(stage => ({ name: stage.role, ...stage })) }]
+  })
+}
+
+/** One life of a gate. */
+class GateLife {
+  readonly sessions: SessionService
+  readonly requests: GateRequests
+  readonly runs: RequestRun[] = []
+  isDraining = false
+
+  constructor (harness: Harness, readonly address: string, readonly incarnation: string, createId: () => string) {
+    this.sessions = new SessionService({ clock: harness.clock, createId, maxKeptSize: 64 })
+    const configuration = { current: accepted, number: accepted.number } as IConfigurationService
+    this.requests = new GateRequests({
+      clock: harness.clock,
+      address,
+      incarnation,
+      configuration,
+      sessions: this.sessions,
+      scheduler: harness.scheduler,
+      admission: new AdmitAll(),
+      committed: harness.committed,
+      seal: new CheckpointSeal({ key: 'a key for tests only' }),
+      runner: { run: async (plan, run) => { this.runs.push(run); await harness.runner.run(plan, run) } },
+      decisions: harness.decisions,
+      isReady: () => true,
+      isDraining: () => this.isDraining,
+      listGates: () => [],
+      catchUp: async () => true,
+      onDidEnd: () => {}
+    })
+  }
+
+  /** The process is gone: nothing of it goes on. */
+  die (): void {
+    for (const run of this.runs) run.abort.abort()
+  }
+}
+
+/** One request as its caller sees it: the marker stays the same through all its submissions. */
+interface CallerRequest {
+  readonly marker: string
+  readonly submissions: SubmitRequest[]
+  readonly claims: ClientExecution[]
+}
+
+const callKinds = fc.constantFrom<ScriptedCall>('answer', 'answer', 'neverOpens', 'busy', 'leaving', 'failed', 'lost', 'foreign', 'hang')
+const commands = fc.array(fc.oneof(
+  fc.record({ kind: fc.constant('submit' as const), at: fc.nat({ max: 1 }) }),
+  fc.record({ kind: fc.constant('copy' as const), at: fc.nat({ max: 20 }) }),
+  fc.record({ kind: fc.constant('retry' as const), at: fc.nat({ max: 20 }) }),
+  fc.record({ kind: fc.constant('restart' as const), at: fc.nat({ max: 1 }) }),
+  fc.record({ kind: fc.constant('drain' as const), at: fc.nat({ max: 1 }) }),
+  fc.record({ kind: fc.constant('cancel' as const), at: fc.nat({ max: 20 }) }),
+  fc.record({ kind: fc.constant('pause' as const), at: fc.nat({ max: 3 }) }),
+  fc.record({ kind: fc.constant('advance' as const), at: fc.nat({ max: 1200 }) })
+), { minLength: 1, maxLength: 14 })
+
+type Command = { readonly kind: 'submit' | 'copy' | 'retry' | 'restart' | 'drain' | 'cancel' | 'pause' | 'advance', readonly at: number }
+
+class History {
+  private readonly _harness = createHarness(STAGES)
+  private readonly _gates: GateLife[]
+  private readonly _requests: CallerRequest[] = []
+  private readonly _sessions = new Map<GateLife, string>()
+  private _nextId = 0
+
+  constructor (script: readonly ScriptedCall[]) {
+    let next = 0
+    this._harness.adapter.script = () => script[next++ % Math.max(1, script.length)] ?? 'answer'
+    this._gates = [this._createGate('g0'), this._createGate('g1')]
+  }
+
+  async run (steps: readonly Command[]): Promise<void> {
+    for (const step of steps) {
+      this._apply(step)
+      await Promise.resolve()
+      if (step.kind !== 'copy') await settleMicrotasks()
+    }
+    this._harness.clock.advance(5000)
+    await settleMicrotasks()
+  }
+
+  check (): void {
+    for (const request of this._requests) {
+      const runs = this._countRuns(request)
+      assert.ok(runs <= 1, `${request.marker} ran ${runs} times`)
+      if (request.claims.at(-1) === 'notRun') assert.is(runs, 0, `${request.marker} was refused as not run`)
+      if (runs === 1) reached.ranOnce++
+      if (request.claims.at(-1) === 'notRun') reached.refusedNotRun++
+      if (request.submissions.length > 1) reached.resubmitted++
+      if (this._findRun(request.submissions.at(-1)) === undefined) reached.homeGone++
+    }
+  }
+
+  private _apply (step: Command): void {
+    const request = this._requests[step.at % Math.max(1, this._requests.length)]
+    const gate = this._gates[step.at % 2]
+    if (step.kind === 'advance') this._harness.clock.advance(step.at)
+    else if (step.kind === 'pause') this._harness.pause.maySend = false
+    else if (step.kind === 'restart' && gate !== undefined) this._replace(gate)
+    else if (step.kind === 'drain' && gate !== undefined) gate.isDraining = true
+    else if (step.kind === 'submit' && gate !== undefined) this._submitNew(gate)
+    else if (request !== undefined) this._applyTo(step, request)
+  }
+
+  private _applyTo (step: Command, request: CallerRequest): void {
+    if (step.kind === 'copy') this._deliver(request, request.submissions.at(step.at % request.submissions.length))
+    else if (step.kind === 'retry') this._tryAgain(request)
+    else if (step.kind === 'cancel') this._findRun(request.submissions.at(-1))?.abort.abort()
+  }
+
+  private _submitNew (gate: GateLife): void {
+    const request: CallerRequest = { marker: `m${this._requests.length}`, submissions: [], claims: [] }
+    this._requests.push(request)
+    this._submitAt(request, gate)
+  }
+
+  private _submitAt (request: CallerRequest, gate: GateLife): void {
+    let session = this._sessions.get(gate)
+    session ??= gate.sessions.open('c').map(opened => opened.id).orDefault('')
+    this._sessions.set(gate, session)
+    const submission = create(SubmitRequestSchema, {
+      session,
+      home: gate.address,
+      incarnation: gate.incarnation,
+      number: ++this._nextId,
+      pipeline: 'p',
+      input: request.marker,
+      unrepeatable: true
+    })
+    request.submissions.push(submission)
+    this._deliver(request, submission)
+  }
+
+  /** As the client library does: asks again at the home, and goes elsewhere only when nothing can have run. */
+  private _tryAgain (request: CallerRequest): void {
+    const submission = request.submissions.at(-1)
+    const claim = this._readClaim(submission)
+    if (claim === undefined) return this._deliver(request, submission)
+    request.claims.push(claim.execution)
+    const mayHaveRun = request.claims.some(execution => execution !== 'notRun')
+    const other = this._gates.find(gate => gate.address !== submission?.home)
+    if (other !== undefined && maySubmitAnew({ error: claim, isUnrepeatable: true, mayHaveRun })) {
+      request.claims.length = 0
+      this._submitAt(request, other)
+    }
+  }
+
+  private _deliver (request: CallerRequest, submission: SubmitRequest | undefined): void {
+    const gate = this._gates.find(item => item.address === submission?.home)
+    if (gate === undefined || submission === undefined) return
+    const refused = gate.requests.submit(submission).swap().toMaybe().extractNullable()
+    if (refused === null || submission !== request.submissions.at(-1)) return
+    // A gate that does not know the session says that it may have run; only the caller knows better.
+    request.claims.push(readRefusal(createRefusal(refused)).execution)
+  }
+
+  private _findRun (submission: SubmitRequest | undefined): RequestRun | undefined {
+    const gate = this._gates.find(item => item.address === submission?.home && item.incarnation === submission.incarnation)
+    if (submission === undefined) return undefined
+    return gate?.sessions.findRun(submission.session, submission.number).toMaybe().extract()
+  }
+
+  private _readClaim (submission: SubmitRequest | undefined) {
+    const run = this._findRun(submission)
+    if (run?.end === undefined || run.end.kind === 'whole') return undefined
+    const { event } = createEndEvent(run, run.end)
+    return event.case === 'refusal' ? readRefusal(event.value) : undefined
+  }
+
+  /** Runs of the unrepeatable stage over all submissions of the request, whatever became of their gates. */
+  private _countRuns (request: CallerRequest): number {
+    const ids = new Set(request.submissions.map(item => `${item.session}/${item.number}`))
+    return this._harness.adapter.ran.filter(attempt => {
+      const [session, number, stage] = attempt.split('/')
+      return stage === '1' && ids.has(`${session}/${number}`)
+    }).length
+  }
+
+  private _replace (gate: GateLife): void {
+    gate.die()
+    this._gates[this._gates.indexOf(gate)] = this._createGate(gate.address)
+  }
+
+  private _createGate (address: string): GateLife {
+    const incarnation = `i${++this._nextId}`
+    return new GateLife(this._harness, address, incarnation, () => `${address}-${++this._nextId}`)
+  }
+}
+
+/** No timers are involved, so a fixed number of microtask turns lets all that can go on go on. */
+async function settleMicrotasks (): Promise<void> {
+  for (let turn = 0; turn < 120; turn++) await Promise.resolve()
+}
+
+test('an unrepeatable request runs at most once, and never after it was refused as not run', async () => {
+  await fc.assert(fc.asyncProperty(commands, fc.array(callKinds, { maxLength: 8 }), async (steps, script) => {
+    const history = new History(script)
+    await history.run(steps)
+    history.check()
+  }), { seed: SEED, numRuns: HISTORIES })
+})
+
+test('the histories reached every case that matters', () => {
+  for (const [name, count] of Object.entries(reached)) assert.ok(count > 100, `${name}: ${count}`)
+})
+
+test.run()
--- a/src/load/experiment.ts
+++ b/src/load/experiment.ts
@@ -75,7 +75,7 @@
     const runs = (await fleet.control.readRuns()).filter(run => run.marker.startsWith('r.'))
     const calls = await fleet.control.readPlatformCalls() - callsBefore
     return {
-      report: createLoadReport({ configuration: plan.configuration, outcomes, runs, busyByRole }),
+      report: createLoadReport({ configuration: plan.configuration, outcomes, runs, busyByRole, callsAfterLeaving: await fleet.control.readCallsAfterLeaving() }),
       outcomes,
       platformCallsPerSecond: calls / (performance.now() - startedAt) * 1000
     }
--- a/src/load/loadReport.ts
+++ b/src/load/loadReport.ts
@@ -17,6 +17,8 @@
   readonly misdelivered: number
   /** Refused as not run, and yet something ran. */
   readonly ranAfterNotRun: number
+  /** Calls sent to upstreams that had been leaving for more than two seconds. */
+  readonly sentToLeaving: number
 }
 
 export interface AttainmentRow {
@@ -55,6 +57,7 @@
   readonly runs: readonly RunRecord[]
   /** Busy time by role, as the stand-ins counted it. */
   readonly busyByRole: ReadonlyMap<string, number>
+  readonly callsAfterLeaving: number
 }
 
 const MAX_TRACKED_MS = 120_000
@@ -87,7 +90,7 @@
     if (known === undefined) runsByMarker.set(key, [run])
     else known.push(run)
   }
-  const counters = { lost: 0, doubled: 0, misdelivered: 0, ranAfterNotRun: 0 }
+  const counters = { lost: 0, doubled: 0, misdelivered: 0, ranAfterNotRun: 0, sentToLeaving: inputs.callsAfterLeaving }
   for (const outcome of inputs.outcomes) {
     const { arrival } = outcome
     const pipeline = inputs.configuration.pipelines.find(item => item.name === arrival.pipeline)
@@ -175,6 +178,6 @@
     '',
     `results: ${Object.entries(report.byResult).map(([result, count]) => `${result}=${count}`).join(' ')}`,
     `attainment=${report.attainment.toFixed(4)} wasted=${report.wastedShare.toFixed(4)} retries=${report.retryShare.toFixed(4)} first_chunk_p95_ms=${report.firstChunkP95Ms}`,
-    `lost=${counters.lost} doubled=${counters.doubled} misdelivered=${counters.misdelivered} ran_after_not_run=${counters.ranAfterNotRun}`
+    `lost=${counters.lost} doubled=${counters.doubled} misdelivered=${counters.misdelivered} ran_after_not_run=${counters.ranAfterNotRun} sent_to_leaving=${counters.sentToLeaving}`
   ].join('\n')
 }
--- a/src/load/processFleet.ts
+++ b/src/load/processFleet.ts
@@ -56,7 +56,7 @@
     else if (action === 'platform') await this.control.setPlatformFaults(faults)
     else if (action === 'cut' || action === 'heal') this._processes.get('relay')?.child.stdin?.write(`${action} ${target}\n`)
     else if (action === 'publish') await this.publishNext()
-    else if (action === 'start') this._startAgain(target)
+    else if (action === 'start') await this._startAgain(target)
     else this._processes.get(target)?.child.kill(SIGNALS[action])
   }
 
@@ -108,11 +108,12 @@
     this._processes.set(name, { program, args, child })
   }
 
-  /** Starts a process anew under its settings, as the platform does with a replaced host. */
-  private _startAgain (name: string): void {
+  /** Starts a process anew under its settings, once its predecessor is gone, as the platform does with a replaced host. */
+  private async _startAgain (name: string): Promise<void> {
     const started = this._processes.get(name)
     if (started === undefined) return
-    if (started.child.exitCode === null && started.child.signalCode === null) started.child.kill('SIGKILL')
+    const until = performance.now() + STOP_TIMEOUT_MS
+    while (started.child.exitCode === null && started.child.signalCode === null && performance.now() < until) await waitFor(POLL_MS)
     this._spawn(name, started.program, started.args)
   }
 
--- a/src/load/standinControl.ts
+++ b/src/load/standinControl.ts
@@ -7,7 +7,7 @@
 
 export interface StandinState {
   readonly platformCalls: number
-  readonly upstreams: readonly { readonly name: string, readonly role: string, readonly kind: string, readonly busyMs: number }[]
+  readonly upstreams: readonly { readonly name: string, readonly role: string, readonly kind: string, readonly busyMs: number, readonly callsAfterLeaving: number }[]
 }
 
 /** Calls the control servers of a fleet's stand-ins as if they were one. */
@@ -33,6 +33,12 @@
     return busy
   }
 
+  /** Calls sent to upstreams more than two seconds after they had said that they were leaving. */
+  async readCallsAfterLeaving (): Promise<number> {
+    const states = await Promise.all(this._addresses.map(address => this._call<StandinState>(address, 'GET', '/v1/state')))
+    return states.flatMap(state => state.upstreams).reduce((sum, upstream) => sum + upstream.callsAfterLeaving, 0)
+  }
+
   async setPlatformFaults (faults: object): Promise<void> {
     await this._call(this._addresses[0] ?? '', 'PUT', '/v1/faults/platform', faults)
   }
--- a/src/platform/pipeline/node/attemptRunner.ts
+++ b/src/platform/pipeline/node/attemptRunner.ts
@@ -28,7 +28,7 @@
     const end = (outcome: UpstreamOutcome, gaveUp: boolean) => {
       if (isOver) return
       isOver = true
-      clearTimeout(timer)
+      timer.dispose()
       resume(Effect.succeed({ outcome, gaveUp }))
     }
     const stop = () => {
@@ -38,13 +38,13 @@
     const checkSilence = () => {
       const silentMs = clock.now() - lastHeardAt
       if (silentMs < maxSilenceMs) {
-        timer = setTimeout(checkSilence, maxSilenceMs - silentMs)
+        timer = clock.schedule(maxSilenceMs - silentMs, checkSilence)
         return
       }
       stop()
       end({ kind: 'lost', error: createSilent(call, maxSilenceMs) }, true)
     }
-    let timer = setTimeout(checkSilence, maxSilenceMs)
+    let timer = clock.schedule(maxSilenceMs, checkSilence)
     adapter.call({
       ...call,
       signal: abort.signal,
@@ -64,7 +64,7 @@
     return Effect.sync(() => {
       if (isOver) return
       isOver = true
-      clearTimeout(timer)
+      timer.dispose()
       stop()
     })
   })
--- a/src/platform/pipeline/node/requestRunner.ts
+++ b/src/platform/pipeline/node/requestRunner.ts
@@ -5,6 +5,7 @@
 import { Cause, Effect, Exit } from 'effect'
 import type { IClock } from '../../../base/common/clock.ts'
 import { hashSha256 } from '../../../base/node/digest.ts'
+import { createEffectClock } from '../../../base/node/effectClock.ts'
 import { StageCostSchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { StageCost } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { CommittedWork } from '../../admission/common/committedWork.ts'
@@ -42,7 +43,8 @@
       Effect.timeoutFail({
         duration: Math.max(0, plan.deadlineAt - this._options.clock.now()),
         onTimeout: () => new StageFailure({ error: new PepperwoodError({ name: 'deadlinePassed', message: 'the deadline has passed' }), retryAfterMs: 0 })
-      })
+      }),
+      Effect.withClock(createEffectClock(this._options.clock))
     )
     const exit = await Effect.runPromiseExit(program, { signal: run.abort.signal })
     for (const role of open) this._options.committed.remove(role, plan.customer)
--- a/src/standin/standinUpstream.ts
+++ b/src/standin/standinUpstream.ts
@@ -39,6 +39,8 @@
 const SNAPSHOT_PERIOD_MS = 50
 const MAX_SNAPSHOTS = 400
 const BUSY_RETRY_MS = 20
+/** Everyone should know of a leaving upstream after this. */
+const LEAVING_GRACE_MS = 2000
 
 export class StandinUpstreamServer extends Disposable {
   private readonly _settings: StandinUpstream
@@ -55,6 +57,9 @@
   private _models: readonly string[]
   private _fencing = 0
   private _staleOrders = 0
+  /** Since when it has said that it is leaving; undefined while it stays. */
+  private _leavingSince: number | undefined
+  private _callsAfterLeaving = 0
   private _snapshots: readonly LoadSnapshot[] = []
   private readonly _lostPrefixes = new Set<string>()
 
@@ -89,6 +94,8 @@
     const wasDead = this._faults.dead
     this._faults = faults
     this._engine.setSlow(faults.slow)
+    const isLeaving = faults.leaving || faults.leaving_quietly
+    this._leavingSince = isLeaving ? this._leavingSince ?? performance.now() : undefined
     if (faults.dead && !wasDead) this._die()
     if (!faults.dead && wasDead) {
       this._boot = Math.max(Date.now(), this._boot + 1)
@@ -99,7 +106,7 @@
   /** What the stand-in counted, for checks. */
   describe (): object {
     const { name, role, kind } = this._settings
-    return { name, role, kind, boot: this._boot, busyMs: this._engine.busyMs + this._serviceBusyMs, models: this._models, fencing: this._fencing, staleOrders: this._staleOrders }
+    return { name, role, kind, boot: this._boot, busyMs: this._engine.busyMs + this._serviceBusyMs, models: this._models, fencing: this._fencing, staleOrders: this._staleOrders, callsAfterLeaving: this._callsAfterLeaving }
   }
 
   private _die (): void {
@@ -128,6 +135,7 @@
   }
 
   private _take (body: CallBody, path: string, response: ServerResponse): void {
+    if (this._leavingSince !== undefined && performance.now() - this._leavingSince > LEAVING_GRACE_MS) this._callsAfterLeaving++
     const refusal = this._findRefusal(body)
     if (refusal !== undefined) {
       return sendJson(response, 503, { attempt: body.attempt, error: refusal, ran: false, boot: this._boot, retryAfterMs: refusal === 'BUSY' ? BUSY_RETRY_MS : 0 })
