--- a/src/platform/result/common/resultCodes.ts
+++ b/src/platform/result/common/resultCodes.ts
@@ -33,7 +33,6 @@
   stageFailed: 303,
   outcomeUnknown: 304,
   answerTorn: 305,
-  callerGone: 306,
   frameTooLarge: 401,
   frameUnreadable: 402,
   frameInvalid: 403,
