Cut the cost of a chunk, keep connections, and compare policies over scenarios

Cause: at 180 requests/s the gates took 51 to 89% of a core each and the load tool 99%; profiles showed new connections for each call, since both sides left a stream before its last bytes, and about equal costs per token message everywhere. Stewards took 20% of a core, mostly for load reports that said nothing new. New: compare, with an upper bound on attainment from capacity. The gates' share is still high and wants another look.

--- a/src/client/pepperwoodClient.ts
+++ b/src/client/pepperwoodClient.ts
@@ -187,15 +187,17 @@
         checkpoint,
         seenConfiguration: this._gates.seenConfiguration
       }, { signal: abort.signal })
+      let end: TryEnd = { kind: 'broken', reason: 'the stream ended early' }
       for await (const event of stream) {
         watch.reset()
         if (event.event.case === 'accepted') this._gates.noteConfiguration(event.event.value.configuration)
         const state = reader.take(event)
-        if (state.kind === 'refused') return state
-        onSent()
-        if (state.kind !== 'open') return state
+        if (state.kind !== 'refused') onSent()
+        if (state.kind === 'broken') return state
+        // The stream is read to its end even so, which leaves the connection fit for the next request.
+        if (state.kind !== 'open') end = state
       }
-      return { kind: 'broken', reason: 'the stream ended early' }
+      return end
     } catch (thrown) {
       if (isNeverSent(thrown)) return { kind: 'unreachable' }
       onSent()
@@ -205,7 +207,6 @@
       clearTimeout(deadline)
       watch.stop()
       options.signal?.removeEventListener('abort', onAbort)
-      abort.abort()
     }
   }
 
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -207,7 +207,7 @@
       admission: createAdmission(policy),
       committed,
       seal,
-      runner: new RequestRunner({ clock, stages, committed, seal, decisions: this._decisions }),
+      runner: new RequestRunner({ clock, stages, committed, seal, decisions: this._decisions, chunkIntervalMs: settings.chunk_interval_ms }),
       decisions: this._decisions,
       isReady: () => this.isReady,
       isDraining: () => this._isDraining,
--- a/src/gate/gateSettings.ts
+++ b/src/gate/gateSettings.ts
@@ -37,6 +37,8 @@
   previous_checkpoint_key: Schema.optional(Schema.String.pipe(Schema.minLength(16))),
   session_lifetime_ms: Schema.optionalWith(PositiveMs, { default: () => 600_000 }),
   max_sessions: Schema.optionalWith(PositiveCount, { default: () => 20_000 }),
+  /** Tokens that come within this time of the last chunk are sent as one chunk; 0 sends each by itself. */
+  chunk_interval_ms: Schema.optionalWith(Schema.Number.pipe(Schema.between(0, 1000)), { default: () => 25 }),
   kept_answers_mb: Schema.optionalWith(PositiveCount, { default: () => 32 }),
   policy: Schema.optionalWith(PolicySettingsSchema, { default: () => PolicySettingsSchema.make({}) })
 })
--- /dev/null
+++ b/src/load/compareCommand.ts
@@ -0,0 +1,128 @@
+/**
+ * `pepperwood-load compare`: policies side by side over scenarios and seeds, in one run.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { defineCommand } from 'citty'
+import { PolicySettingsSchema } from '../gate/gateSettings.ts'
+import type { PolicySettings } from '../gate/gateSettings.ts'
+import { exitCodes, exitWith } from '../platform/program/node/program.ts'
+import { PepperwoodError } from '../platform/result/common/pepperwoodError.ts'
+import { SeededRandom } from '../base/common/random.ts'
+import { planArrivals } from './arrivals.ts'
+import { computeAttainmentBound } from './attainmentBound.ts'
+import { runExperiment } from './experiment.ts'
+import type { LoadProfile } from './loadProfile.ts'
+import { isCorrect } from './loadReport.ts'
+import type { LoadReport } from './loadReport.ts'
+import { chooseNetwork, loadProfile, loadScenario, parsePolicy } from './runCommand.ts'
+import { createRateShape } from './scenario.ts'
+import type { Scenario } from './scenario.ts'
+
+const BASELINE_PARTS = { admission: 'none', limits: 'fixed', queue: 'fifo', retries: 'unlimited', health: 'trusting' } as const
+
+/** The policies that can be named; `policy` is the profile's own. */
+function findPolicy (name: string, profile: LoadProfile): PolicySettings {
+  if (name === 'policy') return profile.policy
+  if (name === 'round-robin') return PolicySettingsSchema.make({ router: 'round-robin', ...BASELINE_PARTS })
+  if (name === 'least-reported') return PolicySettingsSchema.make({ router: 'least-reported', ...BASELINE_PARTS })
+  return parsePolicy(name, profile)
+}
+
+/** What is kept of a run. */
+interface Measure {
+  readonly attainment: number
+  readonly smallest: number
+  readonly wasted: number
+  readonly retries: number
+  readonly busyMsPerWhole: number
+  readonly isCorrect: boolean
+}
+
+interface Row {
+  readonly scenario: string
+  readonly policy: string
+  readonly bound: number
+  readonly measures: readonly Measure[]
+}
+
+function createMeasure (report: LoadReport, profile: LoadProfile): Measure {
+  const small = [...profile.customers].sort((a, b) => a.share - b.share).slice(0, 2).map(customer => customer.name)
+  const rows = report.byCustomer.filter(row => small.includes(row.name))
+  const whole = report.byCustomer.reduce((sum, row) => sum + row.whole, 0)
+  const busyMs = report.costs.reduce((sum, cost) => sum + cost.busyMs, 0)
+  return {
+    attainment: report.attainment,
+    smallest: rows.reduce((sum, row) => sum + row.whole, 0) / Math.max(1, rows.reduce((sum, row) => sum + row.requests, 0)),
+    wasted: report.wastedShare,
+    retries: report.retryShare,
+    busyMsPerWhole: busyMs / Math.max(1, whole),
+    isCorrect: isCorrect(report.counters)
+  }
+}
+
+/** Median, and the range where there are several. */
+function formatSpread (values: readonly number[], digits = 3): string {
+  const sorted = [...values].sort((a, b) => a - b)
+  const median = sorted[Math.floor(sorted.length / 2)] ?? 0
+  const text = median.toFixed(digits)
+  return sorted.length === 1 ? text : `${text} (${sorted[0]?.toFixed(digits)}–${sorted.at(-1)?.toFixed(digits)})`
+}
+
+function formatRow (row: Row): string {
+  const cells = [
+    row.scenario,
+    row.policy,
+    row.bound.toFixed(3),
+    formatSpread(row.measures.map(item => item.attainment)),
+    formatSpread(row.measures.map(item => item.smallest)),
+    formatSpread(row.measures.map(item => item.wasted)),
+    formatSpread(row.measures.map(item => item.retries)),
+    formatSpread(row.measures.map(item => item.busyMsPerWhole), 0),
+    row.measures.every(item => item.isCorrect) ? '0' : 'NOT 0'
+  ]
+  return `| ${cells.join(' | ')} |`
+}
+
+const HEADER = '| scenario | policy | bound | attainment | two smallest customers | cost for nobody | retries | busy ms per whole answer | counters |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |'
+
+async function measureRow (profile: LoadProfile, scenario: Scenario, policyName: string, seeds: readonly number[], out: string): Promise<Row> {
+  const measures: Measure[] = []
+  const bounds: number[] = []
+  for (const seed of seeds) {
+    const directory = join(out, `${scenario.name}-${policyName.replaceAll(/[^a-z-]+/g, '_').slice(0, 40)}-${seed}`)
+    const { report } = await runExperiment({ profile, scenario, policy: findPolicy(policyName, profile), seed, network: chooseNetwork(), directory })
+    writeFileSync(join(directory, 'report.json'), JSON.stringify(report, undefined, 2))
+    measures.push(createMeasure(report, profile))
+    bounds.push(computeAttainmentBound(profile, planArrivals(profile, createRateShape(profile, scenario), scenario.seconds * 1000, 'r', new SeededRandom(seed))))
+  }
+  return { scenario: scenario.name, policy: policyName, bound: bounds.reduce((sum, bound) => sum + bound, 0) / bounds.length, measures }
+}
+
+export const compareCommand = defineCommand({
+  meta: { name: 'compare', description: 'Compare policies. Example: pepperwood-load compare --profile bench/profiles/kingston.toml --scenarios bench/scenarios/burst.toml --policies policy,round-robin --seeds 1,2,3' },
+  args: {
+    profile: { type: 'string', required: true, description: 'The profile (TOML)', valueHint: 'FILE' },
+    scenarios: { type: 'string', required: true, description: 'Scenario files, separated by commas', valueHint: 'FILES' },
+    policies: { type: 'string', default: 'policy,round-robin,least-reported', description: 'policy, round-robin, least-reported, or settings such as limits="fixed"; separated by commas' },
+    seeds: { type: 'string', default: '1', description: 'Seeds, separated by commas' },
+    out: { type: 'string', default: 'out/compare', description: 'Directory for reports and logs', valueHint: 'DIR' }
+  },
+  async run ({ args }) {
+    const profile = loadProfile(args.profile)
+    const seeds = args.seeds.split(',').map(Number)
+    if (!seeds.every(Number.isInteger)) exitWith(new PepperwoodError({ name: 'settingsInvalid', message: 'expected whole numbers', place: '--seeds', value: args.seeds }), exitCodes.usage)
+    mkdirSync(args.out, { recursive: true })
+    process.stdout.write(`${HEADER}\n`)
+    let allCorrect = true
+    for (const file of args.scenarios.split(',')) {
+      const scenario = loadScenario(file)
+      for (const policyName of args.policies.split(',')) {
+        const row = await measureRow(profile, scenario, policyName, seeds, args.out)
+        allCorrect &&= row.measures.every(item => item.isCorrect)
+        process.stdout.write(`${formatRow(row)}\n`)
+      }
+    }
+    process.exit(allCorrect ? exitCodes.ok : exitCodes.refused)
+  }
+})
--- a/src/load/experiment.ts
+++ b/src/load/experiment.ts
@@ -13,6 +13,8 @@
 import { runLoad } from './loadRunner.ts'
 import type { Outcome } from './loadRunner.ts'
 import { ProcessFleet } from './processFleet.ts'
+import { compareReadings, readUsage } from './processUsage.ts'
+import type { ProcessUsage } from './processUsage.ts'
 import { createRateShape } from './scenario.ts'
 import type { Scenario } from './scenario.ts'
 
@@ -32,6 +34,7 @@
   readonly outcomes: readonly Outcome[]
   /** Calls to the platform per second of the run. */
   readonly platformCallsPerSecond: number
+  readonly usage: readonly ProcessUsage[]
 }
 
 const STANDIN_COUNT = 3
@@ -61,6 +64,11 @@
     await send(scenario.warmup_ms / 1000, 'w', { ...warmupShape, rate: Math.min(warmupShape.rate, profile.nominal_rate * 0.5) })
     const busyBefore = await fleet.control.readBusyByRole()
     const callsBefore = await fleet.control.readPlatformCalls()
+    const measured = plan.hosts.flatMap((host, index) => [
+      { name: `gate-${index}`, metricsAddress: host.gate.metrics_address ?? '' },
+      { name: `steward-${index}`, metricsAddress: host.steward.metrics_address ?? '' }
+    ])
+    const usageBefore = await readUsage(measured)
     const startedAt = performance.now()
     const progress = new Progress(options.onDidProgress)
     const steps = Promise.all(scenario.steps.map(async step => {
@@ -69,6 +77,7 @@
     }))
     const outcomes = await send(scenario.seconds, 'r', undefined, outcome => progress.add(outcome))
     progress.stop()
+    const usage = compareReadings(usageBefore, await readUsage(measured))
     await steps
     const busyAfter = await fleet.control.readBusyByRole()
     const busyByRole = new Map([...busyAfter].map(([role, busyMs]) => [role, Math.max(0, busyMs - (busyBefore.get(role) ?? 0))]))
@@ -77,6 +86,7 @@
     return {
       report: createLoadReport({ configuration: plan.configuration, outcomes, runs, busyByRole, callsAfterLeaving: await fleet.control.readCallsAfterLeaving() }),
       outcomes,
+      usage,
       platformCallsPerSecond: calls / (performance.now() - startedAt) * 1000
     }
   } finally {
--- a/src/load/inProcessFleet.ts
+++ b/src/load/inProcessFleet.ts
@@ -30,7 +30,9 @@
     const context = { clock: new SystemClock(), random: createRandom(), incarnation: Date.now() }
     for (const host of this._plan.hosts) {
       this.stewards.push(this._store.add(new Steward({ ...context, settings: host.steward, log: this._createLog('steward') })))
-      this.gates.push(this._store.add(new Gate({ ...context, settings: host.gate, log: this._createLog('gate') })))
+      // Each token by itself, so that tests can ask for chunks by number.
+      const settings = { ...host.gate, chunk_interval_ms: 0 }
+      this.gates.push(this._store.add(new Gate({ ...context, settings, log: this._createLog('gate') })))
     }
     await Promise.all([...this.stewards, ...this.gates].map(program => program.start()))
     while (!this.gates.every(gate => gate.isReady)) await waitFor(20)
--- a/src/platform/order/node/orderService.ts
+++ b/src/platform/order/node/orderService.ts
@@ -2,6 +2,7 @@
  * Brings engines to what the configuration wants, one order at a time and never more loads at once in a hall than allowed.
  */
 import { Disposable } from '../../../base/common/disposable.ts'
+import type { IClock } from '../../../base/common/clock.ts'
 import { startInterval, waitFor } from '../../../base/node/interval.ts'
 import { UpstreamKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { Upstream } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -18,6 +19,7 @@
 export interface OrderServiceOptions {
   readonly adapter: UpstreamAdapter
   readonly facts: FactStore
+  readonly clock: IClock
   readonly configuration: IConfigurationService
   readonly decisions: DecisionLog
   readonly log: ILogService
@@ -77,7 +79,7 @@
     if (!upstream.checksFencing && !this._options.hearsMajority()) return
     const report = (await adapter.readReport(upstream)).toMaybe().extractNullable()
     if (report === null) return
-    recordReport(facts, upstream.name, report)
+    recordReport(facts, upstream.name, report, this._options.clock.now())
     if (isSameSet(report.models, models) || isOutdated(current.number, report.fencing)) return
     if (configuration.current !== current) return
     const fencing = computeNextFencing(current.number, report.fencing)
--- a/src/platform/pipeline/node/requestRunner.ts
+++ b/src/platform/pipeline/node/requestRunner.ts
@@ -15,6 +15,7 @@
 import type { Attempt } from '../../session/common/attemptLog.ts'
 import type { RequestRun, RunEnd } from '../../session/common/requestRun.ts'
 import type { CheckpointSeal } from '../../session/node/checkpointSeal.ts'
+import { ChunkBuffer } from '../common/chunkBuffer.ts'
 import { isStageUnrepeatable } from '../common/requestPlan.ts'
 import type { RequestPlan } from '../common/requestPlan.ts'
 import { StageFailure } from './stageFailure.ts'
@@ -26,6 +27,8 @@
   readonly committed: CommittedWork
   readonly seal: CheckpointSeal
   readonly decisions: DecisionLog
+  /** Text that comes within this time of the last chunk goes into one chunk. */
+  readonly chunkIntervalMs?: number
 }
 
 export interface IRequestRunner {
@@ -54,6 +57,7 @@
   private _runStages (plan: RequestPlan, run: RequestRun, open: string[]): Effect.Effect<void, StageFailure> {
     return Effect.gen(this, function * () {
       let previous = plan.result
+      const chunks = new ChunkBuffer(this._options.clock, this._options.chunkIntervalMs ?? 0, text => run.addChunk(text))
       const stages = plan.pipeline.stages
       for (let stageIndex = plan.stagesDone; stageIndex < stages.length; stageIndex++) {
         const stage = stages[stageIndex]
@@ -65,8 +69,9 @@
           stage,
           stageIndex,
           previous,
-          onDidReceiveText: text => { if (isLast) run.addChunk(text) }
+          onDidReceiveText: text => { if (isLast) chunks.add(text) }
         })
+        if (isLast) chunks.flush()
         open.shift()
         this._options.committed.remove(stage.role, plan.customer)
         if (!isLast) this._giveCheckpoint(plan, run, stageIndex + 1, previous)
--- a/src/platform/upstream/node/tokenStream.ts
+++ b/src/platform/upstream/node/tokenStream.ts
@@ -6,7 +6,7 @@
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { ResultName } from '../../result/common/resultCodes.ts'
 import type { UpstreamCall, UpstreamOutcome } from '../common/upstreamAdapter.ts'
-import { EndEvent, ErrorAnswer, parseBody, TokenEvent } from './upstreamMessages.ts'
+import { EndEvent, ErrorAnswer, parseBody, parseToken } from './upstreamMessages.ts'
 
 /** Follows one stream; ends at the end event, at the first wrong event, or when the connection breaks. */
 export class TokenStreamReader {
@@ -18,21 +18,29 @@
     this._nextIndex = _call.offset
   }
 
-  async read (response: IncomingMessage): Promise<UpstreamOutcome> {
+  /** After the end event the rest of the response is read in the background, so that its connection can be used again. */
+  read (response: IncomingMessage): Promise<UpstreamOutcome> {
     const parser = createParser({
       onEvent: event => { if (this._outcome === undefined) this._take(event.event ?? '', event.data) }
     })
     response.setEncoding('utf8')
-    try {
-      for await (const part of response as AsyncIterable<string>) {
+    return new Promise(resolve => {
+      response.on('data', (part: string) => {
+        if (this._outcome !== undefined) return
         parser.feed(part)
-        if (this._outcome !== undefined) break
-      }
-    } catch {
-      // The connection broke: what arrived so far was handed over, and the outcome below says the rest.
-    }
-    if (this._outcome?.kind !== 'answered') response.destroy()
-    return this._outcome ?? this._createLost('upstreamConnectionLost', `the stream ended after token ${this._nextIndex}`)
+        const outcome = this._getOutcome()
+        if (outcome === undefined) return
+        if (outcome.kind !== 'answered') response.destroy()
+        resolve(outcome)
+      })
+      // The connection broke: what arrived so far was handed over, and the outcome says the rest.
+      response.on('error', () => {})
+      response.on('close', () => resolve(this._outcome ?? this._createLost('upstreamConnectionLost', `the stream ended after token ${this._nextIndex}`)))
+    })
+  }
+
+  private _getOutcome (): UpstreamOutcome | undefined {
+    return this._outcome
   }
 
   private _take (kind: string, data: string): void {
@@ -43,7 +51,7 @@
   }
 
   private _takeToken (data: string): void {
-    parseBody(data, TokenEvent, this._call.upstream.name).caseOf({
+    parseToken(data, this._call.upstream.name).caseOf({
       Left: error => { this._outcome = { kind: 'lost', error } },
       Right: token => {
         if (token.attempt !== this._call.attemptId) this._outcome = this._createLost('upstreamAnswerForeign', token.attempt)
--- a/src/platform/upstream/node/upstreamMessages.ts
+++ b/src/platform/upstream/node/upstreamMessages.ts
@@ -22,7 +22,19 @@
   retryAfterMs: Schema.optionalWith(Amount, { default: () => 0 })
 })
 
-export const TokenEvent = Schema.Struct({ attempt: Schema.String, index: Count, text: Schema.String })
+const TokenEvent = Schema.Struct({ attempt: Schema.String, index: Count, text: Schema.String })
+
+/** Checks a token by hand, since there are thousands a second; the schema words the error. */
+export function parseToken (text: string, place: string): Either<PepperwoodError, typeof TokenEvent.Type> {
+  try {
+    const body = JSON.parse(text) as typeof TokenEvent.Type | null
+    const isToken = body !== null && typeof body.attempt === 'string' && Number.isSafeInteger(body.index) && body.index >= 0 && typeof body.text === 'string'
+    if (isToken) return Right(body)
+  } catch {
+    // Not JSON: reported below.
+  }
+  return parseBody(text, TokenEvent, place)
+}
 
 export const EndEvent = Schema.Struct({ attempt: Schema.String, count: Count, busyMs: Amount, cachedTokens: Count })
 
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -235,7 +235,7 @@
   }
 
   private _startUpstreamDuties (): void {
-    const { settings, log } = this._options
+    const { settings, clock, log } = this._options
     const adapter = new HttpUpstreamAdapter({ localAddress: settings.local_ip })
     this._register(adapter)
     const reads = this._metrics.createCounter('upstream_reports_total', 'Reports read from upstreams', ['result'])
@@ -245,6 +245,7 @@
     }
     this._register(new UpstreamWatcher({
       adapter,
+      clock,
       facts: this._facts,
       listWatched: () => listDuties((upstream, live) => watchesUpstream(upstream.name, settings.address, live)),
       onDidRead: isOk => reads.inc({ result: isOk ? 'ok' : 'failed' }),
@@ -252,6 +253,7 @@
     }))
     this._register(new OrderService({
       adapter,
+      clock,
       facts: this._facts,
       configuration: this._configuration,
       decisions: this._decisions,
--- a/src/steward/stewardSettings.ts
+++ b/src/steward/stewardSettings.ts
@@ -20,7 +20,7 @@
   seeds: Schema.Array(AddressText),
   /** How long a starting steward waits for its peers before it goes by the platform alone. */
   ready_wait_ms: Schema.optionalWith(PositiveMs, { default: () => 3000 }),
-  report_period_ms: Schema.optionalWith(PositiveMs, { default: () => 250 }),
+  report_period_ms: Schema.optionalWith(PositiveMs, { default: () => 500 }),
   probe_period_ms: Schema.optionalWith(PositiveMs, { default: () => 500 })
 })
 
