Count every turn in the fair queue, and test the decisions one by one

Cause: a test of weights failed: two customers of weight 2 and 1 got 15 turns each of 30. Calls that take no measurable time counted nothing, so weights had no effect among them. Ruled out: the order of the queue (priority and deadline tests passed). Change: a turn counts at least 1 ms. One test of mine asked with a deadline already past; mended in the test. Conclusion: the shares hold for short stages too.

--- /dev/null
+++ b/src/platform/admission/test/admissionPolicy.test.ts
@@ -0,0 +1,54 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { PredictedFinishAdmission } from '../common/admissionPolicy.ts'
+import type { AdmissionRequest } from '../common/admissionPolicy.ts'
+import { CommittedWork } from '../common/committedWork.ts'
+
+const test = suite('admissionPolicy')
+const policy = new PredictedFinishAdmission({ fillFactor: 1 })
+const request: AdmissionRequest = { customer: 'small', customerWeight: 1, timeLeftMs: 1000, stages: [{ role: 'encode', usualMs: 100, slots: 4 }, { role: 'generate', usualMs: 400, slots: 2 }] }
+
+function createWork (entries: Readonly<Record<string, number>>, role = 'generate'): CommittedWork {
+  const committed = new CommittedWork()
+  for (const [customer, count] of Object.entries(entries)) for (let index = 0; index < count; index++) committed.add(role, customer, 1)
+  return committed
+}
+
+function decide (options: Partial<AdmissionRequest>, committed: CommittedWork): string {
+  return policy.decide({ ...request, ...options }, committed).swap().map(refusal => refusal.error.resultName).orDefault('internal')
+}
+
+test('an idle fleet takes what fits into the time left, and refuses what does not', () => {
+  assert.is(policy.decide(request, createWork({})).unsafeCoerce().predictedMs, 500)
+  assert.is(decide({ timeLeftMs: 499 }, createWork({})), 'deadlineTooShort')
+})
+
+test('work taken in before counts, and the refusal says when to come back', () => {
+  assert.ok(policy.decide(request, createWork({ small: 3 })).isRight())
+  const refusal = policy.decide(request, createWork({ small: 6 })).swap().unsafeCoerce()
+  assert.is(refusal.error.resultName, 'overloaded')
+  assert.ok(refusal.retryAfterMs > 0)
+})
+
+test('the flood of a large customer is refused while a small one is taken in', () => {
+  const committed = createWork({ large: 40 })
+  assert.ok(policy.decide(request, committed).isRight())
+  assert.is(decide({ customer: 'large' }, committed), 'overloaded')
+})
+
+test('work is forgotten once it has passed the role', () => {
+  const committed = createWork({ small: 6 })
+  for (let index = 0; index < 6; index++) committed.remove('generate', 'small')
+  committed.remove('generate', 'small')
+  assert.is(committed.countRole('generate'), 0)
+  assert.is(committed.countAhead('generate', 'small', 1), 0)
+})
+
+test('ahead of a customer is its own work and what the others earn meanwhile', () => {
+  const committed = createWork({ small: 2, large: 40, other: 1 })
+  assert.is(committed.countAhead('generate', 'small', 1), 2 + 3 + 1)
+  assert.is(committed.countAhead('generate', 'new', 1), 1 + 1 + 1)
+  assert.is(committed.countAhead('generate', 'new', 2), 0.5 + 0.5 + 0.5)
+})
+
+test.run()
--- /dev/null
+++ b/src/platform/membership/test/membershipTable.test.ts
@@ -0,0 +1,136 @@
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { VirtualClock } from '../../../base/common/clock.ts'
+import { SeededRandom } from '../../../base/common/random.ts'
+import { FactStore } from '../../facts/common/factStore.ts'
+import { ordersHall, watchesPlatform, watchesUpstream } from '../common/duty.ts'
+import { MembershipTable } from '../common/membershipTable.ts'
+
+const SEED = 20261207
+const test = suite('membershipTable')
+
+class Node {
+  readonly facts: FactStore
+  readonly table: MembershipTable
+
+  constructor (readonly address: string, clock: VirtualClock, incarnation = 1) {
+    this.facts = new FactStore(clock)
+    this.table = new MembershipTable({ address, hall: 'h', incarnation, clock, random: new SeededRandom(1), facts: this.facts, suspicionMs: 1000, rememberMs: 5000 })
+  }
+
+  receive (other: Node): void {
+    for (const fact of other.facts.listSince(0, '')) this.facts.merge(fact, other.address)
+  }
+
+  findState (address: string): string | undefined {
+    return this.table.listMembers().find(member => member.address === address)?.state
+  }
+}
+
+function createPair (): { readonly clock: VirtualClock, readonly a: Node, readonly b: Node } {
+  const clock = new VirtualClock()
+  const a = new Node('a', clock)
+  const b = new Node('b', clock)
+  a.receive(b)
+  b.receive(a)
+  return { clock, a, b }
+}
+
+test('a suspect that does not answer is dead after its time, and forgotten later', () => {
+  const { clock, a } = createPair()
+  a.table.suspect('b')
+  assert.is(a.findState('b'), 'suspect')
+  assert.ok(a.table.listLive().some(member => member.address === 'b'))
+  clock.advance(999)
+  a.table.expire()
+  assert.is(a.findState('b'), 'suspect')
+  clock.advance(1)
+  a.table.expire()
+  assert.is(a.findState('b'), 'dead')
+  assert.equal(a.table.listPeers(), [])
+  clock.advance(5000)
+  a.table.expire()
+  assert.is(a.findState('b'), undefined)
+})
+
+test('a member that hears itself called dead comes back with a higher incarnation', () => {
+  const { clock, a, b } = createPair()
+  a.table.suspect('b')
+  clock.advance(1000)
+  a.table.expire()
+  b.receive(a)
+  assert.is(b.table.incarnation, 2)
+  a.receive(b)
+  assert.is(a.findState('b'), 'alive')
+})
+
+test('a host replaced under its address is heard even when its clock is behind', () => {
+  const { clock, a } = createPair()
+  const replaced = new Node('b', clock, 0)
+  replaced.receive(a)
+  a.receive(replaced)
+  assert.ok(replaced.table.incarnation > 1)
+  assert.is(a.findState('b'), 'alive')
+})
+
+test('a member that left as planned is not taken back by old news', () => {
+  const { a, b } = createPair()
+  b.table.leave()
+  a.receive(b)
+  assert.is(a.findState('b'), 'left')
+  a.table.suspect('b')
+  assert.is(a.findState('b'), 'left')
+  b.receive(a)
+  assert.is(b.findState('b'), 'left')
+})
+
+test('every member is probed once in a round', () => {
+  const clock = new VirtualClock()
+  const a = new Node('a', clock)
+  for (const name of ['b', 'c', 'd', 'e']) a.receive(new Node(name, clock))
+  const round = Array.from({ length: 4 }, () => a.table.chooseProbe())
+  assert.equal([...round].sort(), ['b', 'c', 'd', 'e'])
+  assert.is(new Node('z', clock).table.chooseProbe(), undefined)
+})
+
+test('whatever was claimed during a partition, after it all see each other alive', () => {
+  const step = fc.record({ kind: fc.constantFrom('suspect', 'expire', 'hear'), from: fc.nat({ max: 3 }), to: fc.nat({ max: 3 }) })
+  fc.assert(fc.property(fc.array(step, { maxLength: 30 }), steps => {
+    const clock = new VirtualClock()
+    const nodes = ['a', 'b', 'c', 'd'].map(name => new Node(name, clock))
+    const shareAll = () => { for (const node of nodes) for (const other of nodes) node.receive(other) }
+    shareAll()
+    for (const { kind, from, to } of steps) {
+      const node = nodes[from]
+      const other = nodes[to]
+      if (node === undefined || other === undefined || node === other) continue
+      if (kind === 'suspect') node.table.suspect(other.address)
+      else if (kind === 'hear') node.receive(other)
+      else {
+        clock.advance(1000)
+        node.table.expire()
+      }
+    }
+    for (let round = 0; round < 3; round++) shareAll()
+    for (const node of nodes) for (const other of nodes) assert.is(node.findState(other.address), 'alive')
+  }), { seed: SEED, numRuns: 1000 })
+})
+
+test('duties are shared out: few have each, all have the same picture, and a loss moves only what was lost', () => {
+  const members = Array.from({ length: 9 }, (_, index) => ({ address: `10.0.0.${index}:1`, hall: `h${index % 3}`, state: 'alive' as const, incarnation: 1 }))
+  const rest = members.slice(1)
+  for (let index = 0; index < 40; index++) {
+    const upstream = `u${index}`
+    const watchers = members.filter(member => watchesUpstream(upstream, member.address, members))
+    assert.is(watchers.length, 2)
+    const after = rest.filter(member => watchesUpstream(upstream, member.address, rest))
+    for (const watcher of watchers) if (watcher !== members[0]) assert.ok(after.includes(watcher))
+  }
+  for (const hall of ['h0', 'h1', 'h2']) {
+    assert.is(members.filter(member => member.hall === hall && watchesPlatform(hall, member.address, members)).length, 2)
+    assert.is(members.filter(member => ordersHall(hall, member.address, members)).length, 1)
+  }
+})
+
+test.run()
--- /dev/null
+++ b/src/platform/pipeline/test/chunkBuffer.test.ts
@@ -0,0 +1,34 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { VirtualClock } from '../../../base/common/clock.ts'
+import { ChunkBuffer } from '../common/chunkBuffer.ts'
+
+const test = suite('chunkBuffer')
+
+test('the first text goes at once, what follows closely goes together, and nothing is lost', () => {
+  const clock = new VirtualClock()
+  const chunks: string[] = []
+  const buffer = new ChunkBuffer(clock, 25, text => chunks.push(text))
+  buffer.add('a')
+  assert.equal(chunks, ['a'])
+  buffer.add('b')
+  clock.advance(10)
+  buffer.add('c')
+  assert.equal(chunks, ['a'])
+  clock.advance(15)
+  assert.equal(chunks, ['a', 'bc'])
+  buffer.add('d')
+  buffer.flush()
+  buffer.flush()
+  clock.advance(100)
+  assert.equal(chunks, ['a', 'bc', 'd'])
+})
+
+test('without an interval each text is a chunk', () => {
+  const chunks: string[] = []
+  const buffer = new ChunkBuffer(new VirtualClock(), 0, text => chunks.push(text))
+  for (const text of ['a', 'b', 'c']) buffer.add(text)
+  assert.equal(chunks, ['a', 'b', 'c'])
+})
+
+test.run()
--- a/src/platform/scheduling/common/upstreamScheduler.ts
+++ b/src/platform/scheduling/common/upstreamScheduler.ts
@@ -53,6 +53,9 @@
   readonly listeners: Map<StageTicket, SlotListener>
 }
 
+/** What a turn counts at least, so that calls too short to measure are still shared out fairly. */
+const MIN_SERVED_COST = 1
+
 const SIGNALS: Readonly<Record<SlotResult['kind'], LimitSignal | undefined>> = {
   answered: 'ok',
   busy: 'busy',
@@ -156,7 +159,7 @@
     role.queue.remove(ticket)
     role.listeners.delete(ticket)
     if (outcome instanceof PepperwoodError) return listener?.onRefused(outcome)
-    role.queue.recordServed(ticket, this.latencies.getUsual(ticket.stageKey))
+    role.queue.recordServed(ticket, Math.max(MIN_SERVED_COST, this.latencies.getUsual(ticket.stageKey)))
     this._getState(outcome.view.upstream.name).start(outcome, outcome.startedAt)
     listener?.onGranted(outcome)
   }
