Let a gate use what the others leave free of an upstream

Change: a gate always has its equal part; beyond it what the others leave free, as far as reports and its own calls since tell, up to a limit that busy and slow calls shrink. Gates speak of themselves when their load changed by a quarter, or every 1.5 s.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -49,8 +49,12 @@
 
 const SESSION_ID_BYTES = 16
 const SWEEP_PERIOD_MS = 20
-const FACT_PERIOD_MS = 500
-const GATE_FRESH_MS = 3000
+const FACT_PERIOD_MS = 250
+/** A gate that has nothing new to say of itself speaks so seldom. */
+const FACT_HEARTBEAT_MS = 1500
+/** Requests in progress that came or went since the last fact, as a part of them, that are worth a new one. */
+const FACT_STEP = 0.25
+const GATE_FRESH_MS = 4000
 const CATCH_UP_MS = 500
 const POLL_MS = 20
 /** How long a gate that was paused tries to read the view anew before it goes on with what it has. */
@@ -75,6 +79,7 @@
   /** Fired at the end of a planned stop. */
   readonly onDidStop = this._onDidStop.event
   private _factCounter = 0
+  private _announced = { at: -Infinity, inFlight: 0 }
   private _locateSalt = 0
   private _isRefreshed = false
   private _isDraining = false
@@ -120,7 +125,7 @@
     if (metrics !== undefined) await this._register(new MetricsServer(this._metrics.metrics)).listen(metrics.host, metrics.port)
     this._register(startInterval(PAUSE_CHECK_PERIOD_MS, () => this._checkPause()))
     this._register(startInterval(SWEEP_PERIOD_MS, () => this._scheduler.sweep()))
-    this._register(startInterval(FACT_PERIOD_MS, () => this._announce()))
+    this._register(startInterval(FACT_PERIOD_MS, () => this._announceIfDue()))
     log.info('listening', { address: settings.address, hall: settings.hall })
   }
 
@@ -225,7 +230,17 @@
     return [...new Set([...settings.stewards, ...learned.map(member => member.address)])]
   }
 
+  /** Says what is new of this gate: a changed load soon, everything else as a heartbeat. */
+  private _announceIfDue (): void {
+    const inFlight = this._sessions.runningCount
+    const step = Math.max(4, this._announced.inFlight * FACT_STEP)
+    const isDue = this._options.clock.now() - this._announced.at >= FACT_HEARTBEAT_MS
+    if (isDue || Math.abs(inFlight - this._announced.inFlight) >= step) this._announce()
+  }
+
   private _announce (): void {
+    this._announced = { at: this._options.clock.now(), inFlight: this._sessions.runningCount }
+
     const { settings, incarnation } = this._options
     const { address, hall } = settings
     const subject = formatGateSubject(address)
--- a/src/load/htmlReport.ts
+++ b/src/load/htmlReport.ts
@@ -21,20 +21,24 @@
 }
 
 /** Lines over a common pair of axes that start at 0. */
-export function renderPlot (title: string, xLabel: string, series: readonly Series[]): string {
+export function renderSvg (xLabel: string, series: readonly Series[]): string {
   const points = series.flatMap(item => item.points)
   const maxX = Math.max(1, ...points.map(([x]) => x))
   const maxY = Math.max(1e-9, ...points.map(([, y]) => y))
   const placeX = (x: number) => MARGIN + x / maxX * (WIDTH - 2 * MARGIN)
   const placeY = (y: number) => HEIGHT - MARGIN - y / maxY * (HEIGHT - 2 * MARGIN)
   const lines = series.map(item => `<polyline fill="none" stroke="${item.color}" stroke-width="1.5" points="${item.points.map(([x, y]) => `${placeX(x).toFixed(1)},${placeY(y).toFixed(1)}`).join(' ')}"/>`)
-  const legend = series.map((item, index) => `<text x="${MARGIN + 150 * index}" y="${HEIGHT - 4}" fill="${item.color}" font-size="11">${formatText(item.name)}</text>`)
-  return `<h3>${formatText(title)}</h3><svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}" font-family="sans-serif">
+  const legend = series.map((item, index) => `<text x="${MARGIN + 300 * index}" y="${HEIGHT - 4}" fill="${item.color}" font-size="11">${formatText(item.name)}</text>`)
+  return `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}" font-family="sans-serif">
 <line x1="${MARGIN}" y1="${placeY(0)}" x2="${WIDTH - MARGIN}" y2="${placeY(0)}" stroke="#888"/><line x1="${MARGIN}" y1="${MARGIN}" x2="${MARGIN}" y2="${placeY(0)}" stroke="#888"/>
 <text x="2" y="${MARGIN}" font-size="11">${maxY.toPrecision(3)}</text><text x="2" y="${placeY(0)}" font-size="11">0</text><text x="${WIDTH - MARGIN - 60}" y="${placeY(0) + 14}" font-size="11">${maxX.toPrecision(3)} ${formatText(xLabel)}</text>
 ${lines.join('\n')}${legend.join('')}</svg>`
 }
 
+function renderPlot (title: string, xLabel: string, series: readonly Series[]): string {
+  return `<h3>${formatText(title)}</h3>${renderSvg(xLabel, series)}`
+}
+
 /** Requests of each second by how they ended. */
 function createTimeline (outcomes: readonly Outcome[]): readonly Series[] {
   const seconds = 1 + Math.max(0, ...outcomes.map(outcome => Math.floor(outcome.arrival.atMs / 1000)))
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -4,6 +4,7 @@
 import { defineCommand, runMain } from 'citty'
 import { compareCommand } from './compareCommand.ts'
 import { relayCommand } from './relayCommand.ts'
+import { slopesCommand } from './slopesCommand.ts'
 import { runCommand } from './runCommand.ts'
 
 const command = defineCommand({
@@ -11,7 +12,7 @@
     name: 'pepperwood-load',
     description: 'Send load to a fleet that it starts on loopback, and measure. Exit codes: 0 correct, 1 a counter that must be 0 is not, 2 wrong usage'
   },
-  subCommands: { run: runCommand, compare: compareCommand, relay: relayCommand }
+  subCommands: { run: runCommand, compare: compareCommand, slopes: slopesCommand, relay: relayCommand }
 })
 
 void runMain(command)
--- a/src/load/processFleet.ts
+++ b/src/load/processFleet.ts
@@ -33,7 +33,7 @@
   private _version = 1
 
   /** Settings and logs go to the directory. */
-  constructor (private readonly _plan: FleetPlan, private readonly _profile: LoadProfile, private readonly _directory: string, private readonly _usesRelays: boolean) {
+  constructor (private readonly _plan: FleetPlan, private readonly _profile: LoadProfile, private readonly _directory: string, private readonly _usesRelays: boolean, private readonly _gateCount = _plan.hosts.length) {
     this.control = new StandinControl(_plan.standins.map(standin => standin.listen))
     mkdirSync(_directory, { recursive: true })
   }
@@ -45,9 +45,9 @@
     await this._publish()
     this._plan.hosts.forEach((host, index) => {
       this._startProgram(`steward-${index}`, 'pepperwood-steward', host.steward)
-      this._startProgram(`gate-${index}`, 'pepperwood-gate', host.gate)
+      if (index < this._gateCount) this._startProgram(`gate-${index}`, 'pepperwood-gate', host.gate)
     })
-    await Promise.all(this._plan.hosts.map(host => this._waitUntilReady(host.gate.listen ?? host.gate.address)))
+    await Promise.all(this._plan.hosts.slice(0, this._gateCount).map(host => this._waitUntilReady(host.gate.listen ?? host.gate.address)))
   }
 
   async apply (step: ScenarioStep): Promise<void> {
@@ -124,7 +124,7 @@
       try {
         const state = JSON.parse((await client.dump({}, { timeoutMs: 2000 })).json) as { readonly ready: boolean, readonly facts: readonly { readonly value: { readonly kind: string, readonly ready?: boolean } }[] }
         const gates = state.facts.filter(fact => fact.value.kind === 'gate' && fact.value.ready === true)
-        if (state.ready && gates.length === this._plan.hosts.length) return
+        if (state.ready && gates.length === this._gateCount) return
       } catch {
         // Not listening yet.
       }
--- /dev/null
+++ b/src/load/slopesCommand.ts
@@ -0,0 +1,141 @@
+/**
+ * `pepperwood-load slopes`: measures figures at several sizes, fits how they grow, and remakes the tables and plots
+ * of docs/CAPACITY.md.
+ */
+import { existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { cpus, totalmem } from 'node:os'
+import { join } from 'node:path'
+import { defineCommand } from 'citty'
+import { exitCodes } from '../platform/program/node/program.ts'
+import { fitBest, computeAt } from './fit.ts'
+import { renderSvg } from './htmlReport.ts'
+import type { LoadProfile } from './loadProfile.ts'
+import { chooseNetwork, loadProfile } from './runCommand.ts'
+import { measureSlope } from './slopes.ts'
+import type { SlopeFigures } from './slopes.ts'
+
+interface Series {
+  readonly name: string
+  readonly sizes: readonly number[]
+  readonly target: number
+  readonly create: (profile: LoadProfile, size: number) => LoadProfile
+}
+
+interface FigureKind {
+  readonly key: keyof SlopeFigures
+  readonly title: string
+  readonly digits: number
+}
+
+const FIGURES: readonly FigureKind[] = [
+  { key: 'processorShare', title: 'steward, share of a core', digits: 4 },
+  { key: 'residentMb', title: 'steward, resident MB (highest)', digits: 1 },
+  { key: 'sentBytesPerSecond', title: 'steward, control bytes/s out', digits: 0 },
+  { key: 'receivedBytesPerSecond', title: 'steward, control bytes/s in', digits: 0 },
+  { key: 'platformCallsPerSecond', title: 'platform calls/s, whole fleet', digits: 2 },
+  { key: 'configurationEverywhereMs', title: 'configuration in force everywhere, ms', digits: 0 },
+  { key: 'leavingEverywhereMs', title: 'leaving upstream known everywhere, ms', digits: 0 },
+  { key: 'deadEverywhereMs', title: 'dead steward known everywhere, ms', digits: 0 },
+  { key: 'falseSuspicions', title: 'false suspicions in the measured time', digits: 0 }
+]
+
+/** The profile with so many upstreams, in about the same mix. */
+function setUpstreams (profile: LoadProfile, size: number): LoadProfile {
+  const total = profile.upstreams.reduce((sum, group) => sum + group.count, 0)
+  const [first, ...rest] = profile.upstreams.map(group => ({ ...group, count: Math.max(1, Math.round(group.count * size / total)) }))
+  return first === undefined ? profile : { ...profile, upstreams: [first, ...rest] }
+}
+
+function setCustomers (profile: LoadProfile, size: number): LoadProfile {
+  const [first, ...rest] = Array.from({ length: size }, (_, index) => ({ name: `customer-${index}`, weight: 1, share: 1, prefixes: 1 }))
+  return first === undefined ? profile : { ...profile, customers: [first, ...rest] }
+}
+
+const SERIES: readonly Series[] = [
+  { name: 'stewards', sizes: [5, 10, 20, 40, 80], target: 420, create: (profile, size) => ({ ...setUpstreams(profile, 12), hosts: size }) },
+  { name: 'upstreams', sizes: [12, 100, 350], target: 700, create: (profile, size) => setUpstreams(profile, size) },
+  { name: 'customers', sizes: [5, 290, 5000], target: 290, create: (profile, size) => setCustomers(profile, size) }
+]
+
+const MEASURE_MS = 8000
+const MARKERS = { begin: '<!-- slopes: begin -->', end: '<!-- slopes: end -->' } as const
+
+interface Measured {
+  readonly size: number
+  readonly figures: SlopeFigures
+}
+
+function formatFit (kind: FigureKind, series: Series, measured: readonly Measured[]): string {
+  const fit = fitBest(measured.map(({ size, figures }) => ({ size, value: figures[kind.key] })))
+  const cells = [
+    kind.title,
+    ...measured.map(({ figures }) => figures[kind.key].toFixed(kind.digits)),
+    fit.model,
+    fit.model === 'constant' ? '' : fit.slope.toPrecision(3),
+    fit.residual.toPrecision(2),
+    computeAt(fit, series.target).toFixed(kind.digits)
+  ]
+  return `| ${cells.join(' | ')} |`
+}
+
+function formatSeries (series: Series, measured: readonly Measured[]): string {
+  const sizes = measured.map(item => String(item.size))
+  return [
+    `### By ${series.name}`,
+    '',
+    `| figure | ${sizes.join(' | ')} | grows with | slope | residual | fitted at ${series.target} |`,
+    `| --- | ${sizes.map(() => '---').join(' | ')} | --- | --- | --- | --- |`,
+    ...FIGURES.map(kind => formatFit(kind, series, measured)),
+    `| document bytes | ${measured.map(item => item.figures.documentBytes).join(' | ')} | | | | |`,
+    ''
+  ].join('\n')
+}
+
+/** Puts the text between the page's markers. */
+function updatePage (file: string, text: string): void {
+  const page = existsSync(file) ? readFileSync(file, 'utf8') : `${MARKERS.begin}\n${MARKERS.end}\n`
+  const begin = page.indexOf(MARKERS.begin) + MARKERS.begin.length
+  writeFileSync(file, `${page.slice(0, begin)}\n\n${text}\n${page.slice(page.indexOf(MARKERS.end))}`)
+}
+
+function drawSeries (series: Series, measured: readonly Measured[], directory: string): void {
+  mkdirSync(directory, { recursive: true })
+  for (const key of ['receivedBytesPerSecond', 'processorShare', 'configurationEverywhereMs'] as const) {
+    const fit = fitBest(measured.map(({ size, figures }) => ({ size, value: figures[key] })))
+    const svg = renderSvg(series.name, [
+      { name: `${key}, measured`, color: '#27c', points: measured.map(item => [item.size, item.figures[key]] as const) },
+      { name: `fitted (${fit.model})`, color: '#c33', points: measured.map(item => [item.size, computeAt(fit, item.size)] as const) }
+    ])
+    writeFileSync(join(directory, `${series.name}-${key}.svg`), `${svg}\n`)
+  }
+}
+
+export const slopesCommand = defineCommand({
+  meta: { name: 'slopes', description: 'Measure how a steward\'s use grows. Example: pepperwood-load slopes --profile bench/profiles/kingston.toml --page docs/CAPACITY.md' },
+  args: {
+    profile: { type: 'string', default: 'bench/profiles/kingston.toml', description: 'The profile (TOML)', valueHint: 'FILE' },
+    page: { type: 'string', default: 'docs/CAPACITY.md', description: 'The page whose tables are remade', valueHint: 'FILE' },
+    plots: { type: 'string', default: 'docs/capacity', description: 'Directory for the plots', valueHint: 'DIR' },
+    out: { type: 'string', default: 'out/slopes', description: 'Directory for settings and logs', valueHint: 'DIR' }
+  },
+  async run ({ args }) {
+    const profile = loadProfile(args.profile)
+    const parts: string[] = []
+    for (const series of SERIES) {
+      const measured: Measured[] = []
+      for (const size of series.sizes) {
+        const directory = join(args.out, `${series.name}-${size}`)
+        const figures = await measureSlope({ profile: series.create(profile, size), network: chooseNetwork(), directory, gates: 2, measureMs: MEASURE_MS })
+        process.stderr.write(`${series.name}=${size} ${JSON.stringify(figures)}\n`)
+        measured.push({ size, figures })
+      }
+      drawSeries(series, measured, args.plots)
+      parts.push(formatSeries(series, measured))
+    }
+    const machine = `Measured on ${new Date().toISOString().slice(0, 10)}, ${cpus().length} cores, ${Math.round(totalmem() / 2 ** 30)} GiB, Node.js ${process.version}.`
+    const text = `${machine}\n\n${parts.join('\n')}`
+    updatePage(args.page, text)
+    process.stdout.write(`${text}\n`)
+    process.exit(exitCodes.ok)
+  }
+})
--- a/src/platform/facts/node/peerLink.ts
+++ b/src/platform/facts/node/peerLink.ts
@@ -26,6 +26,16 @@
   readonly mayShareConfiguration: () => boolean
 }
 
+/** Bytes sent and received. */
+export interface LinkTraffic {
+  readonly sent: number
+  readonly received: number
+}
+
+export function sumTraffic (parts: readonly LinkTraffic[]): LinkTraffic {
+  return parts.reduce((sum, part) => ({ sent: sum.sent + part.sent, received: sum.received + part.received }), { sent: 0, received: 0 })
+}
+
 const MAX_FACTS_PER_FRAME = 500
 
 export class PeerLink extends Disposable {
@@ -61,6 +71,12 @@
     return this._peer?.role
   }
 
+  /** Bytes of this link so far. */
+  get traffic (): LinkTraffic {
+    const { bytesSent, bytesReceived } = this._options.connection
+    return { sent: bytesSent, received: bytesReceived }
+  }
+
   get isClosed (): boolean {
     return this._options.connection.isClosed
   }
--- a/src/platform/limits/common/concurrencyLimiter.ts
+++ b/src/platform/limits/common/concurrencyLimiter.ts
@@ -5,9 +5,19 @@
 /** How a call went, as far as a limit cares. */
 export type LimitSignal = 'ok' | 'slow' | 'busy' | 'failed'
 
+/** What is known of an upstream when a call asks for room. */
+export interface RoomInputs {
+  /** Calls of this gate that are open now. */
+  readonly inFlight: number
+  /** Calls of all gates at the upstream: its report, and what is known to have changed since. */
+  readonly backlog: number
+}
+
 export abstract class ConcurrencyLimiter {
-  /** The most calls that may be open now. */
+  /** The most calls that may be open now, whatever the others do. */
   abstract get limit (): number
+  /** How many calls this gate may have open, given what the others seem to have. */
+  abstract computeRoom (inputs: RoomInputs): number
   /** Takes in how a call went, with the calls that were open when it ended. */
   abstract record (signal: LimitSignal, inFlight: number): void
   /** Takes in what the upstream can hold and how many gates share it. */
@@ -22,6 +32,10 @@
     return this._limit
   }
 
+  computeRoom (): number {
+    return this._limit
+  }
+
   record (): void {}
 
   setShare (capacity: number): void {
@@ -30,53 +44,56 @@
 }
 
 export interface AdaptiveLimiterOptions {
-  /** How far above an equal share the limit starts and may grow, since the others' shares are often unused. */
-  readonly lendFactor?: number
   readonly increase?: number
   readonly busyDecrease?: number
   readonly slowDecrease?: number
+  /** How far above its capacity an upstream may seem filled; it keeps the batch full between reports. */
+  readonly fill?: number
 }
 
 /**
- * Additive increase, multiplicative decrease around this gate's part of the upstream: a busy or slow upstream shrinks
- * the limit, use of the full limit grows it, and the bounds follow the number of live gates.
+ * A gate always has its equal part of the upstream. Beyond it, it may use what the others leave free, as far as the
+ * reports tell, up to a limit that busy, slow and failed calls shrink (additive increase, multiplicative decrease).
  */
 export class AdaptiveLimiter extends ConcurrencyLimiter {
-  private readonly _lendFactor: number
   private readonly _increase: number
   private readonly _busyDecrease: number
   private readonly _slowDecrease: number
+  private readonly _fill: number
   private _limit = 1
-  private _maximum = 1
   private _capacity = 0
-  private _liveGates = 0
+  private _equalShare = 1
 
   constructor (options: AdaptiveLimiterOptions = {}) {
     super()
-    this._lendFactor = options.lendFactor ?? 3
-    this._increase = options.increase ?? 0.5
+    this._increase = options.increase ?? 1
     this._busyDecrease = options.busyDecrease ?? 0.7
     this._slowDecrease = options.slowDecrease ?? 0.9
+    this._fill = options.fill ?? 1.25
   }
 
   get limit (): number {
     return Math.max(1, Math.floor(this._limit))
   }
 
+  computeRoom (inputs: RoomInputs): number {
+    const others = Math.max(0, inputs.backlog - inputs.inFlight)
+    const left = Math.floor(this._capacity * this._fill - others)
+    return Math.min(this.limit, Math.max(this._equalShare, left))
+  }
+
   record (signal: LimitSignal, inFlight: number): void {
     if (signal === 'busy') this._limit *= this._busyDecrease
     else if (signal === 'slow' || signal === 'failed') this._limit *= this._slowDecrease
     else if (inFlight >= this.limit) this._limit += this._increase / this._limit
-    this._limit = Math.min(this._maximum, Math.max(1, this._limit))
+    this._limit = Math.min(this._capacity, Math.max(1, this._limit))
   }
 
   setShare (capacity: number, liveGates: number): void {
-    if (capacity === this._capacity && liveGates === this._liveGates) return
+    this._equalShare = Math.max(1, Math.floor(capacity / Math.max(1, liveGates)))
+    if (capacity === this._capacity) return
     const isFirst = this._capacity === 0
-    this._capacity = capacity
-    this._liveGates = liveGates
-    const equalShare = capacity / Math.max(1, liveGates)
-    this._maximum = Math.max(1, Math.min(capacity, equalShare * this._lendFactor))
-    this._limit = isFirst ? Math.max(1, Math.min(this._maximum, Math.ceil(equalShare))) : Math.min(this._limit, this._maximum)
+    this._capacity = Math.max(1, capacity)
+    this._limit = isFirst ? this._capacity : Math.min(this._limit, this._capacity)
   }
 }
--- a/src/platform/locate/common/locatePolicy.ts
+++ b/src/platform/locate/common/locatePolicy.ts
@@ -28,7 +28,7 @@
 }
 
 /** A gate that was not heard of for so long is not recommended. */
-const MAX_AGE_MS = 3000
+const MAX_AGE_MS = 4000
 /** While gates come and go, callers should ask again soon. */
 const SHORT_KEEP_MS = 2000
 const LONG_KEEP_MS = 10_000
--- a/src/platform/membership/node/gossipService.ts
+++ b/src/platform/membership/node/gossipService.ts
@@ -5,8 +5,8 @@
 import type { IRandom } from '../../../base/common/random.ts'
 import { startInterval } from '../../../base/node/interval.ts'
 import type { WireMessage } from '../../facts/common/wireMessage.ts'
-import { dialPeer } from '../../facts/node/peerLink.ts'
-import type { DialOptions, PeerLink } from '../../facts/node/peerLink.ts'
+import { dialPeer, sumTraffic } from '../../facts/node/peerLink.ts'
+import type { DialOptions, LinkTraffic, PeerLink } from '../../facts/node/peerLink.ts'
 import type { MembershipTable } from '../common/membershipTable.ts'
 
 export interface GossipServiceOptions {
@@ -36,6 +36,7 @@
   private readonly _waitingAcks = new Map<number, () => void>()
   private readonly _probeTimeoutMs: number
   private _nextPingId = 1
+  private _closedTraffic: LinkTraffic = { sent: 0, received: 0 }
 
   constructor (options: GossipServiceOptions) {
     super()
@@ -46,6 +47,11 @@
     this._register(startInterval(options.seedPeriodMs ?? 2000, () => { void this.meetSeeds() }))
   }
 
+  /** Bytes over all links that this steward opened, closed ones included. */
+  get traffic (): LinkTraffic {
+    return sumTraffic([this._closedTraffic, ...this.links.map(link => link.traffic)])
+  }
+
   /** Links that this steward opened. */
   get links (): readonly PeerLink[] {
     return [...this._links.values()]
@@ -145,6 +151,7 @@
       link.onDidReceive(message => this.handleMessage(link, message))
       link.onDidClose(() => {
         this._links.delete(address)
+        this._closedTraffic = sumTraffic([this._closedTraffic, link.traffic])
         this._release(link)
       })
       return link
--- a/src/platform/routing/common/candidate.ts
+++ b/src/platform/routing/common/candidate.ts
@@ -34,3 +34,12 @@
   readonly candidate: Candidate
   readonly reason: string
 }
+
+/** What the backlog at an upstream is estimated from. */
+export type BacklogInputs = Pick<Candidate, 'reportedBacklog' | 'ownInFlight' | 'ownSentSinceReport' | 'ownDoneSinceReport'>
+
+/** The report, and what this gate sent and saw end since; the other gates are taken to do as much as this one. */
+export function estimateBacklog (inputs: BacklogInputs, liveGates: number): number {
+  const changeSince = (inputs.ownSentSinceReport - inputs.ownDoneSinceReport) * liveGates
+  return Math.max(inputs.ownInFlight, inputs.reportedBacklog + changeSince)
+}
--- a/src/platform/routing/common/router.ts
+++ b/src/platform/routing/common/router.ts
@@ -3,6 +3,7 @@
  */
 import type { IRandom } from '../../../base/common/random.ts'
 import { hashText } from '../../../base/common/rendezvous.ts'
+import { estimateBacklog } from './candidate.ts'
 import type { Candidate, RoutingChoice, RoutingRequest } from './candidate.ts'
 
 export abstract class Router {
@@ -93,12 +94,6 @@
   }
 }
 
-/** The report, and what this gate sent and saw end since; the other gates are taken to do as much as this one. */
-function estimateBacklog (candidate: Candidate, liveGates: number): number {
-  const changeSince = (candidate.ownSentSinceReport - candidate.ownDoneSinceReport) * liveGates
-  return Math.max(candidate.ownInFlight, candidate.reportedBacklog + changeSince)
-}
-
 /** The first candidates in the prefix's rendezvous order; the same for every gate. */
 function findPreferred (prefixKey: string, candidates: readonly Candidate[], count: number): readonly Candidate[] {
   const keyHash = hashText(prefixKey)
--- a/src/platform/scheduling/common/upstreamScheduler.ts
+++ b/src/platform/scheduling/common/upstreamScheduler.ts
@@ -113,11 +113,7 @@
   countSlots (role: string): number {
     const now = this._options.clock.now()
     const liveGates = this._options.directory.countLiveGates()
-    return this._listUsable(role, now).reduce((sum, view) => {
-      const state = this._getState(view.upstream.name)
-      state.limiter.setShare(getCapacity(view), liveGates)
-      return sum + state.limiter.limit
-    }, 0)
+    return this._listUsable(role, now).reduce((sum, view) => sum + this._getState(view.upstream.name).computeRoom(view, liveGates, now), 0)
   }
 
   countWaiting (role: string): number {
@@ -173,7 +169,7 @@
       return new PepperwoodError({ name: 'upstreamNoneLeft', message: 'no upstream can run the stage', place: ticket.stageKey, value: ticket.role })
     }
     const untried = usable.filter(view => !ticket.tried.has(view.upstream.name))
-    const free = (untried.length > 0 ? untried : usable).filter(view => this._getState(view.upstream.name).hasRoom(view, liveGates, now))
+    const free = (untried.length > 0 ? untried : usable).filter(view => this._hasRoom(view, liveGates, now))
     if (free.length === 0) return 'wait'
     const request = { prefixKey: ticket.prefixKey, hall, usualMs: this.latencies.getUsual(ticket.stageKey), liveGates }
     const choice = router.choose(request, free.map(view => this._createCandidate(view, ticket, now)))
@@ -182,6 +178,11 @@
     return { ticket, view, reason: `${choice.reason}, report ${Math.round(choice.candidate.reportAgeMs)} ms old`, startedAt: now }
   }
 
+  private _hasRoom (view: UpstreamView, liveGates: number, now: number): boolean {
+    const state = this._getState(view.upstream.name)
+    return state.inFlight < state.computeRoom(view, liveGates, now)
+  }
+
   /** Neither leaving nor ejected; when more than half are ejected, those that come back soonest are used all the same. */
   private _listUsable (role: string, now: number): readonly UpstreamView[] {
     const staying = this._options.directory.listRole(role).filter(view => !view.isLeaving)
@@ -209,12 +210,9 @@
     return {
       name,
       hall,
-      reportedBacklog: (view.load?.running ?? 0) + (view.load?.queued ?? 0),
+      ...state.describeBacklog(view),
       capacity: getCapacity(view),
       reportAgeMs: view.load === undefined ? 0 : now - view.reportedAt,
-      ownInFlight: state.inFlight,
-      ownSentSinceReport: state.countSentSince(view.reportedAt),
-      ownDoneSinceReport: state.countDoneSince(view.reportedAt),
       slowness: this.latencies.getSlowness(name, now),
       prefixBelief: this._getPrefixBelief(view, ticket.prefixKey, now)
     }
--- a/src/platform/scheduling/common/upstreamState.ts
+++ b/src/platform/scheduling/common/upstreamState.ts
@@ -3,6 +3,8 @@
  */
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
 import type { ConcurrencyLimiter } from '../../limits/common/concurrencyLimiter.ts'
+import { estimateBacklog } from '../../routing/common/candidate.ts'
+import type { BacklogInputs } from '../../routing/common/candidate.ts'
 import type { UpstreamView } from '../../facts/common/upstreamView.ts'
 
 interface EndedCall {
@@ -47,11 +49,21 @@
     return this._ended.filter(call => call.startedAt <= at && call.endedAt > at).length
   }
 
-  /** Whether one more call may be opened now. */
-  hasRoom (view: UpstreamView, liveGates: number, now: number): boolean {
+  /** How many calls this gate may have open now. */
+  computeRoom (view: UpstreamView, liveGates: number, now: number): number {
     this.limiter.setShare(getCapacity(view), liveGates)
-    const isProbe = this.health.getState(now) === 'probing'
-    return this._open.size < (isProbe ? 1 : this.limiter.limit)
+    if (this.health.getState(now) === 'probing') return 1
+    const backlog = estimateBacklog(this.describeBacklog(view), liveGates)
+    return this.limiter.computeRoom({ inFlight: this.inFlight, backlog })
+  }
+
+  describeBacklog (view: UpstreamView): BacklogInputs {
+    return {
+      reportedBacklog: (view.load?.running ?? 0) + (view.load?.queued ?? 0),
+      ownInFlight: this.inFlight,
+      ownSentSinceReport: this.countSentSince(view.reportedAt),
+      ownDoneSinceReport: this.countDoneSince(view.reportedAt)
+    }
   }
 }
 
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -21,7 +21,8 @@
 import { formatLoadSubject } from '../platform/facts/common/fact.ts'
 import { FactStore } from '../platform/facts/common/factStore.ts'
 import type { HeldFact } from '../platform/facts/common/factStore.ts'
-import { PeerLink } from '../platform/facts/node/peerLink.ts'
+import { PeerLink, sumTraffic } from '../platform/facts/node/peerLink.ts'
+import type { LinkTraffic } from '../platform/facts/node/peerLink.ts'
 import { DecisionLog } from '../platform/inspect/common/decisionLog.ts'
 import { createOperatorHandlers } from '../platform/inspect/node/operatorHandlers.ts'
 import type { ILogService } from '../platform/log/node/logger.ts'
@@ -69,6 +70,7 @@
   /** Fired at the end of a planned stop. */
   readonly onDidStop = this._onDidStop.event
   private _hosts: readonly Host[] = []
+  private _closedTraffic: LinkTraffic = { sent: 0, received: 0 }
   private _isReady = false
   private _isDraining = false
 
@@ -161,6 +163,7 @@
     this._accepted.add(this._register(link))
     link.onDidClose(() => {
       this._accepted.delete(link)
+      this._closedTraffic = sumTraffic([this._closedTraffic, link.traffic])
       this._release(link)
     })
     link.onDidReceive(message => {
@@ -280,10 +283,17 @@
     return [...new Set([...this._options.settings.seeds, ...listed])]
   }
 
+  private _getTraffic (): LinkTraffic {
+    return sumTraffic([this._closedTraffic, this._gossip.traffic, ...[...this._accepted].map(link => link.traffic)])
+  }
+
   private _addMetrics (): void {
     this._metrics.addProcessMetrics()
     this._metrics.createGauge('members_live', 'Stewards taken for alive', () => this._membership.listLive().length)
     this._metrics.createGauge('suspicions_total', 'Stewards suspected by this one', () => this._membership.suspicionCount)
+    this._metrics.createGauge('control_bytes_sent', 'Bytes sent to other processes of the system', () => this._getTraffic().sent)
+    this._metrics.createGauge('control_bytes_received', 'Bytes received from other processes of the system', () => this._getTraffic().received)
+    this._metrics.createGauge('upstreams_leaving', 'Upstream incarnations marked as leaving', () => this._facts.listKind('leaving').length)
     this._metrics.createGauge('facts', 'Facts held', () => this._facts.size)
     this._metrics.createGauge('gates_linked', 'Gates linked to this steward', () => [...this._accepted].filter(link => link.peerRole === 'gate').length)
     this._metrics.createGauge('configuration_version', 'Version of the configuration in force', () => this._configuration.number.version)
