Look at a few upstreams for a decision, and count higher priority at admission

Cause: a decision looked at every upstream of the role, and admission took no account of higher priority that comes later, so low priority was taken in and starved. Change: roles with more than 16 upstreams are sampled (2 preferred, 6 random) before all are looked at; upstream pool split from the scheduler; offered load of higher priority is taken off the slots.

--- a/src/client/pepperwoodClient.ts
+++ b/src/client/pepperwoodClient.ts
@@ -212,7 +212,7 @@
 
   /** Asks a home that stays silent whether it lives; a repeatable request does not wait for one that does not answer. */
   private _watchSilence (home: string, isRepeatable: boolean, onGone: () => void) {
-    const maxSilenceMs = this._options.maxSilenceMs ?? 500
+    const maxSilenceMs = this._options.maxSilenceMs ?? 1000
     let isGone = false
     let isStopped = false
     let heardAt = this._clock.now()
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -156,6 +156,7 @@
     const { settings, clock, random } = this._options
     return new UpstreamScheduler({
       clock,
+      random,
       hall: settings.hall,
       directory: new UpstreamDirectory(clock, this._configuration, this._facts),
       router: createRouter(settings.policy, random),
@@ -186,7 +187,7 @@
     const { settings, clock } = this._options
     const policy = settings.policy
     const adapter = this._register(new HttpUpstreamAdapter({ localAddress: settings.local_ip }))
-    const committed = new CommittedWork()
+    const committed = new CommittedWork(clock)
     const seal = new CheckpointSeal({ key: settings.checkpoint_key, previousKey: settings.previous_checkpoint_key })
     const stages = new StageRunner({
       clock,
--- a/src/gate/gateRequests.ts
+++ b/src/gate/gateRequests.ts
@@ -135,7 +135,7 @@
       const timeLeftMs = Math.min(request.timeLeftMs === 0 ? pipeline.deadlineMs : request.timeLeftMs, pipeline.deadlineMs)
       const stagesDone = checkpoint?.stagesDone ?? 0
       const customerWeight = customer.weight === 0 ? 1 : customer.weight
-      const decision = admission.decide({ customer: customer.name, customerWeight, timeLeftMs, stages: this._forecast(pipeline, stagesDone) }, committed)
+      const decision = admission.decide({ customer: customer.name, customerWeight, timeLeftMs, priority: pipeline.priority, stages: this._forecast(pipeline, stagesDone) }, committed)
       const inputs = `customer=${customer.name} pipeline=${pipeline.name} timeLeftMs=${timeLeftMs} configuration=${formatNumber(accepted.number)}`
       return decision.bimap(
         ({ error, retryAfterMs }) => {
--- a/src/platform/admission/common/admissionPolicy.ts
+++ b/src/platform/admission/common/admissionPolicy.ts
@@ -19,6 +19,7 @@
   readonly customer: string
   readonly customerWeight: number
   readonly timeLeftMs: number
+  readonly priority: number
   readonly stages: readonly StageForecast[]
 }
 
@@ -84,6 +85,8 @@
  */
 function predictWait (request: AdmissionRequest, stage: StageForecast, committed: CommittedWork): number {
   const ahead = committed.countAhead(stage.role, request.customer, request.customerWeight)
-  const waiting = Math.max(0, ahead + 1 - stage.slots)
-  return waiting / Math.max(1, stage.slots) * stage.usualMs
+  // Higher priority goes first also when it comes later, so its share of the slots is not this request's to count on.
+  const slots = Math.max(1, stage.slots - committed.countOfferedAbove(stage.role, request.priority))
+  const waiting = Math.max(0, ahead + 1 - slots)
+  return waiting / slots * stage.usualMs
 }
--- a/src/platform/pipeline/node/requestRunner.ts
+++ b/src/platform/pipeline/node/requestRunner.ts
@@ -16,7 +16,7 @@
 import type { RequestRun, RunEnd } from '../../session/common/requestRun.ts'
 import type { CheckpointSeal } from '../../session/node/checkpointSeal.ts'
 import { ChunkBuffer } from '../common/chunkBuffer.ts'
-import { isStageUnrepeatable } from '../common/requestPlan.ts'
+import { formatStageKey, isStageUnrepeatable } from '../common/requestPlan.ts'
 import type { RequestPlan } from '../common/requestPlan.ts'
 import { StageFailure } from './stageFailure.ts'
 import type { StageRunner } from './stageRunner.ts'
@@ -41,7 +41,7 @@
 
   async run (plan: RequestPlan, run: RequestRun): Promise<void> {
     const open = plan.pipeline.stages.slice(plan.stagesDone).map(stage => stage.role)
-    for (const role of open) this._options.committed.add(role, plan.customer, plan.customerWeight)
+    this._addCommitted(plan)
     const program = this._runStages(plan, run, open).pipe(
       Effect.timeoutFail({
         duration: Math.max(0, plan.deadlineAt - this._options.clock.now()),
@@ -54,6 +54,14 @@
     this._finish(run, exit)
   }
 
+  private _addCommitted (plan: RequestPlan): void {
+    const { customer, customerWeight: weight, pipeline } = plan
+    for (const stage of pipeline.stages.slice(plan.stagesDone)) {
+      const usualMs = this._options.stages.getUsualMs(formatStageKey(pipeline, stage))
+      this._options.committed.add({ role: stage.role, customer, weight, priority: pipeline.priority, usualMs })
+    }
+  }
+
   private _runStages (plan: RequestPlan, run: RequestRun, open: string[]): Effect.Effect<void, StageFailure> {
     return Effect.gen(this, function * () {
       let previous = plan.result
--- a/src/platform/pipeline/node/stageRunner.ts
+++ b/src/platform/pipeline/node/stageRunner.ts
@@ -65,6 +65,11 @@
 export class StageRunner {
   constructor (private readonly _options: StageRunnerOptions) {}
 
+  /** What a stage of this kind usually takes, in milliseconds. */
+  getUsualMs (stageKey: string): number {
+    return this._options.scheduler.latencies.getUsual(stageKey)
+  }
+
   /** The stage's whole result. */
   run (job: StageJob): Effect.Effect<string, StageFailure> {
     const progress = new StageProgress()
--- a/src/platform/routing/common/router.ts
+++ b/src/platform/routing/common/router.ts
@@ -2,7 +2,7 @@
  * Which upstream runs a stage. Candidates are free, live and able to run it; the router only orders them.
  */
 import type { IRandom } from '../../../base/common/random.ts'
-import { hashText } from '../../../base/common/rendezvous.ts'
+import { findPreferred } from './preferredUpstreams.ts'
 import { estimateBacklog } from './candidate.ts'
 import type { Candidate, RoutingChoice, RoutingRequest } from './candidate.ts'
 
@@ -94,40 +94,6 @@
   }
 }
 
-/** The first candidates in the prefix's rendezvous order; the same for every gate. */
-function findPreferred (prefixKey: string, candidates: readonly Candidate[], count: number): readonly Candidate[] {
-  const keyHash = hashText(prefixKey)
-  const best: { readonly candidate: Candidate, readonly score: number }[] = []
-  for (const candidate of candidates) {
-    const score = mixHashes(keyHash, hashName(candidate.name))
-    if (best.length === count && score <= (best.at(-1)?.score ?? 0)) continue
-    best.push({ candidate, score })
-    best.sort((a, b) => b.score - a.score)
-    best.length = Math.min(best.length, count)
-  }
-  return best.map(entry => entry.candidate)
-}
-
-const nameHashes = new Map<string, number>()
-const MAX_NAME_HASHES = 10_000
-
-function hashName (name: string): number {
-  let hash = nameHashes.get(name)
-  if (hash === undefined) {
-    hash = hashText(name)
-    if (nameHashes.size >= MAX_NAME_HASHES) nameHashes.clear()
-    nameHashes.set(name, hash)
-  }
-  return hash
-}
-
-function mixHashes (a: number, b: number): number {
-  let hash = Math.imul(a ^ b, 0x9e3779b1)
-  hash ^= hash >>> 15
-  hash = Math.imul(hash, 0x85ebca77)
-  return (hash ^ (hash >>> 13)) >>> 0
-}
-
 function findLeast<T> (items: readonly T[], measure: (item: T) => number): T | undefined {
   let least: T | undefined
   let leastValue = Infinity
--- a/src/platform/scheduling/common/upstreamDirectory.ts
+++ b/src/platform/scheduling/common/upstreamDirectory.ts
@@ -10,7 +10,9 @@
 
 export interface IUpstreamDirectory {
   /** The upstreams of a role that the configuration in force names. */
-  listRole (role: string): readonly UpstreamView[]
+  listRole (role: string): readonly Upstream[]
+  /** An upstream with the newest facts about it. */
+  getView (upstream: Upstream): UpstreamView
   /** Gates that share the upstreams, this one included. */
   countLiveGates (): number
 }
@@ -32,8 +34,17 @@
     private readonly _facts: FactStore
   ) {}
 
-  listRole (role: string): readonly UpstreamView[] {
-    return this._listUpstreams(role).map(upstream => viewUpstream(upstream, this._facts))
+  listRole (role: string): readonly Upstream[] {
+    const current = this._configuration.current
+    if (current !== this._rolesOf) {
+      this._rolesOf = current
+      this._roles = groupByRole(current?.configuration.upstreams ?? [])
+    }
+    return this._roles.get(role) ?? []
+  }
+
+  getView (upstream: Upstream): UpstreamView {
+    return viewUpstream(upstream, this._facts)
   }
 
   countLiveGates (): number {
@@ -44,15 +55,6 @@
     this._liveGates = Math.max(1, live.length)
     return this._liveGates
   }
-
-  private _listUpstreams (role: string): readonly Upstream[] {
-    const current = this._configuration.current
-    if (current !== this._rolesOf) {
-      this._rolesOf = current
-      this._roles = groupByRole(current?.configuration.upstreams ?? [])
-    }
-    return this._roles.get(role) ?? []
-  }
 }
 
 function groupByRole (upstreams: readonly Upstream[]): Map<string, readonly Upstream[]> {
