Queue a stage again when its upstream was full, and keep engines filled

Cause: in a burst a stage that met a full engine (BUSY, nothing ran) took from the retry budget; when that was spent the request failed, and its caller sent it again: 22 of 591 requests of a burst ended so. Parts of less than one call were rounded up to one, so nine gates together held 108 calls at engines that run 48, and admission counted on them.

--- a/src/load/loadReport.ts
+++ b/src/load/loadReport.ts
@@ -44,6 +44,8 @@
   readonly byCustomer: readonly AttainmentRow[]
   readonly byPipeline: readonly AttainmentRow[]
   readonly byResult: Readonly<Record<string, number>>
+  /** Refusals by place and message, numbers left out. */
+  readonly byReason: Readonly<Record<string, number>>
   readonly costs: readonly CostRow[]
   readonly wastedShare: number
   readonly retryShare: number
@@ -126,9 +128,13 @@
     wastedMs: Math.max(0, busyMs - (useful.get(role) ?? 0))
   }))
   const byResult: Record<string, number> = {}
+  const byReason: Record<string, number> = {}
   for (const outcome of outcomes) {
     const result = outcome.error === undefined ? outcome.kind : `${outcome.error.resultName}/${outcome.error.execution}`
     byResult[result] = (byResult[result] ?? 0) + 1
+    if (outcome.error === undefined) continue
+    const reason = `${outcome.error.resultName} ${outcome.error.place}: ${outcome.error.message.replaceAll(/[0-9]+/g, 'N')}`
+    byReason[reason] = (byReason[reason] ?? 0) + 1
   }
   const firstChunks = build({ highestTrackableValue: MAX_TRACKED_MS })
   for (const outcome of outcomes) if (outcome.kind === 'whole') firstChunks.recordValue(Math.max(0, Math.round(outcome.firstChunkMs)))
@@ -140,6 +146,7 @@
     byCustomer: groupBy(outcomes, outcome => outcome.arrival.customer),
     byPipeline: groupBy(outcomes, outcome => outcome.arrival.pipeline),
     byResult,
+    byReason,
     costs,
     wastedShare: busy === 0 ? 0 : costs.reduce((sum, cost) => sum + cost.wastedMs, 0) / busy,
     retryShare: firstAttempts === 0 ? 0 : (runs.length - firstAttempts) / firstAttempts,
--- a/src/platform/admission/common/admissionPolicy.ts
+++ b/src/platform/admission/common/admissionPolicy.ts
@@ -84,7 +84,7 @@
  * waits do not add up.
  */
 function predictWait (request: AdmissionRequest, stage: StageForecast, committed: CommittedWork): number {
-  const ahead = committed.countAhead(stage.role, request.customer, request.customerWeight)
+  const ahead = committed.countAhead(stage.role, request.customer, request.customerWeight, request.priority)
   // Higher priority goes first also when it comes later, so its share of the slots is not this request's to count on.
   const slots = Math.max(1, stage.slots - committed.countOfferedAbove(stage.role, request.priority))
   const waiting = Math.max(0, ahead + 1 - slots)
--- a/src/platform/admission/common/committedWork.ts
+++ b/src/platform/admission/common/committedWork.ts
@@ -5,6 +5,8 @@
  * since it will ask for the role before a request that comes in now.
  */
 interface CustomerWork {
+  readonly customer: string
+  readonly priority: number
   readonly weight: number
   readonly count: number
 }
@@ -34,33 +36,35 @@
   constructor (private readonly _clock: IClock) {}
 
   add (item: WorkItem): void {
-    const { role, customer, weight } = item
+    const { role, customer, weight, priority } = item
     this._addOffered(item)
-    const customers = this._roles.get(role) ?? new Map<string, CustomerWork>()
-    this._roles.set(role, customers)
-    const count = customers.get(customer)?.count ?? 0
-    customers.set(customer, { weight, count: count + 1 })
+    const works = this._roles.get(role) ?? new Map<string, CustomerWork>()
+    this._roles.set(role, works)
+    const key = formatKey(customer, priority)
+    works.set(key, { customer, priority, weight, count: (works.get(key)?.count ?? 0) + 1 })
   }
 
-  remove (role: string, customer: string): void {
-    const customers = this._roles.get(role)
-    const work = customers?.get(customer)
-    if (customers === undefined || work === undefined) return
-    if (work.count <= 1) customers.delete(customer)
-    else customers.set(customer, { ...work, count: work.count - 1 })
+  remove (role: string, customer: string, priority: number): void {
+    const works = this._roles.get(role)
+    const key = formatKey(customer, priority)
+    const work = works?.get(key)
+    if (works === undefined || work === undefined) return
+    if (work.count <= 1) works.delete(key)
+    else works.set(key, { ...work, count: work.count - 1 })
   }
 
   /**
-   * How much goes before one more request of the customer when the customers are served in turn by weight:
-   * all its own, and of each other customer what its weight earns meanwhile.
+   * How much goes before one more request: all work of higher priority, and of its own priority what the fair queue
+   * serves first, which is all of its own customer and of each other customer what its weight earns meanwhile.
    */
-  countAhead (role: string, customer: string, weight: number): number {
-    const customers = this._roles.get(role)
-    if (customers === undefined) return 0
-    const own = customers.get(customer)?.count ?? 0
+  countAhead (role: string, customer: string, weight: number, priority: number): number {
+    const works = this._roles.get(role)
+    if (works === undefined) return 0
+    const own = works.get(formatKey(customer, priority))?.count ?? 0
     let ahead = own
-    for (const [name, work] of customers) {
-      if (name !== customer) ahead += Math.min(work.count, (own + 1) * work.weight / weight)
+    for (const work of works.values()) {
+      if (work.priority > priority) ahead += work.count
+      else if (work.priority === priority && work.customer !== customer) ahead += Math.min(work.count, (own + 1) * work.weight / weight)
     }
     return ahead
   }
@@ -92,3 +96,7 @@
 function computeFaded (load: OfferedLoad, now: number): number {
   return load.ms * Math.exp((load.at - now) / LOAD_MEMORY_MS)
 }
+
+function formatKey (customer: string, priority: number): string {
+  return `${priority}/${customer}`
+}
--- a/src/platform/limits/common/concurrencyLimiter.ts
+++ b/src/platform/limits/common/concurrencyLimiter.ts
@@ -18,6 +18,10 @@
   abstract get limit (): number
   /** How many calls this gate may have open, given what the others seem to have. */
   abstract computeRoom (inputs: RoomInputs): number
+  /** This gate's part of the upstream, in calls: its equal part, or more where the others leave it free. */
+  abstract computePart (inputs: RoomInputs): number
+  /** The part that no other gate can take away. */
+  abstract get equalPart (): number
   /** Takes in how a call went, with the calls that were open when it ended. */
   abstract record (signal: LimitSignal, inFlight: number): void
   /** Takes in what the upstream can hold and how many gates share it. */
@@ -32,10 +36,18 @@
     return this._limit
   }
 
+  get equalPart (): number {
+    return this._limit
+  }
+
   computeRoom (): number {
     return this._limit
   }
 
+  computePart (): number {
+    return this._limit
+  }
+
   record (): void {}
 
   setShare (capacity: number): void {
@@ -52,8 +64,9 @@
 }
 
 /**
- * A gate always has its equal part of the upstream. Beyond it, it may use what the others leave free, as far as the
- * reports tell, up to a limit that busy, slow and failed calls shrink (additive increase, multiplicative decrease).
+ * A gate may use what the others leave free, as far as the reports tell, up to a limit that busy, slow and failed calls
+ * shrink (additive increase, multiplicative decrease). Its equal part of a whole role is kept for it elsewhere, since a
+ * part of a single upstream can be less than one call.
  */
 export class AdaptiveLimiter extends ConcurrencyLimiter {
   private readonly _increase: number
@@ -62,14 +75,14 @@
   private readonly _fill: number
   private _limit = 1
   private _capacity = 0
-  private _equalShare = 1
+  private _equalPart = 1
 
   constructor (options: AdaptiveLimiterOptions = {}) {
     super()
     this._increase = options.increase ?? 1
     this._busyDecrease = options.busyDecrease ?? 0.7
     this._slowDecrease = options.slowDecrease ?? 0.9
-    this._fill = options.fill ?? 1.25
+    this._fill = options.fill ?? 2
   }
 
   get limit (): number {
@@ -79,7 +92,16 @@
   computeRoom (inputs: RoomInputs): number {
     const others = Math.max(0, inputs.backlog - inputs.inFlight)
     const left = Math.floor(this._capacity * this._fill - others)
-    return Math.min(this.limit, Math.max(this._equalShare, left))
+    return Math.min(this.limit, Math.max(0, left))
+  }
+
+  computePart (inputs: RoomInputs): number {
+    const others = Math.max(0, inputs.backlog - inputs.inFlight)
+    return Math.min(this._limit, Math.max(this._equalPart, this._capacity - others))
+  }
+
+  get equalPart (): number {
+    return Math.min(this._limit, this._equalPart)
   }
 
   record (signal: LimitSignal, inFlight: number): void {
@@ -90,7 +112,7 @@
   }
 
   setShare (capacity: number, liveGates: number): void {
-    this._equalShare = Math.max(1, Math.floor(capacity / Math.max(1, liveGates)))
+    this._equalPart = capacity / Math.max(1, liveGates)
     if (capacity === this._capacity) return
     const isFirst = this._capacity === 0
     this._capacity = Math.max(1, capacity)
--- a/src/platform/pipeline/common/outcomeDecision.ts
+++ b/src/platform/pipeline/common/outcomeDecision.ts
@@ -12,22 +12,35 @@
   /** How often this attempt was resumed already. */
   readonly resumes: number
   readonly timeLeftMs: number
+  /** Attempts of the stage so far. */
+  readonly attempts: number
 }
 
-/** `again` still needs the retry budget's consent. */
 export type OutcomeDecision =
   | { readonly kind: 'resume' }
-  | { readonly kind: 'again', readonly waitMs: number }
+  /** The upstream was full and ran nothing: back into the queue, which costs no one anything. */
+  | { readonly kind: 'queue', readonly waitMs: number }
+  /** One more attempt, if the retry budget consents. */
+  | { readonly kind: 'again' }
   | { readonly kind: 'giveUp', readonly reason: 'outcomeUnknown' | 'stageFailed' | 'noTime' }
 
 const MAX_RESUMES = 2
 const MIN_TIME_LEFT_MS = 10
+const FIRST_BACKOFF_MS = 10
+const MAX_BACKOFF_MS = 250
+const MAX_DOUBLINGS = 10
+
+/** Doubles with each attempt, and never takes more than a quarter of the time left. */
+function computeBackoff (inputs: OutcomeInputs): number {
+  const backoffMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** Math.min(inputs.attempts, MAX_DOUBLINGS))
+  return Math.min(backoffMs, inputs.timeLeftMs / 4)
+}
 
 export function decideAfterOutcome (inputs: OutcomeInputs): OutcomeDecision {
   const { outcome } = inputs
   if (inputs.timeLeftMs < MIN_TIME_LEFT_MS) return { kind: 'giveUp', reason: 'noTime' }
   if (outcome.kind === 'lost' && inputs.canResume && inputs.resumes < MAX_RESUMES) return { kind: 'resume' }
-  if (outcome.kind === 'notRun') return { kind: 'again', waitMs: Math.min(outcome.retryAfterMs, inputs.timeLeftMs / 4) }
-  if (!inputs.isUnrepeatable) return { kind: 'again', waitMs: 0 }
+  if (outcome.kind === 'notRun' && outcome.isBusy) return { kind: 'queue', waitMs: computeBackoff(inputs) }
+  if (outcome.kind === 'notRun' || !inputs.isUnrepeatable) return { kind: 'again' }
   return { kind: 'giveUp', reason: outcome.kind === 'failed' ? 'stageFailed' : 'outcomeUnknown' }
 }
--- a/src/platform/pipeline/node/requestRunner.ts
+++ b/src/platform/pipeline/node/requestRunner.ts
@@ -50,7 +50,7 @@
       Effect.withClock(createEffectClock(this._options.clock))
     )
     const exit = await Effect.runPromiseExit(program, { signal: run.abort.signal })
-    for (const role of open) this._options.committed.remove(role, plan.customer)
+    for (const role of open) this._options.committed.remove(role, plan.customer, plan.pipeline.priority)
     this._finish(run, exit)
   }
 
@@ -81,7 +81,7 @@
         })
         if (isLast) chunks.flush()
         open.shift()
-        this._options.committed.remove(stage.role, plan.customer)
+        this._options.committed.remove(stage.role, plan.customer, plan.pipeline.priority)
         if (!isLast) this._giveCheckpoint(plan, run, stageIndex + 1, previous)
       }
     })
--- a/src/platform/pipeline/node/stageRunner.ts
+++ b/src/platform/pipeline/node/stageRunner.ts
@@ -146,6 +146,7 @@
           isUnrepeatable: true,
           canResume: slot.view.upstream.kind === UpstreamKind.ENGINE && !result.gaveUp && isSent(job.run, attemptId),
           resumes,
+          attempts: progress.attempts,
           timeLeftMs: job.plan.deadlineAt - this._options.clock.now()
         })
         if (decision.kind !== 'resume') return result
@@ -217,15 +218,17 @@
       isUnrepeatable: !canSendAgain(job.run.attemptLog.attempts, job.stageIndex),
       canResume: false,
       resumes: 0,
+      attempts: progress.attempts,
       timeLeftMs: job.plan.deadlineAt - clock.now()
     })
+    if (decision.kind === 'queue') return Effect.sleep(decision.waitMs)
     if (decision.kind !== 'again') return Effect.fail(createFailure(job, outcome.error, decision.kind === 'giveUp' ? decision.reason : 'stageFailed'))
     if (!retries.takeRetry(job.stage.role)) {
       this._decide(job, 'retry', 'refused', 'the retry budget is spent', '')
       return Effect.fail(createFailure(job, outcome.error, 'stageFailed'))
     }
-    this._decide(job, 'retry', 'again', outcome.error.message, `waitMs=${Math.round(decision.waitMs)}`)
-    return decision.waitMs > 0 ? Effect.sleep(decision.waitMs) : Effect.void
+    this._decide(job, 'retry', 'again', outcome.error.message, '')
+    return Effect.void
   }
 
   private _decide (job: StageJob, kind: 'route' | 'outcome' | 'retry' | 'resume', choice: string, reason: string, inputs: string): void {
--- a/src/platform/routing/common/candidate.ts
+++ b/src/platform/routing/common/candidate.ts
@@ -38,8 +38,11 @@
 /** What the backlog at an upstream is estimated from. */
 export type BacklogInputs = Pick<Candidate, 'reportedBacklog' | 'ownInFlight' | 'ownSentSinceReport' | 'ownDoneSinceReport'>
 
-/** The report, and what this gate sent and saw end since; the other gates are taken to do as much as this one. */
+/**
+ * The report, and what this gate sent and saw end since. The other gates do alike, but not the same at the same moment:
+ * taking them all for doing as much as this one makes the estimate jump, taking them for idle makes all choose alike.
+ */
 export function estimateBacklog (inputs: BacklogInputs, liveGates: number): number {
-  const changeSince = (inputs.ownSentSinceReport - inputs.ownDoneSinceReport) * liveGates
+  const changeSince = (inputs.ownSentSinceReport - inputs.ownDoneSinceReport) * Math.sqrt(liveGates)
   return Math.max(inputs.ownInFlight, inputs.reportedBacklog + changeSince)
 }
--- a/src/platform/scheduling/common/upstreamPool.ts
+++ b/src/platform/scheduling/common/upstreamPool.ts
@@ -73,8 +73,10 @@
     const usable = this._listUsable(upstreams).filter(view => holdsModel(view, ticket.model))
     if (usable.length === 0) return { kind: 'none' }
     const untried = usable.filter(view => !ticket.tried.has(view.upstream.name))
-    const free = (untried.length > 0 ? untried : usable).filter(view => this._hasRoom(view))
-    return free.length === 0 ? { kind: 'full' } : { kind: 'free', views: free }
+    const candidates = untried.length > 0 ? untried : usable
+    const free = candidates.filter(view => this._hasRoom(view))
+    if (free.length > 0) return { kind: 'free', views: free }
+    return this._isBelowEqualPart(usable) ? { kind: 'free', views: candidates } : { kind: 'full' }
   }
 
   /** Calls that this gate may have open at a role's usable upstreams. */
@@ -82,7 +84,7 @@
     const now = this._options.clock.now()
     const known = this._slots.get(role)
     if (known !== undefined && now - known.at < SLOT_COUNT_PERIOD_MS) return known.slots
-    const slots = this._listUsable(this._options.directory.listRole(role)).reduce((sum, view) => sum + this._computeRoom(view), 0)
+    const slots = this._listUsable(this._options.directory.listRole(role)).reduce((sum, view) => sum + this._computePart(view), 0)
     this._slots.set(role, { slots, at: now })
     return slots
   }
@@ -149,6 +151,23 @@
     return this.getState(view.upstream.name).health.ejectedUntil
   }
 
+  /** However full the upstreams seem, a gate may have its equal part of the role's capacity open. */
+  private _isBelowEqualPart (usable: readonly UpstreamView[]): boolean {
+    let inFlight = 0
+    let part = 0
+    for (const view of usable) {
+      const state = this.getState(view.upstream.name)
+      if (state.health.getState(this._options.clock.now()) === 'probing') continue
+      inFlight += state.inFlight
+      part += state.limiter.equalPart
+    }
+    return inFlight + 1 <= Math.max(1, part)
+  }
+
+  private _computePart (view: UpstreamView): number {
+    return this.getState(view.upstream.name).computePart(view, this._options.directory.countLiveGates())
+  }
+
   private _hasRoom (view: UpstreamView): boolean {
     return this.getState(view.upstream.name).inFlight < this._computeRoom(view)
   }
--- a/src/platform/scheduling/common/upstreamState.ts
+++ b/src/platform/scheduling/common/upstreamState.ts
@@ -2,7 +2,7 @@
  * What this gate knows of one upstream from its own calls.
  */
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
-import type { ConcurrencyLimiter } from '../../limits/common/concurrencyLimiter.ts'
+import type { ConcurrencyLimiter, RoomInputs } from '../../limits/common/concurrencyLimiter.ts'
 import { estimateBacklog } from '../../routing/common/candidate.ts'
 import type { BacklogInputs } from '../../routing/common/candidate.ts'
 import type { UpstreamView } from '../../facts/common/upstreamView.ts'
@@ -53,8 +53,17 @@
   computeRoom (view: UpstreamView, liveGates: number, now: number): number {
     this.limiter.setShare(getCapacity(view), liveGates)
     if (this.health.getState(now) === 'probing') return 1
-    const backlog = estimateBacklog(this.describeBacklog(view), liveGates)
-    return this.limiter.computeRoom({ inFlight: this.inFlight, backlog })
+    return this.limiter.computeRoom(this._createInputs(view, liveGates))
+  }
+
+  /** This gate's part of the upstream, in calls. */
+  computePart (view: UpstreamView, liveGates: number): number {
+    this.limiter.setShare(getCapacity(view), liveGates)
+    return this.limiter.computePart(this._createInputs(view, liveGates))
+  }
+
+  private _createInputs (view: UpstreamView, liveGates: number): RoomInputs {
+    return { inFlight: this.inFlight, backlog: estimateBacklog(this.describeBacklog(view), liveGates) }
   }
 
   describeBacklog (view: UpstreamView): BacklogInputs {
--- a/src/platform/upstream/node/upstreamMessages.ts
+++ b/src/platform/upstream/node/upstreamMessages.ts
@@ -18,8 +18,7 @@
   error: Schema.Literal('BUSY', 'LEAVING', 'REFUSED', 'FAILED', 'UNKNOWN_ATTEMPT'),
   ran: Schema.Boolean,
   boot: Schema.optionalWith(Count, { default: () => 0 }),
-  busyMs: Schema.optionalWith(Amount, { default: () => 0 }),
-  retryAfterMs: Schema.optionalWith(Amount, { default: () => 0 })
+  busyMs: Schema.optionalWith(Amount, { default: () => 0 })
 })
 
 const TokenEvent = Schema.Struct({ attempt: Schema.String, index: Count, text: Schema.String })
