Keep a gate's link to its steward while facts come over it

A link handed on all messages but facts, and the gate took silence of the rest for a dead steward; each time it read everything anew from another one. Ruled out: stewards that stall (their processors were at 6%). No test waited longer than 3 s without another message. Change: a link hands on every message; stewards announce their configuration number to gates each second, so that a live steward is never silent. A benchmark of one gate and of decisions (pepperwood-load bench). Conclusion: a gate changes its steward only when it is lost.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -78,6 +78,7 @@
   private readonly _onDidStop = this._register(new Emitter<void>())
   /** Fired at the end of a planned stop. */
   readonly onDidStop = this._onDidStop.event
+  private readonly _startedAt: number
   private _factCounter = 0
   private _announced = { at: -Infinity, inFlight: 0 }
   private _locateSalt = 0
@@ -89,6 +90,7 @@
     super()
     this._options = options
     const { settings, clock } = options
+    this._startedAt = clock.now()
     this._facts = this._register(new FactStore(clock))
     this._configuration = this._register(new ConfigurationService(clock))
     this._decisions = new DecisionLog(clock)
@@ -317,12 +319,14 @@
     const { settings } = this._options
     return {
       program: 'gate',
+      ageMs: Math.round(now - this._startedAt),
       address: settings.address,
       hall: settings.hall,
       incarnation: this._incarnationId,
       ready: this.isReady,
       draining: this._isDraining,
       steward: this._subscription.stewardAddress,
+      stewardLinks: this._subscription.linkCount,
       configuration: this._configuration.number,
       pauses: this._pause.pauseCount,
       policy: settings.policy,
--- /dev/null
+++ b/src/load/decisionBench.ts
@@ -0,0 +1,63 @@
+/**
+ * What a decision costs: admission and routing of one stage, at several numbers of upstreams.
+ */
+import { create } from '@bufbuild/protobuf'
+import { build } from 'hdr-histogram-js'
+import { SeededRandom } from '../base/common/random.ts'
+import { SystemClock } from '../base/node/systemClock.ts'
+import { UpstreamSchema } from '../generated/pepperwood/v1/pepperwood_pb.ts'
+import { PredictedFinishAdmission } from '../platform/admission/common/admissionPolicy.ts'
+import { CommittedWork } from '../platform/admission/common/committedWork.ts'
+import { FactStore } from '../platform/facts/common/factStore.ts'
+import { viewUpstream } from '../platform/facts/common/upstreamView.ts'
+import { EjectingTracker } from '../platform/health/common/healthTracker.ts'
+import { AdaptiveLimiter } from '../platform/limits/common/concurrencyLimiter.ts'
+import { EstimatedFinishRouter } from '../platform/routing/common/router.ts'
+import { FairQueue } from '../platform/scheduling/common/stageQueue.ts'
+import { UpstreamScheduler } from '../platform/scheduling/common/upstreamScheduler.ts'
+import type { StageSlot } from '../platform/scheduling/common/upstreamScheduler.ts'
+import { recordReport } from '../platform/upstream/node/upstreamWatcher.ts'
+
+const WARM_UP = 20_000
+const DECISIONS = 20_000
+const NANOSECONDS_PER_MS = 1e6
+const PREFIXES = 200
+const LIVE_GATES = 9
+const OPEN_CALLS = 8
+
+/** The median and the 99th percentile of one decision, in microseconds. */
+export function measureDecision (upstreamCount: number): { readonly median: number, readonly p99: number } {
+  const clock = new SystemClock()
+  const facts = new FactStore(clock)
+  const upstreams = Array.from({ length: upstreamCount }, (_, index) => create(UpstreamSchema, { name: `generate-${index}`, role: 'generate', hall: `h${index % 7}`, concurrency: 8 }))
+  for (const [index, upstream] of upstreams.entries()) {
+    recordReport(facts, upstream.name, { boot: 1, report: 1, running: index % 9, queued: 0, capacity: 8, isLeaving: false, models: ['m'], fencing: 0, prefixes: [`k${index % PREFIXES}`] }, clock.now())
+  }
+  const random = new SeededRandom(1)
+  const scheduler = new UpstreamScheduler({
+    clock,
+    random,
+    hall: 'h0',
+    directory: { listRole: () => upstreams, getView: upstream => viewUpstream(upstream, facts), countLiveGates: () => LIVE_GATES },
+    router: new EstimatedFinishRouter({ random }),
+    createQueue: () => new FairQueue(),
+    createLimiter: () => new AdaptiveLimiter(),
+    createHealth: () => new EjectingTracker(),
+    dropsHopeless: true
+  })
+  const admission = new PredictedFinishAdmission()
+  const committed = new CommittedWork(clock)
+  const open: StageSlot[] = []
+  const decide = (index: number) => {
+    admission.decide({ customer: 'c', customerWeight: 1, timeLeftMs: 4000, priority: 1, stages: [{ role: 'generate', usualMs: scheduler.latencies.getUsual('p/generate'), slots: scheduler.countSlots('generate') }] }, committed)
+    scheduler.acquire({ requestId: '', customer: 'c', customerWeight: 1, priority: 1, deadlineAt: clock.now() + 4000, role: 'generate', stageKey: 'p/generate', model: 'm', prefixKey: `k${index % PREFIXES}`, tried: new Set() }, { onGranted: slot => open.push(slot), onRefused: () => {} })
+  }
+  const times = build({ highestTrackableValue: 1e9 })
+  for (let index = 0; index < WARM_UP + DECISIONS; index++) {
+    const startedAt = clock.now()
+    decide(index)
+    if (index >= WARM_UP) times.recordValue(Math.round((clock.now() - startedAt) * NANOSECONDS_PER_MS))
+    if (open.length > OPEN_CALLS) scheduler.release(open.shift() as StageSlot, { kind: 'answered' })
+  }
+  return { median: times.getValueAtPercentile(50) / 1000, p99: times.getValueAtPercentile(99) / 1000 }
+}
--- a/src/load/test/fleet.test.ts
+++ b/src/load/test/fleet.test.ts
@@ -19,6 +19,8 @@
 const fleet = new InProcessFleet(plan)
 const addresses = plan.hosts.map(host => host.gate.address)
 const [first = '', second = '', third = ''] = addresses
+/** More than a gate waits for a silent steward. */
+const SILENCE_MS = 3500
 const CUSTOMER = 'small'
 const KEY = formatCustomerKey(CUSTOMER)
 
@@ -62,6 +64,15 @@
   return (await fleet.control.readRuns()).filter(run => run.marker === marker && run.role === role).length
 }
 
+interface GateState {
+  readonly stewardLinks: number
+  readonly ageMs: number
+}
+
+async function readState (address: string): Promise<GateState> {
+  return JSON.parse((await createOperatorClient(address).dump({})).json) as GateState
+}
+
 async function readVersions (): Promise<readonly number[]> {
   return await Promise.all(addresses.map(async address => (await createOperatorClient(address).getConfiguration({})).configuration?.version ?? 0))
 }
@@ -206,6 +217,12 @@
   assert.is((await createOperatorClient(first).explain({ requestId: 'none/1' })).problem?.name, 'requestUnknown')
 })
 
+test('no gate has lost its steward, however little news there was', async () => {
+  const startedAtMs = (await readState(first)).ageMs
+  await waitUntil(async () => (await readState(first)).ageMs > startedAtMs + SILENCE_MS)
+  for (const address of addresses) assert.is((await readState(address)).stewardLinks, 1)
+})
+
 test('a planned stop finishes what is in progress and sends new callers elsewhere', async () => {
   const session = await openSession(third)
   const client = createRequestClient(third)
--- a/src/platform/facts/node/peerLink.ts
+++ b/src/platform/facts/node/peerLink.ts
@@ -44,7 +44,7 @@
   private _sentSequence = 0
   private readonly _onDidReceive = this._register(new Emitter<WireMessage>())
   private readonly _onDidClose = this._register(new Emitter<void>())
-  /** Messages that the link does not deal with itself. */
+  /** Every message, once the link has done its part. */
   readonly onDidReceive = this._onDidReceive.event
   readonly onDidClose = this._onDidClose.event
 
@@ -134,7 +134,6 @@
       this._peer = message
     } else if (message.kind === 'facts') {
       for (const fact of message.facts) facts.merge(fact, this.peerAddress)
-      return
     } else if (message.kind === 'configuration') {
       configuration.offer(message, this.peerAddress)
     } else if (message.kind === 'configurationHeld') {
--- a/src/platform/facts/node/stewardSubscription.ts
+++ b/src/platform/facts/node/stewardSubscription.ts
@@ -29,7 +29,7 @@
   private _next = 0
   private _nextRefreshId = 1
   private _heardAt = 0
-  private _failovers = 0
+  private _linkCount = 0
   private readonly _onDidRefresh = this._register(new Emitter<number>())
   private readonly _onDidConnect = this._register(new Emitter<string>())
   readonly onDidConnect = this._onDidConnect.event
@@ -48,8 +48,9 @@
     return this._link?.peerAddress ?? ''
   }
 
-  get failoverCount (): number {
-    return this._failovers
+  /** How often a steward was linked; more than once means that one was lost. */
+  get linkCount (): number {
+    return this._linkCount
   }
 
   /** Sends own facts without waiting for the next round. */
@@ -106,7 +107,7 @@
     if (this._isDisposed) return link.dispose()
     this._link = link
     this._heardAt = performance.now()
-    this._failovers++
+    this._linkCount++
     this._options.log.info('steward_linked', { steward: address })
     link.onDidReceive(message => {
       this._heardAt = performance.now()
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -53,7 +53,7 @@
 /** How often gates get what is new. */
 const GATE_PUSH_PERIOD_MS = 100
 /** How often the number of the configuration in force is compared with the peers'. */
-const ANNOUNCE_PERIOD_MS = 2000
+const ANNOUNCE_PERIOD_MS = 1000
 const LEAVE_SPREAD_MS = 500
 const READY_POLL_MS = 20
 
@@ -102,7 +102,7 @@
     this._watchValue(HOSTS_KEY, value => this._takeHosts(value))
     this._startUpstreamDuties()
     this._register(startInterval(GATE_PUSH_PERIOD_MS, () => this._pushToGates()))
-    this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._gossip.announceConfiguration()))
+    this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._announceConfiguration()))
     await this._waitUntilReady(configurationWatcher)
     this._isReady = true
     log.info('ready', { address: settings.address, hall: settings.hall, configuration: formatNumber(this._configuration.number) })
@@ -178,6 +178,12 @@
     link.send({ kind: 'refreshed', id })
   }
 
+  /** Compares numbers with all processes; for gates it is also the sign that this steward lives. */
+  private _announceConfiguration (): void {
+    this._gossip.announceConfiguration()
+    for (const link of this._accepted) if (link.peerRole === 'gate') link.announceConfiguration()
+  }
+
   private _pushToGates (): void {
     for (const link of this._accepted) if (link.peerRole === 'gate') link.sendNews()
   }
