Judge waiting work by its quickest calls, and count an upstream's queue as part of its rate

Cause: in bursts the policy dropped work that could still finish, and refused too much: the usual time holds the wait at the engine, and was used both as the least that a call needs and, with slots without that wait, as the rate of service. Change: hopeless is what the quickest tenth of calls would not finish; parts count the calls that wait at the upstream (fill), so that parts over usual time is the rate; fill is a setting, 1.5 by default.

--- a/src/gate/gateSettings.ts
+++ b/src/gate/gateSettings.ts
@@ -13,6 +13,8 @@
   admission: Schema.optionalWith(Schema.Literal('predicted', 'none'), { default: () => 'predicted' }),
   admission_fill: Schema.optionalWith(Part, { default: () => 0.9 }),
   limits: Schema.optionalWith(Schema.Literal('adaptive', 'fixed'), { default: () => 'adaptive' }),
+  /** Calls held at an upstream for each that it runs at once: higher keeps batches full, lower keeps the order in the gates' hands. */
+  fill: Schema.optionalWith(Schema.Number.pipe(Schema.between(1, 4)), { default: () => 1.5 }),
   queue: Schema.optionalWith(Schema.Literal('fair', 'fifo'), { default: () => 'fair' }),
   retries: Schema.optionalWith(Schema.Literal('budget', 'unlimited'), { default: () => 'budget' }),
   retry_share: Schema.optionalWith(Part, { default: () => 0.1 }),
--- a/src/gate/policies.ts
+++ b/src/gate/policies.ts
@@ -27,7 +27,7 @@
 }
 
 export function createLimiter (policy: PolicySettings): ConcurrencyLimiter {
-  return policy.limits === 'fixed' ? new FixedLimiter() : new AdaptiveLimiter()
+  return policy.limits === 'fixed' ? new FixedLimiter() : new AdaptiveLimiter({ fill: policy.fill })
 }
 
 export function createQueue (policy: PolicySettings): StageQueue {
--- a/src/platform/limits/common/concurrencyLimiter.ts
+++ b/src/platform/limits/common/concurrencyLimiter.ts
@@ -18,7 +18,10 @@
   abstract get limit (): number
   /** How many calls this gate may have open, given what the others seem to have. */
   abstract computeRoom (inputs: RoomInputs): number
-  /** This gate's part of the upstream, in calls: its equal part, or more where the others leave it free. */
+  /**
+   * This gate's part of the upstream, in calls, waiting ones included: its equal part, or more where the others leave it
+   * free. Calls over their usual time, waiting included, give the rate at which the gate is served.
+   */
   abstract computePart (inputs: RoomInputs): number
   /** The part that no other gate can take away. */
   abstract get equalPart (): number
@@ -82,7 +85,7 @@
     this._increase = options.increase ?? 1
     this._busyDecrease = options.busyDecrease ?? 0.7
     this._slowDecrease = options.slowDecrease ?? 0.9
-    this._fill = options.fill ?? 2
+    this._fill = options.fill ?? 1.5
   }
 
   get limit (): number {
@@ -97,7 +100,7 @@
 
   computePart (inputs: RoomInputs): number {
     const others = Math.max(0, inputs.backlog - inputs.inFlight)
-    return Math.min(this._limit, Math.max(this._equalPart, this._capacity - others))
+    return Math.min(this._limit, Math.max(this._equalPart, this._capacity * this._fill - others))
   }
 
   get equalPart (): number {
@@ -108,14 +111,18 @@
     if (signal === 'busy') this._limit *= this._busyDecrease
     else if (signal === 'slow' || signal === 'failed') this._limit *= this._slowDecrease
     else if (inFlight >= this.limit) this._limit += this._increase / this._limit
-    this._limit = Math.min(this._capacity, Math.max(1, this._limit))
+    this._limit = Math.min(this._highest, Math.max(1, this._limit))
   }
 
   setShare (capacity: number, liveGates: number): void {
-    this._equalPart = capacity / Math.max(1, liveGates)
+    this._equalPart = capacity * this._fill / Math.max(1, liveGates)
     if (capacity === this._capacity) return
     const isFirst = this._capacity === 0
     this._capacity = Math.max(1, capacity)
-    this._limit = isFirst ? this._capacity : Math.min(this._limit, this._capacity)
+    this._limit = isFirst ? this._highest : Math.min(this._limit, this._highest)
+  }
+
+  private get _highest (): number {
+    return Math.max(1, this._capacity * this._fill)
   }
 }
--- a/src/platform/scheduling/common/latencyBook.ts
+++ b/src/platform/scheduling/common/latencyBook.ts
@@ -3,6 +3,9 @@
  */
 
 const MEAN_SMOOTHING = 0.1
+/** The low mark falls fast and rises slowly, and so settles where about one call in ten is quicker. */
+const LOW_FALL = 0.18
+const LOW_RISE = 0.02
 const SLOWNESS_SMOOTHING = 0.25
 const DEFAULT_USUAL_MS = 20
 /** An upstream that gets no calls is taken for usual again after some time, so that it is tried. */
@@ -10,6 +13,8 @@
 
 interface Mean {
   readonly mean: number
+  /** What few calls stay under. */
+  readonly low: number
   /** Mean absolute deviation. */
   readonly deviation: number
 }
@@ -30,8 +35,10 @@
     const before = this.getSlowness(upstream, now)
     this._slowness.set(upstream, { ratio: before + SLOWNESS_SMOOTHING * (ratio - before), at: now })
     const deviation = known?.deviation ?? elapsedMs / 2
+    const low = known?.low ?? elapsedMs
     this._means.set(stageKey, {
       mean: usual + MEAN_SMOOTHING * (elapsedMs - usual),
+      low: low + (elapsedMs < low ? LOW_FALL : LOW_RISE) * (elapsedMs - low),
       deviation: deviation + MEAN_SMOOTHING * (Math.abs(elapsedMs - usual) - deviation)
     })
   }
@@ -41,6 +48,11 @@
     return this._means.get(stageKey)?.mean ?? DEFAULT_USUAL_MS
   }
 
+  /** What only the quickest calls stay under, in milliseconds; 0 before any call. */
+  getLow (stageKey: string): number {
+    return this._means.get(stageKey)?.low ?? 0
+  }
+
   /** What nearly all calls of the kind stay under, in milliseconds. */
   getHigh (stageKey: string): number {
     const known = this._means.get(stageKey)
--- a/src/platform/scheduling/common/upstreamScheduler.ts
+++ b/src/platform/scheduling/common/upstreamScheduler.ts
@@ -57,9 +57,6 @@
 /** What a turn counts at least, so that calls too short to measure are still shared out fairly. */
 const MIN_SERVED_COST = 1
 
-/** A call that has less than this part of its usual time left is not begun any more. */
-const HOPELESS_PART = 0.6
-
 const SIGNALS: Readonly<Record<SlotResult['kind'], LimitSignal | undefined>> = {
   answered: 'ok',
   busy: 'busy',
@@ -174,7 +171,7 @@
   private _dropHopeless (role: RoleQueue): void {
     const now = this._options.clock.now()
     for (const ticket of role.listeners.keys()) {
-      if (ticket.deadlineAt - now > this.latencies.getUsual(ticket.stageKey) * HOPELESS_PART) continue
+      if (ticket.deadlineAt - now > this.latencies.getLow(ticket.stageKey)) continue
       this._settle(role, ticket, new PepperwoodError({ name: 'deadlinePassed', message: 'no time is left for the stage', place: ticket.stageKey }))
     }
   }
--- a/src/platform/scheduling/test/upstreamScheduler.test.ts
+++ b/src/platform/scheduling/test/upstreamScheduler.test.ts
@@ -108,6 +108,19 @@
   assert.equal(fixture.refused, ['deadlinePassed'])
 })
 
+test('a call that even the quickest calls would not finish in time is not begun', () => {
+  const fixture = createScheduler(['a'])
+  for (let round = 0; round < 5; round++) {
+    fixture.ask()
+    fixture.clock.advance(100)
+    for (const slot of fixture.granted.splice(0)) fixture.scheduler.release(slot, { kind: 'answered' })
+  }
+  const now = fixture.clock.now()
+  fixture.ask({ deadlineAt: now + 90 })
+  fixture.ask({ deadlineAt: now + 110 })
+  assert.equal([fixture.refused, fixture.granted.length], [['deadlinePassed'], 1])
+})
+
 test('a withdrawn ticket is never granted', () => {
   const fixture = createScheduler(['a'])
   fixture.ask({ requestId: 'first' })
