--- a/src/gate/gateRequests.ts
+++ b/src/gate/gateRequests.ts
@@ -188,7 +188,13 @@
     return createError('configurationBehind', 'the caller has seen a higher configuration', 'seenConfiguration', `${seen.epoch}.${seen.version}`)
   }
 
+  /** The session's home, as far as this gate knows it. */
+  private _findHome (address: string): readonly LocatedGate[] {
+    return this._options.listGates('').filter(gate => gate.address === address)
+  }
+
   private _refuse (error: PepperwoodError, customer: string): RefusedRequest {
+    if (error.resultName === 'sessionElsewhere') return { error, retryAfterMs: 0, gates: this._findHome(error.value) }
     if (!RESULTS_ABOUT_GATE.has(error.resultName)) return { error, retryAfterMs: 0, gates: [] }
     const gates = this._options.listGates(customer).filter(gate => gate.address !== this._options.address)
     return { error, retryAfterMs: error.resultName === 'gateNotReady' ? NOT_READY_RETRY_MS : GATE_RETRY_MS, gates }
--- a/src/load/compareCommand.ts
+++ b/src/load/compareCommand.ts
@@ -12,9 +12,10 @@
 import { planArrivals } from './arrivals.ts'
 import { computeAttainmentBound } from './attainmentBound.ts'
 import { runExperiment } from './experiment.ts'
+import type { ExperimentResult } from './experiment.ts'
 import type { LoadProfile } from './loadProfile.ts'
 import { isCorrect } from './loadReport.ts'
-import type { LoadReport } from './loadReport.ts'
+import { computeImbalance } from './processUsage.ts'
 import { chooseNetwork, loadProfile, loadScenario, parsePolicy } from './runCommand.ts'
 import { createRateShape } from './scenario.ts'
 import type { Scenario } from './scenario.ts'
@@ -36,6 +37,8 @@
   readonly wasted: number
   readonly retries: number
   readonly busyMsPerWhole: number
+  readonly prefixHits: number
+  readonly busiestGate: number
   readonly isCorrect: boolean
 }
 
@@ -46,7 +49,8 @@
   readonly measures: readonly Measure[]
 }
 
-function createMeasure (report: LoadReport, profile: LoadProfile): Measure {
+function createMeasure (result: ExperimentResult, profile: LoadProfile): Measure {
+  const { report, usage, prefixHitShare } = result
   const small = [...profile.customers].sort((a, b) => a.share - b.share).slice(0, 2).map(customer => customer.name)
   const rows = report.byCustomer.filter(row => small.includes(row.name))
   const whole = report.byCustomer.reduce((sum, row) => sum + row.whole, 0)
@@ -57,6 +61,8 @@
     wasted: report.wastedShare,
     retries: report.retryShare,
     busyMsPerWhole: busyMs / Math.max(1, whole),
+    prefixHits: prefixHitShare,
+    busiestGate: computeImbalance(usage),
     isCorrect: isCorrect(report.counters)
   }
 }
@@ -79,21 +85,23 @@
     formatSpread(row.measures.map(item => item.wasted)),
     formatSpread(row.measures.map(item => item.retries)),
     formatSpread(row.measures.map(item => item.busyMsPerWhole), 0),
+    formatSpread(row.measures.map(item => item.prefixHits)),
+    formatSpread(row.measures.map(item => item.busiestGate), 2),
     row.measures.every(item => item.isCorrect) ? '0' : 'NOT 0'
   ]
   return `| ${cells.join(' | ')} |`
 }
 
-const HEADER = '| scenario | policy | bound | attainment | two smallest customers | cost for nobody | retries | busy ms per whole answer | counters |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |'
+const HEADER = '| scenario | policy | bound | attainment | two smallest customers | cost for nobody | retries | busy ms per whole answer | prefix hits | busiest gate / mean | counters |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |'
 
 async function measureRow (profile: LoadProfile, scenario: Scenario, policyName: string, seeds: readonly number[], out: string): Promise<Row> {
   const measures: Measure[] = []
   const bounds: number[] = []
   for (const seed of seeds) {
     const directory = join(out, `${scenario.name}-${policyName.replaceAll(/[^a-z-]+/g, '_').slice(0, 40)}-${seed}`)
-    const { report } = await runExperiment({ profile, scenario, policy: findPolicy(policyName, profile), seed, network: chooseNetwork(), directory })
-    writeFileSync(join(directory, 'report.json'), JSON.stringify(report, undefined, 2))
-    measures.push(createMeasure(report, profile))
+    const result = await runExperiment({ profile, scenario, policy: findPolicy(policyName, profile), seed, network: chooseNetwork(), directory })
+    writeFileSync(join(directory, 'report.json'), JSON.stringify(result.report, undefined, 2))
+    measures.push(createMeasure(result, profile))
     bounds.push(computeAttainmentBound(profile, planArrivals(profile, createRateShape(profile, scenario), scenario.seconds * 1000, 'r', new SeededRandom(seed))))
   }
   return { scenario: scenario.name, policy: policyName, bound: bounds.reduce((sum, bound) => sum + bound, 0) / bounds.length, measures }
--- a/src/load/experiment.ts
+++ b/src/load/experiment.ts
@@ -35,6 +35,8 @@
   /** Calls to the platform per second of the run. */
   readonly platformCallsPerSecond: number
   readonly usage: readonly ProcessUsage[]
+  /** Share of generations that found their prefix cached. */
+  readonly prefixHitShare: number
 }
 
 const STANDIN_COUNT = 3
@@ -68,6 +70,7 @@
       { name: `gate-${index}`, metricsAddress: host.gate.metrics_address ?? '' },
       { name: `steward-${index}`, metricsAddress: host.steward.metrics_address ?? '' }
     ])
+    const prefixBefore = await fleet.control.readPrefixCounts()
     const usageBefore = await readUsage(measured)
     const startedAt = performance.now()
     const progress = new Progress(options.onDidProgress)
@@ -79,6 +82,7 @@
     progress.stop()
     const usage = compareReadings(usageBefore, await readUsage(measured))
     await steps
+    const prefixAfter = await fleet.control.readPrefixCounts()
     const busyAfter = await fleet.control.readBusyByRole()
     const busyByRole = new Map([...busyAfter].map(([role, busyMs]) => [role, Math.max(0, busyMs - (busyBefore.get(role) ?? 0))]))
     const runs = (await fleet.control.readRuns()).filter(run => run.marker.startsWith('r.'))
@@ -87,6 +91,7 @@
       report: createLoadReport({ configuration: plan.configuration, outcomes, runs, busyByRole, callsAfterLeaving: await fleet.control.readCallsAfterLeaving() }),
       outcomes,
       usage,
+      prefixHitShare: (prefixAfter.hits - prefixBefore.hits) / Math.max(1, prefixAfter.starts - prefixBefore.starts),
       platformCallsPerSecond: calls / (performance.now() - startedAt) * 1000
     }
   } finally {
--- a/src/load/processUsage.ts
+++ b/src/load/processUsage.ts
@@ -8,6 +8,8 @@
   /** Of one core. */
   readonly processorShare: number
   readonly residentMb: number
+  /** Requests that ended at the process; 0 for stewards. */
+  readonly requests: number
 }
 
 export interface UsageReading {
@@ -15,6 +17,7 @@
   readonly at: number
   readonly processorSeconds: number
   readonly residentBytes: number
+  readonly requests: number
 }
 
 export interface MeasuredProcess {
@@ -29,6 +32,12 @@
   return Number(new RegExp(`^pepperwood_${name} (\\S+)$`, 'm').exec(page)?.[1] ?? 0)
 }
 
+/** The sum of a metric over all its labels. */
+function sumMetric (page: string, name: string): number {
+  const rows = page.matchAll(new RegExp(`^pepperwood_${name}\\{.*\\} (\\S+)$`, 'gm'))
+  return [...rows].reduce((sum, row) => sum + Number(row[1]), 0)
+}
+
 export async function readMetricsPage (address: string): Promise<string> {
   return await (await fetch(`http://${address}/metrics`, { signal: AbortSignal.timeout(2000) })).text()
 }
@@ -38,7 +47,7 @@
   const readings = await Promise.all(processes.map(async item => {
     try {
       const page = await readMetricsPage(item.metricsAddress)
-      return [{ name: item.name, at: performance.now(), processorSeconds: readMetric(page, 'process_cpu_seconds'), residentBytes: readMetric(page, 'process_resident_bytes') }]
+      return [{ name: item.name, at: performance.now(), processorSeconds: readMetric(page, 'process_cpu_seconds'), residentBytes: readMetric(page, 'process_resident_bytes'), requests: sumMetric(page, 'requests_total') }]
     } catch {
       return []
     }
@@ -52,10 +61,17 @@
     const first = before.find(item => item.name === reading.name)
     if (first === undefined || first.processorSeconds > reading.processorSeconds) return []
     const seconds = (reading.at - first.at) / 1000
-    return [{ name: reading.name, processorShare: (reading.processorSeconds - first.processorSeconds) / seconds, residentMb: reading.residentBytes / BYTES_PER_MB }]
+    return [{ name: reading.name, processorShare: (reading.processorSeconds - first.processorSeconds) / seconds, residentMb: reading.residentBytes / BYTES_PER_MB, requests: reading.requests - first.requests }]
   })
 }
 
+/** How much more the busiest gate served than the mean. */
+export function computeImbalance (usage: readonly ProcessUsage[]): number {
+  const counts = usage.filter(item => item.name.startsWith('gate')).map(item => item.requests)
+  const mean = counts.reduce((sum, count) => sum + count, 0) / Math.max(1, counts.length)
+  return mean === 0 ? 1 : Math.max(...counts) / mean
+}
+
 /** One line for the processes whose names begin alike: mean and highest. */
 export function formatUsage (usage: readonly ProcessUsage[], prefix: string): string {
   const chosen = usage.filter(item => item.name.startsWith(prefix))
--- a/src/load/runCommand.ts
+++ b/src/load/runCommand.ts
@@ -15,7 +15,7 @@
 import { LoadProfileSchema } from './loadProfile.ts'
 import type { LoadProfile } from './loadProfile.ts'
 import { formatReport, isCorrect } from './loadReport.ts'
-import { formatUsage } from './processUsage.ts'
+import { computeImbalance, formatUsage } from './processUsage.ts'
 import { ScenarioSchema, STEADY_SCENARIO } from './scenario.ts'
 import type { Scenario } from './scenario.ts'
 
@@ -59,7 +59,7 @@
     const seed = Number(args.seed)
     if (!Number.isInteger(seed)) exitWith(new PepperwoodError({ name: 'settingsInvalid', message: 'expected a whole number', place: '--seed', value: args.seed }), exitCodes.usage)
     mkdirSync(args.out, { recursive: true })
-    const { report, outcomes, platformCallsPerSecond, usage } = await runExperiment({
+    const { report, outcomes, platformCallsPerSecond, usage, prefixHitShare } = await runExperiment({
       profile,
       scenario,
       policy: parsePolicy(args.policy, profile),
@@ -70,7 +70,7 @@
     })
     writeFileSync(join(args.out, 'report.json'), JSON.stringify(report, undefined, 2))
     writeFileSync(join(args.out, 'report.html'), renderReport(`${profile.name} under ${scenario.name}, seed ${seed}`, report, outcomes))
-    process.stdout.write(`${args.json ? JSON.stringify({ ...report, platformCallsPerSecond }) : `${formatReport(report)}\nplatform_calls_per_s=${platformCallsPerSecond.toFixed(2)}\n${formatUsage(usage, 'gate')}\n${formatUsage(usage, 'steward')}`}\n`)
+    process.stdout.write(`${args.json ? JSON.stringify({ ...report, platformCallsPerSecond, prefixHitShare, busiestGate: computeImbalance(usage) }) : `${formatReport(report)}\nplatform_calls_per_s=${platformCallsPerSecond.toFixed(2)} prefix_hits=${prefixHitShare.toFixed(3)} busiest_gate=${computeImbalance(usage).toFixed(2)}\n${formatUsage(usage, 'gate')}\n${formatUsage(usage, 'steward')}`}\n`)
     process.exit(isCorrect(report.counters) ? exitCodes.ok : exitCodes.refused)
   }
 })
--- a/src/load/standinControl.ts
+++ b/src/load/standinControl.ts
@@ -5,9 +5,14 @@
 import type { RunRecord } from '../standin/runLedger.ts'
 import { parseAddress } from '../base/common/address.ts'
 
+export interface PrefixCounts {
+  readonly starts: number
+  readonly hits: number
+}
+
 export interface StandinState {
   readonly platformCalls: number
-  readonly upstreams: readonly { readonly name: string, readonly role: string, readonly kind: string, readonly busyMs: number, readonly callsAfterLeaving: number }[]
+  readonly upstreams: readonly { readonly name: string, readonly role: string, readonly kind: string, readonly busyMs: number, readonly callsAfterLeaving: number, readonly prefix: PrefixCounts }[]
 }
 
 /** Calls the control servers of a fleet's stand-ins as if they were one. */
@@ -27,16 +32,20 @@
 
   /** Busy time by role, in milliseconds. */
   async readBusyByRole (): Promise<ReadonlyMap<string, number>> {
-    const states = await Promise.all(this._addresses.map(address => this._call<StandinState>(address, 'GET', '/v1/state')))
     const busy = new Map<string, number>()
-    for (const upstream of states.flatMap(state => state.upstreams)) busy.set(upstream.role, (busy.get(upstream.role) ?? 0) + upstream.busyMs)
+    for (const upstream of await this._readUpstreams()) busy.set(upstream.role, (busy.get(upstream.role) ?? 0) + upstream.busyMs)
     return busy
   }
 
+  /** Over all engines since they were started. */
+  async readPrefixCounts (): Promise<PrefixCounts> {
+    const upstreams = await this._readUpstreams()
+    return upstreams.reduce((sum, { prefix }) => ({ starts: sum.starts + prefix.starts, hits: sum.hits + prefix.hits }), { starts: 0, hits: 0 })
+  }
+
   /** Calls sent to upstreams more than two seconds after they had said that they were leaving. */
   async readCallsAfterLeaving (): Promise<number> {
-    const states = await Promise.all(this._addresses.map(address => this._call<StandinState>(address, 'GET', '/v1/state')))
-    return states.flatMap(state => state.upstreams).reduce((sum, upstream) => sum + upstream.callsAfterLeaving, 0)
+    return (await this._readUpstreams()).reduce((sum, upstream) => sum + upstream.callsAfterLeaving, 0)
   }
 
   async setPlatformFaults (faults: object): Promise<void> {
@@ -52,6 +61,11 @@
     await this._call(this._addresses[0] ?? '', 'PUT', `/v1/values/${key}`, value)
   }
 
+  private async _readUpstreams (): Promise<StandinState['upstreams']> {
+    const states = await Promise.all(this._addresses.map(address => this._call<StandinState>(address, 'GET', '/v1/state')))
+    return states.flatMap(state => state.upstreams)
+  }
+
   private _call<T> (at: string, method: string, path: string, body?: unknown): Promise<T> {
     const address = parseAddress(at)
     return new Promise((resolve, reject) => {
--- a/src/load/test/fleet.test.ts
+++ b/src/load/test/fleet.test.ts
@@ -127,6 +127,7 @@
   const session = await openSession(first)
   const refusal = findRefusal(await readAll(createRequestClient(second).submit(createRequest(session, 1, 'id=a5'))))
   assert.is(refusal?.name, 'sessionElsewhere')
+  assert.equal(refusal?.gates.map(gate => gate.address), [first])
   assert.is(await countRuns('a5', 'encode'), 0)
 })
 
--- a/src/platform/order/node/orderService.ts
+++ b/src/platform/order/node/orderService.ts
@@ -40,10 +40,11 @@
   constructor (options: OrderServiceOptions) {
     super()
     this._options = options
-    this._register(startInterval(options.periodMs ?? 1000, () => this._reconcile()))
+    this._register(startInterval(options.periodMs ?? 1000, () => this.reconcile()))
   }
 
-  private _reconcile (): void {
+  /** Starts the orders that are due; those under way are left alone. */
+  reconcile (): void {
     const current = this._options.configuration.current
     if (current === undefined || current.configuration.placements.length === 0) return
     const engines = current.configuration.upstreams.filter(upstream => upstream.kind === UpstreamKind.ENGINE)
--- a/src/standin/batchingEngine.ts
+++ b/src/standin/batchingEngine.ts
@@ -17,6 +17,11 @@
   readonly offset: number
 }
 
+/** A generation on its way from one engine to another. */
+export interface ExportedGeneration extends GenerationRequest {
+  readonly needsPrefill: boolean
+}
+
 /** Where the tokens of a generation go. */
 export interface GenerationReader {
   onToken (index: number, text: string): void
@@ -53,6 +58,8 @@
   private _timer: NodeJS.Timeout | undefined
   private _slow = 1
   private _busyMs = 0
+  private _starts = 0
+  private _prefixHits = 0
 
   constructor (settings: StandinUpstream) {
     this._settings = settings
@@ -71,6 +78,11 @@
     return this._busyMs
   }
 
+  /** Generations begun, and how many of them found their prefix cached. */
+  get prefixCounts (): { readonly starts: number, readonly hits: number } {
+    return { starts: this._starts, hits: this._prefixHits }
+  }
+
   get cachedPrefixes (): readonly string[] {
     return [...this._cache]
   }
@@ -85,6 +97,8 @@
 
   start (request: GenerationRequest, reader: GenerationReader): Generation {
     const isCached = this._cache.has(request.prefixKey)
+    if (isCached) this._prefixHits++
+    this._starts++
     this._touch(request.prefixKey)
     const prefillMs = this._settings.prefill_ms * (isCached ? 1 - CACHED_PART : 1)
     const cachedTokens = isCached ? Math.ceil(request.input.length / CHARACTERS_PER_TOKEN) : 0
@@ -96,6 +110,21 @@
     return generation
   }
 
+  /** Takes a generation out of this engine, with all that another engine needs to go on with it. */
+  exportState (attempt: string): ExportedGeneration | undefined {
+    const generation = this._byAttempt.get(attempt)
+    if (generation === undefined || generation.isOver) return undefined
+    this.cancel(generation)
+    return { ...generation.request, offset: generation.request.offset + generation.tokens.length, needsPrefill: generation.prefillLeftMs > 0 }
+  }
+
+  /** Goes on with a generation from another engine; its prompt is not computed again. */
+  importState (state: ExportedGeneration, reader: GenerationReader): Generation {
+    const generation = this.start(state, reader)
+    if (!state.needsPrefill) generation.prefillLeftMs = 0
+    return generation
+  }
+
   find (attempt: string): Generation | undefined {
     return this._byAttempt.get(attempt)
   }
--- a/src/standin/standinUpstream.ts
+++ b/src/standin/standinUpstream.ts
@@ -8,7 +8,7 @@
 import type { IRandom } from '../base/common/random.ts'
 import { startInterval } from '../base/node/interval.ts'
 import { BatchingEngine } from './batchingEngine.ts'
-import type { Generation, GenerationReader } from './batchingEngine.ts'
+import type { ExportedGeneration, Generation, GenerationReader } from './batchingEngine.ts'
 import { NO_FAULTS } from './faults.ts'
 import type { Faults } from './faults.ts'
 import { readJson, sendJson } from './httpJson.ts'
@@ -105,7 +105,7 @@
   /** What the stand-in counted, for checks. */
   describe (): object {
     const { name, role, kind } = this._settings
-    return { name, role, kind, boot: this._boot, busyMs: this._engine.busyMs + this._serviceBusyMs, models: this._models, fencing: this._fencing, staleOrders: this._staleOrders, callsAfterLeaving: this._callsAfterLeaving }
+    return { name, role, kind, boot: this._boot, busyMs: this._engine.busyMs + this._serviceBusyMs, models: this._models, fencing: this._fencing, staleOrders: this._staleOrders, callsAfterLeaving: this._callsAfterLeaving, prefix: this._engine.prefixCounts }
   }
 
   private _die (): void {
@@ -128,6 +128,8 @@
     if (body === undefined) return sendJson(response, 400, { attempt: '', error: 'REFUSED', ran: false })
     if (path === '/v1/run' || path === '/v1/generate') return this._take(body, path, response)
     if (path === '/v1/resume') return this._resume(body, response)
+    if (path === '/v1/kv/export') return this._exportState(body, response)
+    if (path === '/v1/kv/import') return this._importState(body as unknown as ExportedGeneration, response)
     if (path === '/v1/cancel') return this._cancel(body, response)
     if (path === '/v1/orders') return this._takeOrder(body as unknown as OrderBody, response)
     sendJson(response, 404, { attempt: body.attempt, error: 'REFUSED', ran: false })
@@ -195,6 +197,19 @@
     this._engine.attach(generation, body.offset, this._createReader(body.attempt, response, -1, -1))
   }
 
+  private _exportState (body: CallBody, response: ServerResponse): void {
+    const state = this._engine.exportState(body.attempt)
+    if (state === undefined) return sendJson(response, 404, { attempt: body.attempt, error: 'UNKNOWN_ATTEMPT', ran: false, boot: this._boot })
+    sendJson(response, 200, state)
+  }
+
+  private _importState (state: ExportedGeneration, response: ServerResponse): void {
+    if (this._engine.isFull || this._faults.leaving) {
+      return sendJson(response, 503, { attempt: state.attempt, error: this._faults.leaving ? 'LEAVING' : 'BUSY', ran: false, boot: this._boot })
+    }
+    this._openStream(response, this._engine.importState(state, this._createReader(state.attempt, response, -1, -1)))
+  }
+
   private _openStream (response: ServerResponse, generation: Generation): void {
     response.writeHead(200, { 'content-type': 'text/event-stream' })
     response.flushHeaders()
