--- a/src/platform/order/test/orderService.test.ts
+++ b/src/platform/order/test/orderService.test.ts
@@ -85,7 +85,7 @@
   }
 
   /** Reads all engines and does what is due, until nothing more happens. */
-  async work (rounds = 4): Promise<void> {
+  async runRounds (rounds = 4): Promise<void> {
     for (let round = 0; round < rounds; round++) {
       for (const upstream of this.current.configuration.upstreams) {
         const report = (await this._engines.readReport(upstream)).unsafeCoerce()
@@ -100,7 +100,7 @@
 test('engines come to hold what is wanted, each by one order', async () => {
   const engines = new Engines()
   const steward = new Steward(engines, createConfiguration(1, 'm', true, 3))
-  await steward.work()
+  await steward.runRounds()
   for (const name of ['a', 'b', 'c']) assert.equal([engines.get(name).models, engines.get(name).taken.length], [['m'], 1])
   steward.service.dispose()
 })
@@ -109,7 +109,7 @@
   const engines = new Engines()
   for (const name of ['a', 'b', 'c']) engines.get(name).loads = false
   const steward = new Steward(engines, createConfiguration(1, 'm', true, 2))
-  await steward.work()
+  await steward.runRounds()
   assert.is([...engines.engines.values()].filter(engine => engine.taken.length > 0).length, 2)
   steward.service.dispose()
 })
@@ -119,9 +119,9 @@
     const engines = new Engines()
     const old = new Steward(engines, createConfiguration(1, 'old', checksFencing, 3))
     const current = new Steward(engines, createConfiguration(2, 'new', checksFencing, 3))
-    await old.work()
-    await current.work()
-    await old.work()
+    await old.runRounds()
+    await current.runRounds()
+    await old.runRounds()
     for (const name of ['a', 'b', 'c']) assert.equal(engines.get(name).models, ['new'])
     old.service.dispose()
     current.service.dispose()
@@ -131,7 +131,7 @@
 test('two stewards that both believe it is their turn ask for the same', async () => {
   const engines = new Engines()
   const both = [1, 2].map(() => new Steward(engines, createConfiguration(1, 'm', false, 3)))
-  await Promise.all(both.map(steward => steward.work()))
+  await Promise.all(both.map(steward => steward.runRounds()))
   for (const name of ['a', 'b', 'c']) assert.equal(engines.get(name).models, ['m'])
   for (const steward of both) steward.service.dispose()
 })
@@ -140,10 +140,10 @@
   const engines = new Engines()
   const steward = new Steward(engines, createConfiguration(1, 'm', false, 3))
   steward.hearsMajority = false
-  await steward.work()
+  await steward.runRounds()
   assert.is(engines.get('a').taken.length, 0)
   steward.hearsMajority = true
-  await steward.work()
+  await steward.runRounds()
   assert.is(engines.get('a').taken.length, 1)
   steward.service.dispose()
 })
