Spread callers over gates by what the gates took in lately

All gates started their draws from the same salt, so callers that asked at once were named the same gate, and the score counted sessions, which stay when callers move. Gates not heard of for ten minutes are forgotten.

--- a/src/client/pepperwoodClient.ts
+++ b/src/client/pepperwoodClient.ts
@@ -70,12 +70,15 @@
 /** An answer that the gate gave at the deadline is still on its way for so long. */
 const DEADLINE_GRACE_MS = 100
 const MAX_CONNECT_FAILURES = 3
+/** Requests take turns over so many of the gates named best. */
+const SPREAD_COUNT = 3
 
 export class PepperwoodClient {
   private readonly _options: PepperwoodClientOptions
   private readonly _clock: IClock
   private readonly _gates: GateDirectory
   private readonly _sessions = new Map<string, HeldSession>()
+  private _nextGate = 0
   private readonly _opening = new Map<string, Promise<Either<ClientError, HeldSession>>>()
 
   constructor (options: PepperwoodClientOptions) {
@@ -255,7 +258,7 @@
   /** A session at the first gate that opens one. */
   private async _openSession (deadlineAt: number): Promise<Either<ClientError, HeldSession>> {
     let error = createClientError('upstreamUnreachable', 'no gate can be reached', 'notRun')
-    for (const address of await this._gates.list()) {
+    for (const address of rotateFirst(await this._gates.list(), SPREAD_COUNT, this._nextGate++)) {
       if (this._clock.now() >= deadlineAt) break
       const held = this._sessions.get(address)
       if (held !== undefined && held.expiresAt > this._clock.now()) return Right(held)
@@ -287,6 +290,13 @@
   }
 }
 
+/** The first items in turn, the rest behind them. */
+export function rotateFirst<T> (items: readonly T[], count: number, turn: number): readonly T[] {
+  const first = items.slice(0, count)
+  const from = first.length === 0 ? 0 : turn % first.length
+  return [...first.slice(from), ...first.slice(0, from), ...items.slice(count)]
+}
+
 function refuse (error: ClientError): RefusedState {
   return { kind: 'refused', error, gates: [] }
 }
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -2,6 +2,7 @@
  * A gate: answers which address to use, owns requests, runs their stages and streams their answers.
  */
 import { parseAddress } from '../base/common/address.ts'
+import { DecayingCount } from '../base/common/decayingCount.ts'
 import { Disposable } from '../base/common/disposable.ts'
 import { Emitter } from '../base/common/event.ts'
 import type { IClock } from '../base/common/clock.ts'
@@ -49,6 +50,9 @@
 
 const SESSION_ID_BYTES = 16
 const SWEEP_PERIOD_MS = 20
+const FORGET_PERIOD_MS = 60_000
+/** How long a request counts as recent when load is compared between gates. */
+const RECENT_MS = 3000
 const FACT_PERIOD_MS = 250
 /** A gate that has nothing new to say of itself speaks so seldom. */
 const FACT_HEARTBEAT_MS = 1500
@@ -72,6 +76,7 @@
   private readonly _scheduler: UpstreamScheduler
   private readonly _decisions: DecisionLog
   private readonly _pause: PauseGuard
+  private readonly _recent: DecayingCount
   private readonly _subscription: StewardSubscription
   private readonly _requests: GateRequests
   private readonly _metrics: GateMetrics
@@ -81,7 +86,7 @@
   private readonly _startedAt: number
   private _factCounter = 0
   private _announced = { at: -Infinity, inFlight: 0 }
-  private _locateSalt = 0
+  private _locateCount = 0
   private _isRefreshed = false
   private _isDraining = false
   private _refreshing: Promise<void> | undefined
@@ -95,6 +100,7 @@
     this._configuration = this._register(new ConfigurationService(clock))
     this._decisions = new DecisionLog(clock)
     this._pause = new PauseGuard(clock)
+    this._recent = new DecayingCount(clock, RECENT_MS)
     this._sessions = new SessionService({
       clock,
       createId: () => createRandomId(SESSION_ID_BYTES),
@@ -127,6 +133,7 @@
     if (metrics !== undefined) await this._register(new MetricsServer(this._metrics.metrics)).listen(metrics.host, metrics.port)
     this._register(startInterval(PAUSE_CHECK_PERIOD_MS, () => this._checkPause()))
     this._register(startInterval(SWEEP_PERIOD_MS, () => this._scheduler.sweep()))
+    this._register(startInterval(FORGET_PERIOD_MS, () => this._facts.dropOldGates()))
     this._register(startInterval(FACT_PERIOD_MS, () => this._announceIfDue()))
     log.info('listening', { address: settings.address, hall: settings.hall })
   }
@@ -221,6 +228,7 @@
       isDraining: () => this._isDraining,
       listGates: customer => this._listGates(customer),
       catchUp: number => this._catchUp(number),
+      onWillBegin: () => this._recent.add(1),
       onDidEnd: (pipeline, run) => this._metrics.recordEnd(pipeline, run, clock.now())
     })
   }
@@ -258,7 +266,7 @@
         address,
         hall,
         inFlight: this._sessions.runningCount,
-        sessions: this._sessions.sessions.length,
+        recentRequests: Math.round(this._recent.value),
         draining: this._isDraining,
         ready: this.isReady,
         configuration: this._configuration.number
@@ -270,7 +278,7 @@
   private _listGates (customer: string): readonly LocatedGate[] {
     const now = this._options.clock.now()
     const gates = this._facts.listKind('gate').map<GateView>(fact => ({ ...fact.value, ageMs: now - fact.observedAt }))
-    return rankGates({ customer, gates, salt: this._locateSalt++ })
+    return rankGates({ customer, gates, salt: `${this._incarnationId}/${this._locateCount++}` })
   }
 
   /** Gates that this one would recommend now. */
--- a/src/gate/gateRequests.ts
+++ b/src/gate/gateRequests.ts
@@ -57,6 +57,8 @@
   readonly listGates: (customer: string) => readonly LocatedGate[]
   /** Waits for a configuration as high as the number; false when it did not come in time. */
   readonly catchUp: (number: ConfigurationNumber) => Promise<boolean>
+  /** A request that this gate has not seen before is about to be considered. */
+  readonly onWillBegin: () => void
   readonly onDidEnd: (pipeline: string, run: RequestRun) => void
 }
 
@@ -106,7 +108,10 @@
     return sessions.submit({ sessionId: request.session, number: request.number, contentDigest, isUnrepeatable: request.unrepeatable })
       .mapLeft(error => this._refuse(error, ''))
       .map(submission => {
-        if (submission.kind === 'run') void this._begin(request, submission.run)
+        if (submission.kind === 'run') {
+          this._options.onWillBegin()
+          void this._begin(request, submission.run)
+        }
         return submission.run
       })
   }
--- a/src/gate/test/atMostOnce.test.ts
+++ b/src/gate/test/atMostOnce.test.ts
@@ -72,6 +72,7 @@
       isDraining: () => this.isDraining,
       listGates: () => [],
       catchUp: async () => true,
+      onWillBegin: () => {},
       onDidEnd: () => {}
     })
   }
--- a/src/load/test/fleet.test.ts
+++ b/src/load/test/fleet.test.ts
@@ -4,13 +4,17 @@
 import { connect } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { SeededRandom } from '../../base/common/random.ts'
 import { waitFor } from '../../base/node/interval.ts'
+import { SystemClock } from '../../base/node/systemClock.ts'
 import { demoProfile } from '../../cli/demoProfile.ts'
 import { PepperwoodClient } from '../../client/pepperwoodClient.ts'
 import { Execution } from '../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { AnswerEvent, Refusal, Session } from '../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { LogService } from '../../platform/log/node/logger.ts'
 import { createOperatorClient, createRequestClient } from '../../platform/rpc/node/rpcClients.ts'
 import { computeExpectedAnswer } from '../../standin/modelAnswers.ts'
+import { Steward } from '../../steward/steward.ts'
 import { formatCustomerKey, planFleet } from '../fleetPlan.ts'
 import { InProcessFleet } from '../inProcessFleet.ts'
 
@@ -65,6 +69,7 @@
 }
 
 interface GateState {
+  readonly steward: string
   readonly stewardLinks: number
   readonly ageMs: number
 }
@@ -218,12 +223,40 @@
   assert.is((await createOperatorClient(first).explain({ requestId: 'none/1' })).problem?.name, 'requestUnknown')
 })
 
+test('a steward that starts while the platform serves an older configuration takes the newer configuration from its peers', async () => {
+  const document = JSON.parse(plan.configurationText) as object
+  await fleet.control.publish('pepperwood/configuration', { ...document, version: 6 })
+  await waitUntil(async () => (await readVersions()).every(version => version === 6))
+  await fleet.control.publish('pepperwood/configuration', { ...document, version: 5 })
+  const settings = plan.hosts[0]?.steward
+  if (settings === undefined) throw new Error('no host')
+  const ip = settings.address.split(':')[0] ?? ''
+  const started = new Steward({
+    settings: { ...settings, address: `${ip}:7100`, listen: undefined, operator_address: `${ip}:7101`, metrics_address: undefined },
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    log: new LogService({ program: 'test', silent: true }),
+    incarnation: 1
+  })
+  await started.start()
+  assert.equal((started.dump() as { readonly configuration: object }).configuration, { epoch: 1, version: 6 })
+  await started.stop()
+})
+
 test('no gate has lost its steward, however little news there was', async () => {
   const startedAtMs = (await readState(first)).ageMs
   await waitUntil(async () => (await readState(first)).ageMs > startedAtMs + SILENCE_MS)
   for (const address of addresses) assert.is((await readState(address)).stewardLinks, 1)
 })
 
+test('a gate whose steward dies goes to another, and new configurations still reach it', async () => {
+  const { steward } = await readState(first)
+  fleet.stewards[plan.hosts.findIndex(host => host.steward.address === steward)]?.dispose()
+  await waitUntil(async () => (await readState(first)).stewardLinks === 2)
+  await fleet.control.publish('pepperwood/configuration', { ...JSON.parse(plan.configurationText) as object, version: 7 })
+  await waitUntil(async () => (await readVersions()).every(version => version === 7))
+})
+
 test('a planned stop finishes what is in progress and sends new callers elsewhere', async () => {
   const session = await openSession(third)
   const client = createRequestClient(third)
--- a/src/platform/admission/common/committedWork.ts
+++ b/src/platform/admission/common/committedWork.ts
@@ -1,4 +1,5 @@
 import type { IClock } from '../../../base/common/clock.ts'
+import { DecayingCount } from '../../../base/common/decayingCount.ts'
 
 /**
  * Work that was taken in and has not passed a role yet, by customer. Work still in an earlier stage counts,
@@ -21,17 +22,12 @@
   readonly usualMs: number
 }
 
-interface OfferedLoad {
-  readonly ms: number
-  readonly at: number
-}
-
 /** How fast the offered load forgets. */
 const LOAD_MEMORY_MS = 2000
 
 export class CommittedWork {
   private readonly _roles = new Map<string, Map<string, CustomerWork>>()
-  private readonly _offered = new Map<string, Map<number, OfferedLoad>>()
+  private readonly _offered = new Map<string, Map<number, DecayingCount>>()
 
   constructor (private readonly _clock: IClock) {}
 
@@ -71,18 +67,17 @@
 
   /** Calls of higher priority that are open on average, judged by what was taken in lately. */
   countOfferedAbove (role: string, priority: number): number {
-    const now = this._clock.now()
     let ms = 0
-    for (const [other, load] of this._offered.get(role) ?? []) if (other > priority) ms += computeFaded(load, now)
+    for (const [other, load] of this._offered.get(role) ?? []) if (other > priority) ms += load.value
     return ms / LOAD_MEMORY_MS
   }
 
   private _addOffered (item: WorkItem): void {
-    const now = this._clock.now()
-    const loads = this._offered.get(item.role) ?? new Map<number, OfferedLoad>()
+    const loads = this._offered.get(item.role) ?? new Map<number, DecayingCount>()
     this._offered.set(item.role, loads)
-    const known = loads.get(item.priority)
-    loads.set(item.priority, { ms: (known === undefined ? 0 : computeFaded(known, now)) + item.usualMs, at: now })
+    const load = loads.get(item.priority) ?? new DecayingCount(this._clock, LOAD_MEMORY_MS)
+    loads.set(item.priority, load)
+    load.add(item.usualMs)
   }
 
   /** All committed work of a role. */
@@ -93,10 +88,6 @@
   }
 }
 
-function computeFaded (load: OfferedLoad, now: number): number {
-  return load.ms * Math.exp((load.at - now) / LOAD_MEMORY_MS)
-}
-
 function formatKey (customer: string, priority: number): string {
   return `${priority}/${customer}`
 }
--- a/src/platform/facts/common/fact.ts
+++ b/src/platform/facts/common/fact.ts
@@ -20,7 +20,8 @@
   readonly address: string
   readonly hall: string
   readonly inFlight: number
-  readonly sessions: number
+  /** Requests taken in lately, fading: it follows the callers that use the gate now. */
+  readonly recentRequests: number
   readonly draining: boolean
   readonly ready: boolean
   readonly configuration: ConfigurationNumber
--- a/src/platform/facts/common/factStore.ts
+++ b/src/platform/facts/common/factStore.ts
@@ -24,6 +24,8 @@
 /** A held fact whose value is of one kind. */
 export type HeldFactOf<K extends FactValue['kind']> = HeldFact & { readonly value: FactValue & { readonly kind: K } }
 
+/** Gates come and go; what was said of one so long ago is of no use, and must not come back from a peer either. */
+const MAX_GATE_FACT_AGE_MS = 600_000
 /** Far above what a fleet of the target size has; a bound against a sender that has gone wrong. */
 const MAX_FACTS = 20_000
 
@@ -51,6 +53,7 @@
     const held = this._facts.get(fact.subject)
     if (held !== undefined && compareFacts(fact, held) <= 0) return false
     if (held === undefined && this._facts.size >= MAX_FACTS) return false
+    if (fact.value.kind === 'gate' && fact.ageMs > MAX_GATE_FACT_AGE_MS) return false
     const { subject, incarnation, counter, value } = fact
     const observedAt = this._clock.now() - fact.ageMs
     const next: HeldFact = { subject, incarnation, counter, value, observedAt, sequence: ++this._sequence, source }
@@ -70,6 +73,12 @@
     this._facts.delete(subject)
   }
 
+  /** Forgets gates that were not heard of for a long time. */
+  dropOldGates (): void {
+    const now = this._clock.now()
+    for (const fact of this.listKind('gate')) if (now - fact.observedAt > MAX_GATE_FACT_AGE_MS) this.drop(fact.subject)
+  }
+
   list (): readonly HeldFact[] {
     return [...this._facts.values()]
   }
--- a/src/platform/facts/common/wireMessage.ts
+++ b/src/platform/facts/common/wireMessage.ts
@@ -22,7 +22,7 @@
     address: Name,
     hall: Name,
     inFlight: Count,
-    sessions: Count,
+    recentRequests: Count,
     draining: Schema.Boolean,
     ready: Schema.Boolean,
     configuration: ConfigurationNumberSchema
--- a/src/platform/facts/test/factStore.test.ts
+++ b/src/platform/facts/test/factStore.test.ts
@@ -72,6 +72,19 @@
   assert.not(viewUpstream(upstream, store).isLeaving)
 })
 
+test('a gate that was not heard of for long is forgotten, and old news of it does not bring it back', () => {
+  const clock = new VirtualClock()
+  const store = new FactStore(clock)
+  const value = { kind: 'gate' as const, address: 'g', hall: 'h', inFlight: 0, recentRequests: 0, draining: false, ready: true, configuration: { epoch: 1, version: 1 } }
+  const fact: Fact = { subject: 'gate/g', incarnation: 1, counter: 1, value, ageMs: 0 }
+  store.merge(fact)
+  clock.advance(600_001)
+  store.dropOldGates()
+  assert.is(store.get('gate/g'), undefined)
+  assert.not(store.merge({ ...fact, ageMs: 600_001 }))
+  assert.ok(store.merge({ ...fact, ageMs: 1000 }))
+})
+
 test('the age of a fact grows on its way', () => {
   const clock = new VirtualClock()
   const store = new FactStore(clock)
--- a/src/platform/pipeline/node/stageRunner.ts
+++ b/src/platform/pipeline/node/stageRunner.ts
@@ -127,7 +127,7 @@
     const release = (result: SlotResult) => Effect.sync(() => scheduler.release(slot, result))
     return this._follow(job, slot, attemptId, progress).pipe(
       Effect.tap(({ outcome, gaveUp }) => this._recordOutcome(job, slot, attemptId, outcome, progress).pipe(
-        Effect.zipRight(release(describeSlotResult(outcome, gaveUp)))
+        Effect.zipRight(release(describeSlotResult(outcome, gaveUp, upstream.kind === UpstreamKind.ENGINE)))
       )),
       Effect.map(result => result.outcome),
       Effect.onInterrupt(() => release({ kind: 'abandoned' }))
@@ -246,8 +246,8 @@
   return { ...result, outcome: { kind: 'lost', error: result.outcome.error } }
 }
 
-function describeSlotResult (outcome: UpstreamOutcome, gaveUp: boolean): SlotResult {
-  if (outcome.kind === 'answered') return { kind: 'answered', wasPrefixCached: outcome.cachedTokens > 0 }
+function describeSlotResult (outcome: UpstreamOutcome, gaveUp: boolean, cachesPrefix: boolean): SlotResult {
+  if (outcome.kind === 'answered') return { kind: 'answered', cachesPrefix }
   if (outcome.kind === 'notRun') return { kind: outcome.error.resultName === 'upstreamUnreachable' ? 'unreachable' : 'busy' }
   return { kind: gaveUp ? 'slow' : outcome.kind }
 }
--- a/src/platform/routing/common/prefixBelief.ts
+++ b/src/platform/routing/common/prefixBelief.ts
@@ -23,11 +23,6 @@
     if (oldest !== undefined) prefixes.delete(oldest)
   }
 
-  /** Takes in that the engine turned out not to have it. */
-  clear (upstream: string, prefixKey: string): void {
-    this._seenAt.get(upstream)?.delete(prefixKey)
-  }
-
   /** From 0 to 1. */
   get (upstream: string, prefixKey: string, now: number): number {
     const at = this._seenAt.get(upstream)?.get(prefixKey)
--- a/src/platform/scheduling/common/upstreamScheduler.ts
+++ b/src/platform/scheduling/common/upstreamScheduler.ts
@@ -26,8 +26,8 @@
 /** How the call went, for limits, health and latencies. `abandoned` calls say nothing of the upstream. */
 export interface SlotResult {
   readonly kind: 'answered' | 'busy' | 'unreachable' | 'failed' | 'lost' | 'slow' | 'abandoned'
-  /** Tokens of the prompt that were cached; undefined where that is not known. */
-  readonly wasPrefixCached?: boolean
+  /** The upstream has the request's prefix in its cache from now on. */
+  readonly cachesPrefix?: boolean
 }
 
 /** Who waits for a slot. */
@@ -129,7 +129,7 @@
   private _recordAnswer (slot: StageSlot, result: SlotResult, now: number): void {
     const name = slot.view.upstream.name
     this.latencies.record(slot.ticket.stageKey, name, now - slot.startedAt, now)
-    if (result.wasPrefixCached !== undefined) this.prefixes.record(name, slot.ticket.prefixKey, now)
+    if (result.cachesPrefix === true) this.prefixes.record(name, slot.ticket.prefixKey, now)
   }
 
   private _dispatch (roleName: string): void {
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -54,6 +54,7 @@
 const GATE_PUSH_PERIOD_MS = 100
 /** How often the number of the configuration in force is compared with the peers'. */
 const ANNOUNCE_PERIOD_MS = 1000
+const FORGET_PERIOD_MS = 60_000
 const LEAVE_SPREAD_MS = 500
 const READY_POLL_MS = 20
 
@@ -102,6 +103,7 @@
     this._watchValue(HOSTS_KEY, value => this._takeHosts(value))
     this._startUpstreamDuties()
     this._register(startInterval(GATE_PUSH_PERIOD_MS, () => this._pushToGates()))
+    this._register(startInterval(FORGET_PERIOD_MS, () => this._facts.dropOldGates()))
     this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._announceConfiguration()))
     await this._waitUntilReady(configurationWatcher)
     this._isReady = true
