Fetch a new configuration once instead of sending it over every link

Cause: arithmetic for 420 nodes: each steward sent an accepted document to every linked peer. With a document of about 160 KB and one change in 35 s that is 420 copies a change from each node, 1.9 MB/s against a budget of 19 KB/s. Change: a new number is announced (about 50 bytes a link); whoever holds a lower one asks one of those that announced it, once, and another after 500 ms without an answer. Figures: copies a node sends for a change, by the code's own rule: before, one for each link; after, one for each peer that asks it, one received.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -14,6 +14,7 @@
 import { compareNumbers, formatNumber } from '../platform/configuration/common/configurationNumber.ts'
 import type { ConfigurationNumber } from '../platform/configuration/common/configurationNumber.ts'
 import { ConfigurationService } from '../platform/configuration/common/configurationService.ts'
+import { FetchGuard } from '../platform/configuration/common/fetchGuard.ts'
 import { formatGateSubject } from '../platform/facts/common/fact.ts'
 import { FactStore } from '../platform/facts/common/factStore.ts'
 import { StewardSubscription } from '../platform/facts/node/stewardSubscription.ts'
@@ -182,6 +183,7 @@
       link: {
         facts: this._facts,
         configuration: this._configuration,
+        fetchGuard: new FetchGuard(this._options.clock),
         log,
         hello: { kind: 'hello', role: 'gate', address: settings.address, hall: settings.hall },
         mayShareConfiguration: () => true,
--- a/src/platform/facts/node/peerLink.ts
+++ b/src/platform/facts/node/peerLink.ts
@@ -9,6 +9,7 @@
 import { compareStamps, NO_CONFIGURATION } from '../../configuration/common/configurationNumber.ts'
 import type { ConfigurationStamp } from '../../configuration/common/configurationNumber.ts'
 import type { IConfigurationService } from '../../configuration/common/configurationService.ts'
+import type { FetchGuard } from '../../configuration/common/fetchGuard.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { FactStore } from '../common/factStore.ts'
@@ -19,6 +20,8 @@
   readonly connection: FrameConnection
   readonly facts: FactStore
   readonly configuration: IConfigurationService
+  /** One for all links of the process. */
+  readonly fetchGuard: FetchGuard
   readonly log: ILogService
   /** What this side says of itself first. */
   readonly hello: Extract<WireMessage, { readonly kind: 'hello' }>
@@ -96,8 +99,9 @@
     }
   }
 
-  /** Says which configuration this side holds, so that the other side sends a higher one. */
+  /** Says which configuration this side holds: the other side sends a higher one, or asks for this one. */
   announceConfiguration (): void {
+    if (!this._options.mayShareConfiguration() && this._options.configuration.current !== undefined) return
     const { number, revision } = this._getStamp()
     this.send({ kind: 'configurationHeld', number, revision })
   }
@@ -110,6 +114,12 @@
     this.send({ kind: 'configuration', text: current.text, revision: current.revision })
   }
 
+  /** Sends the document to a side that holds a lower one; asks a side that holds a higher one, by saying what is held here. */
+  private _compareConfiguration (held: ConfigurationStamp): void {
+    if (compareStamps(held, this._getStamp()) <= 0) this.sendConfiguration(held)
+    else if (this._options.fetchGuard.begin(held, this._getStamp())) this.announceConfiguration()
+  }
+
   private _getStamp (): ConfigurationStamp {
     const { current, number } = this._options.configuration
     return { number, revision: current?.revision ?? 0 }
@@ -137,7 +147,7 @@
     } else if (message.kind === 'configuration') {
       configuration.offer(message, this.peerAddress)
     } else if (message.kind === 'configurationHeld') {
-      this.sendConfiguration(message)
+      this._compareConfiguration(message)
     }
     this._onDidReceive.fire(message)
   }
--- a/src/platform/membership/node/gossipService.ts
+++ b/src/platform/membership/node/gossipService.ts
@@ -72,11 +72,6 @@
     for (const peer of this._draw(peers.map(member => member.address), MAX_URGENT_COUNT)) void this._sendNews(peer)
   }
 
-  /** Sends the document in force here to all linked members. */
-  spreadConfiguration (): void {
-    for (const link of this._links.values()) link.sendConfiguration()
-  }
-
   /** Says which configuration is in force here, so that whoever holds a higher one sends it. */
   announceConfiguration (): void {
     for (const link of this._links.values()) link.announceConfiguration()
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -13,6 +13,7 @@
 import { formatNumber } from '../platform/configuration/common/configurationNumber.ts'
 import { ConfigurationService } from '../platform/configuration/common/configurationService.ts'
 import type { AcceptedConfiguration } from '../platform/configuration/common/configurationService.ts'
+import { FetchGuard } from '../platform/configuration/common/fetchGuard.ts'
 import { parseHostList } from '../platform/configuration/common/hostList.ts'
 import type { Host } from '../platform/configuration/common/hostList.ts'
 import { PlatformReader } from '../platform/configuration/node/platformReader.ts'
@@ -62,6 +63,7 @@
   private readonly _options: StewardOptions
   private readonly _facts: FactStore
   private readonly _configuration: ConfigurationService
+  private readonly _fetchGuard: FetchGuard
   private readonly _membership: MembershipTable
   private readonly _gossip: GossipService
   private readonly _decisions: DecisionLog
@@ -81,6 +83,7 @@
     const { settings, clock, random } = options
     this._facts = this._register(new FactStore(clock))
     this._configuration = this._register(new ConfigurationService(clock))
+    this._fetchGuard = new FetchGuard(clock)
     this._decisions = new DecisionLog(clock, 2000)
     this._membership = this._register(new MembershipTable({ ...options, address: settings.address, hall: settings.hall, facts: this._facts }))
     this._gossip = this._register(new GossipService({
@@ -108,7 +111,7 @@
     await this._waitUntilReady(configurationWatcher)
     this._isReady = true
     log.info('ready', { address: settings.address, hall: settings.hall, configuration: formatNumber(this._configuration.number) })
-    for (const link of this._accepted) link.sendConfiguration()
+    this._announceConfiguration()
   }
 
   /** A planned stop: peers are told, and take over at once. */
@@ -155,6 +158,7 @@
     return {
       facts: this._facts,
       configuration: this._configuration,
+      fetchGuard: this._fetchGuard,
       log,
       hello: { kind: 'hello' as const, role: 'steward' as const, address: settings.address, hall: settings.hall },
       mayShareConfiguration: () => this._isReady
@@ -210,8 +214,7 @@
 
   private _handleAccepted (accepted: AcceptedConfiguration): void {
     this._options.log.info('configuration_accepted', { number: formatNumber(accepted.number), source: accepted.source })
-    this._gossip.spreadConfiguration()
-    for (const link of this._accepted) link.sendConfiguration()
+    this._announceConfiguration()
   }
 
   private _takeHosts (value: PlatformValue): void {
