--- a/src/platform/limits/common/concurrencyLimiter.ts
+++ b/src/platform/limits/common/concurrencyLimiter.ts
@@ -11,6 +11,8 @@
   readonly inFlight: number
   /** Calls of all gates at the upstream: its report, and what is known to have changed since. */
   readonly backlog: number
+  /** The call goes before others at the upstream, which honours priorities: it need not wait for the batch to empty. */
+  readonly isPreferred?: boolean
 }
 
 export abstract class ConcurrencyLimiter {
@@ -58,6 +60,9 @@
   }
 }
 
+/** How much further an upstream is filled for calls that go before others there. */
+const PREFERRED_FILL = 1
+
 export interface AdaptiveLimiterOptions {
   readonly increase?: number
   readonly busyDecrease?: number
@@ -94,8 +99,9 @@
 
   computeRoom (inputs: RoomInputs): number {
     const others = Math.max(0, inputs.backlog - inputs.inFlight)
-    const left = Math.floor(this._capacity * this._fill - others)
-    return Math.min(this.limit, Math.max(0, left))
+    const extra = inputs.isPreferred === true ? this._capacity * PREFERRED_FILL : 0
+    const left = Math.floor(this._capacity * this._fill + extra - others)
+    return Math.min(Math.floor(this.limit + extra), Math.max(0, left))
   }
 
   computePart (inputs: RoomInputs): number {
--- a/src/platform/limits/test/concurrencyLimiter.test.ts
+++ b/src/platform/limits/test/concurrencyLimiter.test.ts
@@ -31,6 +31,12 @@
   assert.is(createLimiter(18, 9).computePart({ inFlight: 0, backlog: 4 }), 14)
 })
 
+test('a call that goes before others has room where others have none', () => {
+  assert.is(createLimiter(4, 9).computeRoom({ inFlight: 0, backlog: 4 }), 0)
+  assert.is(createLimiter(4, 9).computeRoom({ inFlight: 0, backlog: 4, isPreferred: true }), 4)
+  assert.is(createLimiter(4, 9).computeRoom({ inFlight: 0, backlog: 8, isPreferred: true }), 0)
+})
+
 test('busy calls shrink the limit, calls at the limit grow it, and others do not', () => {
   const limiter = createLimiter(16, 1)
   for (let index = 0; index < 3; index++) limiter.record('busy', 16)
--- a/src/platform/scheduling/common/upstreamPool.ts
+++ b/src/platform/scheduling/common/upstreamPool.ts
@@ -49,6 +49,8 @@
 export class UpstreamPool {
   private readonly _options: UpstreamPoolOptions
   private readonly _states = new Map<string, UpstreamState>()
+  /** The lowest priority that asked for a role so far. */
+  private readonly _lowestPriority = new Map<string, number>()
   private readonly _slots = new Map<string, CountedSlots>()
 
   constructor (options: UpstreamPoolOptions) {
@@ -74,7 +76,7 @@
     if (usable.length === 0) return { kind: 'none' }
     const untried = usable.filter(view => !ticket.tried.has(view.upstream.name))
     const candidates = untried.length > 0 ? untried : usable
-    const free = candidates.filter(view => this._hasRoom(view))
+    const free = candidates.filter(view => this._hasRoom(view, this._isPreferred(ticket)))
     if (free.length > 0) return { kind: 'free', views: free }
     return this._isBelowEqualPart(usable) ? { kind: 'free', views: candidates } : { kind: 'full' }
   }
@@ -126,7 +128,7 @@
     for (const upstream of drawn) {
       if (ticket.tried.has(upstream.name)) continue
       const view = this._options.directory.getView(upstream)
-      if (!view.isLeaving && !this._isEjected(view) && holdsModel(view, ticket.model) && this._hasRoom(view)) views.push(view)
+      if (!view.isLeaving && !this._isEjected(view) && holdsModel(view, ticket.model) && this._hasRoom(view, this._isPreferred(ticket))) views.push(view)
     }
     return views
   }
@@ -168,13 +170,17 @@
     return this.getState(view.upstream.name).computePart(view, this._options.directory.countLiveGates())
   }
 
-  private _hasRoom (view: UpstreamView): boolean {
-    return this.getState(view.upstream.name).inFlight < this._computeRoom(view)
+  private _hasRoom (view: UpstreamView, isPreferred: boolean): boolean {
+    const { clock, directory } = this._options
+    const state = this.getState(view.upstream.name)
+    return state.inFlight < state.computeRoom(view, directory.countLiveGates(), clock.now(), isPreferred)
   }
 
-  private _computeRoom (view: UpstreamView): number {
-    const { clock, directory } = this._options
-    return this.getState(view.upstream.name).computeRoom(view, directory.countLiveGates(), clock.now())
+  /** Whether work of lower priority shares the role's upstreams. */
+  private _isPreferred (ticket: StageTicket): boolean {
+    const lowest = Math.min(ticket.priority, this._lowestPriority.get(ticket.role) ?? Infinity)
+    this._lowestPriority.set(ticket.role, lowest)
+    return ticket.priority > lowest
   }
 
   private _getPrefixBelief (view: UpstreamView, prefixKey: string, now: number): number {
--- a/src/platform/scheduling/common/upstreamState.ts
+++ b/src/platform/scheduling/common/upstreamState.ts
@@ -50,10 +50,10 @@
   }
 
   /** How many calls this gate may have open now. */
-  computeRoom (view: UpstreamView, liveGates: number, now: number): number {
+  computeRoom (view: UpstreamView, liveGates: number, now: number, isPreferred: boolean): number {
     this.limiter.setShare(getCapacity(view), liveGates)
     if (this.health.getState(now) === 'probing') return 1
-    return this.limiter.computeRoom(this._createInputs(view, liveGates))
+    return this.limiter.computeRoom({ ...this._createInputs(view, liveGates), isPreferred })
   }
 
   /** This gate's part of the upstream, in calls. */
