Never submit anew what has a stage that must run once

Cause: reading the client as a newcomer: a request that was not marked unrepeatable itself, through a pipeline with a stage that must run once, was submitted elsewhere when its gate died, and the stage ran again. Also mayCallTwice of services was read by nobody. Change: stages of a role with a service that may not be called twice run at most once; a session names the pipelines without such a stage, and the client library submits only their requests anew; a gate whose configuration broke that promise since refuses as not run (219 sessionOutdated). Conclusion: at most once holds for stages across callers' retries too, as far as callers use the client library or heed the list.

--- a/src/client/pepperwoodClient.ts
+++ b/src/client/pepperwoodClient.ts
@@ -125,7 +125,7 @@
       lastError = end.error
       checkpoint = submission.reader.checkpoint ?? checkpoint
       if (lastError.execution !== 'notRun') mayHaveRun = true
-      if (!maySubmitAnew({ error: lastError, isUnrepeatable: options.unrepeatable === true, mayHaveRun }) || resubmissions++ >= (this._options.maxResubmissions ?? 2)) break
+      if (!maySubmitAnew({ error: lastError, isUnrepeatable: isUnrepeatable(options, held), mayHaveRun }) || resubmissions++ >= (this._options.maxResubmissions ?? 2)) break
       if (lastError.resultName === 'checkpointInvalid') checkpoint = undefined
       const waitMs = Math.min(lastError.retryAfterMs, REATTACH_WAIT_MS)
       if (waitMs > 0) await waitFor(waitMs)
@@ -161,7 +161,7 @@
   private _takeRefusal (submission: Submission, end: RefusedState, wasSent: boolean): RefusedState {
     const { session } = submission.held
     this._gates.suggest(end.gates.map(gate => gate.address))
-    if (end.error.resultName === 'gateDraining' || end.error.resultName === 'sessionUnknown') this._sessions.delete(session.home)
+    if (end.error.resultName === 'gateDraining' || end.error.resultName === 'sessionUnknown' || end.error.resultName === 'sessionOutdated') this._sessions.delete(session.home)
     // A gate that does not know the session cannot have run this first submission of the number; one sent before may have run.
     if (end.error.resultName === 'sessionUnknown' && !wasSent) return refuse(createClientError('sessionUnknown', end.error.message, 'notRun'))
     return end
@@ -176,7 +176,7 @@
     options.signal?.addEventListener('abort', onAbort, { once: true })
     const timeLeftMs = Math.max(1, Math.round(deadlineAt - this._clock.now()))
     const deadline = setTimeout(onAbort, timeLeftMs + DEADLINE_GRACE_MS)
-    const watch = this._watchSilence(home, options.unrepeatable !== true, () => abort.abort())
+    const watch = this._watchSilence(home, !isUnrepeatable(options, held), () => abort.abort())
     try {
       const stream = this._gates.getClient(home).submit({
         session,
@@ -297,6 +297,11 @@
   return [...first.slice(from), ...first.slice(0, from), ...items.slice(count)]
 }
 
+/** Whether submitting the request anew could run something twice; what the session does not promise may not be repeated. */
+function isUnrepeatable (options: SubmitOptions, held: HeldSession): boolean {
+  return options.unrepeatable === true || !held.session.repeatablePipelines.includes(options.pipeline)
+}
+
 function refuse (error: ClientError): RefusedState {
   return { kind: 'refused', error, gates: [] }
 }
--- a/src/gate/gateRequests.ts
+++ b/src/gate/gateRequests.ts
@@ -14,6 +14,7 @@
 import type { LocatedGate } from '../platform/locate/common/locatePolicy.ts'
 import { derivePrefixKey, formatStageKey } from '../platform/pipeline/common/requestPlan.ts'
 import type { RequestPlan } from '../platform/pipeline/common/requestPlan.ts'
+import { listRepeatablePipelines } from '../platform/pipeline/common/resolvePipeline.ts'
 import type { IRequestRunner } from '../platform/pipeline/node/requestRunner.ts'
 import type { PepperwoodError } from '../platform/result/common/pepperwoodError.ts'
 import type { ResultName } from '../platform/result/common/resultCodes.ts'
@@ -21,7 +22,7 @@
 import type { RequestRun } from '../platform/session/common/requestRun.ts'
 import type { ISessionService } from '../platform/session/common/sessionService.ts'
 import type { CheckpointSeal } from '../platform/session/node/checkpointSeal.ts'
-import { checkKey, checkSubmission, createError, digestContent } from './requestChecks.ts'
+import { checkKey, checkPromise, checkSubmission, createError, digestContent } from './requestChecks.ts'
 
 /** An answer to a caller whose request has no run here. */
 export interface RefusedRequest {
@@ -38,6 +39,7 @@
   readonly incarnation: string
   readonly expiresInMs: number
   readonly configuration: ConfigurationNumber
+  readonly repeatablePipelines: string[]
 }
 
 export interface GateRequestsOptions {
@@ -84,14 +86,16 @@
     const { clock, address, incarnation, sessions, configuration } = this._options
     const unavailable = await this._findUnavailable(request.seenConfiguration)
     if (unavailable !== undefined) return Left(this._refuse(unavailable, request.customer))
+    const repeatable = configuration.current === undefined ? [] : listRepeatablePipelines(configuration.current.configuration)
     return checkKey(request, configuration.current)
-      .chain(customer => sessions.open(customer.name))
+      .chain(customer => sessions.open(customer.name, repeatable))
       .map(session => ({
         id: session.id,
         home: address,
         incarnation,
         expiresInMs: Math.floor(session.expiresAt - clock.now()),
-        configuration: configuration.number
+        configuration: configuration.number,
+        repeatablePipelines: [...repeatable]
       }))
       .mapLeft(error => this._refuse(error, request.customer))
   }
@@ -133,7 +137,9 @@
 
   /** Nothing has run before this, so every refusal from here is `notRun`. */
   private _admit (request: SubmitRequest, run: RequestRun): Either<RefusedRequest, RequestPlan> {
+    const session = this._options.sessions.find(request.session).toMaybe().extract()
     const checked = checkSubmission(request, run, this._options.configuration.current, this._options.seal)
+      .chain(found => checkPromise(request, found.pipeline, session).map(() => found))
     return checked.mapLeft(error => this._refuse(error, run.customer)).chain(found => {
       const { clock, admission, committed, decisions } = this._options
       const { accepted, customer, pipeline, checkpoint } = found
--- a/src/gate/requestChecks.ts
+++ b/src/gate/requestChecks.ts
@@ -6,9 +6,11 @@
 import { hashSha256, isSameDigest } from '../base/node/digest.ts'
 import type { Customer, OpenSessionRequest, Pipeline, SubmitRequest } from '../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { AcceptedConfiguration } from '../platform/configuration/common/configurationService.ts'
+import { resolvePipeline } from '../platform/pipeline/common/resolvePipeline.ts'
 import { PepperwoodError } from '../platform/result/common/pepperwoodError.ts'
 import type { ResultName } from '../platform/result/common/resultCodes.ts'
 import type { RequestRun } from '../platform/session/common/requestRun.ts'
+import type { Session } from '../platform/session/common/sessionService.ts'
 import type { CheckpointContent, CheckpointSeal } from '../platform/session/node/checkpointSeal.ts'
 
 /** What was found for a request that may be considered. */
@@ -44,13 +46,24 @@
   if (request.input.length > MAX_INPUT_LENGTH) return Left(createError('requestTooLarge', `expected at most ${MAX_INPUT_LENGTH} characters`, 'input', String(request.input.length)))
   const customer = accepted.configuration.customers.find(item => item.name === run.customer)
   if (customer === undefined) return Left(createError('customerUnknown', 'the customer is no longer configured', 'session', run.customer))
-  const pipeline = accepted.configuration.pipelines.find(item => item.name === request.pipeline)
+  const pipeline = resolvePipeline(accepted.configuration, request.pipeline)
   if (pipeline === undefined) return Left(createError('pipelineUnknown', 'no such pipeline', 'pipeline', request.pipeline))
   const isForbidden = customer.pipelines.length > 0 && !customer.pipelines.includes(pipeline.name)
   if (isForbidden) return Left(createError('pipelineForbidden', 'the customer may not use this pipeline', 'pipeline', request.pipeline))
   return openCheckpoint(request, run, pipeline, seal).map(checkpoint => ({ accepted, customer, pipeline, checkpoint }))
 }
 
+/**
+ * A session tells its caller which pipelines may be submitted anew. Where the configuration has changed since, so that
+ * a pipeline must not, the caller needs a new session before anything runs.
+ */
+export function checkPromise (request: SubmitRequest, pipeline: Pipeline, session: Session | undefined): Either<PepperwoodError, void> {
+  const isPromised = session?.repeatablePipelines.has(pipeline.name) === true
+  const isBroken = isPromised && !request.unrepeatable && pipeline.stages.some(stage => stage.unrepeatable)
+  if (!isBroken) return Right(undefined)
+  return Left(createError('sessionOutdated', 'the pipeline must not be submitted anew any more: open a new session', 'pipeline', pipeline.name))
+}
+
 function openCheckpoint (request: SubmitRequest, run: RequestRun, pipeline: Pipeline, seal: CheckpointSeal): Either<PepperwoodError, CheckpointContent | undefined> {
   if (request.checkpoint.length === 0) return Right(undefined)
   if (request.unrepeatable || pipeline.stages.some(stage => stage.unrepeatable)) {
--- a/src/load/test/fleet.test.ts
+++ b/src/load/test/fleet.test.ts
@@ -274,4 +274,18 @@
   caller.dispose()
 })
 
+test('a stage that must run once is not run again elsewhere when its gate dies, marked request or not', async () => {
+  await fleet.control.setFaults('booking-*', { hang: 1 })
+  const caller = createCaller([second])
+  const submitted = caller.submit({ pipeline: 'booking', input: 'id=e1', deadlineMs: 3000 })
+  await waitUntil(async () => await countRuns('e1', 'booking') === 1)
+  const homes = await Promise.all([first, second].map(async address => (await createOperatorClient(address).dump({})).json.includes('"running":1')))
+  fleet.gates[homes.indexOf(true)]?.dispose()
+  const error = (await submitted).swap().unsafeCoerce()
+  assert.equal([error.resultName, error.execution], ['outcomeUnknown', 'mayHaveRun'])
+  assert.is(await countRuns('e1', 'booking'), 1)
+  await fleet.control.setFaults('booking-*', {})
+  caller.dispose()
+})
+
 test.run()
--- a/src/platform/pipeline/test/fakes.ts
+++ b/src/platform/pipeline/test/fakes.ts
@@ -104,6 +104,7 @@
     role: stage.role,
     kind: stage.role === 'generate' ? UpstreamKind.ENGINE : UpstreamKind.SERVICE,
     hall: 'h',
+    mayCallTwice: true,
     concurrency: 2
   })))
   const scheduler = new UpstreamScheduler({
--- a/src/platform/result/common/resultCodes.ts
+++ b/src/platform/result/common/resultCodes.ts
@@ -28,6 +28,7 @@
   overloaded: 216,
   deadlineTooShort: 217,
   sessionLimit: 218,
+  sessionOutdated: 219,
   deadlinePassed: 301,
   cancelled: 302,
   stageFailed: 303,
--- a/src/platform/session/common/sessionService.ts
+++ b/src/platform/session/common/sessionService.ts
@@ -14,6 +14,8 @@
   readonly customer: string
   /** On this process's clock. */
   readonly expiresAt: number
+  /** Pipelines that the caller was told it may submit anew. */
+  readonly repeatablePipelines: ReadonlySet<string>
   readonly seen: SeenNumbers
   /** Runs in progress and kept answers, by number. */
   readonly runs: Map<number, RequestRun>
@@ -43,7 +45,7 @@
 }
 
 export interface ISessionService {
-  open (customer: string): Either<PepperwoodError, Session>
+  open (customer: string, repeatablePipelines?: readonly string[]): Either<PepperwoodError, Session>
   find (sessionId: string): Either<PepperwoodError, Session>
   submit (submission: Submission): Either<PepperwoodError, SubmissionDecision>
   findRun (sessionId: string, number: number): Either<PepperwoodError, RequestRun>
@@ -85,7 +87,7 @@
     return [...this._sessions.values()]
   }
 
-  open (customer: string): Either<PepperwoodError, Session> {
+  open (customer: string, repeatablePipelines: readonly string[] = []): Either<PepperwoodError, Session> {
     this._dropExpired()
     const count = this._sessionCounts.get(customer) ?? 0
     if (this._sessions.size >= this._maxSessions || count >= this._maxSessionsPerCustomer) {
@@ -95,6 +97,7 @@
       id: this._createId(),
       customer,
       expiresAt: this._clock.now() + this._lifetimeMs,
+      repeatablePipelines: new Set(repeatablePipelines),
       seen: new SeenNumbers(),
       runs: new Map()
     }
