Refuse documents that are too large or numbered too high, and tell callers of a new start

Cause: read as a newcomer: the fencing number packs epoch and version into 13 and 28 bits, and nothing kept a document from going over; the platform's limit of one megabyte was a constant that nobody used; a request that is submitted anew streamed its text twice. No speed was measured. Conclusion: bad numbers are refused with code, path and value.

--- a/src/base/common/random.ts
+++ b/src/base/common/random.ts
@@ -24,8 +24,3 @@
     return unsafeUniformIntDistribution(0, RESOLUTION - 1, this._generator) / RESOLUTION
   }
 }
-
-/** Picks one item; undefined for an empty list. */
-export function pickOne<T> (items: readonly T[], random: IRandom): T | undefined {
-  return items[Math.floor(random.next() * items.length)]
-}
--- a/src/cli/requestCommands.ts
+++ b/src/cli/requestCommands.ts
@@ -45,7 +45,8 @@
       input: args.input ?? readFileSync(0, 'utf8'),
       deadlineMs: parseCount(args.deadline, '--deadline'),
       unrepeatable: args.unrepeatable,
-      onText: text => { if (!args.json) process.stdout.write(text) }
+      onText: text => { if (!args.json) process.stdout.write(text) },
+      onRestart: () => { if (!args.json) process.stderr.write('\nsubmitted anew: the text so far is void\n') }
     })
     client.dispose()
     result.caseOf({
--- a/src/client/pepperwoodClient.ts
+++ b/src/client/pepperwoodClient.ts
@@ -39,6 +39,8 @@
   readonly unrepeatable?: boolean
   /** Text as it arrives. It is void unless the whole answer follows. */
   readonly onText?: (text: string) => void
+  /** The request is submitted anew: what came of its text before is void. */
+  readonly onRestart?: () => void
   readonly checkpoint?: Uint8Array
   readonly signal?: AbortSignal
 }
@@ -54,8 +56,11 @@
   readonly held: HeldSession
   readonly number: number
   readonly reader: AnswerReader
+  /** When the first text came, on the client's clock; 0 before. */
+  readonly firstChunk: { readonly at: number }
 }
 
+type WholeState = Extract<ReaderState, { readonly kind: 'whole' }>
 type RefusedState = Extract<ReaderState, { readonly kind: 'refused' }>
 type FinalState = Extract<ReaderState, { readonly kind: 'whole' | 'refused' }>
 
@@ -103,25 +108,10 @@
         continue
       }
       const held = opened.unsafeCoerce()
-      const timing = { startedAt, firstChunkAt: 0 }
-      const number = held.nextNumber++
-      const onText = (text: string) => {
-        if (timing.firstChunkAt === 0) timing.firstChunkAt = this._clock.now()
-        options.onText?.(text)
-      }
-      const submission = { held, number, reader: new AnswerReader(`${held.session.id}/${number}`, onText) }
+      if (resubmissions > 0) options.onRestart?.()
+      const submission = this._createSubmission(held, options)
       const end = await this._follow(submission, options, checkpoint, deadlineAt)
-      if (end.kind === 'whole') {
-        const elapsedMs = this._clock.now() - startedAt
-        return Right({
-          requestId: `${held.session.id}/${number}`,
-          text: end.text,
-          costs: end.costs,
-          firstChunkMs: timing.firstChunkAt - startedAt,
-          elapsedMs,
-          chunkCount: submission.reader.chunkCount
-        })
-      }
+      if (end.kind === 'whole') return Right(this._createWhole(submission, end, startedAt))
       lastError = end.error
       checkpoint = submission.reader.checkpoint ?? checkpoint
       if (lastError.execution !== 'notRun') mayHaveRun = true
@@ -133,6 +123,28 @@
     return Left(mayHaveRun && lastError.execution === 'notRun' ? createClientError('outcomeUnknown', lastError.message, 'mayHaveRun') : lastError)
   }
 
+  private _createSubmission (held: HeldSession, options: SubmitOptions): Submission {
+    const number = held.nextNumber++
+    const firstChunk = { at: 0 }
+    const reader = new AnswerReader(`${held.session.id}/${number}`, text => {
+      if (firstChunk.at === 0) firstChunk.at = this._clock.now()
+      options.onText?.(text)
+    })
+    return { held, number, reader, firstChunk }
+  }
+
+  private _createWhole (submission: Submission, end: WholeState, startedAt: number): WholeAnswer {
+    const { held, number, reader, firstChunk } = submission
+    return {
+      requestId: `${held.session.id}/${number}`,
+      text: end.text,
+      costs: end.costs,
+      firstChunkMs: firstChunk.at - startedAt,
+      elapsedMs: this._clock.now() - startedAt,
+      chunkCount: reader.chunkCount
+    }
+  }
+
   /** Stops nothing that runs; only connections are given up. */
   dispose (): void {
     this._gates.dispose()
--- a/src/load/fit.ts
+++ b/src/load/fit.ts
@@ -27,7 +27,7 @@
 /** A richer model must lower the residual by so much to be preferred. */
 const PREFERENCE = 0.75
 
-export function fitModel (model: GrowthModel, points: readonly Point[]): Fit {
+function fitModel (model: GrowthModel, points: readonly Point[]): Fit {
   const transform = TRANSFORMS[model]
   const count = points.length
   const meanX = points.reduce((sum, point) => sum + transform(point.size), 0) / count
--- a/src/platform/configuration/common/configurationDocument.ts
+++ b/src/platform/configuration/common/configurationDocument.ts
@@ -23,10 +23,13 @@
   readonly configuration: Configuration
 }
 
-/** The most that the platform holds for one value, in bytes. */
-export const MAX_DOCUMENT_BYTES = 1024 * 1024
+/** The most that the platform holds for one value. */
+const MAX_DOCUMENT_LENGTH = 1024 * 1024
 
 function parseDocument (text: string): Either<PepperwoodError, Configuration> {
+  if (text.length > MAX_DOCUMENT_LENGTH) {
+    return Left(new PepperwoodError({ name: 'configurationUnreadable', message: `expected at most ${MAX_DOCUMENT_LENGTH} characters`, place: 'document', value: String(text.length) }))
+  }
   try {
     return Right(fromJsonString(ConfigurationSchema, text))
   } catch (thrown) {
--- a/src/platform/configuration/common/configurationRules.ts
+++ b/src/platform/configuration/common/configurationRules.ts
@@ -4,6 +4,7 @@
 import { UpstreamKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { Configuration, Customer, Pipeline, Upstream } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { parseAddress } from '../../../base/common/address.ts'
+import { MAX_EPOCH, MAX_VERSION } from '../../order/common/fencing.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/
@@ -23,6 +24,11 @@
   })
 }
 
+/** Higher numbers would not fit into the fencing numbers of orders. */
+function checkRange (path: string, value: number, max: number, report: Report): void {
+  if (value < 1 || value > max) report(path, String(value), `expected 1 to ${max}`)
+}
+
 function checkPipeline (path: string, pipeline: Pipeline, roles: ReadonlySet<string>, report: Report): void {
   if (pipeline.stages.length === 0) report(`${path}.stages`, '', 'expected at least one stage')
   if (pipeline.stages.length > MAX_STAGES) report(`${path}.stages`, String(pipeline.stages.length), `expected at most ${MAX_STAGES} stages`)
@@ -57,8 +63,8 @@
   }
   const roles = new Set(configuration.upstreams.map(upstream => upstream.role))
   const pipelines = new Set(configuration.pipelines.map(pipeline => pipeline.name))
-  if (configuration.epoch === 0) report('epoch', '0', 'expected at least 1')
-  if (configuration.version === 0) report('version', '0', 'expected at least 1')
+  checkRange('epoch', configuration.epoch, MAX_EPOCH, report)
+  checkRange('version', configuration.version, MAX_VERSION, report)
   checkNames('pipelines', configuration.pipelines, report)
   checkNames('customers', configuration.customers, report)
   checkNames('upstreams', configuration.upstreams, report)
--- a/src/platform/configuration/common/configurationService.ts
+++ b/src/platform/configuration/common/configurationService.ts
@@ -30,7 +30,7 @@
 }
 
 /** Whether a document goes before the one in force; the text decides where even the stamps are equal, so that all agree. */
-export function isHigher (offered: CheckedConfiguration, held: CheckedConfiguration): boolean {
+function isHigher (offered: CheckedConfiguration, held: CheckedConfiguration): boolean {
   const order = compareStamps(offered, held)
   return order > 0 || (order === 0 && offered.text > held.text)
 }
--- a/src/platform/log/node/logger.ts
+++ b/src/platform/log/node/logger.ts
@@ -35,7 +35,7 @@
 }
 
 /** One event as a line; keys keep the order in which they are given. */
-export function formatLine (level: string, program: string, event: string, fields: LogFields): string {
+function formatLine (level: string, program: string, event: string, fields: LogFields): string {
   const pairs = Object.entries({ level, program, event, ...fields })
   return pairs.map(([key, value]) => `${key}=${formatValue(value)}`).join(' ')
 }
--- a/src/platform/order/common/fencing.ts
+++ b/src/platform/order/common/fencing.ts
@@ -10,6 +10,7 @@
 const VERSIONS = 2 ** VERSION_BITS
 /** Epochs that fit beside version and term into an exact integer. */
 export const MAX_EPOCH = 2 ** (53 - TERM_BITS - VERSION_BITS) - 1
+export const MAX_VERSION = VERSIONS - 1
 
 /** The next number for an engine that took its last order under `last`. */
 export function computeNextFencing (number: ConfigurationNumber, last: number): number {
--- a/src/platform/order/common/orderPlan.ts
+++ b/src/platform/order/common/orderPlan.ts
@@ -11,7 +11,7 @@
   readonly isLeaving: boolean
 }
 
-export function formatModel (placement: Pick<ModelPlacement, 'model' | 'modelVersion'>): string {
+function formatModel (placement: Pick<ModelPlacement, 'model' | 'modelVersion'>): string {
   return placement.modelVersion === '' ? placement.model : `${placement.model}@${placement.modelVersion}`
 }
 
