Cut stand-in answers after so many bytes, and test torn and foreign answers over sockets

Cause: the stand-in cut streams after a number of tokens, and plain answers before their first byte; a torn body was never seen. Change: drop_after_bytes; tests over an in-process fleet: torn answers, foreign ids, refusals, a stream that breaks and is resumed for an unrepeatable request. Conclusion: torn answers end as may have run, never as whole.

--- a/src/load/test/fleet.test.ts
+++ b/src/load/test/fleet.test.ts
@@ -197,6 +197,35 @@
   caller.dispose()
 })
 
+for (const [name, faults, isRunOnce] of [
+  ['torn answers of an unrepeatable stage', { drop: 1, drop_after_bytes: 10 }, true],
+  ['answers for another attempt', { wrong_id: 1 }, true],
+  ['refusals without running', { refuse: 1 }, false]
+] as const) {
+  test(`${name}: refused, and run at most once`, async () => {
+    const marker = `f${name.length}`
+    await fleet.control.setFaults('booking-*', faults)
+    const caller = createCaller()
+    const error = (await caller.submit({ pipeline: 'booking', input: `id=${marker}`, deadlineMs: 2000, unrepeatable: true })).swap().unsafeCoerce()
+    await fleet.control.setFaults('booking-*', {})
+    assert.is(await countRuns(marker, 'booking'), isRunOnce ? 1 : 0)
+    assert.is(error.execution, isRunOnce ? 'mayHaveRun' : 'incomplete')
+    caller.dispose()
+  })
+}
+
+test('a stream that breaks after some bytes is resumed, and its answer is whole', async () => {
+  await fleet.control.setFaults('generate-*', { drop: 1, drop_after_bytes: 400 })
+  const caller = createCaller()
+  const input = 'id=g1 tokens=30'
+  const answer = (await caller.submit({ pipeline: 'script', input, deadlineMs: 4000, unrepeatable: true })).unsafeCoerce()
+  await fleet.control.setFaults('generate-*', {})
+  const pipeline = plan.configuration.pipelines.find(item => item.name === 'script')
+  assert.is(answer.text, pipeline && computeExpectedAnswer(plan.configuration, pipeline, input))
+  assert.is(await countRuns('g1', 'generate'), 1)
+  caller.dispose()
+})
+
 test('what is no request changes nothing', async () => {
   const steward = plan.hosts[0]?.steward.address.split(':') ?? []
   for (const [host, port] of [steward, first.split(':')]) {
--- a/src/standin/faults.ts
+++ b/src/standin/faults.ts
@@ -14,6 +14,8 @@
   refuse: Schema.optionalWith(Share, { default: () => 0 }),
   /** Share of calls whose connection is cut while the answer is written. */
   drop: Schema.optionalWith(Share, { default: () => 0 }),
+  /** Bytes of the answer that come before the connection is cut. */
+  drop_after_bytes: Schema.optionalWith(Schema.Number.pipe(Schema.nonNegative()), { default: () => 200 }),
   /** Share of calls that are answered with another attempt's id. */
   wrong_id: Schema.optionalWith(Share, { default: () => 0 }),
   /** Share of calls that are never answered. */
--- a/src/standin/httpJson.ts
+++ b/src/standin/httpJson.ts
@@ -27,3 +27,10 @@
   response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
   response.end(text)
 }
+
+/** Cuts the connection after so many bytes of the answer. */
+export function sendTorn (response: ServerResponse, body: object, bytes: number): void {
+  const text = JSON.stringify(body)
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  response.write(text.slice(0, bytes), () => response.socket?.destroy())
+}
--- a/src/standin/standinUpstream.ts
+++ b/src/standin/standinUpstream.ts
@@ -11,7 +11,7 @@
 import type { ExportedGeneration, Generation, GenerationReader } from './batchingEngine.ts'
 import { NO_FAULTS } from './faults.ts'
 import type { Faults } from './faults.ts'
-import { readJson, sendJson } from './httpJson.ts'
+import { readJson, sendJson, sendTorn } from './httpJson.ts'
 import { computeServiceOutput, readMarker } from './modelAnswers.ts'
 import type { RunLedger } from './runLedger.ts'
 import type { StandinUpstream } from './standinSettings.ts'
@@ -174,19 +174,17 @@
 
   private _answerService (body: CallBody, response: ServerResponse, busyMs: number): void {
     if (this._draw(this._faults.fail)) return sendJson(response, 500, { attempt: body.attempt, error: 'FAILED', ran: true, busyMs })
-    if (this._draw(this._faults.drop)) {
-      response.socket?.destroy()
-      return
-    }
     const attempt = this._draw(this._faults.wrong_id) ? `${body.attempt}-other` : body.attempt
-    sendJson(response, 200, { attempt, output: computeServiceOutput(this._settings.role, body.input, body.previous), busyMs })
+    const answer = { attempt, output: computeServiceOutput(this._settings.role, body.input, body.previous), busyMs }
+    if (this._draw(this._faults.drop)) sendTorn(response, answer, this._faults.drop_after_bytes)
+    else sendJson(response, 200, answer)
   }
 
   private _generate (body: CallBody, response: ServerResponse): void {
-    const dropAt = this._draw(this._faults.drop) ? 2 + Math.floor(this._random.next() * 6) : -1
+    const dropAfter = this._draw(this._faults.drop) ? this._faults.drop_after_bytes : Infinity
     const failAt = this._draw(this._faults.fail) ? 2 : -1
     const attempt = this._draw(this._faults.wrong_id) ? `${body.attempt}-other` : body.attempt
-    const generation = this._engine.start({ ...body, role: this._settings.role }, this._createReader(attempt, response, dropAt, failAt))
+    const generation = this._engine.start({ ...body, role: this._settings.role }, this._createReader(attempt, response, dropAfter, failAt))
     this._openStream(response, generation)
   }
 
@@ -194,7 +192,7 @@
     const generation = this._engine.find(body.attempt)
     if (generation === undefined) return sendJson(response, 404, { attempt: body.attempt, error: 'UNKNOWN_ATTEMPT', ran: false, boot: this._boot })
     this._openStream(response, generation)
-    this._engine.attach(generation, body.offset, this._createReader(body.attempt, response, -1, -1))
+    this._engine.attach(generation, body.offset, this._createReader(body.attempt, response, Infinity, -1))
   }
 
   private _exportState (body: CallBody, response: ServerResponse): void {
@@ -207,7 +205,7 @@
     if (this._engine.isFull || this._faults.leaving) {
       return sendJson(response, 503, { attempt: state.attempt, error: this._faults.leaving ? 'LEAVING' : 'BUSY', ran: false, boot: this._boot })
     }
-    this._openStream(response, this._engine.importState(state, this._createReader(state.attempt, response, -1, -1)))
+    this._openStream(response, this._engine.importState(state, this._createReader(state.attempt, response, Infinity, -1)))
   }
 
   private _openStream (response: ServerResponse, generation: Generation): void {
@@ -216,13 +214,16 @@
     response.on('close', () => { if (!generation.isOver) this._engine.detach(generation) })
   }
 
-  private _createReader (attempt: string, response: ServerResponse, dropAt: number, failAt: number): GenerationReader {
+  private _createReader (attempt: string, response: ServerResponse, dropAfter: number, failAt: number): GenerationReader {
     let produced = 0
+    let bytes = 0
     return {
       onToken: (index, text) => {
-        if (produced++ === dropAt) response.socket?.destroy()
-        else if (produced - 1 === failAt) response.end(`event: error\ndata: ${JSON.stringify({ attempt, error: 'FAILED', ran: true })}\n\n`)
-        else if (!response.writableEnded) response.write(`event: token\ndata: ${JSON.stringify({ attempt, index, text })}\n\n`)
+        const event = `event: token\ndata: ${JSON.stringify({ attempt, index, text })}\n\n`
+        bytes += Buffer.byteLength(event)
+        if (bytes > dropAfter) response.socket?.destroy()
+        else if (produced++ === failAt) response.end(`event: error\ndata: ${JSON.stringify({ attempt, error: 'FAILED', ran: true })}\n\n`)
+        else if (!response.writableEnded) response.write(event)
       },
       onEnd: generation => {
         const end = { attempt, count: generation.tokenCount, busyMs: generation.busyMs, cachedTokens: generation.cachedTokens }
