--- a/src/gate/test/atMostOnce.test.ts
+++ b/src/gate/test/atMostOnce.test.ts
@@ -248,7 +248,7 @@
   for (let turn = 0; turn < 120; turn++) await Promise.resolve()
 }
 
-test('an unrepeatable request runs at most once, and never after it was refused as not run', async () => {
+test(`an unrepeatable request runs at most once, and never after it was refused as not run (${HISTORIES} histories, seed ${SEED})`, async () => {
   await fc.assert(fc.asyncProperty(commands, fc.array(callKinds, { maxLength: 8 }), async (steps, script) => {
     const history = new History(script)
     await history.run(steps)
--- a/src/load/test/fleet.test.ts
+++ b/src/load/test/fleet.test.ts
@@ -286,6 +286,20 @@
   await waitUntil(async () => (await readVersions()).every(version => version === 7))
 })
 
+test('a session that was told a pipeline is repeatable runs nothing of it once it is not', async () => {
+  const session = await openSession(first)
+  assert.equal(session.repeatablePipelines, ['script'])
+  const document = JSON.parse(plan.configurationText) as { readonly upstreams: readonly { readonly role: string }[] }
+  const upstreams = document.upstreams.map(upstream => ({ ...upstream, mayCallTwice: upstream.role !== 'rerank' }))
+  await fleet.control.publish('pepperwood/configuration', { ...document, version: 8, upstreams })
+  await waitUntil(async () => (await readVersions()).every(version => version === 8))
+  const refusal = findRefusal(await readAll(createRequestClient(first).submit(createRequest(session, 1, 'id=h1'))))
+  assert.equal([refusal?.name, refusal?.execution], ['sessionOutdated', Execution.NOT_RUN])
+  assert.is(await countRuns('h1', 'encode'), 0)
+  await fleet.control.publish('pepperwood/configuration', { ...document, version: 9 })
+  await waitUntil(async () => (await readVersions()).every(version => version === 9))
+})
+
 test('a planned stop finishes what is in progress and sends new callers elsewhere', async () => {
   const session = await openSession(third)
   const client = createRequestClient(third)
