Pass on only what is news, and compare with one member every four seconds

Cause: the slopes: a steward's control bytes grew with the number of members (4.6, 10.5, 21.6, 44.9 KB/s out at 5, 10, 20, 40, with 12 upstreams), since each meeting of a pair carried all that changed since their last, and pairs meet more seldom the more there are. Ruled out: probes (19 bytes each), configuration numbers (about 60 bytes a link a second; now to two members a second). Change: a fact is news for three rounds of 200 ms and goes to two members in each; one member every 4 s gets everything that it was not sent.

--- a/src/platform/facts/node/peerLink.ts
+++ b/src/platform/facts/node/peerLink.ts
@@ -44,6 +44,9 @@
 export class PeerLink extends Disposable {
   private readonly _options: PeerLinkOptions
   private _peer: Extract<WireMessage, { readonly kind: 'hello' }> | undefined
+  /** Everything up to here was sent. */
+  private _syncedSequence = 0
+  /** The newest that was sent; between the two there may be gaps. */
   private _sentSequence = 0
   private readonly _onDidReceive = this._register(new Emitter<WireMessage>())
   private readonly _onDidClose = this._register(new Emitter<void>())
@@ -88,12 +91,23 @@
     this._options.connection.send(message)
   }
 
-  /** Sends the facts that the other side has not had from here. */
+  /** Sends all facts that the other side has not had from here. */
   sendNews (): void {
     const { facts } = this._options
-    if (facts.sequence === this._sentSequence) return
-    const news = facts.listSince(this._sentSequence, this.peerAddress)
+    this._sendSince(this._syncedSequence)
+    this._syncedSequence = facts.sequence
+  }
+
+  /** Sends only what was learned after a sequence number, and not sent here yet; what is older is left to `sendNews`. */
+  sendRecent (since: number): void {
+    this._sendSince(Math.max(since, this._sentSequence, this._syncedSequence))
+  }
+
+  private _sendSince (sequence: number): void {
+    const { facts } = this._options
     this._sentSequence = facts.sequence
+    if (facts.sequence === sequence) return
+    const news = facts.listSince(sequence, this.peerAddress)
     for (let start = 0; start < news.length; start += MAX_FACTS_PER_FRAME) {
       this.send({ kind: 'facts', facts: news.slice(start, start + MAX_FACTS_PER_FRAME) })
     }
--- a/src/platform/membership/node/gossipService.ts
+++ b/src/platform/membership/node/gossipService.ts
@@ -19,11 +19,15 @@
   readonly probePeriodMs?: number
   readonly probeTimeoutMs?: number
   readonly spreadPeriodMs?: number
+  /** How often one member gets everything that it was not sent yet. */
+  readonly comparePeriodMs?: number
   readonly seedPeriodMs?: number
 }
 
 /** Members that get news in each round. */
 const SPREAD_COUNT = 2
+/** Rounds for which a fact is news: each steward passes it on about SPREAD_COUNT times as often, whatever the number of members. */
+const NEWS_ROUNDS = 3
 /** Members that are asked to probe one that does not answer. */
 const HELPER_COUNT = 2
 /** Urgent news goes to at most so many members at once; they pass it on. */
@@ -36,6 +40,8 @@
   private readonly _waitingAcks = new Map<number, () => void>()
   private readonly _probeTimeoutMs: number
   private _nextPingId = 1
+  /** The facts' sequence at the end of the last rounds, the oldest first. */
+  private _roundMarks: readonly number[] = []
   private _closedTraffic: LinkTraffic = { sent: 0, received: 0 }
 
   constructor (options: GossipServiceOptions) {
@@ -44,6 +50,7 @@
     this._probeTimeoutMs = options.probeTimeoutMs ?? 400
     this._register(startInterval(options.probePeriodMs ?? 500, () => { void this._probe() }))
     this._register(startInterval(options.spreadPeriodMs ?? 200, () => this._spread()))
+    this._register(startInterval(options.comparePeriodMs ?? 4000, () => this._compare()))
     this._register(startInterval(options.seedPeriodMs ?? 2000, () => { void this.meetSeeds() }))
   }
 
@@ -69,12 +76,12 @@
   /** Spreads news without waiting for the next round. */
   spreadNow (): void {
     const peers = this._options.membership.listPeers()
-    for (const peer of this._draw(peers.map(member => member.address), MAX_URGENT_COUNT)) void this._sendNews(peer)
+    for (const peer of this._draw(peers.map(member => member.address), MAX_URGENT_COUNT)) void this._sendRecent(peer)
   }
 
-  /** Says which configuration is in force here, so that whoever holds a higher one sends it. */
-  announceConfiguration (): void {
-    for (const link of this._links.values()) link.announceConfiguration()
+  /** Says which configuration is in force here to so many members: a higher one comes back, a lower one is asked for. */
+  announceConfiguration (count = Infinity): void {
+    for (const address of this._draw([...this._links.keys()], count)) this._links.get(address)?.announceConfiguration()
   }
 
   /** Takes in an answer that came over a link which another process opened. */
@@ -118,7 +125,19 @@
 
   private _spread (): void {
     const peers = this._options.membership.listPeers().map(member => member.address)
-    for (const peer of this._draw(peers, SPREAD_COUNT)) void this._sendNews(peer)
+    for (const peer of this._draw(peers, SPREAD_COUNT)) void this._sendRecent(peer)
+    this._roundMarks = [...this._roundMarks, this._options.link.facts.sequence].slice(-NEWS_ROUNDS)
+  }
+
+  /** Mends what the rounds missed. */
+  private _compare (): void {
+    const peers = this._options.membership.listPeers().map(member => member.address)
+    for (const peer of this._draw(peers, 1)) void this._sendNews(peer)
+  }
+
+  private async _sendRecent (address: string): Promise<void> {
+    const link = await this._getLink(address)
+    link?.sendRecent(this._roundMarks[0] ?? 0)
   }
 
   private async _sendNews (address: string): Promise<void> {
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -55,6 +55,8 @@
 const GATE_PUSH_PERIOD_MS = 100
 /** How often the number of the configuration in force is compared with the peers'. */
 const ANNOUNCE_PERIOD_MS = 1000
+/** Members whose configuration is compared each time; a new one is announced to all. */
+const COMPARED_COUNT = 2
 const FORGET_PERIOD_MS = 60_000
 const LEAVE_SPREAD_MS = 500
 const READY_POLL_MS = 20
@@ -107,7 +109,7 @@
     this._startUpstreamDuties()
     this._register(startInterval(GATE_PUSH_PERIOD_MS, () => this._pushToGates()))
     this._register(startInterval(FORGET_PERIOD_MS, () => this._facts.dropOldGates()))
-    this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._announceConfiguration()))
+    this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._announceConfiguration(COMPARED_COUNT)))
     await this._waitUntilReady(configurationWatcher)
     this._isReady = true
     log.info('ready', { address: settings.address, hall: settings.hall, configuration: formatNumber(this._configuration.number) })
@@ -185,8 +187,8 @@
   }
 
   /** Compares numbers with all processes; for gates it is also the sign that this steward lives. */
-  private _announceConfiguration (): void {
-    this._gossip.announceConfiguration()
+  private _announceConfiguration (count = Infinity): void {
+    this._gossip.announceConfiguration(count)
     for (const link of this._accepted) if (link.peerRole === 'gate') link.announceConfiguration()
   }
 
