Send seeds their news once, when they are met

What grew with the members was the look at the seeds: every 2 s each of them got all news since the last time, and here every steward is a seed of every other. Change: a link that was opened gets all news once; the look at the seeds only opens links.

--- a/src/platform/membership/node/gossipService.ts
+++ b/src/platform/membership/node/gossipService.ts
@@ -69,7 +69,6 @@
     const own = this._options.link.hello.address
     const seeds = this._options.listSeeds().filter(address => address !== own)
     const links = await Promise.all(seeds.map(address => this._getLink(address)))
-    for (const link of links) link?.sendNews()
     return links.filter(link => link !== undefined).length
   }
 
@@ -161,6 +160,7 @@
         return undefined
       }
       this._links.set(address, link)
+      link.sendNews()
       this._register(link)
       link.onDidReceive(message => this.handleMessage(link, message))
       link.onDidClose(() => {
