--- a/src/load/fleetPlan.ts
+++ b/src/load/fleetPlan.ts
@@ -57,6 +57,9 @@
 /** Third numbers of addresses: entry hosts as others see them, as they listen behind relays, and upstreams. */
 const BLOCKS = { host: 10, hostBehind: 110, upstream: 40, upstreamBehind: 140, client: 90 } as const
 
+/** IP numbers used of a block; further upstreams share them under other ports. */
+const MAX_HOSTS_IN_BLOCK = 250
+
 export function formatCustomerKey (customer: string): string {
   return `key of ${customer}`
 }
@@ -163,7 +166,7 @@
   for (const group of profile.upstreams) {
     for (let index = 0; index < group.count; index++) {
       const hallIndex = index % profile.halls.length
-      const { address, listen } = place(BLOCKS.upstream, BLOCKS.upstreamBehind, hallIndex, planned.length, PORTS.upstream)
+      const { address, listen } = place(BLOCKS.upstream, BLOCKS.upstreamBehind, hallIndex, planned.length % MAX_HOSTS_IN_BLOCK, PORTS.upstream + Math.floor(planned.length / MAX_HOSTS_IN_BLOCK))
       const { count: _count, model, may_call_twice: mayCallTwice, ...shape } = group
       const settings: StandinUpstream = {
         ...shape,
