Name once which gates are usable and which links are gates'

Cause: read once more: the gate repeated the rule of the address answers on which gates callers may be sent to, with a limit of its own of the same value, and built its view of gates in two places; the steward filtered its links for gates in four. Change: isUsableGate in the locate policy and one view of gates serve both; the steward lists its gates' links in one place. The limit itself now counts as still usable in both (before: in one of them). Conclusion: one place to change each rule.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -20,7 +20,7 @@
 import { StewardSubscription } from '../platform/facts/node/stewardSubscription.ts'
 import { DecisionLog } from '../platform/inspect/common/decisionLog.ts'
 import { createOperatorHandlers } from '../platform/inspect/node/operatorHandlers.ts'
-import { rankGates } from '../platform/locate/common/locatePolicy.ts'
+import { isUsableGate, rankGates } from '../platform/locate/common/locatePolicy.ts'
 import type { GateView, LocatedGate } from '../platform/locate/common/locatePolicy.ts'
 import type { ILogService } from '../platform/log/node/logger.ts'
 import { MetricsServer } from '../platform/metrics/node/metricsServer.ts'
@@ -59,7 +59,6 @@
 const FACT_HEARTBEAT_MS = 1500
 /** Requests in progress that came or went since the last fact, as a part of them, that are worth a new one. */
 const FACT_STEP = 0.25
-const GATE_FRESH_MS = 4000
 const CATCH_UP_MS = 500
 const POLL_MS = 20
 /** How long a gate that was paused tries to read the view anew before it goes on with what it has. */
@@ -278,15 +277,17 @@
   }
 
   private _listGates (customer: string): readonly LocatedGate[] {
-    const now = this._options.clock.now()
-    const gates = this._facts.listKind('gate').map<GateView>(fact => ({ ...fact.value, ageMs: now - fact.observedAt }))
-    return rankGates({ customer, gates, salt: `${this._incarnationId}/${this._locateCount++}` })
+    return rankGates({ customer, gates: this._viewGates(), salt: `${this._incarnationId}/${this._locateCount++}` })
   }
 
   /** Gates that this one would recommend now. */
   countGates (): number {
+    return this._viewGates().filter(isUsableGate).length
+  }
+
+  private _viewGates (): readonly GateView[] {
     const now = this._options.clock.now()
-    return this._facts.listKind('gate').filter(fact => fact.value.ready && !fact.value.draining && now - fact.observedAt < GATE_FRESH_MS).length
+    return this._facts.listKind('gate').map(fact => ({ ...fact.value, ageMs: now - fact.observedAt }))
   }
 
   private async _catchUp (number: ConfigurationNumber): Promise<boolean> {
--- a/src/platform/locate/common/locatePolicy.ts
+++ b/src/platform/locate/common/locatePolicy.ts
@@ -43,7 +43,7 @@
  * progress and what it took in lately.
  */
 export function rankGates (inputs: LocateInputs): readonly LocatedGate[] {
-  const usable = inputs.gates.filter(gate => gate.ready && !gate.draining && gate.ageMs <= MAX_AGE_MS)
+  const usable = inputs.gates.filter(isUsableGate)
   const isSteady = usable.length === inputs.gates.filter(gate => gate.ageMs <= 2 * MAX_AGE_MS).length && isBalanced(usable)
   const spread = 1 - KEEP_SPREAD * drawFrom(`keep/${inputs.customer}/${inputs.salt}`)
   const keepMs = Math.round((isSteady ? LONG_KEEP_MS : SHORT_KEEP_MS) * spread)
@@ -54,6 +54,11 @@
     .map(({ gate }) => ({ address: gate.address, hall: gate.hall, keepMs }))
 }
 
+/** Whether callers may be sent to a gate. */
+export function isUsableGate (gate: GateView): boolean {
+  return gate.ready && !gate.draining && gate.ageMs <= MAX_AGE_MS
+}
+
 function getLoad (gate: GateView): number {
   return 1 + gate.recentRequests + gate.inFlight
 }
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -189,11 +189,15 @@
   /** Compares numbers with all processes; for gates it is also the sign that this steward lives. */
   private _announceConfiguration (count = Infinity): void {
     this._gossip.announceConfiguration(count)
-    for (const link of this._accepted) if (link.peerRole === 'gate') link.announceConfiguration()
+    for (const link of this._listGateLinks()) link.announceConfiguration()
   }
 
   private _pushToGates (): void {
-    for (const link of this._accepted) if (link.peerRole === 'gate') link.sendNews()
+    for (const link of this._listGateLinks()) link.sendNews()
+  }
+
+  private _listGateLinks (): readonly PeerLink[] {
+    return [...this._accepted].filter(link => link.peerRole === 'gate')
   }
 
   private _watchValue (key: string, onDidRead: (value: PlatformValue) => void): ValueWatcher {
@@ -308,7 +312,7 @@
     this._metrics.createGauge('control_bytes_received', 'Bytes received from other processes of the system', () => this._getTraffic().received)
     this._metrics.createGauge('upstreams_leaving', 'Upstream incarnations marked as leaving', () => this._facts.listKind('leaving').length)
     this._metrics.createGauge('facts', 'Facts held', () => this._facts.size)
-    this._metrics.createGauge('gates_linked', 'Gates linked to this steward', () => [...this._accepted].filter(link => link.peerRole === 'gate').length)
+    this._metrics.createGauge('gates_linked', 'Gates linked to this steward', () => this._listGateLinks().length)
     this._metrics.createGauge('configuration_version', 'Version of the configuration in force', () => this._configuration.number.version)
   }
 
@@ -325,7 +329,7 @@
       members: this._membership.listMembers(),
       facts: this._facts.list().map(fact => ({ ...fact, observedAt: undefined, ageMs: Math.round(now - fact.observedAt) })),
       links: this._gossip.links.map(link => link.peerAddress),
-      gates: [...this._accepted].filter(link => link.peerRole === 'gate').map(link => link.peerAddress),
+      gates: this._listGateLinks().map(link => link.peerAddress),
       hosts: this._hosts,
       decisions: this._decisions.listLast(50)
     }
