Rename src/platform to src/services

Cause: a folder platform/ at the root will translate between the users' platform and the product, and a second folder of that name would mislead every reader. Ruled out: naming the adapter otherwise; the users' pages fix its name. Conclusion: no behaviour changed.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,8 +30,8 @@
   return ['error', { paths, patterns }]
 }
 
-const noPrograms = { regex: '/(gate|steward|cli|standin|load|client)/', message: 'Imports go downwards: programs -> platform -> base.' }
-const noPlatform = { regex: '/platform/', message: 'Imports go downwards: base knows nothing of the domain.' }
+const noPrograms = { regex: '/(gate|steward|cli|standin|load|client)/', message: 'Imports go downwards: programs -> services -> base.' }
+const noServices = { regex: '/services/', message: 'Imports go downwards: base knows nothing of the domain.' }
 const noNode = { regex: '^node:|/node/', message: 'Code in common is pure and uses no Node API.' }
 
 export default [
@@ -49,10 +49,10 @@
       'no-restricted-imports': restrictImports([])
     }
   },
-  { files: ['src/platform/**/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms]) } },
-  { files: ['src/platform/*/common/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noNode]) } },
-  { files: ['src/base/**/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noPlatform]) } },
-  { files: ['src/base/common/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noPlatform, noNode]) } },
+  { files: ['src/services/**/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms]) } },
+  { files: ['src/services/*/common/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noNode]) } },
+  { files: ['src/base/**/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noServices]) } },
+  { files: ['src/base/common/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noServices, noNode]) } },
   { files: ['src/load/**/*.ts', 'bench/**/*.ts'], rules: { 'no-restricted-imports': restrictImports([], restrictedImports.filter(item => !item.name.includes('child_process'))) } },
   // Tests may reach into any layer to build what they need, and give fakes short names.
   { files: ['src/**/test/*.ts'], rules: { 'no-restricted-imports': restrictImports([]) } }
--- a/src/cli/commonArgs.ts
+++ b/src/cli/commonArgs.ts
@@ -2,8 +2,8 @@
  * What the commands share: arguments, output and exit codes.
  */
 import { parseAddress } from '../base/common/address.ts'
-import { exitCodes, exitWith } from '../platform/program/node/program.ts'
-import { PepperwoodError } from '../platform/result/common/pepperwoodError.ts'
+import { exitCodes, exitWith } from '../services/program/node/program.ts'
+import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 
 const CALL_TIMEOUT_MS = 5000
 
--- a/src/cli/demoCommand.ts
+++ b/src/cli/demoCommand.ts
@@ -8,7 +8,7 @@
 import { InProcessFleet } from '../load/inProcessFleet.ts'
 import { createLoadReport, formatReport, isCorrect } from '../load/loadReport.ts'
 import { runLoad } from '../load/loadRunner.ts'
-import { exitCodes } from '../platform/program/node/program.ts'
+import { exitCodes } from '../services/program/node/program.ts'
 import { demoProfile } from './demoProfile.ts'
 
 const SEED = 7
--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -2,8 +2,8 @@
  * `pepperwood dump`, `explain`, `drain` and `watch`: what an operator asks of a process.
  */
 import { defineCommand } from 'citty'
-import { exitCodes } from '../platform/program/node/program.ts'
-import { createOperatorClient } from '../platform/rpc/node/rpcClients.ts'
+import { exitCodes } from '../services/program/node/program.ts'
+import { createOperatorClient } from '../services/rpc/node/rpcClients.ts'
 import { callFirst, gateArgument, jsonArgument, parseAddresses, writeLine } from './commonArgs.ts'
 
 export const dumpCommand = defineCommand({
--- a/src/cli/requestCommands.ts
+++ b/src/cli/requestCommands.ts
@@ -4,8 +4,8 @@
 import { readFileSync } from 'node:fs'
 import { defineCommand } from 'citty'
 import { PepperwoodClient } from '../client/pepperwoodClient.ts'
-import { exitCodes } from '../platform/program/node/program.ts'
-import { createRequestClient } from '../platform/rpc/node/rpcClients.ts'
+import { exitCodes } from '../services/program/node/program.ts'
+import { createRequestClient } from '../services/rpc/node/rpcClients.ts'
 import { callFirst, gateArgument, jsonArgument, parseAddresses, parseCount, writeLine } from './commonArgs.ts'
 
 const MAX_WAIT_MS = '4000'
--- a/src/client/clientError.ts
+++ b/src/client/clientError.ts
@@ -2,7 +2,7 @@
  * Why a caller got no whole answer.
  */
 import type { StageCost } from '../generated/pepperwood/v1/pepperwood_pb.ts'
-import { resultCodes } from '../platform/result/common/resultCodes.ts'
+import { resultCodes } from '../services/result/common/resultCodes.ts'
 
 /** What is known of the request's work; `notRun` means that no stage was ever sent. */
 export type ClientExecution = 'notRun' | 'mayHaveRun' | 'incomplete'
--- a/src/client/gateDirectory.ts
+++ b/src/client/gateDirectory.ts
@@ -7,8 +7,8 @@
 import { createConnectTransport } from '@connectrpc/connect-node'
 import type { IClock } from '../base/common/clock.ts'
 import { RequestService } from '../generated/pepperwood/v1/pepperwood_pb.ts'
-import type { ConfigurationNumber } from '../platform/configuration/common/configurationNumber.ts'
-import { compareNumbers, NO_CONFIGURATION } from '../platform/configuration/common/configurationNumber.ts'
+import type { ConfigurationNumber } from '../services/configuration/common/configurationNumber.ts'
+import { compareNumbers, NO_CONFIGURATION } from '../services/configuration/common/configurationNumber.ts'
 
 export type GateClient = Client<typeof RequestService>
 
--- a/src/gate/gateMetrics.ts
+++ b/src/gate/gateMetrics.ts
@@ -1,12 +1,12 @@
 /**
  * What a gate counts: ends of requests, attempts and times.
  */
-import type { FactStore } from '../platform/facts/common/factStore.ts'
-import { MetricsRegistry } from '../platform/metrics/node/metricsServer.ts'
-import type { PauseGuard } from '../platform/pause/common/pauseGuard.ts'
-import type { EndedAttempt } from '../platform/pipeline/node/stageRunner.ts'
-import type { RequestRun } from '../platform/session/common/requestRun.ts'
-import type { ISessionService } from '../platform/session/common/sessionService.ts'
+import type { FactStore } from '../services/facts/common/factStore.ts'
+import { MetricsRegistry } from '../services/metrics/node/metricsServer.ts'
+import type { PauseGuard } from '../services/pause/common/pauseGuard.ts'
+import type { EndedAttempt } from '../services/pipeline/node/stageRunner.ts'
+import type { RequestRun } from '../services/session/common/requestRun.ts'
+import type { ISessionService } from '../services/session/common/sessionService.ts'
 
 export interface GateMetricsOptions {
   readonly sessions: ISessionService
--- a/src/gate/gateSettings.ts
+++ b/src/gate/gateSettings.ts
@@ -2,7 +2,7 @@
  * The settings file of `pepperwood-gate`.
  */
 import { Schema } from 'effect'
-import { AddressText, PositiveMs } from '../platform/settings/node/settingsFile.ts'
+import { AddressText, PositiveMs } from '../services/settings/node/settingsFile.ts'
 
 const PositiveCount = Schema.Number.pipe(Schema.int(), Schema.positive())
 const Part = Schema.Number.pipe(Schema.between(0, 1))
--- a/src/gate/main.ts
+++ b/src/gate/main.ts
@@ -1,7 +1,7 @@
 /**
  * The program `pepperwood-gate`.
  */
-import { runServerProgram } from '../platform/program/node/program.ts'
+import { runServerProgram } from '../services/program/node/program.ts'
 import { Gate } from './gate.ts'
 import { GateSettingsSchema } from './gateSettings.ts'
 
--- a/src/load/benchCommand.ts
+++ b/src/load/benchCommand.ts
@@ -2,7 +2,7 @@
  * `pepperwood-load bench`: one gate's throughput and overhead, and the cost of a decision.
  */
 import { defineCommand } from 'citty'
-import { exitCodes } from '../platform/program/node/program.ts'
+import { exitCodes } from '../services/program/node/program.ts'
 import { measureDecision } from './decisionBench.ts'
 import { measureGate } from './gateBench.ts'
 import { chooseNetwork, loadProfile } from './runCommand.ts'
--- a/src/load/loadProfile.ts
+++ b/src/load/loadProfile.ts
@@ -2,7 +2,7 @@
  * A profile: a user's fleet, customers and load, as read from TOML.
  */
 import { Schema } from 'effect'
-import { PositiveMs } from '../platform/settings/node/settingsFile.ts'
+import { PositiveMs } from '../services/settings/node/settingsFile.ts'
 import { PolicySettingsSchema } from '../gate/gateSettings.ts'
 
 const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative())
--- a/src/load/scenario.ts
+++ b/src/load/scenario.ts
@@ -2,7 +2,7 @@
  * A scenario: the shape of the load and what goes wrong when, as read from TOML.
  */
 import { Schema } from 'effect'
-import { PositiveMs } from '../platform/settings/node/settingsFile.ts'
+import { PositiveMs } from '../services/settings/node/settingsFile.ts'
 import type { RateShape } from './arrivals.ts'
 import type { LoadProfile } from './loadProfile.ts'
 
--- a/src/standin/main.ts
+++ b/src/standin/main.ts
@@ -1,7 +1,7 @@
 /**
  * The program `pepperwood-standin`, for development and experiments only.
  */
-import { runServerProgram } from '../platform/program/node/program.ts'
+import { runServerProgram } from '../services/program/node/program.ts'
 import { Standin } from './standin.ts'
 import { StandinSettingsSchema } from './standinSettings.ts'
 
--- a/src/standin/standinSettings.ts
+++ b/src/standin/standinSettings.ts
@@ -2,7 +2,7 @@
  * The settings file of `pepperwood-standin`.
  */
 import { Schema } from 'effect'
-import { AddressText, PositiveMs } from '../platform/settings/node/settingsFile.ts'
+import { AddressText, PositiveMs } from '../services/settings/node/settingsFile.ts'
 
 const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative())
 
--- a/src/steward/main.ts
+++ b/src/steward/main.ts
@@ -1,7 +1,7 @@
 /**
  * The program `pepperwood-steward`.
  */
-import { runServerProgram } from '../platform/program/node/program.ts'
+import { runServerProgram } from '../services/program/node/program.ts'
 import { Steward } from './steward.ts'
 import { StewardSettingsSchema } from './stewardSettings.ts'
 
--- a/src/steward/stewardSettings.ts
+++ b/src/steward/stewardSettings.ts
@@ -2,7 +2,7 @@
  * The settings file of `pepperwood-steward`.
  */
 import { Schema } from 'effect'
-import { AddressText, PositiveMs } from '../platform/settings/node/settingsFile.ts'
+import { AddressText, PositiveMs } from '../services/settings/node/settingsFile.ts'
 
 export const StewardSettingsSchema = Schema.Struct({
   /** Where other processes of the system reach this steward. */
