--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,14 +30,14 @@
   return ['error', { paths, patterns }]
 }
 
-const noPrograms = { regex: '/(gate|steward|cli|standin|load|client)/', message: 'Imports go downwards: programs -> services -> base.' }
+const noPrograms = { regex: '/(gate|steward|cli|standin|load|client|entryNode)/', message: 'Imports go downwards: programs -> services -> base.' }
 const noServices = { regex: '/services/', message: 'Imports go downwards: base knows nothing of the domain.' }
 const noNode = { regex: '^node:|/node/', message: 'Code in common is pure and uses no Node API.' }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'out/**', 'src/generated/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'out/**', 'target/**', 'src/generated/**', 'node_modules/**'] }),
   {
-    files: ['src/**/*.ts', 'bench/**/*.ts'],
+    files: ['src/**/*.ts', 'bench/**/*.ts', 'platform/**/*.ts'],
     plugins: { '@typescript-eslint': plugins['typescript-eslint'].plugin },
     rules: {
       '@typescript-eslint/consistent-type-imports': ['error', { prefer: 'type-imports', fixStyle: 'separate-type-imports' }],
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,7 @@
 // Bundles each program into one file under dist/.
 import { chmodSync } from 'node:fs'
 import { build } from 'esbuild'
+import { bundleOptions } from './bundleOptions.mjs'
 
 const programs = {
   pepperwood: 'src/cli/main.ts',
@@ -11,16 +12,10 @@
 }
 
 await build({
+  ...bundleOptions,
   entryPoints: Object.entries(programs).map(([out, entry]) => ({ in: entry, out })),
   outdir: 'dist',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  sourcemap: 'linked',
-  logLevel: 'warning',
-  // Packages in CommonJS form ask for require, which a module has not by itself.
-  banner: { js: "#!/usr/bin/env node\nimport { createRequire as createRequireOfBundle } from 'node:module'\nconst require = createRequireOfBundle(import.meta.url)" }
+  sourcemap: 'linked'
 })
 
 for (const name of Object.keys(programs)) chmodSync(`dist/${name}.js`, 0o755)
--- /dev/null
+++ b/src/entryNode/entryNode.ts
@@ -0,0 +1,295 @@
+/**
+ * A node: one process a host that relays callers' requests to upstreams and keeps its own view of the fleet. It holds
+ * the parts of a gate and a steward, joined in memory; how callers, upstreams and the configuration's source speak is
+ * given to it.
+ */
+import { Agent } from 'node:http'
+import { parseAddress } from '../base/common/address.ts'
+import type { IClock } from '../base/common/clock.ts'
+import { DecayingCount } from '../base/common/decayingCount.ts'
+import { Disposable, toDisposable } from '../base/common/disposable.ts'
+import { Emitter } from '../base/common/event.ts'
+import type { IRandom } from '../base/common/random.ts'
+import { startInterval, waitFor } from '../base/node/interval.ts'
+import type { ConfigurationSource } from '../services/configuration/common/configurationSource.ts'
+import type { AcceptedConfiguration } from '../services/configuration/common/configurationService.ts'
+import { formatGateSubject } from '../services/facts/common/fact.ts'
+import { EjectingTracker } from '../services/health/common/healthTracker.ts'
+import type { ILogService } from '../services/log/node/logger.ts'
+import { listNodeAddresses } from '../services/locate/common/nodeDirectory.ts'
+import type { AddressAnswer } from '../services/locate/common/nodeDirectory.ts'
+import type { Member } from '../services/membership/common/membershipTable.ts'
+import { FleetMember } from '../services/membership/node/fleetMember.ts'
+import { PAUSE_CHECK_PERIOD_MS, PauseGuard } from '../services/pause/common/pauseGuard.ts'
+import type { PieceProtocol } from '../services/preparation/common/pieceProtocol.ts'
+import { PreparationClient } from '../services/preparation/node/preparationClient.ts'
+import { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
+import { PreparationServer } from '../services/preparation/node/preparationServer.ts'
+import type { CallerProtocol, UpstreamProtocol } from '../services/relay/common/relayProtocol.ts'
+import { RelayPool } from '../services/relay/common/relayPool.ts'
+import { AffinityRouter } from '../services/relay/common/relayRouter.ts'
+import { RelayTable } from '../services/relay/common/relayTable.ts'
+import { RelayServer } from '../services/relay/node/relayServer.ts'
+import type { EndedRequest } from '../services/relay/node/relayServer.ts'
+import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
+import { RetryBudget } from '../services/retry/common/retryPolicy.ts'
+import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
+import type { UpstreamChange } from '../services/upstream/common/upstreamRegistry.ts'
+import type { UpstreamNews, UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
+import type { NodeSettings } from './nodeSettings.ts'
+
+export interface EntryNodeOptions {
+  readonly settings: NodeSettings
+  readonly clock: IClock
+  readonly random: IRandom
+  readonly log: ILogService
+  /** Grows with each boot of the host. */
+  readonly incarnation: number
+  readonly callerProtocol: CallerProtocol
+  readonly upstreamProtocol: UpstreamProtocol
+  readonly pieceProtocol: PieceProtocol
+  readonly configurationSource: ConfigurationSource
+  readonly upstreamSource: UpstreamSource
+}
+
+/** How often a node tells the others what it has to do; it is not used by callers once it was silent for long. */
+const REPORT_PERIOD_MS = 500
+/** A connection to an upstream that was idle for so long may be closed there at any moment. */
+const IDLE_CONNECTION_MS = 3000
+/** How long a starting node waits for the source and its peers before it goes on with what it has. */
+const READY_WAIT_MS = 3000
+const LOAD_MEMORY_MS = 5000
+/** The part of the fleet's retries that is handed out; the rest covers what nodes see differently. */
+const RETRY_SAFETY = 0.8
+/** Callers still come with old answers for about this part of the grace time. */
+const LINGER_SHARE = 0.45
+/** The end is kept this far from the moment when the process would be ended by force. */
+const STOP_MARGIN_MS = 400
+const STOP_POLL_MS = 50
+
+export class EntryNode extends Disposable {
+  private readonly _options: EntryNodeOptions
+  private readonly _member: FleetMember
+  private readonly _registry = this._register(new UpstreamRegistry())
+  private readonly _pause: PauseGuard
+  private readonly _recent: DecayingCount
+  private readonly _relay: RelayServer
+  private readonly _coordinator: PreparationCoordinator
+  private readonly _preparation: PreparationClient
+  private readonly _preparationServer: PreparationServer
+  private readonly _onDidStop = this._register(new Emitter<void>())
+  /** Fired at the end of a planned stop. */
+  readonly onDidStop = this._onDidStop.event
+  private _settings: NodeSettings
+  private _table: RelayTable | undefined
+  private _factCounter = 0
+  private _isDraining = false
+  private _isCatchingUp = false
+
+  constructor (options: EntryNodeOptions) {
+    super()
+    this._options = options
+    this._settings = options.settings
+    const { clock, log, random, settings } = options
+    this._pause = new PauseGuard(clock)
+    this._recent = new DecayingCount(clock, LOAD_MEMORY_MS)
+    this._member = this._register(new FleetMember({
+      ...options,
+      address: settings.address,
+      hall: settings.hall,
+      listSeeds: () => this._settings.seeds,
+      readyWaitMs: READY_WAIT_MS
+    }))
+    const getTable = () => this._table
+    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: options.pieceProtocol, registry: this._registry, getTable }))
+    this._preparationServer = this._register(new PreparationServer(this._coordinator, log))
+    this._preparation = this._register(new PreparationClient({
+      clock,
+      log,
+      protocol: options.pieceProtocol,
+      registry: this._registry,
+      coordinator: this._coordinator,
+      address: this._formatPreparationAddress(settings.address),
+      listAddresses: () => this._member.membership.listLive().map(member => this._formatPreparationAddress(member.address))
+    }))
+    const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS, scheduling: 'lifo' })
+    this._register(toDisposable(() => agent.destroy()))
+    this._relay = this._register(new RelayServer({
+      context: {
+        clock,
+        random,
+        log,
+        hall: settings.hall,
+        agent,
+        upstreamProtocol: options.upstreamProtocol,
+        registry: this._registry,
+        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this._countNodes() }),
+        retry: new RetryBudget({ share: settings.retry_share * RETRY_SAFETY, maxSaved: () => settings.retry_spare * RETRY_SAFETY / this._countNodes() }),
+        preparation: this._preparation
+      },
+      callerProtocol: options.callerProtocol,
+      getTable,
+      findObstacle: () => this._findObstacle()
+    }))
+    this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
+    this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
+    this._register(this._registry.onDidChange(change => this._noteChange(change)))
+    this._register(options.configurationSource)
+    this._register(options.configurationSource.onDidRead(document => this._member.offer(document)))
+    this._register(options.upstreamSource)
+    this._register(options.upstreamSource.onDidRead(news => this._takeNews(news)))
+  }
+
+  /** Whether callers should use this node. */
+  get isReady (): boolean {
+    return !this._isDraining && this._findObstacle() === undefined
+  }
+
+  async start (): Promise<void> {
+    const { settings, log, configurationSource, upstreamSource } = this._options
+    log.info('starting', { node: settings.name, hall: settings.hall, address: settings.address, seeds: settings.seeds.length })
+    const address = parseAddress(settings.address)
+    const callers = parseAddress(settings.callers_address)
+    if (address === undefined || callers === undefined) throw new PepperwoodError({ name: 'settingsInvalid', message: 'bad address', place: 'address' })
+    await this._member.listen(address)
+    await this._preparationServer.listen(address.host, settings.preparation_port)
+    await this._relay.listen(callers.host, callers.port)
+    this._register(startInterval(PAUSE_CHECK_PERIOD_MS, () => this._checkPause()))
+    this._register(startInterval(REPORT_PERIOD_MS, () => this._report()))
+    upstreamSource.start()
+    configurationSource.start()
+    await this._member.join(configurationSource.readNewest())
+    this._report()
+  }
+
+  /** Which addresses callers should use, and for how long. */
+  locate (hall: string): AddressAnswer {
+    return listNodeAddresses({
+      gates: this._listGates(),
+      members: this._member.membership.listMembers(),
+      hall,
+      own: this.isReady ? this._settings.callers_address : undefined,
+      maxKeepMs: this._settings.keep_s * 1000
+    })
+  }
+
+  /** Takes in settings that may change while the process runs; the others need a new start. */
+  applySettings (settings: NodeSettings): void {
+    this._options.log.info('reloaded', { node: settings.name, seeds: settings.seeds.join(',') })
+    this._settings = { ...this._settings, seeds: settings.seeds, keep_s: settings.keep_s, stop_grace_s: settings.stop_grace_s }
+  }
+
+  /** A planned stop: peers are told, callers are sent elsewhere, and what runs is finished. */
+  async stop (): Promise<void> {
+    if (this._isDraining) return
+    const { clock, log } = this._options
+    const stoppedAt = clock.now()
+    const graceMs = this._settings.stop_grace_s * 1000
+    this._isDraining = true
+    log.info('stopping', { open: this._relay.openCount, grace_ms: graceMs })
+    this._report()
+    this._relay.drain()
+    await this._member.leave()
+    const lingerUntil = stoppedAt + graceMs * LINGER_SHARE
+    while (clock.now() < lingerUntil) await waitFor(STOP_POLL_MS)
+    this._relay.close()
+    const endAt = stoppedAt + graceMs - STOP_MARGIN_MS
+    while (this._relay.openCount > 0 && clock.now() < endAt) await waitFor(STOP_POLL_MS)
+    log.info('stopped', { open: this._relay.openCount, took_ms: Math.round(clock.now() - stoppedAt) })
+    this._onDidStop.fire()
+    this.dispose()
+  }
+
+  private _findObstacle (): PepperwoodError | undefined {
+    if (!this._member.isReady || this._table === undefined) return new PepperwoodError({ name: 'gateNotReady', message: 'no configuration is known yet' })
+    if (this._pause.isStale) return new PepperwoodError({ name: 'gateNotReady', message: 'what is known is from before a pause' })
+    return undefined
+  }
+
+  /** A process that was paused reads anew before it takes work. */
+  private _checkPause (): void {
+    const wasStale = this._pause.isStale
+    if (!wasStale || this._isCatchingUp) return
+    this._isCatchingUp = true
+    this._options.log.warn('paused', { pauses: this._pause.pauseCount })
+    void this._catchUp()
+  }
+
+  private async _catchUp (): Promise<void> {
+    const { configurationSource } = this._options
+    this._member.askPeers()
+    await Promise.race([configurationSource.readNewest(), waitFor(READY_WAIT_MS)])
+    this._isCatchingUp = false
+    this._pause.markRefreshed()
+  }
+
+  private _apply (accepted: AcceptedConfiguration): void {
+    const { relay } = accepted.configuration
+    if (relay === undefined) return
+    this._table = new RelayTable(relay)
+    this._relay.applyLimits(relay.limits)
+    this._coordinator.refresh()
+  }
+
+  private _takeNews (news: UpstreamNews): void {
+    if (news.kind === 'updated') return this._registry.update(news.entry, 'source')
+    if (news.kind === 'removed') return this._registry.drop(news.id, 'removed')
+    const listed = new Set(news.entries.map(entry => entry.id))
+    for (const entry of news.entries) this._registry.update(entry, 'source')
+    for (const entry of this._registry.list()) if (!listed.has(entry.id)) this._registry.drop(entry.id, 'not listed')
+  }
+
+  private _report (): void {
+    const { settings, incarnation } = this._options
+    const { callers_address: address, hall } = settings
+    const subject = formatGateSubject(address)
+    const known = this._member.facts.get(subject)?.incarnation ?? 0
+    this._recent.add(0)
+    this._member.facts.merge({
+      subject,
+      // A node whose clock fell behind that of its predecessor at this address must still be heard.
+      incarnation: Math.max(incarnation, known),
+      counter: ++this._factCounter,
+      value: {
+        kind: 'gate',
+        address,
+        hall,
+        inFlight: this._relay.openCount,
+        recentRequests: Math.round(this._recent.value),
+        draining: this._isDraining,
+        ready: this.isReady,
+        configuration: this._member.configuration.number
+      },
+      ageMs: 0
+    })
+  }
+
+  private _listGates () {
+    const now = this._options.clock.now()
+    return this._member.facts.listKind('gate').map(({ value, observedAt }) => ({ ...value, ageMs: now - observedAt }))
+  }
+
+  private _countNodes (): number {
+    return Math.max(1, this._member.membership.listLive().length)
+  }
+
+  private _formatPreparationAddress (address: string): string {
+    return `${parseAddress(address)?.host ?? ''}:${this._options.settings.preparation_port}`
+  }
+
+  private _noteEnd (ended: EndedRequest): void {
+    this._recent.add(1)
+    const { id, route, customer, elapsedMs, end } = ended
+    this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, took_ms: Math.round(elapsedMs) })
+  }
+
+  private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
+    if (kind === 'changed') return
+    this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal })
+  }
+
+  /** Members as this node knows them, for the dump. */
+  listMembers (): readonly Member[] {
+    return this._member.membership.listMembers()
+  }
+}
--- /dev/null
+++ b/src/entryNode/nodeSettings.ts
@@ -0,0 +1,40 @@
+/**
+ * The settings file of `pepperwood-node`.
+ */
+import { Schema } from 'effect'
+import { AddressText } from '../services/settings/node/settingsFile.ts'
+
+const PositiveSeconds = Schema.Number.pipe(Schema.positive({ message: () => 'expected a positive number of seconds' }))
+const NonNegative = Schema.Number.pipe(Schema.nonNegative())
+const Port = Schema.Number.pipe(Schema.int(), Schema.between(1, 65_535))
+
+export const NodeSettingsSchema = Schema.Struct({
+  name: Schema.NonEmptyString,
+  hall: Schema.NonEmptyString,
+  region: Schema.String,
+  /** Where the other nodes reach this one. */
+  address: AddressText,
+  /** Where callers send their requests. */
+  callers_address: AddressText,
+  /** Where callers ask which addresses to use. */
+  directory_address: AddressText,
+  /** Where it is asked whether this node takes requests. */
+  readiness_address: AddressText,
+  /** Where nodes give each other preparation jobs; the same port on all. */
+  preparation_port: Port,
+  metrics_port: Schema.optional(Port),
+  /** Nodes to meet first. */
+  seeds: Schema.Array(AddressText),
+  /** Where configuration and upstreams are read. */
+  source_address: AddressText,
+  /** A stopping process is ended by force after this. */
+  stop_grace_s: PositiveSeconds,
+  /** The longest that callers may keep an address answer. */
+  keep_s: PositiveSeconds,
+  /** Retries of all nodes together against first attempts, at any upstream role. */
+  retry_share: NonNegative,
+  /** Retries of all nodes together that need no first attempts, in one window. */
+  retry_spare: NonNegative
+})
+
+export type NodeSettings = typeof NodeSettingsSchema.Type
--- a/src/services/configuration/common/configurationRules.ts
+++ b/src/services/configuration/common/configurationRules.ts
@@ -6,13 +6,15 @@
 import { parseAddress } from '../../../base/common/address.ts'
 import { MAX_EPOCH, MAX_VERSION } from '../../order/common/fencing.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import { listRelayProblems } from './relayRules.ts'
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/
 const MAX_DEADLINE_MS = 3_600_000
 const MAX_STAGES = 16
 
-type Report = (path: string, value: string, message: string) => void
+/** Takes in a broken rule: the place, the value found there and what was expected. */
+export type Report = (path: string, value: string, message: string) => void
 
 function checkNames (path: string, items: readonly { readonly name: string }[], report: Report): void {
   const seen = new Set<string>()
@@ -71,6 +73,7 @@
   configuration.pipelines.forEach((pipeline, index) => checkPipeline(`pipelines[${index}]`, pipeline, roles, report))
   configuration.customers.forEach((customer, index) => checkCustomer(`customers[${index}]`, customer, pipelines, report))
   configuration.upstreams.forEach((upstream, index) => checkUpstream(`upstreams[${index}]`, upstream, report))
+  if (configuration.relay !== undefined) listRelayProblems(configuration.relay, report)
   configuration.placements.forEach((placement, index) => {
     if (!roles.has(placement.role)) report(`placements[${index}].role`, placement.role, 'no upstream has this role')
     if (placement.model === '') report(`placements[${index}].model`, '', 'expected a model')
--- /dev/null
+++ b/src/services/configuration/common/relayRules.ts
@@ -0,0 +1,73 @@
+/**
+ * What the relay part of a configuration document must satisfy beyond its schema.
+ */
+import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { PieceWork, PreparationStage, Relay, RelayCustomer, Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { Report } from './configurationRules.ts'
+
+const DIGEST_PATTERN = /^[0-9a-f]{64}$/
+
+/** Reports every rule that the relay part breaks, in the order of the document. */
+export function listRelayProblems (relay: Relay, report: Report): void {
+  const roles = new Map(relay.roles.map(role => [role.name, role]))
+  relay.roles.forEach((role, index) => {
+    const path = `relay.roles[${index}]`
+    if (role.name === '') report(`${path}.name`, '', 'expected a name')
+    if (role.pieceWork !== undefined) checkPieceWork(`${path}.pieceWork`, role.pieceWork, report)
+  })
+  relay.routes.forEach((route, index) => checkRoute(`relay.routes[${index}]`, route, name => roles.has(name), report))
+  relay.routes.forEach((route, index) => {
+    route.stages.forEach((stage, number) => {
+      if (roles.get(stage.role)?.pieceWork !== undefined) return
+      report(`relay.routes[${index}].stages[${number}].role`, stage.role, 'expected a role with piece work')
+    })
+  })
+  relay.customers.forEach((customer, index) => checkCustomer(`relay.customers[${index}]`, customer, report))
+}
+
+function checkRoute (path: string, route: Route, hasRole: (name: string) => boolean, report: Report): void {
+  if (route.host === '') report(`${path}.host`, '', 'expected a host')
+  if (!/^\/(.*\/)?$/.test(route.pathPrefix)) report(`${path}.pathPrefix`, route.pathPrefix, 'expected a path that begins and ends with a slash')
+  if (route.kind === RouteKind.UNSPECIFIED) report(`${path}.kind`, '', 'expected a kind')
+  if (route.maxAttempts < 1) report(`${path}.maxAttempts`, String(route.maxAttempts), 'expected at least 1')
+  if (!(route.timeoutMs > 0)) report(`${path}.timeoutMs`, String(route.timeoutMs), 'expected a positive number of milliseconds')
+  if (route.targets.length === 0) report(`${path}.targets`, '', 'expected at least one target')
+  route.targets.forEach((target, index) => {
+    if (!hasRole(target.role)) report(`${path}.targets[${index}].role`, target.role, 'no such role')
+    if (!(target.weight >= 0)) report(`${path}.targets[${index}].weight`, String(target.weight), 'expected a weight of 0 or more')
+  })
+  if (route.targets.length > 0 && !route.targets.some(target => target.weight > 0)) report(`${path}.targets`, '', 'expected a target with a weight above 0')
+  checkStages(`${path}.stages`, route.stages, report)
+}
+
+/** Stages may name later ones, but none may need its own result. */
+function checkStages (path: string, stages: readonly PreparationStage[], report: Report): void {
+  stages.forEach((stage, index) => {
+    for (const after of stage.after) if (after >= stages.length) report(`${path}[${index}].after`, String(after), 'no such stage')
+  })
+  const settled = new Set<number>()
+  for (let before = -1; before !== settled.size;) {
+    before = settled.size
+    stages.forEach((stage, index) => { if (stage.after.every(after => settled.has(after) || after >= stages.length)) settled.add(index) })
+  }
+  if (settled.size < stages.length) report(path, '', 'stages need each other in a circle')
+}
+
+function checkPieceWork (path: string, work: PieceWork, report: Report): void {
+  const positive = {
+    concurrentCalls: work.concurrentCalls,
+    maxPiecesPerCall: work.maxPiecesPerCall,
+    resultRoomBytes: work.resultRoomBytes,
+    resultLifetimeMs: work.resultLifetimeMs
+  }
+  for (const [field, value] of Object.entries(positive)) {
+    if (!(value > 0)) report(`${path}.${field}`, String(value), 'expected a number above 0')
+  }
+}
+
+function checkCustomer (path: string, customer: RelayCustomer, report: Report): void {
+  if (customer.name === '') report(`${path}.name`, '', 'expected a name')
+  customer.keySha256.forEach((digest, index) => {
+    if (!DIGEST_PATTERN.test(digest)) report(`${path}.keySha256[${index}]`, digest, 'expected 64 lower-case hexadecimal digits')
+  })
+}
--- a/src/services/log/node/logger.ts
+++ b/src/services/log/node/logger.ts
@@ -1,5 +1,5 @@
 /**
- * Structured logs: one line of key=value pairs for each event, written to stderr through consola.
+ * Structured logs: one line of key=value pairs for each event, written through consola.
  */
 import { createConsola } from 'consola'
 import type { ConsolaInstance } from 'consola'
@@ -25,6 +25,8 @@
   readonly program: string
   /** Nothing is printed, but events are still fired. */
   readonly silent?: boolean
+  /** Where lines are written; standard error by default. */
+  readonly stream?: NodeJS.WritableStream
 }
 
 const PLAIN_VALUE = /^[\w.:/@+-]*$/
@@ -48,10 +50,11 @@
 
   constructor (options: LogServiceOptions) {
     this._program = options.program
+    const stream = options.stream ?? process.stderr
     this._sink = createConsola({
       level: options.silent === true ? -999 : 3,
       reporters: [{
-        log: entry => { process.stderr.write(`time=${entry.date.toISOString()} ${entry.args.join(' ')}\n`) }
+        log: entry => { stream.write(`time=${entry.date.toISOString()} ${entry.args.join(' ')}\n`) }
       }]
     })
   }
--- /dev/null
+++ b/src/services/membership/node/fleetMember.ts
@@ -0,0 +1,203 @@
+/**
+ * This process as a member of the fleet: it holds facts and the configuration, keeps membership with its peers, and
+ * hands on what it learns. Programs add where the configuration comes from and what they do with it.
+ */
+import type { Address } from '../../../base/common/address.ts'
+import type { IClock } from '../../../base/common/clock.ts'
+import { Disposable } from '../../../base/common/disposable.ts'
+import type { IRandom } from '../../../base/common/random.ts'
+import { startInterval, waitFor } from '../../../base/node/interval.ts'
+import { formatNumber } from '../../configuration/common/configurationNumber.ts'
+import { ConfigurationService } from '../../configuration/common/configurationService.ts'
+import type { AcceptedConfiguration } from '../../configuration/common/configurationService.ts'
+import type { ConfigurationText } from '../../configuration/common/configurationDocument.ts'
+import { FetchGuard } from '../../configuration/common/fetchGuard.ts'
+import { FactStore } from '../../facts/common/factStore.ts'
+import type { HeldFact } from '../../facts/common/factStore.ts'
+import { PeerLink, sumTraffic } from '../../facts/node/peerLink.ts'
+import type { LinkTraffic } from '../../facts/node/peerLink.ts'
+import type { ILogService } from '../../log/node/logger.ts'
+import { FrameServer } from '../../rpc/node/frameServer.ts'
+import { MembershipTable } from '../common/membershipTable.ts'
+import { GossipService } from './gossipService.ts'
+
+export interface FleetMemberOptions {
+  /** Where peers reach this process. */
+  readonly address: string
+  readonly hall: string
+  /** The address that its connections leave from. */
+  readonly localIp?: string
+  /** Grows with each boot of the host. */
+  readonly incarnation: number
+  readonly clock: IClock
+  readonly random: IRandom
+  readonly log: ILogService
+  /** Members to meet first, and again when they have been lost. */
+  readonly listSeeds: () => readonly string[]
+  readonly probePeriodMs?: number
+  /** How long a starting process waits for the configuration's source and its peers. */
+  readonly readyWaitMs: number
+}
+
+/** How often gates get what is new. */
+const GATE_PUSH_PERIOD_MS = 100
+/** How often the number of the configuration in force is compared with the peers'. */
+const ANNOUNCE_PERIOD_MS = 1000
+/** Members whose configuration is compared each time; a new one is announced to all. */
+const COMPARED_COUNT = 2
+const FORGET_PERIOD_MS = 60_000
+const LEAVE_SPREAD_MS = 500
+const READY_POLL_MS = 20
+
+export class FleetMember extends Disposable {
+  readonly facts: FactStore
+  readonly configuration: ConfigurationService
+  readonly membership: MembershipTable
+  readonly gossip: GossipService
+  private readonly _options: FleetMemberOptions
+  private readonly _fetchGuard: FetchGuard
+  private readonly _accepted = new Set<PeerLink>()
+  private _closedTraffic: LinkTraffic = { sent: 0, received: 0 }
+  private _isReady = false
+
+  constructor (options: FleetMemberOptions) {
+    super()
+    this._options = options
+    const { clock, random } = options
+    this.facts = this._register(new FactStore(clock))
+    this.configuration = this._register(new ConfigurationService(clock))
+    this._fetchGuard = new FetchGuard(clock)
+    this.membership = this._register(new MembershipTable({ ...options, facts: this.facts }))
+    this.gossip = this._register(new GossipService({
+      membership: this.membership,
+      random,
+      link: { ...this._createLinkOptions(), localAddress: options.localIp },
+      listSeeds: options.listSeeds,
+      probePeriodMs: options.probePeriodMs
+    }))
+    this._register(this.configuration.onDidAccept(accepted => this._handleAccepted(accepted)))
+    this._register(this.facts.onDidChange(fact => this._handleFact(fact)))
+  }
+
+  /** Whether the configuration may be handed on and acted on. */
+  get isReady (): boolean {
+    return this._isReady
+  }
+
+  /** Bytes over all links with other processes of the system. */
+  get traffic (): LinkTraffic {
+    return sumTraffic([this._closedTraffic, this.gossip.traffic, ...[...this._accepted].map(link => link.traffic)])
+  }
+
+  listGateLinks (): readonly PeerLink[] {
+    return [...this._accepted].filter(link => link.peerRole === 'gate')
+  }
+
+  async listen (address: Address): Promise<void> {
+    const frames = this._register(new FrameServer(connection => this._accept(new PeerLink({ ...this._createLinkOptions(), connection }))))
+    await frames.listen(address.host, address.port)
+  }
+
+  /**
+   * The highest of the documents of the source and of the peers is taken before anything is handed on. Resolves when
+   * both have answered or the time is over.
+   */
+  async join (sourceRead: Promise<unknown>): Promise<void> {
+    const { clock, readyWaitMs, log, address, hall } = this._options
+    this._register(startInterval(GATE_PUSH_PERIOD_MS, () => this.pushToGates()))
+    this._register(startInterval(FORGET_PERIOD_MS, () => this.facts.dropOldGates()))
+    this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._announceConfiguration(COMPARED_COUNT)))
+    const until = clock.now() + readyWaitMs
+    const [reached] = await Promise.all([this.gossip.meetSeeds(), Promise.race([sourceRead, waitFor(readyWaitMs)])])
+    const refreshed = new Set<PeerLink>()
+    for (const link of this.gossip.links) {
+      link.onDidReceive(message => { if (message.kind === 'refreshed') refreshed.add(link) })
+      link.send({ kind: 'refresh', id: 0 })
+    }
+    while (refreshed.size < reached && clock.now() < until) await waitFor(READY_POLL_MS)
+    this._isReady = true
+    log.info('ready', { address, hall, configuration: formatNumber(this.configuration.number), peers: reached })
+    this._announceConfiguration()
+  }
+
+  /** Has every linked peer say what it knows; what is higher comes back. */
+  askPeers (): void {
+    for (const link of this.gossip.links) link.send({ kind: 'refresh', id: 0 })
+  }
+
+  /** Takes in a document that was read from the source. */
+  offer (document: ConfigurationText): void {
+    this.configuration.offer(document, 'platform').ifLeft(error => {
+      if (error.resultName === 'configurationNotHigher') return
+      this._options.log.warn('configuration_refused', { code: error.code, reason: error.message, place: error.place, value: error.value })
+    })
+  }
+
+  /** Tells peers of a planned stop, and gives the news time to spread. */
+  async leave (): Promise<void> {
+    this.membership.leave()
+    this.gossip.spreadNow()
+    this.pushToGates()
+    await waitFor(LEAVE_SPREAD_MS)
+  }
+
+  pushToGates (): void {
+    for (const link of this.listGateLinks()) link.sendNews()
+  }
+
+  private _createLinkOptions () {
+    const { address, hall, log } = this._options
+    return {
+      facts: this.facts,
+      configuration: this.configuration,
+      fetchGuard: this._fetchGuard,
+      log,
+      hello: { kind: 'hello' as const, role: 'steward' as const, address, hall },
+      mayShareConfiguration: () => this._isReady
+    }
+  }
+
+  private _accept (link: PeerLink): void {
+    this._accepted.add(this._register(link))
+    link.onDidClose(() => {
+      this._accepted.delete(link)
+      this._closedTraffic = sumTraffic([this._closedTraffic, link.traffic])
+      this._release(link)
+    })
+    link.onDidReceive(message => {
+      if (message.kind === 'refresh') this._answerRefresh(link, message.id)
+      else this.gossip.handleMessage(link, message)
+    })
+  }
+
+  private _answerRefresh (link: PeerLink, id: number): void {
+    link.sendNews()
+    link.sendConfiguration()
+    link.send({ kind: 'refreshed', id })
+  }
+
+  /** Compares numbers with all processes; for gates it is also the sign that this one lives. */
+  private _announceConfiguration (count = Infinity): void {
+    this.gossip.announceConfiguration(count)
+    for (const link of this.listGateLinks()) link.announceConfiguration()
+  }
+
+  private _handleAccepted (accepted: AcceptedConfiguration): void {
+    this._options.log.info('configuration_accepted', { number: formatNumber(accepted.number), source: accepted.source })
+    this._announceConfiguration()
+  }
+
+  private _handleFact (fact: HeldFact): void {
+    const { value } = fact
+    if (value.kind === 'leaving') {
+      this._options.log.info('upstream_leaving', { upstream: value.upstream, incarnation: fact.incarnation, signal: value.signal, source: fact.source })
+    } else if (value.kind === 'member') {
+      this._options.log.info('member_changed', { member: value.address, state: value.state, incarnation: fact.incarnation })
+    } else {
+      return
+    }
+    // What matters at once does not wait for the next round.
+    this.gossip.spreadNow()
+    this.pushToGates()
+  }
+}
--- /dev/null
+++ b/src/services/preparation/common/jobState.ts
@@ -0,0 +1,115 @@
+/**
+ * One job at its coordinator: which pieces wait, run, are made, or were given back.
+ */
+import { listLastStages } from './preparationJob.ts'
+import type { JobStage, PieceResult, PreparationJob } from './preparationJob.ts'
+
+export type PieceStatus = 'waiting' | 'running' | 'made' | 'freed'
+
+export class PieceState {
+  status: PieceStatus = 'waiting'
+  result: PieceResult | undefined
+  madeAt = 0
+  failures = 0
+}
+
+export class JobState {
+  readonly job: PreparationJob
+  readonly arrivedAt: number
+  readonly goalAt: number
+  readonly deadlineAt: number
+  readonly pieces: readonly (readonly PieceState[])[]
+  /** Stages between this one and the request, this one included. */
+  readonly heights: readonly number[]
+  readonly lastStages: readonly number[]
+  /** All results were made and handed over. */
+  isHandedOver = false
+
+  constructor (job: PreparationJob, now: number) {
+    this.job = job
+    this.arrivedAt = now
+    this.goalAt = now + job.goalInMs
+    this.deadlineAt = now + job.deadlineInMs
+    this.pieces = job.stages.map(stage => Array.from({ length: stage.pieceCount }, () => new PieceState()))
+    this.heights = computeHeights(job.stages)
+    this.lastStages = listLastStages(job.stages)
+  }
+
+  /** Every piece that is still needed was made. */
+  isComplete (stage: number): boolean {
+    return this._getPieces(stage).every(piece => piece.status === 'made' || piece.status === 'freed')
+  }
+
+  get isDone (): boolean {
+    return this.job.stages.every((_, stage) => this.isComplete(stage))
+  }
+
+  /** Stages that may start pieces now: their inputs are there, and nothing further from the request is unfinished. */
+  listReadyStages (): readonly number[] {
+    const unfinished = this.job.stages.flatMap((_, stage) => this.isComplete(stage) ? [] : [stage])
+    const highest = Math.max(0, ...unfinished.map(stage => this.heights[stage] ?? 0))
+    return unfinished.filter(stage => {
+      const isNext = (this.heights[stage] ?? 0) >= highest
+      return isNext && this._getPieces(stage).some(piece => piece.status === 'waiting') && this._hasInputs(stage)
+    })
+  }
+
+  /** Handles of the inputs of a stage's pieces, in the order of stages and pieces. */
+  listInputs (stage: number): readonly PieceResult[] {
+    return (this.job.stages[stage]?.after ?? []).flatMap(before => this._listResults(before))
+  }
+
+  /** What the request itself takes. */
+  listFinalResults (): readonly PieceResult[] {
+    return this.lastStages.flatMap(stage => this._listResults(stage))
+  }
+
+  countWaiting (stage: number): number {
+    return this._getPieces(stage).filter(piece => piece.status === 'waiting').length
+  }
+
+  hasStarted (stage: number): boolean {
+    return this._getPieces(stage).some(piece => piece.status !== 'waiting')
+  }
+
+  /** Stages whose results no unfinished stage needs any more and that the request does not take either. */
+  listUsedUpStages (): readonly number[] {
+    return this.job.stages.flatMap((_, stage) => {
+      if (this.lastStages.includes(stage)) return []
+      const isNeeded = this.job.stages.some((other, index) => other.after.includes(stage) && !this.isComplete(index))
+      return isNeeded || !this.isComplete(stage) ? [] : [stage]
+    })
+  }
+
+  /** Makes a piece wait again, and with it the inputs that were given back since. */
+  reopen (stage: number, piece: PieceState): void {
+    piece.status = 'waiting'
+    piece.result = undefined
+    for (const before of this.job.stages[stage]?.after ?? []) {
+      for (const input of this._getPieces(before)) if (input.status === 'freed') this.reopen(before, input)
+    }
+  }
+
+  private _hasInputs (stage: number): boolean {
+    return (this.job.stages[stage]?.after ?? []).every(before => this._getPieces(before).every(piece => piece.status === 'made'))
+  }
+
+  private _listResults (stage: number): readonly PieceResult[] {
+    return this._getPieces(stage).flatMap(piece => piece.result === undefined ? [] : [piece.result])
+  }
+
+  private _getPieces (stage: number): readonly PieceState[] {
+    return this.pieces[stage] ?? []
+  }
+}
+
+function computeHeights (stages: readonly JobStage[]): readonly number[] {
+  const heights = stages.map(() => 0)
+  const compute = (stage: number): number => {
+    if (heights[stage] !== 0) return heights[stage] ?? 0
+    const later = stages.flatMap((other, index) => other.after.includes(stage) && other.pieceCount > 0 ? [compute(index)] : [])
+    return (heights[stage] = 1 + Math.max(0, ...later))
+  }
+  stages.forEach((_, stage) => compute(stage))
+  return heights
+}
--- /dev/null
+++ b/src/services/preparation/common/pieceUpstream.ts
@@ -0,0 +1,114 @@
+/**
+ * An upstream that makes pieces, as the planner sees it: its calls, the room that results take there, and how it does.
+ */
+
+/** What upstreams of a role do, from the configuration. */
+export interface PieceWorkSpec {
+  readonly concurrentCalls: number
+  readonly maxPiecesPerCall: number
+  readonly callMs: number
+  readonly pieceMs: number
+  readonly resultRoomBytes: number
+  readonly resultLifetimeMs: number
+}
+
+export interface PieceUpstreamOptions {
+  readonly id: string
+  readonly role: string
+  readonly hall: string
+  readonly work: PieceWorkSpec
+}
+
+interface HeldRoom {
+  readonly bytes: number
+  readonly until: number
+}
+
+/** Weight of the newest call in the smoothed slowness. */
+const SLOWNESS_SMOOTHING = 0.4
+const FIRST_AVOID_MS = 400
+const MAX_AVOID_MS = 3200
+
+export class PieceUpstream {
+  readonly id: string
+  readonly role: string
+  readonly hall: string
+  work: PieceWorkSpec
+  isLeaving = false
+  runningCalls = 0
+  /** How long calls take against what the configuration says. */
+  slowness = 1
+  private _usedBytes = 0
+  /** Results that may lie there and cannot be freed: they go when their lifetime ends. */
+  private _strayed: readonly HeldRoom[] = []
+  private _avoidUntil = 0
+  private _avoidMs = FIRST_AVOID_MS
+
+  constructor (options: PieceUpstreamOptions) {
+    this.id = options.id
+    this.role = options.role
+    this.hall = options.hall
+    this.work = options.work
+  }
+
+  /** Whether a call may start now. */
+  canStart (now: number): boolean {
+    return !this.isLeaving && this.runningCalls < this.work.concurrentCalls && now >= this._avoidUntil
+  }
+
+  /** Whether it can be counted on for work to come. */
+  isUsable (now: number): boolean {
+    return !this.isLeaving && now >= this._avoidUntil
+  }
+
+  get avoidUntil (): number {
+    return this._avoidUntil
+  }
+
+  getFreeBytes (now: number): number {
+    this._strayed = this._strayed.filter(room => room.until > now)
+    const strayed = this._strayed.reduce((sum, room) => sum + room.bytes, 0)
+    return this.work.resultRoomBytes - this._usedBytes - strayed
+  }
+
+  holdRoom (bytes: number): void {
+    this._usedBytes += bytes
+  }
+
+  releaseRoom (bytes: number): void {
+    this._usedBytes = Math.max(0, this._usedBytes - bytes)
+  }
+
+  /** What was held may still be there, but nobody can free it. */
+  loseRoom (bytes: number, now: number): void {
+    this.releaseRoom(bytes)
+    this._strayed = [...this._strayed, { bytes, until: now + this.work.resultLifetimeMs }]
+  }
+
+  /** The upstream says that it has no room, whatever was counted here. */
+  noteFull (now: number): void {
+    const free = this.getFreeBytes(now)
+    if (free > 0) this._strayed = [...this._strayed, { bytes: free, until: now + FIRST_AVOID_MS }]
+  }
+
+  recordCall (tookMs: number, expectedMs: number): void {
+    this.slowness += SLOWNESS_SMOOTHING * (tookMs / Math.max(1, expectedMs) - this.slowness)
+    this._avoidMs = FIRST_AVOID_MS
+  }
+
+  /** Leaves the upstream alone for a while, longer each time until a call succeeds. */
+  avoid (now: number): void {
+    this._avoidUntil = now + this._avoidMs
+    this._avoidMs = Math.min(MAX_AVOID_MS, this._avoidMs * 2)
+  }
+
+  /** Leaves it alone for a moment: it has enough to do. */
+  avoidBriefly (now: number, forMs: number): void {
+    this._avoidUntil = Math.max(this._avoidUntil, now + forMs)
+  }
+}
+
+/** How long a call with so many pieces should take. */
+export function computeCallMs (work: PieceWorkSpec, pieceCount: number): number {
+  return work.callMs + work.pieceMs * pieceCount
+}
--- /dev/null
+++ b/src/services/preparation/common/preparationJob.ts
@@ -0,0 +1,45 @@
+/**
+ * Work that has to be done before a request can run: stages of pieces, some of which need the results of others.
+ */
+
+export interface JobStage {
+  readonly role: string
+  /** Indexes of the stages whose results this one needs; stages that are left out are not among them. */
+  readonly after: readonly number[]
+  readonly pieceCount: number
+  /** About the size of one result. */
+  readonly resultBytes: number
+}
+
+export interface PreparationJob {
+  /** The id of the caller's try; pieces carry it. */
+  readonly id: string
+  /** What the pieces of stages without inputs work on. */
+  readonly key: string
+  readonly stages: readonly JobStage[]
+  /** 0 goes first. */
+  readonly rank: number
+  /** Milliseconds until the results are of full use, from now. */
+  readonly goalInMs: number
+  /** Milliseconds until nobody wants the results any more, from now. */
+  readonly deadlineInMs: number
+}
+
+/** A result that an upstream holds. */
+export interface PieceResult {
+  readonly handle: string
+  /** The boot that made it. */
+  readonly upstreamId: string
+}
+
+/** Why a job ended without results. */
+export interface JobRefusal {
+  readonly reason: 'overloaded' | 'tooLate' | 'noUpstream' | 'interrupted'
+  readonly retryAfterMs: number
+}
+
+/** The stages that no other stage needs: the request itself takes their results. */
+export function listLastStages (stages: readonly JobStage[]): readonly number[] {
+  const needed = new Set(stages.flatMap(stage => stage.pieceCount > 0 ? stage.after : []))
+  return stages.flatMap((stage, index) => stage.pieceCount > 0 && !needed.has(index) ? [index] : [])
+}
--- /dev/null
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -0,0 +1,66 @@
+/**
+ * The messages between the owners of jobs and their coordinator, and the check that each gets on arrival.
+ */
+import { Either as EffectEither, ParseResult, Schema } from 'effect'
+import { Left, Right } from 'purify-ts'
+import type { Either } from 'purify-ts'
+import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+
+const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative())
+const Span = Schema.Number.pipe(Schema.nonNegative())
+const Id = Schema.String.pipe(Schema.minLength(1), Schema.maxLength(512))
+
+const MAX_STAGES = 64
+const MAX_PIECES = 10_000
+
+const StageSchema = Schema.Struct({
+  role: Id,
+  after: Schema.Array(Count).pipe(Schema.maxItems(MAX_STAGES)),
+  pieceCount: Count.pipe(Schema.lessThanOrEqualTo(MAX_PIECES)),
+  resultBytes: Span
+})
+
+const JobSchema = Schema.Struct({
+  id: Id,
+  key: Schema.String.pipe(Schema.maxLength(4096)),
+  stages: Schema.Array(StageSchema).pipe(Schema.maxItems(MAX_STAGES)),
+  rank: Count,
+  goalInMs: Span,
+  deadlineInMs: Span
+})
+
+const PreparationMessageSchema = Schema.Union(
+  /** An owner wants a job done. */
+  Schema.Struct({ kind: Schema.Literal('job'), job: JobSchema }),
+  /** An owner needs the results no more. */
+  Schema.Struct({ kind: Schema.Literal('release'), jobId: Id }),
+  /** An owner found results missing. */
+  Schema.Struct({ kind: Schema.Literal('reopen'), jobId: Id }),
+  /** The coordinator has all results. */
+  Schema.Struct({
+    kind: Schema.Literal('prepared'),
+    jobId: Id,
+    results: Schema.Array(Schema.Struct({ handle: Id, upstreamId: Id })),
+    hall: Schema.String
+  }),
+  /** The coordinator gives the job up. */
+  Schema.Struct({
+    kind: Schema.Literal('refused'),
+    jobId: Id,
+    refusal: Schema.Struct({ reason: Schema.Literal('overloaded', 'tooLate', 'noUpstream', 'interrupted'), retryAfterMs: Span })
+  }),
+  /** Asks whether the other side lives. */
+  Schema.Struct({ kind: Schema.Literal('ping') }),
+  Schema.Struct({ kind: Schema.Literal('pong') })
+)
+
+export type PreparationMessage = typeof PreparationMessageSchema.Type
+
+const decode = Schema.decodeUnknownEither(PreparationMessageSchema)
+
+export function checkPreparationMessage (frame: unknown): Either<PepperwoodError, PreparationMessage> {
+  const result = decode(frame)
+  if (EffectEither.isRight(result)) return Right(result.right)
+  const issue = ParseResult.ArrayFormatter.formatErrorSync(result.left).at(-1)
+  return Left(new PepperwoodError({ name: 'frameInvalid', message: issue?.message ?? 'wrong fields', place: (issue?.path ?? []).join('.') }))
+}
--- /dev/null
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -0,0 +1,465 @@
+/**
+ * Plans the pieces of all jobs that a coordinator holds: which go together into a call, at which upstream, and when.
+ * Pure: time is passed in, and calls are made by others.
+ */
+import { countPieces, decideAdmission } from './jobForecast.ts'
+import type { RoleCapacity } from './jobForecast.ts'
+import { JobState } from './jobState.ts'
+import type { PieceState } from './jobState.ts'
+import { computeCallMs, PieceUpstream } from './pieceUpstream.ts'
+import type { PieceUpstreamOptions } from './pieceUpstream.ts'
+import type { JobRefusal, PieceResult, PreparationJob } from './preparationJob.ts'
+
+/** A piece as an upstream is asked for it. */
+export interface PlannedPiece {
+  readonly jobId: string
+  readonly stage: number
+  readonly index: number
+  /** For stages without inputs. */
+  readonly key: string | undefined
+  readonly inputs: readonly string[]
+  readonly timeLeftMs: number
+}
+
+export interface PlannedCall {
+  readonly id: number
+  readonly upstreamId: string
+  readonly pieces: readonly PlannedPiece[]
+  readonly expectedMs: number
+  readonly timeoutMs: number
+}
+
+/** What became of one piece of a call. */
+export type PieceOutcome =
+  | { readonly kind: 'made', readonly handle: string }
+  | { readonly kind: 'failed', readonly reason: 'late' | 'inputGone' | 'noRoom' | 'failed' }
+
+/** How a call ended. */
+export type PieceCallOutcome =
+  | { readonly kind: 'answered', readonly pieces: readonly PieceOutcome[] }
+  | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' }
+  | { readonly kind: 'lost', readonly reason: string }
+
+/** What the owner of a job is told. */
+export type JobNews =
+  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly hall: string }
+  | { readonly kind: 'refused', readonly jobId: string, readonly refusal: JobRefusal }
+
+/** Results to be given back at one upstream. */
+export interface PlannedFree {
+  readonly upstreamId: string
+  readonly handles: readonly string[]
+  readonly bytes: number
+}
+
+/** Results of one upstream that were not given back yet. */
+class PendingFree {
+  readonly handles: string[] = []
+  bytes = 0
+}
+
+interface StartedPiece {
+  readonly state: JobState
+  readonly stage: number
+  readonly index: number
+}
+
+interface StartedCall {
+  readonly call: PlannedCall
+  readonly pieces: readonly StartedPiece[]
+  readonly startedAt: number
+}
+
+interface ReadyPiece extends StartedPiece {
+  readonly bytes: number
+}
+
+/** A lower rank counts like a goal this much later. */
+const RANK_MS = 1500
+/** A job that misses its goal anyway counts like one whose goal is this much later. */
+const LATE_MS = 6000
+/** An upstream this much slower than the configuration says is used only when no other can be. */
+const MAX_SLOWNESS = 2.5
+/** A call that takes so many times what it should, and some more, is given up. */
+const TIMEOUT_FACTOR = 3
+const TIMEOUT_EXTRA_MS = 500
+/** A batch holds at least as many pieces as take this part of what the call itself costs, if so many wait. */
+const MIN_FILL_SHARE = 0.5
+const FULL_PAUSE_MS = 60
+const MAX_PIECE_FAILURES = 4
+/** A result this close to the end of its lifetime is not relied on. */
+const LIFETIME_MARGIN_MS = 400
+const INTERRUPTED_RETRY_MS = 300
+
+export class PreparationPlanner {
+  private readonly _upstreams = new Map<string, PieceUpstream>()
+  private readonly _jobs = new Map<string, JobState>()
+  private readonly _calls = new Map<number, StartedCall>()
+  private readonly _frees = new Map<string, PendingFree>()
+  private _news: JobNews[] = []
+  private _nextCallId = 1
+
+  get jobCount (): number {
+    return this._jobs.size
+  }
+
+  get hasFrees (): boolean {
+    return this._frees.size > 0
+  }
+
+  /** Adds an upstream or takes in what changed of it. */
+  setUpstream (options: PieceUpstreamOptions): void {
+    const held = this._upstreams.get(options.id)
+    if (held === undefined) this._upstreams.set(options.id, new PieceUpstream(options))
+    else held.work = options.work
+  }
+
+  /** No new call goes there; results that lie there can still be fetched. */
+  markLeaving (upstreamId: string): void {
+    const upstream = this._upstreams.get(upstreamId)
+    if (upstream !== undefined) upstream.isLeaving = true
+  }
+
+  /** The upstream is gone, and with it its results. */
+  dropUpstream (upstreamId: string): void {
+    if (!this._upstreams.delete(upstreamId)) return
+    this._frees.delete(upstreamId)
+    for (const state of this._jobs.values()) this._reopenLost(state, result => result.upstreamId === upstreamId)
+  }
+
+  /** Takes a job in, or says why not. */
+  addJob (job: PreparationJob, now: number): JobRefusal | undefined {
+    if (this._jobs.has(job.id)) return undefined
+    const state = new JobState(job, now)
+    const ahead = [...this._jobs.values()].filter(other => !other.isHandedOver && other.goalAt + other.job.rank * RANK_MS <= state.goalAt + job.rank * RANK_MS)
+    const refusal = decideAdmission({ job, capacities: this._computeCapacities(now), piecesAhead: countPieces(ahead) })
+    if (refusal !== undefined) return refusal
+    this._jobs.set(job.id, state)
+    return undefined
+  }
+
+  /** The owner needs the results no more: they are given back, and what was not made is not made. */
+  releaseJob (jobId: string): void {
+    const state = this._jobs.get(jobId)
+    if (state === undefined) return
+    this._jobs.delete(jobId)
+    state.job.stages.forEach((_, stage) => this._freeStage(state, stage))
+  }
+
+  /** An upstream of the request found inputs missing: those that may be gone are made again. */
+  reopenJob (jobId: string, now: number): boolean {
+    const state = this._jobs.get(jobId)
+    if (state === undefined) return false
+    state.isHandedOver = false
+    const isSuspect = (result: PieceResult) => this._upstreams.get(result.upstreamId)?.isUsable(now) !== true
+    const hasSuspects = state.listFinalResults().some(isSuspect)
+    this._reopenLost(state, result => !hasSuspects || isSuspect(result))
+    return true
+  }
+
+  /** Starts the calls that should be made now. */
+  startCalls (now: number): readonly PlannedCall[] {
+    this._expire(now)
+    const calls: PlannedCall[] = []
+    for (const [role, upstreams] of this._groupIdle(now)) calls.push(...this._startRole(role, upstreams, now))
+    return calls
+  }
+
+  /** Takes in how a call ended. */
+  settleCall (callId: number, outcome: PieceCallOutcome, now: number): void {
+    const started = this._calls.get(callId)
+    if (started === undefined) return
+    this._calls.delete(callId)
+    const upstream = this._upstreams.get(started.call.upstreamId)
+    if (upstream !== undefined) upstream.runningCalls--
+    if (outcome.kind === 'answered') {
+      upstream?.recordCall(now - started.startedAt, started.call.expectedMs)
+      started.pieces.forEach((piece, index) => this._settlePiece(piece, outcome.pieces[index] ?? { kind: 'failed', reason: 'failed' }, upstream, started, now))
+    } else {
+      this._settleFailedCall(started, outcome, upstream, now)
+    }
+    for (const state of new Set(started.pieces.map(piece => piece.state))) this._advance(state)
+  }
+
+  /** What the owners of jobs have to be told since the last time. */
+  takeNews (): readonly JobNews[] {
+    const news = this._news
+    this._news = []
+    return news
+  }
+
+  /** What has to be given back at upstreams since the last time. */
+  takeFrees (): readonly PlannedFree[] {
+    const frees = [...this._frees].map(([upstreamId, { handles, bytes }]) => ({ upstreamId, handles, bytes }))
+    this._frees.clear()
+    return frees
+  }
+
+  settleFree (free: PlannedFree, isDone: boolean, now: number): void {
+    const upstream = this._upstreams.get(free.upstreamId)
+    if (isDone) upstream?.releaseRoom(free.bytes)
+    else upstream?.loseRoom(free.bytes, now)
+  }
+
+  describe (now: number): object {
+    return {
+      jobs: this._jobs.size,
+      calls: this._calls.size,
+      upstreams: [...this._upstreams.values()].map(upstream => ({
+        id: upstream.id,
+        role: upstream.role,
+        runningCalls: upstream.runningCalls,
+        slowness: upstream.slowness,
+        freeBytes: upstream.getFreeBytes(now),
+        isUsable: upstream.isUsable(now)
+      }))
+    }
+  }
+
+  private _startRole (role: string, idle: readonly PieceUpstream[], now: number): readonly PlannedCall[] {
+    const ready = this._listReady(role, now)
+    if (ready.length === 0) return []
+    const calls: PlannedCall[] = []
+    let rest: readonly ReadyPiece[] = ready
+    idle.forEach((upstream, index) => {
+      if (rest.length === 0) return
+      const { chosen, left } = takeBatch(rest, upstream, computeBatchSize(upstream, rest.length, idle.length - index), now)
+      rest = left
+      if (chosen.length > 0) calls.push(this._start(upstream, chosen, now))
+    })
+    return calls
+  }
+
+  private _start (upstream: PieceUpstream, chosen: readonly ReadyPiece[], now: number): PlannedCall {
+    const expectedMs = computeCallMs(upstream.work, chosen.length)
+    const call: PlannedCall = {
+      id: this._nextCallId++,
+      upstreamId: upstream.id,
+      pieces: chosen.map(piece => createPlannedPiece(piece, now)),
+      expectedMs,
+      timeoutMs: expectedMs * TIMEOUT_FACTOR * Math.max(1, upstream.slowness) + TIMEOUT_EXTRA_MS
+    }
+    upstream.runningCalls++
+    for (const piece of chosen) {
+      getPiece(piece).status = 'running'
+      upstream.holdRoom(piece.bytes)
+    }
+    this._calls.set(call.id, { call, pieces: chosen, startedAt: now })
+    return call
+  }
+
+  /** Upstreams that can take a call now, by role, the fastest first. */
+  private _groupIdle (now: number): ReadonlyMap<string, readonly PieceUpstream[]> {
+    const groups = new Map<string, PieceUpstream[]>()
+    const hasUsual = new Set<string>()
+    for (const upstream of this._upstreams.values()) {
+      if (upstream.isUsable(now) && upstream.slowness <= MAX_SLOWNESS) hasUsual.add(upstream.role)
+    }
+    for (const upstream of this._upstreams.values()) {
+      if (!upstream.canStart(now)) continue
+      if (upstream.slowness > MAX_SLOWNESS && hasUsual.has(upstream.role)) continue
+      groups.set(upstream.role, [...groups.get(upstream.role) ?? [], upstream])
+    }
+    for (const group of groups.values()) group.sort((a, b) => a.slowness - b.slowness || b.getFreeBytes(now) - a.getFreeBytes(now))
+    return groups
+  }
+
+  /** Pieces of a role that could start, in the order in which they should, as far as there is room for whole stages. */
+  private _listReady (role: string, now: number): readonly ReadyPiece[] {
+    const upstreams = [...this._upstreams.values()].filter(upstream => upstream.role === role && upstream.isUsable(now))
+    let freeBytes = upstreams.reduce((sum, upstream) => sum + Math.max(0, upstream.getFreeBytes(now)), 0)
+    const ready: ReadyPiece[] = []
+    for (const state of this._listActive(now)) {
+      for (const stage of state.listReadyStages()) {
+        const spec = state.job.stages[stage]
+        if (spec === undefined || spec.role !== role) continue
+        const wantedBytes = state.countWaiting(stage) * spec.resultBytes
+        // A stage that has begun holds room which only its end gives back, so it goes on whatever is left.
+        if (!state.hasStarted(stage) && wantedBytes > freeBytes) continue
+        freeBytes -= wantedBytes
+        ready.push(...listWaiting(state, stage, spec.resultBytes))
+      }
+    }
+    return ready
+  }
+
+  private _listActive (now: number): readonly JobState[] {
+    return [...this._jobs.values()]
+      .filter(state => !state.isHandedOver)
+      .map(state => ({ state, score: this._scoreJob(state, now) }))
+      .sort((a, b) => a.score - b.score)
+      .map(({ state }) => state)
+  }
+
+  /** Lower goes first. */
+  private _scoreJob (state: JobState, now: number): number {
+    const isLate = now > state.goalAt
+    return state.goalAt + state.job.rank * RANK_MS + (isLate ? LATE_MS : 0)
+  }
+
+  private _computeCapacities (now: number): ReadonlyMap<string, RoleCapacity> {
+    const capacities = new Map<string, RoleCapacity>()
+    for (const upstream of this._upstreams.values()) {
+      const held = capacities.get(upstream.role)?.calls ?? 0
+      const calls = upstream.isUsable(now) ? upstream.work.concurrentCalls / Math.max(1, upstream.slowness) : 0
+      capacities.set(upstream.role, { work: upstream.work, calls: held + calls })
+    }
+    return capacities
+  }
+
+  private _settlePiece (started: StartedPiece, outcome: PieceOutcome, upstream: PieceUpstream | undefined, call: StartedCall, now: number): void {
+    const piece = getPiece(started)
+    const bytes = started.state.job.stages[started.stage]?.resultBytes ?? 0
+    if (outcome.kind === 'made') {
+      piece.status = 'made'
+      piece.madeAt = now
+      piece.result = { handle: outcome.handle, upstreamId: call.call.upstreamId }
+      if (upstream === undefined) started.state.reopen(started.stage, piece)
+      else if (!this._holds(started.state)) this._freePiece(piece, bytes)
+      return
+    }
+    upstream?.releaseRoom(bytes)
+    if (outcome.reason === 'noRoom') upstream?.noteFull(now)
+    else piece.failures++
+    started.state.reopen(started.stage, piece)
+    if (outcome.reason === 'inputGone') this._reopenInputs(started.state, started.stage, now)
+  }
+
+  /** An input is gone: those at upstreams that cannot be relied on are made again, or all of them. */
+  private _reopenInputs (state: JobState, stage: number, now: number): void {
+    const inputs = state.listInputs(stage)
+    const isSuspect = (result: PieceResult) => this._upstreams.get(result.upstreamId)?.isUsable(now) !== true
+    const suspects = inputs.filter(isSuspect)
+    const lost = new Set((suspects.length > 0 ? suspects : inputs).map(result => result.handle))
+    this._reopenLost(state, result => lost.has(result.handle))
+  }
+
+  private _settleFailedCall (started: StartedCall, outcome: PieceCallOutcome, upstream: PieceUpstream | undefined, now: number): void {
+    const bytes = started.pieces.reduce((sum, piece) => sum + (piece.state.job.stages[piece.stage]?.resultBytes ?? 0), 0)
+    if (outcome.kind === 'lost') upstream?.loseRoom(bytes, now)
+    else upstream?.releaseRoom(bytes)
+    if (outcome.kind === 'notRun' && outcome.reason === 'full') upstream?.avoidBriefly(now, FULL_PAUSE_MS)
+    else upstream?.avoid(now)
+    for (const { state, stage, index } of started.pieces) {
+      const piece = getPiece({ state, stage, index })
+      if (outcome.kind === 'lost') piece.failures++
+      state.reopen(stage, piece)
+    }
+  }
+
+  /** Hands over what is done, gives back what was used, and gives up what fails again and again. */
+  private _advance (state: JobState): void {
+    if (!this._holds(state) || state.isHandedOver) return
+    if (state.pieces.some(stage => stage.some(piece => piece.failures > MAX_PIECE_FAILURES))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
+    for (const stage of state.listUsedUpStages()) this._freeStage(state, stage)
+    if (!state.isDone) return
+    state.isHandedOver = true
+    const results = state.listFinalResults()
+    this._news.push({ kind: 'prepared', jobId: state.job.id, results, hall: this._findMainHall(results) })
+  }
+
+  private _findMainHall (results: readonly PieceResult[]): string {
+    const counts = new Map<string, number>()
+    for (const { upstreamId } of results) {
+      const hall = this._upstreams.get(upstreamId)?.hall ?? ''
+      counts.set(hall, (counts.get(hall) ?? 0) + 1)
+    }
+    return [...counts].sort((a, b) => b[1] - a[1])[0]?.[0] ?? ''
+  }
+
+  private _expire (now: number): void {
+    for (const state of [...this._jobs.values()]) {
+      if (now >= state.deadlineAt) this._refuse(state, { reason: 'tooLate', retryAfterMs: 0 })
+      else if (!state.isHandedOver) this._reopenExpired(state, now)
+    }
+  }
+
+  /** Results that lie too long go; what still needs them has them made again. */
+  private _reopenExpired (state: JobState, now: number): void {
+    this._reopenLost(state, (result, piece) => {
+      const lifetimeMs = this._upstreams.get(result.upstreamId)?.work.resultLifetimeMs ?? 0
+      return now - piece.madeAt > lifetimeMs - LIFETIME_MARGIN_MS
+    })
+  }
+
+  private _reopenLost (state: JobState, isLost: (result: PieceResult, piece: PieceState) => boolean): void {
+    state.pieces.forEach((pieces, stage) => {
+      const bytes = state.job.stages[stage]?.resultBytes ?? 0
+      for (const piece of pieces) {
+        if (piece.status !== 'made' || piece.result === undefined || !isLost(piece.result, piece)) continue
+        this._freePiece(piece, bytes)
+        state.reopen(stage, piece)
+      }
+    })
+  }
+
+  private _refuse (state: JobState, refusal: JobRefusal): void {
+    if (!state.isHandedOver) this._news.push({ kind: 'refused', jobId: state.job.id, refusal })
+    this.releaseJob(state.job.id)
+  }
+
+  private _freeStage (state: JobState, stage: number): void {
+    const bytes = state.job.stages[stage]?.resultBytes ?? 0
+    for (const piece of state.pieces[stage] ?? []) if (piece.status === 'made') this._freePiece(piece, bytes)
+  }
+
+  private _freePiece (piece: PieceState, bytes: number): void {
+    const { result } = piece
+    piece.status = 'freed'
+    piece.result = undefined
+    if (result === undefined || !this._upstreams.has(result.upstreamId)) return
+    const free = this._frees.get(result.upstreamId) ?? new PendingFree()
+    this._frees.set(result.upstreamId, free)
+    free.handles.push(result.handle)
+    free.bytes += bytes
+  }
+
+  private _holds (state: JobState): boolean {
+    return this._jobs.get(state.job.id) === state
+  }
+}
+
+function getPiece ({ state, stage, index }: StartedPiece): PieceState {
+  const piece = state.pieces[stage]?.[index]
+  if (piece === undefined) throw new Error(`no piece ${stage}/${index}`)
+  return piece
+}
+
+function listWaiting (state: JobState, stage: number, bytes: number): readonly ReadyPiece[] {
+  return (state.pieces[stage] ?? []).flatMap((piece, index) => piece.status === 'waiting' ? [{ state, stage, index, bytes }] : [])
+}
+
+/** Spreads what waits over the upstreams that are idle, but not so thin that the calls themselves cost most. */
+function computeBatchSize (upstream: PieceUpstream, waiting: number, idleCount: number): number {
+  const { work } = upstream
+  const minFill = Math.ceil(work.callMs / Math.max(1, work.pieceMs) * MIN_FILL_SHARE)
+  return Math.min(work.maxPiecesPerCall, Math.max(minFill, Math.ceil(waiting / idleCount)))
+}
+
+/** Takes the first pieces for which the upstream has room. */
+function takeBatch (pieces: readonly ReadyPiece[], upstream: PieceUpstream, size: number, now: number) {
+  let freeBytes = upstream.getFreeBytes(now)
+  const chosen: ReadyPiece[] = []
+  const left: ReadyPiece[] = []
+  for (const piece of pieces) {
+    if (chosen.length < size && piece.bytes <= freeBytes) {
+      chosen.push(piece)
+      freeBytes -= piece.bytes
+    } else {
+      left.push(piece)
+    }
+  }
+  return { chosen, left }
+}
+
+function createPlannedPiece ({ state, stage, index }: ReadyPiece, now: number): PlannedPiece {
+  const inputs = state.listInputs(stage).map(result => result.handle)
+  return {
+    jobId: state.job.id,
+    stage,
+    index,
+    key: inputs.length === 0 ? state.job.key : undefined,
+    inputs,
+    timeLeftMs: Math.max(1, Math.round(state.deadlineAt - now))
+  }
+}
--- /dev/null
+++ b/src/services/preparation/common/preparationService.ts
@@ -0,0 +1,22 @@
+/**
+ * What the relay asks of preparation.
+ */
+import type { Either } from 'purify-ts'
+import type { JobRefusal, PreparationJob } from './preparationJob.ts'
+
+/** Results that are held for a request until they are released. */
+export interface IPreparedInputs {
+  /** In the order of stages and pieces. */
+  readonly handles: readonly string[]
+  /** The hall that most of the results are in. */
+  readonly hall: string
+  /** Gives the results back; nobody may use them afterwards. */
+  release (): void
+  /** Makes results anew that an upstream no longer holds. */
+  prepareAgain (): Promise<Either<JobRefusal, IPreparedInputs>>
+}
+
+export interface IPreparationService {
+  /** Makes the results that a request needs; an abort gives everything back. */
+  prepare (job: PreparationJob, signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>>
+}
--- /dev/null
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -0,0 +1,102 @@
+/**
+ * A node's link to the coordinator of another node.
+ */
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { parseAddress } from '../../../base/common/address.ts'
+import type { IClock } from '../../../base/common/clock.ts'
+import { Disposable } from '../../../base/common/disposable.ts'
+import { Emitter } from '../../../base/common/event.ts'
+import { FrameConnection } from '../../../base/node/frameConnection.ts'
+import { startInterval } from '../../../base/node/interval.ts'
+import type { JobNews } from '../common/preparationPlanner.ts'
+import { checkPreparationMessage } from '../common/preparationMessage.ts'
+import type { PreparationMessage } from '../common/preparationMessage.ts'
+
+export interface CoordinatorLinkOptions {
+  readonly address: string
+  readonly localAddress?: string
+  readonly clock: IClock
+}
+
+const DIAL_TIMEOUT_MS = 250
+const PING_PERIOD_MS = 150
+/** A coordinator that is silent for so long is taken for lost; its jobs go elsewhere, which is always allowed. */
+const SILENCE_MS = 600
+
+export class CoordinatorLink extends Disposable {
+  private readonly _onDidReceive = this._register(new Emitter<JobNews>())
+  private readonly _onDidClose = this._register(new Emitter<void>())
+  readonly onDidReceive = this._onDidReceive.event
+  readonly onDidClose = this._onDidClose.event
+  private readonly _connection: FrameConnection
+  private _heardAt: number
+  private _isClosed = false
+  /** Jobs that wait for news; without any, nothing is asked. */
+  openJobs = 0
+
+  private constructor (socket: Socket, private readonly _clock: IClock) {
+    super()
+    this._heardAt = _clock.now()
+    this._connection = this._register(new FrameConnection(socket))
+    this._connection.onDidReceive(frame => this._take(frame))
+    this._connection.onDidClose(() => this._close())
+    this._register(startInterval(PING_PERIOD_MS, () => this._ping()))
+  }
+
+  /** Undefined when the coordinator cannot be reached in time. */
+  static open (options: CoordinatorLinkOptions): Promise<CoordinatorLink | undefined> {
+    const address = parseAddress(options.address)
+    if (address === undefined) return Promise.resolve(undefined)
+    return new Promise(resolve => {
+      const socket = connect({ host: address.host, port: address.port, localAddress: options.localAddress })
+      const timer = setTimeout(() => socket.destroy(), DIAL_TIMEOUT_MS)
+      const onFail = () => {
+        clearTimeout(timer)
+        resolve(undefined)
+      }
+      socket.once('error', () => {})
+      socket.once('close', onFail)
+      socket.once('connect', () => {
+        clearTimeout(timer)
+        socket.off('close', onFail)
+        resolve(new CoordinatorLink(socket, options.clock))
+      })
+    })
+  }
+
+  get isClosed (): boolean {
+    return this._isClosed
+  }
+
+  send (message: PreparationMessage): void {
+    this._connection.send(message)
+  }
+
+  close (): void {
+    this._connection.dispose()
+    this._close()
+  }
+
+  private _take (frame: unknown): void {
+    this._heardAt = this._clock.now()
+    checkPreparationMessage(frame).caseOf({
+      Left: () => this.close(),
+      Right: message => { if (message.kind === 'prepared' || message.kind === 'refused') this._onDidReceive.fire(message) }
+    })
+  }
+
+  private _ping (): void {
+    const silentMs = this._clock.now() - this._heardAt
+    if (this.openJobs === 0) this._heardAt = this._clock.now()
+    else if (silentMs > SILENCE_MS) this.close()
+    else if (silentMs > PING_PERIOD_MS) this.send({ kind: 'ping' })
+  }
+
+  private _close (): void {
+    if (this._isClosed) return
+    this._isClosed = true
+    this._onDidClose.fire()
+    this.dispose()
+  }
+}
--- /dev/null
+++ b/src/services/preparation/node/preparationClient.ts
@@ -0,0 +1,220 @@
+/**
+ * Has jobs done by the coordinator that all nodes choose, wherever it runs. When that one is lost, the jobs go to the
+ * next: any piece may be made again, so two coordinators for a while cost only work.
+ */
+import { Left, Right } from 'purify-ts'
+import type { Either } from 'purify-ts'
+import type { IClock } from '../../../base/common/clock.ts'
+import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
+import type { ILogService } from '../../log/node/logger.ts'
+import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
+import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
+import type { PieceProtocol } from '../common/pieceProtocol.ts'
+import type { JobNews } from '../common/preparationPlanner.ts'
+import { CoordinatorLink } from './coordinatorLink.ts'
+import type { PreparationCoordinator } from './preparationCoordinator.ts'
+
+export interface PreparationClientOptions {
+  readonly clock: IClock
+  readonly log: ILogService
+  readonly protocol: PieceProtocol
+  readonly registry: UpstreamRegistry
+  readonly coordinator: PreparationCoordinator
+  /** Where the coordinator of this node is reached. */
+  readonly address: string
+  readonly localAddress?: string
+  /** Where the coordinators of all live nodes are reached, this one's included. */
+  readonly listAddresses: () => readonly string[]
+}
+
+/** A coordinator that could not be reached is left alone for so long. */
+const AVOID_MS = 1500
+/** All nodes choose by this key. */
+const CHOICE_KEY = 'preparation'
+const MAX_MOVES = 4
+
+/** A job that its coordinator has not settled yet. */
+class OpenJob {
+  readonly startedAt: number
+  readonly settle: (news: JobNews) => void
+  moves = 0
+  /** Undefined for this node's own coordinator. */
+  link: CoordinatorLink | undefined
+
+  constructor (readonly job: PreparationJob, startedAt: number, settle: (open: OpenJob, news: JobNews) => void) {
+    this.startedAt = startedAt
+    this.settle = news => settle(this, news)
+  }
+}
+
+export class PreparationClient extends Disposable implements IPreparationService {
+  private readonly _options: PreparationClientOptions
+  private readonly _jobs = new Map<string, OpenJob>()
+  private readonly _links = new Map<string, Promise<CoordinatorLink | undefined>>()
+  private readonly _avoidUntil = new Map<string, number>()
+
+  constructor (options: PreparationClientOptions) {
+    super()
+    this._options = options
+    this._register(toDisposable(() => { for (const link of this._links.values()) void link.then(open => open?.close()) }))
+  }
+
+  /** The address of the coordinator that new jobs go to. */
+  get coordinatorAddress (): string {
+    const now = this._options.clock.now()
+    const usable = this._options.listAddresses().filter(address => (this._avoidUntil.get(address) ?? 0) <= now)
+    return rankByRendezvous(CHOICE_KEY, usable)[0] ?? this._options.address
+  }
+
+  prepare (job: PreparationJob, signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>> {
+    return new Promise(resolve => {
+      if (signal.aborted) return resolve(Left({ reason: 'interrupted', retryAfterMs: 0 }))
+      const onAbort = () => {
+        this._giveBack(open)
+        resolve(Left({ reason: 'interrupted', retryAfterMs: 0 }))
+      }
+      const open = new OpenJob(job, this._options.clock.now(), (settled, news) => {
+        signal.removeEventListener('abort', onAbort)
+        resolve(this._createOutcome(settled, news, signal))
+      })
+      signal.addEventListener('abort', onAbort, { once: true })
+      this._jobs.set(job.id, open)
+      void this._submit(open)
+    })
+  }
+
+  private async _submit (open: OpenJob): Promise<void> {
+    const address = this.coordinatorAddress
+    if (address === this._options.address) {
+      open.link = undefined
+      return this._options.coordinator.submit(this._updateTimes(open), news => this._settle(open, news))
+    }
+    const link = await this._getLink(address)
+    if (this._jobs.get(open.job.id) !== open) return
+    if (link === undefined || link.isClosed) return this._move(open)
+    open.link = link
+    link.openJobs++
+    link.send({ kind: 'job', job: this._updateTimes(open) })
+  }
+
+  /** Times in a job count from when it is submitted. */
+  private _updateTimes (open: OpenJob): PreparationJob {
+    const elapsedMs = this._options.clock.now() - open.startedAt
+    const { job } = open
+    return { ...job, goalInMs: Math.max(0, job.goalInMs - elapsedMs), deadlineInMs: Math.max(0, job.deadlineInMs - elapsedMs) }
+  }
+
+  private _move (open: OpenJob): void {
+    open.moves++
+    this._options.log.info('preparation_moved', { request: open.job.id, moves: open.moves, to: this.coordinatorAddress })
+    if (open.moves > MAX_MOVES) return this._settle(open, { kind: 'refused', jobId: open.job.id, refusal: { reason: 'interrupted', retryAfterMs: AVOID_MS } })
+    void this._submit(open)
+  }
+
+  private _settle (open: OpenJob, news: JobNews): void {
+    if (this._jobs.get(open.job.id) !== open) return
+    this._jobs.delete(open.job.id)
+    if (open.link !== undefined) open.link.openJobs--
+    open.settle(news)
+  }
+
+  private _getLink (address: string): Promise<CoordinatorLink | undefined> {
+    const held = this._links.get(address)
+    if (held !== undefined) return held
+    const opening = this._openLink(address)
+    this._links.set(address, opening)
+    return opening
+  }
+
+  private async _openLink (address: string): Promise<CoordinatorLink | undefined> {
+    const link = await CoordinatorLink.open({ address, localAddress: this._options.localAddress, clock: this._options.clock })
+    if (link === undefined) {
+      this._lose(address)
+      return undefined
+    }
+    this._options.log.info('coordinator_linked', { coordinator: address })
+    link.onDidReceive(news => {
+      const open = this._jobs.get(news.jobId)
+      if (open?.link === link) this._settle(open, news)
+    })
+    link.onDidClose(() => {
+      this._lose(address)
+      for (const open of [...this._jobs.values()]) if (open.link === link) this._move(open)
+    })
+    return link
+  }
+
+  private _lose (address: string): void {
+    this._links.delete(address)
+    if (this._isDisposed) return
+    this._avoidUntil.set(address, this._options.clock.now() + AVOID_MS)
+    this._options.log.warn('coordinator_lost', { coordinator: address, jobs: this._jobs.size })
+  }
+
+  private _createOutcome (open: OpenJob, news: JobNews, signal: AbortSignal): Either<JobRefusal, IPreparedInputs> {
+    return news.kind === 'refused' ? Left(news.refusal) : Right(this._createInputs(open, news.results, news.hall, signal))
+  }
+
+  private _createInputs (open: OpenJob, results: readonly PieceResult[], hall: string, signal: AbortSignal): IPreparedInputs {
+    let isReleased = false
+    return {
+      handles: results.map(result => result.handle),
+      hall,
+      release: () => {
+        if (isReleased) return
+        isReleased = true
+        this._giveBack(open, results)
+      },
+      prepareAgain: () => {
+        isReleased = true
+        return this._prepareAgain(open, results, signal)
+      }
+    }
+  }
+
+  private _prepareAgain (open: OpenJob, results: readonly PieceResult[], signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>> {
+    const { job, link } = open
+    if (link?.isClosed === true) {
+      this._freeDirectly(results)
+      return this.prepare(this._updateTimes(open), signal)
+    }
+    return new Promise(resolve => {
+      const again = new OpenJob(job, open.startedAt, (settled, news) => resolve(this._createOutcome(settled, news, signal)))
+      again.link = link
+      this._jobs.set(job.id, again)
+      signal.addEventListener('abort', () => {
+        this._giveBack(again)
+        resolve(Left({ reason: 'interrupted', retryAfterMs: 0 }))
+      }, { once: true })
+      if (link !== undefined) {
+        link.openJobs++
+        link.send({ kind: 'reopen', jobId: job.id })
+      } else if (!this._options.coordinator.reopen(job.id, news => this._settle(again, news))) {
+        this._settle(again, { kind: 'refused', jobId: job.id, refusal: { reason: 'interrupted', retryAfterMs: 0 } })
+      }
+    })
+  }
+
+  private _giveBack (open: OpenJob, results: readonly PieceResult[] = []): void {
+    const { job, link } = open
+    if (this._jobs.get(job.id) === open) {
+      this._jobs.delete(job.id)
+      if (link !== undefined) link.openJobs--
+    }
+    if (link === undefined) this._options.coordinator.release(job.id)
+    else if (link.isClosed) this._freeDirectly(results)
+    else link.send({ kind: 'release', jobId: job.id })
+  }
+
+  /** The coordinator that counted these results is gone, so nobody else gives them back. */
+  private _freeDirectly (results: readonly PieceResult[]): void {
+    const byUpstream = new Map<string, string[]>()
+    for (const { upstreamId, handle } of results) byUpstream.set(upstreamId, [...byUpstream.get(upstreamId) ?? [], handle])
+    for (const [upstreamId, handles] of byUpstream) {
+      const upstream = this._options.registry.get(upstreamId)
+      if (upstream !== undefined) void this._options.protocol.freeResults(upstream, handles)
+    }
+  }
+}
--- /dev/null
+++ b/src/services/preparation/node/preparationServer.ts
@@ -0,0 +1,53 @@
+/**
+ * Lets other nodes give jobs to this node's coordinator.
+ */
+import { Disposable } from '../../../base/common/disposable.ts'
+import type { FrameConnection } from '../../../base/node/frameConnection.ts'
+import type { ILogService } from '../../log/node/logger.ts'
+import { FrameServer } from '../../rpc/node/frameServer.ts'
+import { checkPreparationMessage } from '../common/preparationMessage.ts'
+import type { PreparationMessage } from '../common/preparationMessage.ts'
+import type { PreparationCoordinator } from './preparationCoordinator.ts'
+
+export class PreparationServer extends Disposable {
+  private readonly _server = this._register(new FrameServer(connection => this._accept(connection)))
+
+  constructor (private readonly _coordinator: PreparationCoordinator, private readonly _log: ILogService) {
+    super()
+  }
+
+  /** Resolves with the port, which is a free one where 0 was asked for. */
+  listen (host: string, port: number): Promise<number> {
+    return this._server.listen(host, port)
+  }
+
+  private _accept (connection: FrameConnection): void {
+    const jobs = new Set<string>()
+    connection.onDidReceive(frame => {
+      checkPreparationMessage(frame).caseOf({
+        Left: error => {
+          this._log.warn('frame_refused', { code: error.resultName, place: error.place })
+          connection.dispose()
+        },
+        Right: message => this._take(connection, jobs, message)
+      })
+    })
+    // An owner that is gone needs nothing; its callers are gone with it.
+    connection.onDidClose(() => { for (const jobId of jobs) this._coordinator.release(jobId) })
+  }
+
+  private _take (connection: FrameConnection, jobs: Set<string>, message: PreparationMessage): void {
+    const send = (reply: PreparationMessage) => connection.send(reply)
+    if (message.kind === 'ping') {
+      send({ kind: 'pong' })
+    } else if (message.kind === 'job') {
+      jobs.add(message.job.id)
+      this._coordinator.submit(message.job, send)
+    } else if (message.kind === 'release') {
+      jobs.delete(message.jobId)
+      this._coordinator.release(message.jobId)
+    } else if (message.kind === 'reopen' && !this._coordinator.reopen(message.jobId, send)) {
+      send({ kind: 'refused', jobId: message.jobId, refusal: { reason: 'interrupted', retryAfterMs: 0 } })
+    }
+  }
+}
--- /dev/null
+++ b/src/services/relay/common/preparationNeed.ts
@@ -0,0 +1,29 @@
+/**
+ * From a request and its route to the job that prepares it.
+ */
+import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
+import type { RelayRequest } from './relayRequest.ts'
+
+export interface PreparationNeedInputs {
+  readonly request: RelayRequest
+  readonly route: Route
+  readonly priority: number
+  readonly deadlineInMs: number
+}
+
+/** Undefined when nothing has to be done before the request can run. */
+export function createPreparationJob (inputs: PreparationNeedInputs): PreparationJob | undefined {
+  const { request, route, priority, deadlineInMs } = inputs
+  const need = request.preparation
+  if (need === undefined || route.stages.length === 0) return undefined
+  const counts = route.stages.map((_, index) => need.pieceCounts[index] ?? 0)
+  if (counts.every(count => count === 0)) return undefined
+  const stages = route.stages.map((stage, index) => ({
+    role: stage.role,
+    after: stage.after.filter(before => (counts[before] ?? 0) > 0),
+    pieceCount: counts[index] ?? 0,
+    resultBytes: stage.resultBytes
+  }))
+  return { id: request.id, key: need.key, stages, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs }
+}
--- /dev/null
+++ b/src/services/relay/common/relayTable.ts
@@ -0,0 +1,62 @@
+/**
+ * The relay part of a configuration, arranged for look-ups.
+ */
+import type { CallerLimits, Relay, RelayCustomer, Role, Route, RouteTarget } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { IRandom } from '../../../base/common/random.ts'
+
+export class RelayTable {
+  private readonly _routesByHost = new Map<string, readonly Route[]>()
+  private readonly _customersByKey = new Map<string, RelayCustomer>()
+  private readonly _roles: ReadonlyMap<string, Role>
+  readonly limits: CallerLimits | undefined
+
+  constructor (relay: Relay) {
+    this.limits = relay.limits
+    this._roles = new Map(relay.roles.map(role => [role.name, role]))
+    for (const route of relay.routes) this._routesByHost.set(route.host, [...this._routesByHost.get(route.host) ?? [], route])
+    for (const [host, routes] of this._routesByHost) {
+      this._routesByHost.set(host, [...routes].sort((a, b) => b.pathPrefix.length - a.pathPrefix.length))
+    }
+    for (const customer of relay.customers) for (const digest of customer.keySha256) this._customersByKey.set(digest, customer)
+    this.needsKeys = relay.customers.length > 0
+  }
+
+  /** Whether requests of routes that are not public need a key. */
+  readonly needsKeys: boolean
+
+  /** The route with the longest prefix that begins the path. */
+  findRoute (host: string, path: string): Route | undefined {
+    return this._routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix))
+  }
+
+  /** The customer that holds the key with this digest. */
+  findCustomer (keyDigest: string): RelayCustomer | undefined {
+    return this._customersByKey.get(keyDigest)
+  }
+
+  getRole (name: string): Role | undefined {
+    return this._roles.get(name)
+  }
+
+  /** Roles whose upstreams make pieces of preparation stages. */
+  listPieceRoles (): readonly Role[] {
+    return [...this._roles.values()].filter(role => role.pieceWork !== undefined)
+  }
+}
+
+/** Draws a target by the weights. */
+export function pickTarget (targets: readonly RouteTarget[], random: IRandom): string {
+  const total = targets.reduce((sum, target) => sum + target.weight, 0)
+  let left = random.next() * total
+  for (const target of targets) {
+    left -= target.weight
+    if (left < 0) return target.role
+  }
+  return targets.findLast(target => target.weight > 0)?.role ?? ''
+}
+
+/** Whether a request may run more than once from its start. */
+export function isRepeatable (route: Route): boolean {
+  return route.kind === RouteKind.REPEATABLE || (route.kind === RouteKind.STREAM && route.isResumable)
+}
--- /dev/null
+++ b/src/services/relay/node/relayContext.ts
@@ -0,0 +1,29 @@
+/**
+ * What every request at the relay is given.
+ */
+import type { Agent } from 'node:http'
+import type { IClock } from '../../../base/common/clock.ts'
+import type { IRandom } from '../../../base/common/random.ts'
+import type { ILogService } from '../../log/node/logger.ts'
+import type { IPreparationService } from '../../preparation/common/preparationService.ts'
+import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
+import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { RelayRefusal, UpstreamProtocol } from '../common/relayProtocol.ts'
+import type { RelayPool } from '../common/relayPool.ts'
+import type { CallerAnswer } from './callerAnswer.ts'
+
+export interface RelayContext {
+  readonly clock: IClock
+  readonly random: IRandom
+  readonly log: ILogService
+  readonly hall: string
+  readonly localAddress?: string
+  readonly agent: Agent
+  readonly upstreamProtocol: UpstreamProtocol
+  readonly registry: UpstreamRegistry
+  readonly pool: RelayPool
+  readonly retry: RetryPolicy
+  readonly preparation: IPreparationService
+  /** Sends a refusal in the callers' protocol. */
+  readonly refuse: (answer: CallerAnswer, refusal: RelayRefusal) => void
+}
--- /dev/null
+++ b/src/services/relay/node/relayRun.ts
@@ -0,0 +1,290 @@
+/**
+ * One request at the relay: prepares what it needs, sends it to upstreams one after another until one delivers, and
+ * ends it with an answer or an honest refusal.
+ */
+import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import type { ResultName } from '../../result/common/resultCodes.ts'
+import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import type { IPreparedInputs } from '../../preparation/common/preparationService.ts'
+import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
+import { decideAfterAttempt } from '../common/attemptDecision.ts'
+import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
+import { createPreparationJob } from '../common/preparationNeed.ts'
+import type { RelayRefusal } from '../common/relayProtocol.ts'
+import type { RelayRequest } from '../common/relayRequest.ts'
+import { isRepeatable, pickTarget } from '../common/relayTable.ts'
+import type { CallerAnswer } from './callerAnswer.ts'
+import { RelayAttempt } from './relayAttempt.ts'
+import type { AttemptResult } from './relayAttempt.ts'
+import type { RelayContext } from './relayContext.ts'
+
+/** A request that was taken in. */
+export interface TakenRequest {
+  readonly request: RelayRequest
+  readonly route: Route
+  readonly customer: string | undefined
+  /** 0 goes first. */
+  readonly priority: number
+  readonly body: Buffer
+  readonly answer: CallerAnswer
+  /** On the process's clock. */
+  readonly arrivedAt: number
+}
+
+/** How a request ended, for logs and metrics. */
+export interface RelayEnd {
+  readonly result: ResultName | 'delivered' | 'passedOn'
+  readonly attempts: number
+  readonly preparedMs: number
+}
+
+/** Less than this is left for an answer's way back to the caller. */
+const ANSWER_MARGIN_MS = 20
+/** A further attempt needs at least this much time. */
+const MIN_ATTEMPT_MS = 50
+/** A repeatable request is tried elsewhere when an upstream has not begun to answer after this part of the time left. */
+const REPEATABLE_HEAD_SHARE = 0.35
+/** A stream that may go on elsewhere is taken for broken after so many of its longest good pauses. */
+const RESUMABLE_PAUSES = 5
+const DEFAULT_PAUSE_MS = 200
+const RETRY_SOON_MS = 300
+
+export class RelayRun {
+  private _sendCount = 0
+  private _runCount = 0
+  private _inputs: IPreparedInputs | undefined
+  private _lastEventId: string | undefined
+  private _preparedMs = 0
+  private readonly _tried = new Set<string>()
+  private readonly _abort = new AbortController()
+  private readonly _deadlineAt: number
+  private readonly _role: string
+
+  constructor (private readonly _context: RelayContext, private readonly _taken: TakenRequest) {
+    const { route, request, arrivedAt } = _taken
+    this._deadlineAt = arrivedAt + Math.min(route.timeoutMs, request.timeLeftMs ?? Infinity)
+    this._lastEventId = request.lastEventId
+    this._role = pickTarget(route.targets, _context.random)
+  }
+
+  /** Runs to the end; the caller has its answer, or is gone, when it resolves. */
+  async run (): Promise<RelayEnd> {
+    const left = this._taken.answer.onDidLeave(() => this._abort.abort())
+    // The operator wants no request held longer, whatever it waits for.
+    const timer = this._context.clock.schedule(this._deadlineAt - ANSWER_MARGIN_MS - this._context.clock.now(), () => this._abort.abort())
+    try {
+      this._context.retry.recordFirstAttempt(this._role)
+      return this._end(await this._runAttempts())
+    } finally {
+      timer.dispose()
+      left.dispose()
+      this._inputs?.release()
+    }
+  }
+
+  private _end (result: RelayEnd['result']): RelayEnd {
+    return { result, attempts: this._sendCount, preparedMs: Math.round(this._preparedMs) }
+  }
+
+  private async _runAttempts (): Promise<RelayEnd['result']> {
+    const refused = await this._prepare()
+    if (refused !== undefined) return refused
+    for (;;) {
+      const upstream = this._chooseUpstream()
+      if (upstream === undefined) return this._refuseWithoutUpstream()
+      const result = await this._tryUpstream(upstream)
+      const decision = this._decide(result.outcome, upstream)
+      this._noteOutcome(upstream, result.outcome, decision)
+      if (decision.kind === 'retry' && this._mayRetry(result.outcome)) {
+        if (decision.isResume && result.outcome.kind === 'broken') this._lastEventId = result.outcome.lastEventId
+        continue
+      }
+      if (decision.kind === 'prepareAgain' && this._mayRetry(result.outcome)) {
+        const failed = await this._prepareAgain()
+        if (failed !== undefined) return failed
+        continue
+      }
+      return this._finish(result)
+    }
+  }
+
+  private async _prepare (): Promise<ResultName | undefined> {
+    const { preparation, clock } = this._context
+    const { request, route } = this._taken
+    const job = createPreparationJob({ request, route, priority: this._taken.priority, deadlineInMs: this._getTimeLeft() })
+    if (job === undefined) return undefined
+    const startedAt = clock.now()
+    const result = await preparation.prepare(job, this._abort.signal)
+    this._preparedMs = clock.now() - startedAt
+    return result.caseOf({
+      Left: refusal => this._refusePreparation(refusal),
+      Right: inputs => { this._inputs = inputs; return undefined }
+    })
+  }
+
+  private async _prepareAgain (): Promise<ResultName | undefined> {
+    const inputs = this._inputs
+    if (inputs === undefined) return this._refuse('upstreamRefused', 'the upstream wants inputs that the route does not have', this._runCount === 0)
+    return (await inputs.prepareAgain()).caseOf({
+      Left: refusal => this._refusePreparation(refusal),
+      Right: next => { this._inputs = next; return undefined }
+    })
+  }
+
+  private _chooseUpstream (): UpstreamEntry | undefined {
+    const { request } = this._taken
+    return this._context.pool.choose({
+      role: this._role,
+      prompt: request.prompt,
+      hall: this._inputs?.hall ?? this._context.hall,
+      tried: this._tried
+    })
+  }
+
+  private async _tryUpstream (upstream: UpstreamEntry): Promise<AttemptResult> {
+    const { context, taken } = { context: this._context, taken: this._taken }
+    const { request, route } = taken
+    const isStream = route.kind === RouteKind.STREAM
+    this._sendCount++
+    this._tried.add(upstream.id)
+    const visit = context.pool.begin(upstream, request.prompt)
+    const timeLeftMs = this._getTimeLeft()
+    const result = await new RelayAttempt({
+      agent: context.agent,
+      clock: context.clock,
+      protocol: context.upstreamProtocol,
+      call: {
+        request,
+        upstream,
+        customer: taken.customer,
+        timeLeftMs,
+        priority: taken.priority,
+        inputs: this._inputs?.handles ?? [],
+        lastEventId: this._lastEventId,
+        bodyBytes: taken.body.length
+      },
+      body: taken.body,
+      answer: taken.answer,
+      isStream,
+      headTimeoutMs: this._computeHeadTimeout(timeLeftMs),
+      pauseTimeoutMs: this._computePauseTimeout(),
+      signal: this._abort.signal,
+      onDidReadLoad: load => context.pool.recordLoad(upstream, load),
+      onDidProduce: () => this._noteProduced(visit),
+      localAddress: context.localAddress
+    }).run()
+    visit.end(result.outcome)
+    return result
+  }
+
+  /** The upstream has taken its inputs; a stream that may go on elsewhere needs them there again. */
+  private _noteProduced (visit: { noteProduced (): void }): void {
+    visit.noteProduced()
+    if (this._taken.route.isResumable) return
+    this._inputs?.release()
+  }
+
+  private _computeHeadTimeout (timeLeftMs: number): number {
+    const { route } = this._taken
+    const mayGoElsewhere = isRepeatable(route) && this._runCount + 1 < route.maxAttempts
+    return mayGoElsewhere ? Math.max(route.goalMs, timeLeftMs * REPEATABLE_HEAD_SHARE) : timeLeftMs
+  }
+
+  private _computePauseTimeout (): number {
+    const { route } = this._taken
+    if (!route.isResumable) return Infinity
+    return RESUMABLE_PAUSES * (route.maxPauseMs > 0 ? route.maxPauseMs : DEFAULT_PAUSE_MS)
+  }
+
+  private _decide (outcome: AttemptOutcome, upstream: UpstreamEntry): AttemptDecision {
+    const { route } = this._taken
+    if (outcome.kind !== 'notRun') this._runCount++
+    if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') this._context.registry.drop(upstream.id, 'address answers as another')
+    return decideAfterAttempt({
+      outcome,
+      isRepeatable: isRepeatable(route),
+      isResumable: route.isResumable,
+      runCount: this._runCount,
+      sendCount: this._sendCount,
+      maxAttempts: route.maxAttempts,
+      timeLeftMs: this._getTimeLeft(),
+      minTimeMs: MIN_ATTEMPT_MS
+    })
+  }
+
+  /** A connection that never opened is no arrival at an upstream, and costs no budget. */
+  private _mayRetry (outcome: AttemptOutcome): boolean {
+    if (this._abort.signal.aborted) return false
+    if (outcome.kind === 'notRun' && outcome.reason === 'unreachable') return true
+    return this._context.retry.takeRetry(this._role)
+  }
+
+  private _finish (result: AttemptResult): RelayEnd['result'] {
+    const { outcome, failure } = result
+    if (outcome.kind === 'delivered') return 'delivered'
+    if (this._taken.answer.hasLeft) return 'cancelled'
+    if (outcome.kind === 'broken') {
+      this._taken.answer.cut()
+      return 'answerTorn'
+    }
+    if (failure !== undefined) {
+      this._taken.answer.send(failure)
+      return 'passedOn'
+    }
+    if (this._taken.answer.isBegun) {
+      this._taken.answer.cut()
+      return 'answerTorn'
+    }
+    if (outcome.kind === 'cancelled') return this._refuseLate()
+    if (outcome.kind === 'notRun') return this._refuse('overloaded', `upstream: ${outcome.reason}`, this._runCount === 0, RETRY_SOON_MS)
+    return this._refuse('outcomeUnknown', outcome.kind === 'lost' ? outcome.reason : outcome.kind, false)
+  }
+
+  private _refusePreparation (refusal: JobRefusal): ResultName {
+    if (this._taken.answer.hasLeft) return 'cancelled'
+    if (this._abort.signal.aborted) return this._refuseLate()
+    return this._refuse('overloaded', `preparation: ${refusal.reason}`, this._runCount === 0, refusal.retryAfterMs)
+  }
+
+  private _refuseWithoutUpstream (): ResultName {
+    return this._refuse('upstreamNoneLeft', `no upstream of ${this._role} takes work`, this._runCount === 0, RETRY_SOON_MS)
+  }
+
+  /** Time ran out: what was sent may still run. */
+  private _refuseLate (): ResultName {
+    return this._refuse('deadlinePassed', 'time ran out', this._sendCount === 0, 0)
+  }
+
+  private _refuse (name: ResultName, message: string, isNotRun: boolean, retryAfterMs?: number): ResultName {
+    const { answer } = this._taken
+    if (answer.hasLeft) return 'cancelled'
+    if (answer.isBegun) {
+      answer.cut()
+      return 'answerTorn'
+    }
+    const refusal: RelayRefusal = { error: new PepperwoodError({ name, message, place: this._role }), isNotRun, retryAfterMs }
+    this._context.refuse(answer, refusal)
+    return name
+  }
+
+  private _noteOutcome (upstream: UpstreamEntry, outcome: AttemptOutcome, decision: AttemptDecision): void {
+    if (outcome.kind === 'delivered') return
+    const { request } = this._taken
+    const reason = 'reason' in outcome ? outcome.reason : 'status' in outcome ? String(outcome.status) : ''
+    this._context.log.info('attempt_ended', {
+      request: request.id,
+      upstream: upstream.id,
+      role: this._role,
+      outcome: outcome.kind,
+      reason,
+      next: decision.kind,
+      left_ms: Math.round(this._getTimeLeft())
+    })
+  }
+
+  private _getTimeLeft (): number {
+    return Math.max(0, this._deadlineAt - this._context.clock.now())
+  }
+}
--- a/src/services/result/common/resultCodes.ts
+++ b/src/services/result/common/resultCodes.ts
@@ -29,6 +29,7 @@
   deadlineTooShort: 217,
   sessionLimit: 218,
   sessionOutdated: 219,
+  routeUnknown: 220,
   deadlinePassed: 301,
   cancelled: 302,
   stageFailed: 303,
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -20,23 +20,24 @@
 export interface RetryBudgetOptions {
   /** Retries earned by one first attempt. */
   readonly share?: number
-  /** Retries that a role can save up. */
-  readonly maxSaved?: number
+  /** Retries that a role can save up; a function where it follows the number of processes that share them. */
+  readonly maxSaved?: number | (() => number)
 }
 
 export class RetryBudget extends RetryPolicy {
   private readonly _share: number
-  private readonly _maxSaved: number
+  private readonly _getMaxSaved: () => number
   private readonly _saved = new Map<string, number>()
 
   constructor (options: RetryBudgetOptions = {}) {
     super()
     this._share = options.share ?? 0.1
-    this._maxSaved = options.maxSaved ?? 10
+    const { maxSaved = 10 } = options
+    this._getMaxSaved = typeof maxSaved === 'number' ? () => maxSaved : maxSaved
   }
 
   recordFirstAttempt (role: string): void {
-    this._saved.set(role, Math.min(this._maxSaved, this._getSaved(role) + this._share))
+    this._saved.set(role, Math.min(this._getMaxSaved(), this._getSaved(role) + this._share))
   }
 
   takeRetry (role: string): boolean {
@@ -47,6 +48,6 @@
   }
 
   private _getSaved (role: string): number {
-    return this._saved.get(role) ?? this._maxSaved
+    return this._saved.get(role) ?? this._getMaxSaved()
   }
 }
--- /dev/null
+++ b/src/services/upstream/common/upstreamRegistry.ts
@@ -0,0 +1,103 @@
+/**
+ * The upstreams that announced themselves: one entry for each boot, since an address may be given to another upstream.
+ * A boot that was marked as leaving or dropped never comes back into use, whoever speaks of it later.
+ */
+import { Disposable } from '../../../base/common/disposable.ts'
+import { Emitter } from '../../../base/common/event.ts'
+
+/** One boot of an upstream. */
+export interface UpstreamEntry {
+  /** Unique to the boot. */
+  readonly id: string
+  readonly role: string
+  readonly address: string
+  readonly hall: string
+  /** Calls that it works on at once. */
+  readonly slots: number
+  readonly isLeaving: boolean
+}
+
+/** What changed of an entry. */
+export interface UpstreamChange {
+  readonly kind: 'added' | 'changed' | 'leaving' | 'dropped'
+  readonly entry: UpstreamEntry
+  readonly signal: string
+}
+
+/** Ids of dropped boots that are remembered, the oldest forgotten first. */
+const MAX_REMEMBERED = 2000
+
+export class UpstreamRegistry extends Disposable {
+  private readonly _entries = new Map<string, UpstreamEntry>()
+  private readonly _byRole = new Map<string, readonly UpstreamEntry[]>()
+  private readonly _gone = new Set<string>()
+  private readonly _onDidChange = this._register(new Emitter<UpstreamChange>())
+  readonly onDidChange = this._onDidChange.event
+
+  get size (): number {
+    return this._entries.size
+  }
+
+  get (id: string): UpstreamEntry | undefined {
+    return this._entries.get(id)
+  }
+
+  list (): readonly UpstreamEntry[] {
+    return [...this._entries.values()]
+  }
+
+  /** The upstreams of a role that take new work. */
+  listRole (role: string): readonly UpstreamEntry[] {
+    let listed = this._byRole.get(role)
+    if (listed === undefined) {
+      listed = this.list().filter(entry => entry.role === role && !entry.isLeaving)
+      this._byRole.set(role, listed)
+    }
+    return listed
+  }
+
+  /** Takes in what an upstream said of itself; a boot that left stays so. */
+  update (entry: UpstreamEntry, signal: string): void {
+    if (this._gone.has(entry.id)) return
+    const held = this._entries.get(entry.id)
+    const next = held?.isLeaving === true ? { ...entry, isLeaving: true } : entry
+    this._set(next)
+    if (held === undefined) this._fire('added', next, signal)
+    if (next.isLeaving && held?.isLeaving !== true) this._fire('leaving', next, signal)
+    else if (held !== undefined && !isSameEntry(held, next)) this._fire('changed', next, signal)
+  }
+
+  /** New work stops; what runs there may end. */
+  markLeaving (id: string, signal: string): void {
+    const held = this._entries.get(id)
+    if (held === undefined || held.isLeaving) return
+    const next = { ...held, isLeaving: true }
+    this._set(next)
+    this._fire('leaving', next, signal)
+  }
+
+  drop (id: string, signal: string): void {
+    const held = this._entries.get(id)
+    if (held === undefined) return
+    this._entries.delete(id)
+    this._byRole.delete(held.role)
+    this._gone.add(id)
+    if (this._gone.size > MAX_REMEMBERED) for (const oldest of [...this._gone].slice(0, 1)) this._gone.delete(oldest)
+    this._fire('dropped', held, signal)
+  }
+
+  private _set (entry: UpstreamEntry): void {
+    const held = this._entries.get(entry.id)
+    this._entries.set(entry.id, entry)
+    this._byRole.delete(entry.role)
+    if (held !== undefined && held.role !== entry.role) this._byRole.delete(held.role)
+  }
+
+  private _fire (kind: UpstreamChange['kind'], entry: UpstreamEntry, signal: string): void {
+    this._onDidChange.fire({ kind, entry, signal })
+  }
+}
+
+function isSameEntry (a: UpstreamEntry, b: UpstreamEntry): boolean {
+  return a.role === b.role && a.address === b.address && a.hall === b.hall && a.slots === b.slots && a.isLeaving === b.isLeaving
+}
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -9,9 +9,11 @@
 /** Settings of one exchange. */
 export interface ExchangeOptions {
   readonly address: string
-  readonly method: 'GET' | 'POST'
+  readonly method: string
   readonly path: string
-  readonly body?: string
+  readonly body?: string | Uint8Array
+  /** Names and values by turns, framing included; without them, a body is announced as JSON. */
+  readonly rawHeaders?: readonly string[]
   /** False gives the exchange a connection of its own. */
   readonly agent: Agent | false
   readonly localAddress?: string
@@ -23,15 +25,44 @@
 
 /** How far an exchange came. */
 export type ExchangeStart =
-  | { readonly kind: 'response', readonly response: IncomingMessage }
+  | { readonly kind: 'response', readonly response: IncomingMessage, readonly exchange: IExchange }
   | { readonly kind: 'notSent', readonly reason: string }
   | { readonly kind: 'lost', readonly reason: string }
 
+/** An exchange whose response has begun. */
+export interface IExchange {
+  /**
+   * Whether the connection failed. The parser takes a body without a length for whole when its connection is reset, so
+   * the end of a response alone proves nothing.
+   */
+  readonly hasFailed: boolean
+  /** Whether the upstream had the whole request when its answer began. */
+  readonly wasWritten: boolean
+  /** Ends the exchange and its connection. */
+  cancel (): void
+}
+
 class ExchangeState {
   wasSent = false
   reason = ''
 }
 
+class Exchange implements IExchange {
+  readonly wasWritten: boolean
+
+  constructor (private readonly _call: ClientRequest, private readonly _state: ExchangeState) {
+    this.wasWritten = _call.writableFinished
+  }
+
+  get hasFailed (): boolean {
+    return this._state.reason !== ''
+  }
+
+  cancel (): void {
+    this._call.destroy()
+  }
+}
+
 function sendWhenOpen (call: ClientRequest, socket: Socket, options: ExchangeOptions, state: ExchangeState): void {
   if (options.onWillSend?.() === false) {
     state.reason = 'not sent'
@@ -42,6 +73,10 @@
   call.end(options.body)
 }
 
+function createJsonHeaders (body: string | Uint8Array | undefined) {
+  return body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
+}
+
 /** Starts an exchange; resolves at the first byte of the response, or when it failed. */
 export function startExchange (options: ExchangeOptions): Promise<ExchangeStart> {
   const address = parseAddress(options.address)
@@ -56,9 +91,7 @@
       agent: options.agent,
       localAddress: options.localAddress,
       signal: options.signal,
-      headers: options.body === undefined
-        ? {}
-        : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(options.body) }
+      headers: options.rawHeaders ?? createJsonHeaders(options.body)
     })
     const timer = setTimeout(() => {
       state.reason = 'connect timeout'
@@ -72,7 +105,7 @@
       if (socket.connecting) socket.once('connect', sendNow)
       else sendNow()
     })
-    call.on('response', response => resolve({ kind: 'response', response }))
+    call.on('response', response => resolve({ kind: 'response', response, exchange: new Exchange(call, state) }))
     call.on('error', error => { if (state.reason === '') state.reason = error.message })
     call.on('close', () => {
       clearTimeout(timer)
