Choose the upstream of a prepared request where all requests are seen, and release inputs once they are fetched

Cause: by the trace of the coordinator, results of requests that waited for their first event held two thirds of the room for large results in a burst; and nodes that choose by prefix alone queue long prompts behind each other (first event after 224 ms in the median, 716 ms for one in ten). Change: the coordinator chooses the target of each request from what it knows to be pending, kept and measured there, prefers halls for large results, orders pieces by the moment at which they have to start, and puts what misses its goal behind the rest. Nodes release inputs a moment after the request was sent, longer after a miss.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -22,6 +22,7 @@
 import { FleetMember } from '../services/membership/node/fleetMember.ts'
 import { PAUSE_CHECK_PERIOD_MS, PauseGuard } from '../services/pause/common/pauseGuard.ts'
 import type { PieceProtocol } from '../services/preparation/common/pieceProtocol.ts'
+import { ReleaseDelay } from '../services/preparation/common/releaseDelay.ts'
 import { PreparationClient } from '../services/preparation/node/preparationClient.ts'
 import { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
 import { PreparationServer } from '../services/preparation/node/preparationServer.ts'
@@ -125,7 +126,8 @@
         registry: this._registry,
         pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this._countNodes() }),
         retry: new RetryBudget({ share: settings.retry_share * RETRY_SAFETY, maxSaved: () => settings.retry_spare * RETRY_SAFETY / this._countNodes() }),
-        preparation: this._preparation
+        preparation: this._preparation,
+        releaseDelay: new ReleaseDelay()
       },
       callerProtocol: options.callerProtocol,
       getTable,
@@ -280,7 +282,7 @@
   private _noteEnd (ended: EndedRequest): void {
     this._recent.add(1)
     const { id, route, customer, elapsedMs, end } = ended
-    this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, took_ms: Math.round(elapsedMs) })
+    this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, produced_ms: end.producedMs, upstream: end.lastUpstream, took_ms: Math.round(elapsedMs) })
   }
 
   private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -1,6 +1,8 @@
 /**
  * One job at its coordinator: which pieces wait, run, are made, or were given back.
  */
+import { computeCallMs } from './pieceUpstream.ts'
+import type { PieceWorkSpec } from './pieceUpstream.ts'
 import { listLastStages } from './preparationJob.ts'
 import type { JobStage, PieceResult, PreparationJob } from './preparationJob.ts'
 
@@ -24,6 +26,12 @@
   readonly lastStages: readonly number[]
   /** All results were made and handed over. */
   isHandedOver = false
+  /** The upstream that should take the request, and its hall; empty when there is none. */
+  targetId = ''
+  targetHall = ''
+  /** What the request is expected to take at the target until its first event. */
+  requestMs = 0
+  private readonly _readyAt = new Map<number, number>()
 
   constructor (job: PreparationJob, now: number) {
     this.job = job
@@ -64,6 +72,29 @@
     return this.lastStages.flatMap(stage => this._listResults(stage))
   }
 
+  /** When a stage was first seen ready. */
+  getReadyAt (stage: number, now: number): number {
+    const known = this._readyAt.get(stage)
+    if (known !== undefined) return known
+    this._readyAt.set(stage, now)
+    return now
+  }
+
+  /** The least time until all stages are done: what waits goes into one call for each stage of the longest chain. */
+  estimateStages (getWork: (role: string) => PieceWorkSpec | undefined): number {
+    const byHeight = new Map<number, number>()
+    this.job.stages.forEach((stage, index) => {
+      const waiting = this.countWaiting(index)
+      const work = waiting > 0 ? getWork(stage.role) : undefined
+      const height = this.heights[index] ?? 0
+      const ms = work === undefined ? 0 : computeCallMs(work, Math.min(waiting, work.maxPiecesPerCall))
+      byHeight.set(height, Math.max(byHeight.get(height) ?? 0, ms))
+    })
+    let sum = 0
+    for (const ms of byHeight.values()) sum += ms
+    return sum
+  }
+
   countWaiting (stage: number): number {
     return this._getPieces(stage).filter(piece => piece.status === 'waiting').length
   }
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -11,12 +11,23 @@
   readonly resultBytes: number
 }
 
+/** What is known of the request that takes the results. */
+export interface RequestShape {
+  /** The role of the upstreams that can run it. */
+  readonly role: string
+  /** Tells apart prompts with other shared parts; empty where nothing is shared. */
+  readonly prefix: string
+  readonly sharedTokens: number
+  readonly inputTokens: number
+}
+
 export interface PreparationJob {
   /** The id of the caller's try; pieces carry it. */
   readonly id: string
   /** What the pieces of stages without inputs work on. */
   readonly key: string
   readonly stages: readonly JobStage[]
+  readonly request: RequestShape
   /** 0 goes first. */
   readonly rank: number
   /** Milliseconds until the results are of full use, from now. */
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -24,6 +24,7 @@
   id: Id,
   key: Schema.String.pipe(Schema.maxLength(4096)),
   stages: Schema.Array(StageSchema).pipe(Schema.maxItems(MAX_STAGES)),
+  request: Schema.Struct({ role: Id, prefix: Schema.String.pipe(Schema.maxLength(4096)), sharedTokens: Count, inputTokens: Count }),
   rank: Count,
   goalInMs: Span,
   deadlineInMs: Span
@@ -34,6 +35,8 @@
   Schema.Struct({ kind: Schema.Literal('job'), job: JobSchema }),
   /** An owner needs the results no more. */
   Schema.Struct({ kind: Schema.Literal('release'), jobId: Id }),
+  /** The request has shown its first event, or failed, at the upstream that the coordinator chose. */
+  Schema.Struct({ kind: Schema.Literal('report'), jobId: Id, outcome: Schema.Literal('produced', 'failed', 'unused'), producedMs: Span }),
   /** An owner found results missing. */
   Schema.Struct({ kind: Schema.Literal('reopen'), jobId: Id }),
   /** The coordinator has all results. */
@@ -41,6 +44,8 @@
     kind: Schema.Literal('prepared'),
     jobId: Id,
     results: Schema.Array(Schema.Struct({ handle: Id, upstreamId: Id })),
+    /** The upstream that should take the request; empty when there is none. */
+    targetId: Schema.String,
     hall: Schema.String
   }),
   /** The coordinator gives the job up. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -7,8 +7,10 @@
 import { JobState } from './jobState.ts'
 import type { PieceState } from './jobState.ts'
 import { computeCallMs, PieceUpstream } from './pieceUpstream.ts'
-import type { PieceUpstreamOptions } from './pieceUpstream.ts'
+import type { PieceUpstreamOptions, PieceWorkSpec } from './pieceUpstream.ts'
 import type { JobRefusal, PieceResult, PreparationJob } from './preparationJob.ts'
+import { TargetPlanner } from './targetPlanner.ts'
+import type { TargetCandidate, TargetReport } from './targetPlanner.ts'
 
 /** A piece as an upstream is asked for it. */
 export interface PlannedPiece {
@@ -42,7 +44,7 @@
 
 /** What the owner of a job is told. */
 export type JobNews =
-  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly hall: string }
+  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly hall: string }
   | { readonly kind: 'refused', readonly jobId: string, readonly refusal: JobRefusal }
 
 /** Results to be given back at one upstream. */
@@ -75,9 +77,13 @@
 }
 
 /** A lower rank counts like a goal this much later. */
-const RANK_MS = 1500
+const RANK_MS = 4000
 /** A job that misses its goal anyway counts like one whose goal is this much later. */
 const LATE_MS = 6000
+/** Results of at least this size are worth waiting for an upstream in the hall of the request's target. */
+const LARGE_RESULT_BYTES = 200_000
+/** How long a large piece waits for that hall, if its goal leaves the time. */
+const HALL_PATIENCE_MS = 250
 /** An upstream this much slower than the configuration says is used only when no other can be. */
 const MAX_SLOWNESS = 2.5
 /** A call that takes so many times what it should, and some more, is given up. */
@@ -90,15 +96,23 @@
 /** A result this close to the end of its lifetime is not relied on. */
 const LIFETIME_MARGIN_MS = 400
 const INTERRUPTED_RETRY_MS = 300
+const NO_WAIT: ReadonlyMap<string, number> = new Map()
 
 export class PreparationPlanner {
   private readonly _upstreams = new Map<string, PieceUpstream>()
   private readonly _jobs = new Map<string, JobState>()
   private readonly _calls = new Map<number, StartedCall>()
   private readonly _frees = new Map<string, PendingFree>()
+  private readonly _targets = new TargetPlanner()
+  /** Upstreams that requests themselves go to, by role. */
+  private readonly _listTargets: (role: string) => readonly TargetCandidate[]
   private _news: JobNews[] = []
   private _nextCallId = 1
 
+  constructor (listTargets: (role: string) => readonly TargetCandidate[]) {
+    this._listTargets = listTargets
+  }
+
   get jobCount (): number {
     return this._jobs.size
   }
@@ -122,6 +136,7 @@
 
   /** The upstream is gone, and with it its results. */
   dropUpstream (upstreamId: string): void {
+    this._targets.drop(upstreamId)
     if (!this._upstreams.delete(upstreamId)) return
     this._frees.delete(upstreamId)
     for (const state of this._jobs.values()) this._reopenLost(state, result => result.upstreamId === upstreamId)
@@ -135,9 +150,15 @@
     const refusal = decideAdmission({ job, capacities: this._computeCapacities(now), piecesAhead: countPieces(ahead) })
     if (refusal !== undefined) return refusal
     this._jobs.set(job.id, state)
+    this._chooseTarget(state, now)
     return undefined
   }
 
+  /** Takes in how a request fared at its target. */
+  reportTarget (jobId: string, report: TargetReport, now: number): void {
+    this._targets.settle(jobId, report, now)
+  }
+
   /** The owner needs the results no more: they are given back, and what was not made is not made. */
   releaseJob (jobId: string): void {
     const state = this._jobs.get(jobId)
@@ -178,7 +199,7 @@
     } else {
       this._settleFailedCall(started, outcome, upstream, now)
     }
-    for (const state of new Set(started.pieces.map(piece => piece.state))) this._advance(state)
+    for (const state of new Set(started.pieces.map(piece => piece.state))) this._advance(state, now)
   }
 
   /** What the owners of jobs have to be told since the last time. */
@@ -223,13 +244,33 @@
     let rest: readonly ReadyPiece[] = ready
     idle.forEach((upstream, index) => {
       if (rest.length === 0) return
-      const { chosen, left } = takeBatch(rest, upstream, computeBatchSize(upstream, rest.length, idle.length - index), now)
-      rest = left
+      const fitting = rest.filter(piece => this._isNearTarget(piece, upstream, now))
+      const size = computeBatchSize(upstream, rest.length, idle.length - index)
+      const chosen = takeBatch([...fitting, ...rest.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
+      const taken = new Set(chosen)
+      rest = rest.filter(piece => !taken.has(piece))
       if (chosen.length > 0) calls.push(this._start(upstream, chosen, now))
     })
     return calls
   }
 
+  /** Whether a piece is small, or the upstream lies in the hall that wants it. */
+  private _isNearTarget (piece: ReadyPiece, upstream: PieceUpstream, now: number): boolean {
+    if (piece.bytes < LARGE_RESULT_BYTES || piece.state.targetHall === upstream.hall) return true
+    const { role } = upstream
+    for (const other of this._upstreams.values()) {
+      if (other.role === role && other.hall === piece.state.targetHall && other.isUsable(now) && other.slowness <= MAX_SLOWNESS) return false
+    }
+    return true
+  }
+
+  /** Whether a piece has waited long enough for its hall, or cannot wait. */
+  private _isImpatient (piece: ReadyPiece, now: number): boolean {
+    const { state } = piece
+    const slackMs = state.goalAt - now - this._estimateRemaining(state)
+    return now - state.getReadyAt(piece.stage, now) >= Math.min(HALL_PATIENCE_MS, Math.max(0, slackMs))
+  }
+
   private _start (upstream: PieceUpstream, chosen: readonly ReadyPiece[], now: number): PlannedCall {
     const expectedMs = computeCallMs(upstream.work, chosen.length)
     const call: PlannedCall = {
@@ -291,10 +332,21 @@
       .map(({ state }) => state)
   }
 
-  /** Lower goes first. */
+  /** Lower goes first: what has to start soonest, by rank, and what misses its goal anyway after that. */
   private _scoreJob (state: JobState, now: number): number {
-    const isLate = now > state.goalAt
-    return state.goalAt + state.job.rank * RANK_MS + (isLate ? LATE_MS : 0)
+    const startBy = state.goalAt - this._estimateRemaining(state)
+    return startBy + state.job.rank * RANK_MS + (now > startBy ? LATE_MS : 0)
+  }
+
+  /** The least time that a job still needs, the request itself included. */
+  private _estimateRemaining (state: JobState): number {
+    const remaining = state.estimateStages(stage => this._getWork(stage))
+    return remaining + state.requestMs
+  }
+
+  private _getWork (role: string): PieceWorkSpec | undefined {
+    for (const upstream of this._upstreams.values()) if (upstream.role === role) return upstream.work
+    return undefined
   }
 
   private _computeCapacities (now: number): ReadonlyMap<string, RoleCapacity> {
@@ -348,14 +400,81 @@
   }
 
   /** Hands over what is done, gives back what was used, and gives up what fails again and again. */
-  private _advance (state: JobState): void {
+  private _advance (state: JobState, now: number): void {
     if (!this._holds(state) || state.isHandedOver) return
     if (state.pieces.some(stage => stage.some(piece => piece.failures > MAX_PIECE_FAILURES))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
     for (const stage of state.listUsedUpStages()) this._freeStage(state, stage)
     if (!state.isDone) return
     state.isHandedOver = true
     const results = state.listFinalResults()
-    this._news.push({ kind: 'prepared', jobId: state.job.id, results, hall: this._findMainHall(results) })
+    this._chooseTarget(state, now)
+    this._news.push({ kind: 'prepared', jobId: state.job.id, results, targetId: state.targetId, hall: this._findMainHall(results) })
+  }
+
+  /** Chosen when a job comes, so that large results are made near the target, and again when they are there. */
+  private _chooseTarget (state: JobState, now: number): void {
+    const { id, request } = state.job
+    const choice = this._targets.choose({
+      shape: request,
+      candidates: this._listTargets(request.role),
+      bytesByHall: this._sumFinalBytes(state),
+      waitByHall: state.isHandedOver ? NO_WAIT : this._computeHallWaits(state, now)
+    }, now)
+    state.requestMs = choice?.costMs ?? 0
+    state.targetId = choice?.id ?? ''
+    state.targetHall = choice?.hall ?? ''
+    if (choice !== undefined && state.isHandedOver) this._targets.assign(id, request, choice.id, now)
+  }
+
+  /** How long the large results of a job would wait for an upstream of a hall. */
+  private _computeHallWaits (state: JobState, now: number): ReadonlyMap<string, number> {
+    const roles = new Set(state.lastStages.flatMap(index => {
+      const stage = state.job.stages[index]
+      return stage !== undefined && stage.resultBytes >= LARGE_RESULT_BYTES ? [stage.role] : []
+    }))
+    const waits = new Map<string, number>()
+    for (const role of roles) {
+      for (const [hall, calls] of this._countHallCalls(role, now)) {
+        const pieces = this._countLargePieces(role, hall)
+        const pieceMs = this._getWork(role)?.pieceMs ?? 0
+        waits.set(hall, Math.max(waits.get(hall) ?? 0, pieces * pieceMs / calls))
+      }
+    }
+    return waits
+  }
+
+  private _countHallCalls (role: string, now: number): ReadonlyMap<string, number> {
+    const calls = new Map<string, number>()
+    for (const upstream of this._upstreams.values()) {
+      if (upstream.role !== role || !upstream.isUsable(now)) continue
+      calls.set(upstream.hall, (calls.get(upstream.hall) ?? 0) + upstream.work.concurrentCalls / Math.max(1, upstream.slowness))
+    }
+    return calls
+  }
+
+  /** Large pieces of a role that wait or run for the targets of a hall. */
+  private _countLargePieces (role: string, hall: string): number {
+    let count = 0
+    for (const state of this._jobs.values()) {
+      if (state.isHandedOver || state.targetHall !== hall) continue
+      state.job.stages.forEach((stage, index) => {
+        if (stage.role !== role || stage.resultBytes < LARGE_RESULT_BYTES) return
+        count += (state.pieces[index] ?? []).filter(piece => piece.status === 'waiting' || piece.status === 'running').length
+      })
+    }
+    return count
+  }
+
+  private _sumFinalBytes (state: JobState): ReadonlyMap<string, number> {
+    const sums = new Map<string, number>()
+    for (const stage of state.lastStages) {
+      const bytes = state.job.stages[stage]?.resultBytes ?? 0
+      for (const { result } of state.pieces[stage] ?? []) {
+        const hall = result === undefined ? undefined : this._upstreams.get(result.upstreamId)?.hall
+        if (hall !== undefined) sums.set(hall, (sums.get(hall) ?? 0) + bytes)
+      }
+    }
+    return sums
   }
 
   private _findMainHall (results: readonly PieceResult[]): string {
@@ -437,19 +556,16 @@
 }
 
 /** Takes the first pieces for which the upstream has room. */
-function takeBatch (pieces: readonly ReadyPiece[], upstream: PieceUpstream, size: number, now: number) {
+function takeBatch (pieces: readonly ReadyPiece[], upstream: PieceUpstream, size: number, now: number): readonly ReadyPiece[] {
   let freeBytes = upstream.getFreeBytes(now)
   const chosen: ReadyPiece[] = []
-  const left: ReadyPiece[] = []
   for (const piece of pieces) {
-    if (chosen.length < size && piece.bytes <= freeBytes) {
-      chosen.push(piece)
-      freeBytes -= piece.bytes
-    } else {
-      left.push(piece)
-    }
+    if (chosen.length >= size) break
+    if (piece.bytes > freeBytes) continue
+    chosen.push(piece)
+    freeBytes -= piece.bytes
   }
-  return { chosen, left }
+  return chosen
 }
 
 function createPlannedPiece ({ state, stage, index }: ReadyPiece, now: number): PlannedPiece {
--- a/src/services/preparation/common/preparationService.ts
+++ b/src/services/preparation/common/preparationService.ts
@@ -2,17 +2,24 @@
  * What the relay asks of preparation.
  */
 import type { Either } from 'purify-ts'
+import type { TargetReport } from './targetPlanner.ts'
 import type { JobRefusal, PreparationJob } from './preparationJob.ts'
 
 /** Results that are held for a request until they are released. */
 export interface IPreparedInputs {
   /** In the order of stages and pieces. */
   readonly handles: readonly string[]
+  readonly bytes: number
+  readonly isReleased: boolean
+  /** The upstream that should take the request; empty when any may. */
+  readonly targetId: string
   /** The hall that most of the results are in. */
   readonly hall: string
+  /** Tells how the request fared at the target. */
+  report (report: TargetReport): void
   /** Gives the results back; nobody may use them afterwards. */
   release (): void
-  /** Makes results anew that an upstream no longer holds. */
+  /** Makes results anew that were released or that an upstream no longer holds. */
   prepareAgain (): Promise<Either<JobRefusal, IPreparedInputs>>
 }
 
--- /dev/null
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -0,0 +1,188 @@
+/**
+ * Which upstream takes a request once its results are there. One coordinator sees all requests, so it knows what each
+ * upstream has to read, which prompts it read before, and where the results lie.
+ */
+import { hashText } from '../../../base/common/rendezvous.ts'
+import { EjectingTracker } from '../../health/common/healthTracker.ts'
+import type { HealthTracker } from '../../health/common/healthTracker.ts'
+import type { RequestShape } from './preparationJob.ts'
+
+export interface TargetCandidate {
+  readonly id: string
+  readonly hall: string
+}
+
+export interface TargetQuestion {
+  readonly shape: RequestShape
+  readonly candidates: readonly TargetCandidate[]
+  /** Where the results lie that are already there. */
+  readonly bytesByHall: ReadonlyMap<string, number>
+  /** How long results that are still to be made would wait in each hall. */
+  readonly waitByHall: ReadonlyMap<string, number>
+}
+
+export interface TargetChoice {
+  readonly id: string
+  readonly hall: string
+  /** Until the first event, waiting included. */
+  readonly costMs: number
+}
+
+/** How a request fared at its target. */
+export interface TargetReport {
+  readonly outcome: 'produced' | 'failed' | 'unused'
+  /** From when it was sent to its first event. */
+  readonly producedMs: number
+}
+
+/** Before anything was measured. */
+const FIRST_MS_PER_TOKEN = 1 / 60
+const SMOOTHING = 0.15
+const MIN_MS_PER_TOKEN = 1 / 1000
+const MAX_MS_PER_TOKEN = 1
+/** A first event takes this long also when nothing has to be read. */
+const BASE_MS = 25
+/** Reading for this long costs as much as moving a megabyte of results to another hall. */
+const MOVE_MS_PER_MB = 5
+const BYTES_PER_MB = 1e6
+/** What was read so long ago and not used since has probably given way. */
+const KEPT_MS = 60_000
+/** A prompt that no one is known to have read is most likely kept by the upstream that every coordinator would choose first. */
+const GUESSED_SHARE = 0.5
+/** Reading shared parts again takes time and memory from other requests as well. */
+const READ_AGAIN_WEIGHT = 1
+const MAX_PREFIXES = 5000
+
+class TargetState {
+  pendingTokens = 0
+  msPerToken = FIRST_MS_PER_TOKEN
+  readonly health: HealthTracker = new EjectingTracker()
+}
+
+interface Assignment {
+  readonly targetId: string
+  readonly tokens: number
+  readonly tokensAhead: number
+}
+
+export class TargetPlanner {
+  private readonly _targets = new Map<string, TargetState>()
+  private readonly _assignments = new Map<string, Assignment>()
+  /** When each target was last sent a prompt with the prefix. */
+  private readonly _prefixes = new Map<string, Map<string, number>>()
+
+  /** The best target; undefined when there is none. */
+  choose (question: TargetQuestion, now: number): TargetChoice | undefined {
+    const { shape, candidates } = question
+    const healthy = candidates.filter(candidate => this._getTarget(candidate.id).health.getState(now) !== 'ejected')
+    const usable = healthy.length * 2 >= candidates.length ? healthy : candidates
+    const favourite = findFavourite(shape.prefix, usable)
+    let best: TargetChoice | undefined
+    let bestScore = Infinity
+    for (const candidate of usable) {
+      const costMs = this._estimateMs(question, candidate, now)
+      const score = costMs + this._scoreWork(question, candidate, favourite, now)
+      if (score >= bestScore) continue
+      bestScore = score
+      best = { id: candidate.id, hall: candidate.hall, costMs }
+    }
+    return best
+  }
+
+  /** Counts a request as on its way to a target. */
+  assign (jobId: string, shape: RequestShape, targetId: string, now: number): void {
+    this._withdraw(jobId)
+    const target = this._getTarget(targetId)
+    const tokens = this._countUnread(shape, targetId, now)
+    this._assignments.set(jobId, { targetId, tokens, tokensAhead: target.pendingTokens })
+    target.pendingTokens += tokens
+    if (shape.prefix !== '') this._notePrefix(shape.prefix, targetId, now)
+  }
+
+  /** The request has shown its first event, or will show none. */
+  settle (jobId: string, report: TargetReport, now: number): void {
+    const assignment = this._withdraw(jobId)
+    if (assignment === undefined || report.outcome === 'unused') return
+    const target = this._getTarget(assignment.targetId)
+    target.health.record(report.outcome === 'produced', now)
+    if (report.outcome !== 'produced') return
+    const tokens = assignment.tokens + assignment.tokensAhead
+    if (tokens <= 0) return
+    const measured = Math.min(MAX_MS_PER_TOKEN, Math.max(MIN_MS_PER_TOKEN, (report.producedMs - BASE_MS) / tokens))
+    target.msPerToken += SMOOTHING * (measured - target.msPerToken)
+  }
+
+  drop (targetId: string): void {
+    this._targets.delete(targetId)
+    for (const kept of this._prefixes.values()) kept.delete(targetId)
+  }
+
+  describe (): readonly object[] {
+    return [...this._targets].map(([id, { pendingTokens, msPerToken }]) => ({ id, pendingTokens, msPerToken }))
+  }
+
+  /** Until the first event. */
+  private _estimateMs ({ shape, waitByHall }: TargetQuestion, candidate: TargetCandidate, now: number): number {
+    const target = this._getTarget(candidate.id)
+    const readTokens = target.pendingTokens + this._countUnread(shape, candidate.id, now)
+    return BASE_MS + readTokens * target.msPerToken + (waitByHall.get(candidate.hall) ?? 0)
+  }
+
+  /** What the choice costs the fleet beyond the time of this request. */
+  private _scoreWork ({ shape, bytesByHall }: TargetQuestion, candidate: TargetCandidate, favourite: string, now: number): number {
+    const isKnown = this._prefixes.has(shape.prefix)
+    const isGuess = candidate.id === favourite && !isKnown
+    const isReadAgain = isKnown && this._countUnread(shape, candidate.id, now) === shape.inputTokens
+    const again = isReadAgain ? READ_AGAIN_WEIGHT : isGuess ? -GUESSED_SHARE : 0
+    let movedBytes = 0
+    for (const [hall, bytes] of bytesByHall) if (hall !== candidate.hall) movedBytes += bytes
+    return again * shape.sharedTokens * FIRST_MS_PER_TOKEN + movedBytes / BYTES_PER_MB * MOVE_MS_PER_MB
+  }
+
+  private _countUnread (shape: RequestShape, targetId: string, now: number): number {
+    const readAt = this._prefixes.get(shape.prefix)?.get(targetId)
+    const isKept = readAt !== undefined && now - readAt < KEPT_MS
+    return Math.max(0, shape.inputTokens - (isKept ? shape.sharedTokens : 0))
+  }
+
+  private _notePrefix (prefix: string, targetId: string, now: number): void {
+    const kept = this._prefixes.get(prefix) ?? new Map<string, number>()
+    // The prefix moves to the end, so that the first one is the one unused for longest.
+    this._prefixes.delete(prefix)
+    this._prefixes.set(prefix, kept)
+    kept.set(targetId, now)
+    if (this._prefixes.size > MAX_PREFIXES) for (const oldest of [...this._prefixes.keys()].slice(0, 1)) this._prefixes.delete(oldest)
+  }
+
+  private _withdraw (jobId: string): Assignment | undefined {
+    const assignment = this._assignments.get(jobId)
+    if (assignment === undefined) return undefined
+    this._assignments.delete(jobId)
+    const target = this._targets.get(assignment.targetId)
+    if (target !== undefined) target.pendingTokens -= assignment.tokens
+    return assignment
+  }
+
+  private _getTarget (id: string): TargetState {
+    let target = this._targets.get(id)
+    if (target === undefined) {
+      target = new TargetState()
+      this._targets.set(id, target)
+    }
+    return target
+  }
+}
+
+/** The same for every coordinator, by rendezvous. */
+function findFavourite (prefix: string, candidates: readonly TargetCandidate[]): string {
+  let best = ''
+  let bestScore = -1
+  for (const { id } of candidates) {
+    const score = hashText(`${prefix}\u0000${id}`)
+    if (score > bestScore) {
+      best = id
+      bestScore = score
+    }
+  }
+  return best
+}
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -9,10 +9,12 @@
 import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import { listLastStages } from '../common/preparationJob.ts'
 import type { JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
 import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobNews } from '../common/preparationPlanner.ts'
+import type { TargetReport } from '../common/targetPlanner.ts'
 import { CoordinatorLink } from './coordinatorLink.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
 
@@ -154,20 +156,33 @@
   }
 
   private _createOutcome (open: OpenJob, news: JobNews, signal: AbortSignal): Either<JobRefusal, IPreparedInputs> {
-    return news.kind === 'refused' ? Left(news.refusal) : Right(this._createInputs(open, news.results, news.hall, signal))
+    return news.kind === 'refused' ? Left(news.refusal) : Right(this._createInputs(open, news, signal))
   }
 
-  private _createInputs (open: OpenJob, results: readonly PieceResult[], hall: string, signal: AbortSignal): IPreparedInputs {
+  private _createInputs (open: OpenJob, news: JobNews & { readonly kind: 'prepared' }, signal: AbortSignal): IPreparedInputs {
+    const { results, targetId, hall } = news
     let isReleased = false
+    let isReported = false
     return {
       handles: results.map(result => result.handle),
+      bytes: sumFinalBytes(open.job),
+      targetId,
       hall,
+      get isReleased () { return isReleased },
+      report: report => {
+        if (isReported) return
+        isReported = true
+        this._report(open, report)
+      },
       release: () => {
         if (isReleased) return
         isReleased = true
         this._giveBack(open, results)
       },
       prepareAgain: () => {
+        if (!isReported) this._report(open, { outcome: 'unused', producedMs: 0 })
+        isReported = true
+        if (isReleased) return this.prepare(this._updateTimes(open), signal)
         isReleased = true
         return this._prepareAgain(open, results, signal)
       }
@@ -208,6 +223,11 @@
     else link.send({ kind: 'release', jobId: job.id })
   }
 
+  private _report ({ job, link }: OpenJob, { outcome, producedMs }: TargetReport): void {
+    if (link === undefined) this._options.coordinator.report(job.id, { outcome, producedMs })
+    else if (!link.isClosed) link.send({ kind: 'report', jobId: job.id, outcome, producedMs: Math.max(0, producedMs) })
+  }
+
   /** The coordinator that counted these results is gone, so nobody else gives them back. */
   private _freeDirectly (results: readonly PieceResult[]): void {
     const byUpstream = new Map<string, string[]>()
@@ -218,3 +238,7 @@
     }
   }
 }
+
+function sumFinalBytes (job: PreparationJob): number {
+  return listLastStages(job.stages).reduce((sum, index) => sum + (job.stages[index]?.pieceCount ?? 0) * (job.stages[index]?.resultBytes ?? 0), 0)
+}
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -12,6 +12,7 @@
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
 import type { JobNews, PlannedCall, PlannedFree } from '../common/preparationPlanner.ts'
 import type { PreparationJob } from '../common/preparationJob.ts'
+import type { TargetReport } from '../common/targetPlanner.ts'
 
 export interface PreparationCoordinatorOptions {
   readonly clock: IClock
@@ -31,13 +32,14 @@
 
 export class PreparationCoordinator extends Disposable {
   private readonly _options: PreparationCoordinatorOptions
-  private readonly _planner = new PreparationPlanner()
+  private readonly _planner: PreparationPlanner
   private readonly _listeners = new Map<string, JobListener>()
   private _isFreeing = false
 
   constructor (options: PreparationCoordinatorOptions) {
     super()
     this._options = options
+    this._planner = new PreparationPlanner(role => options.registry.listRole(role))
     this._register(options.registry.onDidChange(change => this._takeChange(change)))
     this._register(startInterval(SWEEP_PERIOD_MS, () => { if (this._planner.jobCount > 0) this._dispatch() }))
     this._register(toDisposable(() => this._listeners.clear()))
@@ -68,6 +70,11 @@
     this._scheduleFrees()
   }
 
+  /** Takes in how a request fared at the upstream that was chosen for it. */
+  report (jobId: string, report: TargetReport): void {
+    this._planner.reportTarget(jobId, report, this._options.clock.now())
+  }
+
   /** Makes results anew; false when the job is not known here. */
   reopen (jobId: string, listener: JobListener): boolean {
     if (!this._planner.reopenJob(jobId, this._options.clock.now())) return false
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -7,8 +7,11 @@
 import { FrameServer } from '../../rpc/node/frameServer.ts'
 import { checkPreparationMessage } from '../common/preparationMessage.ts'
 import type { PreparationMessage } from '../common/preparationMessage.ts'
+import type { TargetReport } from '../common/targetPlanner.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
 
+const UNUSED: TargetReport = { outcome: 'unused', producedMs: 0 }
+
 export class PreparationServer extends Disposable {
   private readonly _server = this._register(new FrameServer(connection => this._accept(connection)))
 
@@ -33,7 +36,12 @@
       })
     })
     // An owner that is gone needs nothing; its callers are gone with it.
-    connection.onDidClose(() => { for (const jobId of jobs) this._coordinator.release(jobId) })
+    connection.onDidClose(() => {
+      for (const jobId of jobs) {
+        this._coordinator.release(jobId)
+        this._coordinator.report(jobId, UNUSED)
+      }
+    })
   }
 
   private _take (connection: FrameConnection, jobs: Set<string>, message: PreparationMessage): void {
@@ -42,10 +50,15 @@
       send({ kind: 'pong' })
     } else if (message.kind === 'job') {
       jobs.add(message.job.id)
-      this._coordinator.submit(message.job, send)
+      this._coordinator.submit(message.job, news => {
+        if (news.kind === 'refused') jobs.delete(news.jobId)
+        send(news)
+      })
     } else if (message.kind === 'release') {
-      jobs.delete(message.jobId)
       this._coordinator.release(message.jobId)
+    } else if (message.kind === 'report') {
+      jobs.delete(message.jobId)
+      this._coordinator.report(message.jobId, message)
     } else if (message.kind === 'reopen' && !this._coordinator.reopen(message.jobId, send)) {
       send({ kind: 'refused', jobId: message.jobId, refusal: { reason: 'interrupted', retryAfterMs: 0 } })
     }
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -3,18 +3,21 @@
  */
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
+import { countSharedTokens, getSharedPrefix } from './relayRequest.ts'
 import type { RelayRequest } from './relayRequest.ts'
 
 export interface PreparationNeedInputs {
   readonly request: RelayRequest
   readonly route: Route
+  /** The role of the upstreams that the request goes to. */
+  readonly role: string
   readonly priority: number
   readonly deadlineInMs: number
 }
 
 /** Undefined when nothing has to be done before the request can run. */
 export function createPreparationJob (inputs: PreparationNeedInputs): PreparationJob | undefined {
-  const { request, route, priority, deadlineInMs } = inputs
+  const { request, route, role, priority, deadlineInMs } = inputs
   const need = request.preparation
   if (need === undefined || route.stages.length === 0) return undefined
   const counts = route.stages.map((_, index) => need.pieceCounts[index] ?? 0)
@@ -25,5 +28,12 @@
     pieceCount: counts[index] ?? 0,
     resultBytes: stage.resultBytes
   }))
-  return { id: request.id, key: need.key, stages, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs }
+  const { prompt } = request
+  const shape = {
+    role,
+    prefix: prompt === undefined ? '' : getSharedPrefix(prompt),
+    sharedTokens: prompt === undefined ? 0 : countSharedTokens(prompt),
+    inputTokens: prompt?.inputTokens ?? 0
+  }
+  return { id: request.id, key: need.key, stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs }
 }
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -5,7 +5,7 @@
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { AttemptOutcome } from './attemptDecision.ts'
-import { getSharedPrefix } from './relayRequest.ts'
+import { countSharedTokens, getSharedPrefix } from './relayRequest.ts'
 import type { PromptShape } from './relayRequest.ts'
 import type { UpstreamLoad } from './relayProtocol.ts'
 import type { RelayCandidate, RelayRouter } from './relayRouter.ts'
@@ -58,12 +58,19 @@
     options.registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._uses.delete(entry.id) })
   }
 
+  /** An upstream that was chosen elsewhere, if nothing known here speaks against it. */
+  confirm (id: string, tried: ReadonlySet<string>): UpstreamEntry | undefined {
+    const entry = this._options.registry.get(id)
+    if (entry === undefined || entry.isLeaving || tried.has(id)) return undefined
+    return this._getUse(id).health.getState(this._options.clock.now()) === 'ejected' ? undefined : entry
+  }
+
   choose (question: PoolQuestion): UpstreamEntry | undefined {
     const entries = this._options.registry.listRole(question.role)
     const untried = entries.filter(entry => !question.tried.has(entry.id))
     const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length)
     const shared = question.prompt === undefined ? '' : getSharedPrefix(question.prompt)
-    const sharedTokens = question.prompt?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0
+    const sharedTokens = question.prompt === undefined ? 0 : countSharedTokens(question.prompt)
     const choice = this._options.router.choose(
       { sharedPrefix: shared, sharedTokens, hall: question.hall, nodeCount: this._options.countNodes() },
       usable.map(entry => this._createCandidate(entry))
--- a/src/services/relay/common/relayRequest.ts
+++ b/src/services/relay/common/relayRequest.ts
@@ -58,3 +58,8 @@
 export function getSharedPrefix (prompt: PromptShape): string {
   return prompt.parts.slice(0, -1).map(part => part.id).join('/')
 }
+
+/** Tokens of the parts that other requests can have too. */
+export function countSharedTokens (prompt: PromptShape): number {
+  return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
+}
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -24,6 +24,8 @@
   /** How long a stream may pause before it is taken for broken. */
   readonly pauseTimeoutMs: number
   readonly signal: AbortSignal
+  /** The connection is open, and the request is written now. */
+  readonly onWillSend: () => void
   readonly onDidReadLoad: (load: UpstreamLoad) => void
   /** The first event of a stream, or the whole answer, has arrived. */
   readonly onDidProduce: () => void
@@ -69,7 +71,11 @@
         agent,
         localAddress: this._options.localAddress,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        signal: controller.signal
+        signal: controller.signal,
+        onWillSend: () => {
+          this._options.onWillSend()
+          return true
+        }
       })
       if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start.kind, start.reason) }
       return await this._readAnswer(start.response, start.exchange)
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -6,6 +6,7 @@
 import type { IRandom } from '../../../base/common/random.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
+import type { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { RelayRefusal, UpstreamProtocol } from '../common/relayProtocol.ts'
@@ -24,6 +25,7 @@
   readonly pool: RelayPool
   readonly retry: RetryPolicy
   readonly preparation: IPreparationService
+  readonly releaseDelay: ReleaseDelay
   /** Sends a refusal in the callers' protocol. */
   readonly refuse: (answer: CallerAnswer, refusal: RelayRefusal) => void
 }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -2,16 +2,19 @@
  * One request at the relay: prepares what it needs, sends it to upstreams one after another until one delivers, and
  * ends it with an answer or an honest refusal.
  */
+import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { ResultName } from '../../result/common/resultCodes.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { IPreparedInputs } from '../../preparation/common/preparationService.ts'
+import type { TargetReport } from '../../preparation/common/targetPlanner.ts'
 import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { decideAfterAttempt } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
+import type { PoolVisit } from '../common/relayPool.ts'
 import type { RelayRefusal } from '../common/relayProtocol.ts'
 import type { RelayRequest } from '../common/relayRequest.ts'
 import { isRepeatable, pickTarget } from '../common/relayTable.ts'
@@ -38,6 +41,9 @@
   readonly result: ResultName | 'delivered' | 'passedOn'
   readonly attempts: number
   readonly preparedMs: number
+  /** From when the results were there to the first event or the whole answer; 0 when there was none. */
+  readonly producedMs: number
+  readonly lastUpstream: string
 }
 
 /** Less than this is left for an answer's way back to the caller. */
@@ -57,6 +63,8 @@
   private _inputs: IPreparedInputs | undefined
   private _lastEventId: string | undefined
   private _preparedMs = 0
+  private _producedMs = 0
+  private _lastUpstream = ''
   private readonly _tried = new Set<string>()
   private readonly _abort = new AbortController()
   private readonly _deadlineAt: number
@@ -81,17 +89,22 @@
       timer.dispose()
       left.dispose()
       this._inputs?.release()
+      this._inputs?.report({ outcome: 'unused', producedMs: 0 })
     }
   }
 
   private _end (result: RelayEnd['result']): RelayEnd {
-    return { result, attempts: this._sendCount, preparedMs: Math.round(this._preparedMs) }
+    return { result, attempts: this._sendCount, preparedMs: Math.round(this._preparedMs), producedMs: Math.round(this._producedMs), lastUpstream: this._lastUpstream }
   }
 
   private async _runAttempts (): Promise<RelayEnd['result']> {
     const refused = await this._prepare()
     if (refused !== undefined) return refused
     for (;;) {
+      if (this._inputs?.isReleased === true) {
+        const failed = await this._prepareAgain()
+        if (failed !== undefined) return failed
+      }
       const upstream = this._chooseUpstream()
       if (upstream === undefined) return this._refuseWithoutUpstream()
       const result = await this._tryUpstream(upstream)
@@ -102,6 +115,7 @@
         continue
       }
       if (decision.kind === 'prepareAgain' && this._mayRetry(result.outcome)) {
+        this._tried.delete(upstream.id)
         const failed = await this._prepareAgain()
         if (failed !== undefined) return failed
         continue
@@ -113,7 +127,7 @@
   private async _prepare (): Promise<ResultName | undefined> {
     const { preparation, clock } = this._context
     const { request, route } = this._taken
-    const job = createPreparationJob({ request, route, priority: this._taken.priority, deadlineInMs: this._getTimeLeft() })
+    const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, deadlineInMs: this._getTimeLeft() })
     if (job === undefined) return undefined
     const startedAt = clock.now()
     const result = await preparation.prepare(job, this._abort.signal)
@@ -135,7 +149,8 @@
 
   private _chooseUpstream (): UpstreamEntry | undefined {
     const { request } = this._taken
-    return this._context.pool.choose({
+    const chosen = this._inputs === undefined ? undefined : this._context.pool.confirm(this._inputs.targetId, this._tried)
+    return chosen ?? this._context.pool.choose({
       role: this._role,
       prompt: request.prompt,
       hall: this._inputs?.hall ?? this._context.hall,
@@ -148,9 +163,12 @@
     const { request, route } = taken
     const isStream = route.kind === RouteKind.STREAM
     this._sendCount++
+    this._lastUpstream = upstream.id
     this._tried.add(upstream.id)
     const visit = context.pool.begin(upstream, request.prompt)
     const timeLeftMs = this._getTimeLeft()
+    const sentAt = context.clock.now()
+    let releasing: IDisposable | undefined
     const result = await new RelayAttempt({
       agent: context.agent,
       clock: context.clock,
@@ -171,21 +189,43 @@
       headTimeoutMs: this._computeHeadTimeout(timeLeftMs),
       pauseTimeoutMs: this._computePauseTimeout(),
       signal: this._abort.signal,
+      onWillSend: () => { releasing = this._scheduleRelease() },
       onDidReadLoad: load => context.pool.recordLoad(upstream, load),
-      onDidProduce: () => this._noteProduced(visit),
+      onDidProduce: () => this._noteProduced(visit, upstream, context.clock.now() - sentAt),
       localAddress: context.localAddress
     }).run()
     visit.end(result.outcome)
+    // What was not taken is still there for another upstream.
+    if (result.outcome.kind === 'notRun') releasing?.dispose()
+    this._noteInputs(result.outcome)
+    if (result.outcome.kind === 'lost' || result.outcome.kind === 'failed') this._reportTarget(upstream, { outcome: 'failed', producedMs: 0 })
     return result
   }
 
-  /** The upstream has taken its inputs; a stream that may go on elsewhere needs them there again. */
-  private _noteProduced (visit: { noteProduced (): void }): void {
+  /** Gives the results back once the upstream must have fetched them. */
+  private _scheduleRelease (): IDisposable | undefined {
+    const inputs = this._inputs
+    if (inputs === undefined) return undefined
+    return this._context.clock.schedule(this._context.releaseDelay.compute(inputs.bytes), () => inputs.release())
+  }
+
+  private _noteInputs (outcome: AttemptOutcome): void {
+    if (this._inputs === undefined) return
+    if (outcome.kind === 'notRun' && outcome.reason === 'inputMissing') this._context.releaseDelay.noteMissing()
+    else if (outcome.kind === 'delivered') this._context.releaseDelay.noteTaken()
+  }
+
+  private _noteProduced (visit: PoolVisit, upstream: UpstreamEntry, producedMs: number): void {
     visit.noteProduced()
-    if (this._taken.route.isResumable) return
+    this._reportTarget(upstream, { outcome: 'produced', producedMs })
+    if (this._producedMs === 0) this._producedMs = this._context.clock.now() - this._taken.arrivedAt - this._preparedMs
     this._inputs?.release()
   }
 
+  private _reportTarget (upstream: UpstreamEntry, report: TargetReport): void {
+    if (this._inputs?.targetId === upstream.id) this._inputs.report(report)
+  }
+
   private _computeHeadTimeout (timeLeftMs: number): number {
     const { route } = this._taken
     const mayGoElsewhere = isRepeatable(route) && this._runCount + 1 < route.maxAttempts
