Keep the framing of upstreams' answers, tell peers of upstreams that end, and test the new parts

Change: a body without framing is handed on without framing, and cut by a reset. Nodes tell each other of upstreams that leave or are gone; one whose source is current believes its own. A missing entry may come back, a leaving boot may not. Ruled out: judging completeness by the seal's fields; their meaning is not given.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -13,7 +13,8 @@
 import { startInterval, waitFor } from '../base/node/interval.ts'
 import type { ConfigurationSource } from '../services/configuration/common/configurationSource.ts'
 import type { AcceptedConfiguration } from '../services/configuration/common/configurationService.ts'
-import { formatGateSubject } from '../services/facts/common/fact.ts'
+import { formatGateSubject, formatLeavingSubject } from '../services/facts/common/fact.ts'
+import type { HeldFact } from '../services/facts/common/factStore.ts'
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { listNodeAddresses } from '../services/locate/common/nodeDirectory.ts'
@@ -67,6 +68,13 @@
 /** The end is kept this far from the moment when the process would be ended by force. */
 const STOP_MARGIN_MS = 400
 const STOP_POLL_MS = 50
+/** Order of what is said of one boot: gone outweighs leaving. */
+const LEAVING_COUNTER = 1
+const GONE_COUNTER = 2
+const PEER_SIGNAL = 'peer'
+/** Boots are never heard of again so long after their end. */
+const FORGET_LEAVING_MS = 600_000
+const DROP_PERIOD_MS = 60_000
 
 export class EntryNode extends Disposable {
   private readonly _options: EntryNodeOptions
@@ -136,6 +144,7 @@
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
     this._register(this._registry.onDidChange(change => this._noteChange(change)))
+    this._register(this._member.facts.onDidChange(fact => this._takeFact(fact)))
     this._register(options.configurationSource)
     this._register(options.configurationSource.onDidRead(document => this._member.offer(document)))
     this._register(options.upstreamSource)
@@ -158,6 +167,7 @@
     await this._relay.listen(callers.host, callers.port)
     this._register(startInterval(PAUSE_CHECK_PERIOD_MS, () => this._checkPause()))
     this._register(startInterval(REPORT_PERIOD_MS, () => this._report()))
+    this._register(startInterval(DROP_PERIOD_MS, () => this._dropOldFacts()))
     upstreamSource.start()
     configurationSource.start()
     await this._member.join(configurationSource.readNewest())
@@ -285,9 +295,30 @@
     this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, produced_ms: end.producedMs, upstream: end.lastUpstream, took_ms: Math.round(elapsedMs) })
   }
 
+  /** What this node learned of an upstream's end goes to its peers, some of which may be cut off from the source. */
   private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
     if (kind === 'changed') return
     this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal })
+    if (kind === 'added' || signal === PEER_SIGNAL) return
+    this._member.facts.merge({
+      subject: formatLeavingSubject(entry.id),
+      incarnation: 1,
+      counter: kind === 'leaving' ? LEAVING_COUNTER : GONE_COUNTER,
+      value: { kind: 'leaving', upstream: entry.id, signal },
+      ageMs: 0
+    })
+  }
+
+  private _takeFact (fact: HeldFact): void {
+    if (fact.value.kind !== 'leaving' || fact.source === '') return
+    if (fact.counter === LEAVING_COUNTER) return this._registry.markLeaving(fact.value.upstream, PEER_SIGNAL)
+    // A peer's list may have been short for a moment; this node's own goes first while it is read.
+    if (!this._options.upstreamSource.isCurrent) this._registry.drop(fact.value.upstream, PEER_SIGNAL)
+  }
+
+  private _dropOldFacts (): void {
+    const now = this._options.clock.now()
+    for (const fact of this._member.facts.listKind('leaving')) if (now - fact.observedAt > FORGET_LEAVING_MS) this._member.facts.drop(fact.subject)
   }
 
   /** Members as this node knows them, for the dump. */
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -103,7 +103,7 @@
     if (this._isDisposed) return
     if (outcome.kind !== 'answered') {
       log.info('piece_call_failed', { upstream: call.upstreamId, pieces: call.pieces.length, outcome: outcome.kind, reason: outcome.reason, took_ms: Math.round(clock.now() - startedAt) })
-      if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') registry.drop(call.upstreamId, 'address answers as another')
+      if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') registry.dropForGood(call.upstreamId, 'address answers as another')
     }
     this._planner.settleCall(call.id, outcome, clock.now())
     this._dispatch()
--- /dev/null
+++ b/src/services/preparation/test/preparationPlanner.test.ts
@@ -0,0 +1,230 @@
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { PlannedCall } from '../common/preparationPlanner.ts'
+import { createJob, createPlanner, createStage, createAll, runToEnd } from './fakes.ts'
+
+const SEED = 20261202
+const test = suite('preparationPlanner')
+
+function listStages (calls: readonly PlannedCall[]): readonly string[] {
+  return calls.flatMap(call => call.pieces.map(piece => `${piece.jobId}/${piece.stage}.${piece.index}`))
+}
+
+test('pieces of several jobs go into one call', () => {
+  const planner = createPlanner({ upstreams: { a: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 2)]), 0)
+  planner.addJob(createJob('y', [createStage('a', 2)]), 0)
+  const calls = planner.startCalls(0)
+  assert.is(calls.length, 1)
+  assert.equal(listStages(calls), ['x/0.0', 'x/0.1', 'y/0.0', 'y/0.1'])
+})
+
+test('a stage starts when all its inputs are made, and gets them in order', () => {
+  const planner = createPlanner({ upstreams: { a: 1, b: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 2), createStage('b', 1, [0])]), 0)
+  const [first] = planner.startCalls(0)
+  assert.ok(first)
+  assert.is(first.pieces[0]?.key, 'key of x')
+  assert.equal(planner.startCalls(10), [])
+  planner.settleCall(first.id, createAll(first), 120)
+  const [second] = planner.startCalls(120)
+  assert.equal(second?.pieces[0]?.inputs, ['a-0/1.0.0', 'a-0/1.0.1'])
+  assert.is(second?.pieces[0]?.key, undefined)
+})
+
+test('what only the request takes waits until the longer chain has come as far', () => {
+  const planner = createPlanner({ upstreams: { a: 1, b: 1, c: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 1), createStage('b', 1), createStage('c', 1, [1])]), 0)
+  const starts: string[] = []
+  runToEnd(planner, 0, (call, now) => starts.push(`${now} ${call.pieces.map(piece => piece.stage).join()}`))
+  assert.equal(starts, ['0 1', '110 0', '110 2'])
+})
+
+test('the request gets the results of the stages that no other needs, in the order of stages and pieces', () => {
+  const planner = createPlanner({ upstreams: { a: 1, b: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 1), createStage('b', 1), createStage('b', 2, [1])]), 0)
+  runToEnd(planner, 0)
+  const [news] = planner.takeNews()
+  assert.is(news?.kind, 'prepared')
+  assert.equal(news?.kind === 'prepared' && news.results.map(result => result.handle.split('.').slice(1).join('.')), ['0.0', '2.0', '2.1'])
+})
+
+test('a stage that is left out is neither made nor waited for', () => {
+  const planner = createPlanner({ upstreams: { a: 1, b: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 0), createStage('b', 1)]), 0)
+  runToEnd(planner, 0)
+  const [news] = planner.takeNews()
+  assert.is(news?.kind === 'prepared' && news.results.length, 1)
+})
+
+test('results are given back when they are used up, released or made for nobody', () => {
+  const planner = createPlanner({ upstreams: { a: 1, b: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 1), createStage('b', 1, [0])]), 0)
+  const [first] = planner.startCalls(0)
+  assert.ok(first)
+  planner.settleCall(first.id, createAll(first), 110)
+  const [second] = planner.startCalls(110)
+  assert.ok(second)
+  assert.equal(planner.takeFrees(), [])
+  planner.settleCall(second.id, createAll(second), 220)
+  assert.equal(planner.takeFrees().map(free => free.upstreamId), ['a-0'])
+  planner.releaseJob('x')
+  assert.equal(planner.takeFrees().map(free => free.upstreamId), ['b-0'])
+
+  planner.addJob(createJob('y', [createStage('a', 1)]), 300)
+  const [third] = planner.startCalls(300)
+  assert.ok(third)
+  planner.releaseJob('y')
+  planner.settleCall(third.id, createAll(third), 410)
+  assert.equal(planner.takeFrees().map(free => free.upstreamId), ['a-0'])
+  assert.equal(planner.takeNews().map(news => news.jobId), ['x'])
+})
+
+test('no more is started than there is room for, counting what was not confirmed as given back', () => {
+  const planner = createPlanner({ upstreams: { a: 1 }, work: { resultRoomBytes: 25 } })
+  planner.addJob(createJob('x', [createStage('a', 2)]), 0)
+  planner.addJob(createJob('y', [createStage('a', 1)]), 0)
+  const [first] = planner.startCalls(0)
+  assert.ok(first)
+  assert.equal(listStages([first]), ['x/0.0', 'x/0.1'])
+  planner.settleCall(first.id, createAll(first), 120)
+  planner.releaseJob('x')
+  assert.equal(planner.startCalls(120), [])
+  const [free] = planner.takeFrees()
+  assert.ok(free)
+  planner.settleFree(free, false, 130)
+  assert.equal(planner.startCalls(130), [])
+  assert.equal(listStages(planner.startCalls(130 + 4000)), ['y/0.0'])
+})
+
+test('a stage that does not fit whole is not begun, so that stages which began can end', () => {
+  const planner = createPlanner({ upstreams: { a: 2 }, work: { resultRoomBytes: 20, maxPiecesPerCall: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 3)]), 0)
+  planner.addJob(createJob('y', [createStage('a', 2)], { goalInMs: 2000 }), 0)
+  const started = listStages(planner.startCalls(0))
+  assert.equal(started, ['x/0.0', 'x/0.1'])
+})
+
+test('the higher rank goes first, and what misses its goal anyway goes after what does not', () => {
+  const planner = createPlanner({ upstreams: { a: 1 }, work: { maxPiecesPerCall: 1 } })
+  planner.addJob(createJob('low', [createStage('a', 1)], { rank: 1 }), 0)
+  planner.addJob(createJob('late', [createStage('a', 1)], { goalInMs: 50 }), 0)
+  planner.addJob(createJob('high', [createStage('a', 1)]), 0)
+  const order: string[] = []
+  runToEnd(planner, 0, call => order.push(call.pieces[0]?.jobId ?? ''))
+  assert.equal(order, ['high', 'low', 'late'])
+})
+
+test('a failed call costs the upstream a pause and the pieces another try', () => {
+  for (const outcome of [{ kind: 'lost', reason: 'reset' }, { kind: 'notRun', reason: 'unreachable' }] as const) {
+    const planner = createPlanner({ upstreams: { a: 2 } })
+    planner.addJob(createJob('x', [createStage('a', 1)]), 0)
+    const [first] = planner.startCalls(0)
+    assert.ok(first)
+    planner.settleCall(first.id, outcome, 10)
+    const [second] = planner.startCalls(10)
+    assert.is.not(second?.upstreamId, first.upstreamId)
+  }
+})
+
+test('results of an upstream that is gone are made again, with the inputs that were given back', () => {
+  const planner = createPlanner({ upstreams: { a: 1, b: 2 } })
+  planner.addJob(createJob('x', [createStage('a', 1), createStage('b', 1, [0])]), 0)
+  runToEnd(planner, 0)
+  const [news] = planner.takeNews()
+  assert.ok(news?.kind === 'prepared')
+  planner.dropUpstream(news.results[0]?.upstreamId ?? '')
+  assert.ok(planner.reopenJob('x', 300))
+  runToEnd(planner, 300)
+  const [again] = planner.takeNews()
+  assert.ok(again?.kind === 'prepared')
+  assert.is.not(again.results[0]?.upstreamId, news.results[0]?.upstreamId)
+})
+
+test('a missing input is made again before the piece that needs it', () => {
+  const planner = createPlanner({ upstreams: { a: 1, b: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 1), createStage('b', 1, [0])]), 0)
+  const [first] = planner.startCalls(0)
+  assert.ok(first)
+  planner.settleCall(first.id, createAll(first), 110)
+  const [second] = planner.startCalls(110)
+  assert.ok(second)
+  planner.settleCall(second.id, { kind: 'answered', pieces: [{ kind: 'failed', reason: 'inputGone' }] }, 220)
+  const order: string[] = []
+  runToEnd(planner, 220, call => order.push(call.upstreamId))
+  assert.equal(order, ['a-0', 'b-0'])
+  assert.is(planner.takeNews()[0]?.kind, 'prepared')
+})
+
+test('what cannot be done before its deadline is refused with a time to come back, at once', () => {
+  const planner = createPlanner({ upstreams: { a: 1 } })
+  for (let index = 0; index < 40; index++) planner.addJob(createJob(`j${index}`, [createStage('a', 4)]), 0)
+  const refusal = planner.addJob(createJob('x', [createStage('a', 4)], { deadlineInMs: 2000 }), 0)
+  assert.is(refusal?.reason, 'overloaded')
+  assert.ok((refusal?.retryAfterMs ?? 0) >= 1000)
+  assert.is(createPlanner({ upstreams: {} }).addJob(createJob('x', [createStage('a', 1)]), 0)?.reason, 'noUpstream')
+})
+
+test('large results are made in the hall of the upstream that takes the request, while the goal leaves time', () => {
+  const targets = [{ id: 't', hall: 'h1' }]
+  const planner = createPlanner({ upstreams: { a: 2 }, work: { resultRoomBytes: 1e9 }, targets })
+  planner.addJob(createJob('x', [createStage('a', 1, [], 3e6)]), 0)
+  assert.equal(planner.startCalls(0).map(call => call.upstreamId), ['a-1'])
+  planner.addJob(createJob('y', [createStage('a', 1, [], 3e6)]), 1)
+  assert.equal(planner.startCalls(1), [])
+  assert.equal(planner.startCalls(400).map(call => call.upstreamId), ['a-0'])
+})
+
+/** Any order of outcomes leaves no room held and no job without its end. */
+test('random histories end with every job settled and all room given back', () => {
+  const outcome = fc.constantFrom('made', 'made', 'made', 'made', 'lost', 'full', 'noRoom', 'inputGone', 'failed')
+  const job = fc.record({ first: fc.integer({ min: 0, max: 3 }), second: fc.integer({ min: 1, max: 4 }), gap: fc.integer({ min: 0, max: 80 }), leaves: fc.boolean() })
+  fc.assert(fc.property(fc.array(job, { minLength: 1, maxLength: 12 }), fc.array(outcome, { minLength: 1, maxLength: 60 }), (jobs, outcomes) => {
+    const planner = createPlanner({ upstreams: { a: 2, b: 2 }, work: { resultRoomBytes: 60 } })
+    const ended = new Set<string>()
+    let now = 0
+    let turn = 0
+    let open: readonly PlannedCall[] = []
+    const settle = (call: PlannedCall) => {
+      const kind = outcomes[turn++ % outcomes.length] ?? 'made'
+      if (kind === 'made') planner.settleCall(call.id, createAll(call), now)
+      else if (kind === 'lost') planner.settleCall(call.id, { kind: 'lost', reason: 'test' }, now)
+      else if (kind === 'full') planner.settleCall(call.id, { kind: 'notRun', reason: 'full' }, now)
+      else planner.settleCall(call.id, { kind: 'answered', pieces: call.pieces.map(() => ({ kind: 'failed', reason: kind })) }, now)
+    }
+    const step = () => {
+      open = [...open, ...planner.startCalls(now)]
+      const [call, ...rest] = open
+      open = rest
+      if (call !== undefined) settle(call)
+      for (const news of planner.takeNews()) {
+        ended.add(news.jobId)
+        planner.releaseJob(news.jobId)
+      }
+      for (const free of planner.takeFrees()) planner.settleFree(free, true, now)
+    }
+    const accepted: string[] = []
+    jobs.forEach(({ first, second, gap, leaves }, index) => {
+      now += gap
+      const id = `j${index}`
+      if (planner.addJob(createJob(id, [createStage('a', first), createStage('b', second, first > 0 ? [0] : [])]), now) === undefined) accepted.push(id)
+      step()
+      if (leaves) {
+        planner.releaseJob(id)
+        ended.add(id)
+      }
+    })
+    for (let count = 0; count < 2000 && (planner.jobCount > 0 || open.length > 0); count++) {
+      now += 20
+      step()
+    }
+    for (const free of planner.takeFrees()) planner.settleFree(free, true, now)
+    assert.is(planner.jobCount, 0)
+    assert.equal(accepted.filter(id => !ended.has(id)), [])
+    const { upstreams } = planner.describe(now + 10_000) as { readonly upstreams: readonly { readonly freeBytes: number }[] }
+    assert.ok(upstreams.every(upstream => upstream.freeBytes === 60))
+  }), { seed: SEED, numRuns: 300 })
+})
+
+test.run()
--- /dev/null
+++ b/src/services/preparation/test/targetPlanner.test.ts
@@ -0,0 +1,74 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ReleaseDelay } from '../common/releaseDelay.ts'
+import { TargetPlanner } from '../common/targetPlanner.ts'
+import type { TargetQuestion } from '../common/targetPlanner.ts'
+
+const test = suite('targetPlanner')
+
+const shape = { role: 'm', prefix: 'p', sharedTokens: 12_000, inputTokens: 15_000 }
+const candidates = [{ id: 'a', hall: 'h1' }, { id: 'b', hall: 'h2' }, { id: 'c', hall: 'h3' }]
+
+function ask (options: Partial<TargetQuestion> = {}): TargetQuestion {
+  return { shape, candidates, bytesByHall: new Map(), waitByHall: new Map(), ...options }
+}
+
+test('a prompt goes back to where its shared parts were read', () => {
+  const planner = new TargetPlanner()
+  planner.assign('x', shape, 'b', 0)
+  planner.settle('x', { outcome: 'produced', producedMs: 275 }, 300)
+  assert.is(planner.choose(ask(), 400)?.id, 'b')
+  assert.ok((planner.choose(ask(), 400)?.costMs ?? 0) < 100)
+})
+
+test('it goes elsewhere when that upstream has more to read than the shared parts', () => {
+  const planner = new TargetPlanner()
+  planner.assign('x', shape, 'b', 0)
+  for (let index = 0; index < 4; index++) planner.assign(`y${index}`, { ...shape, prefix: `q${index}` }, 'b', 0)
+  assert.is.not(planner.choose(ask(), 400)?.id, 'b')
+})
+
+test('two coordinators that know nothing choose the same upstream for a prompt', () => {
+  for (const prefix of ['p', 'q', 'r', 's']) {
+    const question = ask({ shape: { ...shape, prefix } })
+    assert.is(new TargetPlanner().choose(question, 0)?.id, new TargetPlanner().choose(question, 5000)?.id)
+  }
+})
+
+test('large results draw a request that shares nothing into their hall', () => {
+  const planner = new TargetPlanner()
+  const small = { ...shape, prefix: '', sharedTokens: 0, inputTokens: 1000 }
+  assert.is(planner.choose(ask({ shape: small, bytesByHall: new Map([['h3', 6e6]]) }), 0)?.id, 'c')
+})
+
+test('a slow upstream is measured as such, and a failing one is left out', () => {
+  const planner = new TargetPlanner()
+  const unshared = { ...shape, prefix: '', sharedTokens: 0 }
+  for (let index = 0; index < 10; index++) {
+    planner.assign(`a${index}`, unshared, 'a', 0)
+    planner.settle(`a${index}`, { outcome: 'produced', producedMs: 2500 }, 0)
+    planner.assign(`b${index}`, unshared, 'b', 0)
+    planner.settle(`b${index}`, { outcome: 'failed', producedMs: 0 }, 0)
+  }
+  assert.is(planner.choose(ask({ shape: unshared }), 10)?.id, 'c')
+})
+
+test('what was assigned and never reported is not counted twice', () => {
+  const planner = new TargetPlanner()
+  planner.assign('x', shape, 'a', 0)
+  planner.assign('x', shape, 'b', 0)
+  planner.settle('x', { outcome: 'unused', producedMs: 0 }, 0)
+  assert.ok(planner.describe().every(target => (target as { readonly pendingTokens: number }).pendingTokens === 0))
+})
+
+test('inputs are held for longer after one was missing, and by and by for less again', () => {
+  const delay = new ReleaseDelay()
+  const first = delay.compute(0)
+  assert.ok(delay.compute(10e6) > first)
+  delay.noteMissing()
+  assert.ok(delay.compute(0) >= 2 * first)
+  for (let index = 0; index < 1000; index++) delay.noteTaken()
+  assert.is(delay.compute(0), first)
+})
+
+test.run()
--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -8,6 +8,8 @@
 
 /** An upstream's answer that was read whole. */
 export interface WholeAnswer {
+  /** False when only the end of the connection ended the body: then the caller is told no more than that either. */
+  readonly isFramed: boolean
   readonly status: number
   readonly headers: readonly HeaderField[]
   readonly body: Buffer
@@ -20,6 +22,7 @@
   private _hasLeft = false
   private _isBegun = false
   private _isEnded = false
+  private _isFramed = true
 
   constructor (private readonly _request: IncomingMessage, private readonly _response: ServerResponse) {
     super()
@@ -47,9 +50,11 @@
     if (!this._isBegun) this._response.shouldKeepAlive = false
   }
 
-  begin (status: number, headers: readonly HeaderField[]): void {
+  begin (status: number, headers: readonly HeaderField[], isFramed = true): void {
     if (this._isBegun || this._hasLeft) return
     this._isBegun = true
+    this._isFramed = isFramed
+    if (!isFramed) this._endWithConnection()
     this._response.writeHead(status, toRawHeaders(headers))
     this._response.flushHeaders()
   }
@@ -81,7 +86,8 @@
     this._isEnded = true
     if (this._hasLeft) return
     const hasBody = answer.status !== 204 && answer.status !== 304
-    const length = hasBody ? [{ name: 'Content-Length', value: String(answer.body.length) }] : []
+    if (!answer.isFramed) this._endWithConnection()
+    const length = hasBody && answer.isFramed ? [{ name: 'Content-Length', value: String(answer.body.length) }] : []
     // What a caller still sends would be taken for its next request.
     if (!this._request.complete) this._response.shouldKeepAlive = false
     this._response.writeHead(answer.status, toRawHeaders([...answer.headers, ...length]))
@@ -92,7 +98,14 @@
   cut (): void {
     if (this._isEnded) return
     this._isEnded = true
-    this._response.destroy()
+    // Without framing a mere close would look like the end.
+    if (this._isFramed) this._response.destroy()
+    else this._request.socket.resetAndDestroy()
+  }
+
+  private _endWithConnection (): void {
+    this._response.useChunkedEncodingByDefault = false
+    this._response.shouldKeepAlive = false
   }
 
   private _noteClosed (): void {
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -131,7 +131,7 @@
         parts.push(part)
         size += part.length
         if (size <= MAX_BUFFERED_BYTES || !verdict.isSuccess) continue
-        answer.begin(status, verdict.headers)
+        answer.begin(status, verdict.headers, isFramed(response))
         for (const held of parts.splice(0)) if (!answer.write(held)) await answer.waitForRoom()
       }
     } catch {
@@ -139,7 +139,7 @@
     }
     if (!isWhole(response, exchange)) return { outcome: this._decideTorn() }
     onDidProduce()
-    const whole = { status, headers: verdict.headers, body: Buffer.concat(parts) }
+    const whole = { status, headers: verdict.headers, body: Buffer.concat(parts), isFramed: isFramed(response) }
     if (!verdict.isSuccess) return { outcome: { kind: 'failed', status }, failure: whole }
     if (answer.isBegun) {
       for (const held of parts) answer.write(held)
@@ -172,7 +172,7 @@
         if (count === 0) onDidProduce()
         count += events.length
         // A stream that goes on elsewhere keeps the head of the upstream that began it.
-        answer.begin(response.statusCode ?? 0, verdict.headers)
+        answer.begin(response.statusCode ?? 0, verdict.headers, isFramed(response))
         let hasRoom = true
         for (const event of events) {
           hasRoom = answer.write(event.bytes)
@@ -188,7 +188,7 @@
       return this._decideBrokenStream(lastEventId)
     }
     if (count === 0) onDidProduce()
-    answer.begin(response.statusCode ?? 0, verdict.headers)
+    answer.begin(response.statusCode ?? 0, verdict.headers, isFramed(response))
     answer.finish()
     return { kind: 'delivered' }
   }
@@ -208,8 +208,11 @@
   }
 }
 
+function isFramed (response: IncomingMessage): boolean {
+  return response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
+}
+
 /** A body that ends with its connection is whole only when that was closed, not reset. */
 function isWhole (response: IncomingMessage, exchange: IExchange): boolean {
-  const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
-  return response.complete && (isFramed || !exchange.hasFailed)
+  return response.complete && (isFramed(response) || !exchange.hasFailed)
 }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -241,7 +241,7 @@
   private _decide (outcome: AttemptOutcome, upstream: UpstreamEntry): AttemptDecision {
     const { route } = this._taken
     if (outcome.kind !== 'notRun') this._runCount++
-    if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') this._context.registry.drop(upstream.id, 'address answers as another')
+    if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') this._context.registry.dropForGood(upstream.id, 'address answers as another')
     return decideAfterAttempt({
       outcome,
       isRepeatable: isRepeatable(route),
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import type { CallerLimits } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -81,10 +82,11 @@
     return this._takenCount
   }
 
-  listen (host: string, port: number): Promise<void> {
+  /** Resolves with the port, which is a free one where 0 was asked for. */
+  listen (host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
       this._server.once('error', reject)
-      this._server.listen(port, host, resolve)
+      this._server.listen(port, host, () => resolve((this._server.address() as AddressInfo).port))
     })
   }
 
@@ -186,7 +188,7 @@
   private _refuse (answer: CallerAnswer, refusal: RelayRefusal): void {
     const { status, headers, body } = this._options.callerProtocol.createAnswer(refusal)
     this._context.log.info('request_refused', { code: refusal.error.code, result: refusal.error.resultName, reason: refusal.error.message, not_run: refusal.isNotRun, retry_after_ms: Math.round(refusal.retryAfterMs ?? 0) })
-    answer.send({ status, headers, body: Buffer.from(body) })
+    answer.send({ status, headers, body: Buffer.from(body), isFramed: true })
   }
 }
 
--- /dev/null
+++ b/src/services/relay/test/fakes.ts
@@ -0,0 +1,196 @@
+/**
+ * A relay between raw sockets: upstreams that answer with given bytes, and callers that see every byte.
+ */
+import { Agent } from 'node:http'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { create } from '@bufbuild/protobuf'
+import type { MessageInitShape } from '@bufbuild/protobuf'
+import { Left, Right } from 'purify-ts'
+import type { Either } from 'purify-ts'
+import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { SeededRandom } from '../../../base/common/random.ts'
+import { SystemClock } from '../../../base/node/systemClock.ts'
+import { RelaySchema, RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { RouteSchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { TrustingTracker } from '../../health/common/healthTracker.ts'
+import { LogService } from '../../log/node/logger.ts'
+import type { IPreparationService } from '../../preparation/common/preparationService.ts'
+import { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
+import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import { RetryBudget } from '../../retry/common/retryPolicy.ts'
+import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import { CallerProtocol, UpstreamProtocol } from '../common/relayProtocol.ts'
+import type { AnswerHead, AnswerVerdict, MessageHead, OwnAnswer, RelayCall, RelayRefusal } from '../common/relayProtocol.ts'
+import { RelayPool } from '../common/relayPool.ts'
+import type { HeaderField, RelayRequest } from '../common/relayRequest.ts'
+import { RoundRobinRouter } from '../common/relayRouter.ts'
+import { RelayTable } from '../common/relayTable.ts'
+import { RelayServer } from '../node/relayServer.ts'
+import type { EndedRequest } from '../node/relayServer.ts'
+
+/** Requests carry an id and a time; the rest is plain HTTP. */
+class FakeCallerProtocol extends CallerProtocol {
+  readRequest ({ method, target, headers }: MessageHead): Either<PepperwoodError, RelayRequest> {
+    const id = headers.id
+    if (typeof id !== 'string') return Left(new PepperwoodError({ name: 'requestInvalid', message: 'expected an id' }))
+    return Right({
+      id,
+      method,
+      target,
+      host: 'h',
+      key: typeof headers.key === 'string' ? headers.key : undefined,
+      timeLeftMs: typeof headers.time === 'string' ? Number(headers.time) : undefined,
+      prompt: undefined,
+      preparation: typeof headers.pieces === 'string' ? { pieceCounts: headers.pieces.split(',').map(Number), key: 'k' } : undefined,
+      lastEventId: undefined,
+      headers: []
+    })
+  }
+
+  createAnswer ({ error, isNotRun }: RelayRefusal): OwnAnswer {
+    return { status: isNotRun ? 503 : 502, headers: [], body: error.resultName }
+  }
+}
+
+/** An answer must repeat the id; `unrun` says that nothing ran. */
+class FakeUpstreamProtocol extends UpstreamProtocol {
+  createHeaders ({ request, upstream, inputs, lastEventId, bodyBytes }: RelayCall): readonly HeaderField[] {
+    return [
+      { name: 'Host', value: upstream.address },
+      { name: 'Id', value: request.id },
+      { name: 'Inputs', value: inputs.join(',') },
+      ...lastEventId === undefined ? [] : [{ name: 'Last-Event-Id', value: lastEventId }],
+      { name: 'Content-Length', value: String(bodyBytes) }
+    ]
+  }
+
+  readHead ({ status, headers }: AnswerHead, { request }: RelayCall): AnswerVerdict {
+    if (headers.unrun !== undefined) return { kind: 'notRun', reason: headers.unrun === 'input' ? 'inputMissing' : 'full' }
+    if (headers.id !== request.id) return { kind: 'invalid', reason: 'answer to another request' }
+    return { kind: 'answer', isSuccess: status === 200, headers: [{ name: 'Id', value: request.id }] }
+  }
+
+  readLoad (): undefined {
+    return undefined
+  }
+}
+
+/** What an upstream does with a request whose head it has read. */
+export type Script = (socket: Socket, head: string) => void
+
+/** Sends bytes and ends the connection as asked. */
+export function answerWith (text: string, end: 'keep' | 'close' | 'reset' = 'keep'): Script {
+  return socket => {
+    socket.write(text, () => {
+      if (end === 'close') socket.end()
+      // The bytes are on their way before the reset.
+      if (end === 'reset') setTimeout(() => socket.resetAndDestroy(), 30)
+    })
+  }
+}
+
+export class FakeUpstream extends Disposable {
+  readonly heads: string[] = []
+  closedCount = 0
+  address = ''
+
+  constructor (private readonly _script: Script) {
+    super()
+  }
+
+  listen (): Promise<string> {
+    const server = createServer(socket => {
+      let text = ''
+      socket.on('error', () => {})
+      socket.on('close', () => { this.closedCount++ })
+      socket.on('data', data => {
+        text += data.toString('latin1')
+        if (!text.includes('\r\n\r\n')) return
+        this.heads.push(text)
+        this._script(socket, text)
+        text = ''
+      })
+      this._register(toDisposable(() => socket.destroy()))
+    })
+    this._register(toDisposable(() => { server.close() }))
+    return new Promise(resolve => {
+      server.listen(0, '127.0.0.1', () => {
+        this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+        resolve(this.address)
+      })
+    })
+  }
+}
+
+export interface RelayHarnessOptions {
+  readonly route?: MessageInitShape<typeof RouteSchema>
+  readonly upstreams: readonly FakeUpstream[]
+  readonly preparation?: IPreparationService
+  readonly retries?: number
+  readonly customers?: readonly { readonly name: string, readonly keySha256: string[] }[]
+}
+
+const NO_PREPARATION: IPreparationService = {
+  prepare: () => Promise.resolve(Left({ reason: 'noUpstream', retryAfterMs: 0 }))
+}
+
+export class RelayHarness extends Disposable {
+  readonly ended: EndedRequest[] = []
+  readonly registry = this._register(new UpstreamRegistry())
+  readonly server: RelayServer
+  private _port = 0
+
+  constructor (private readonly _options: RelayHarnessOptions) {
+    super()
+    const clock = new SystemClock()
+    const agent = new Agent({ keepAlive: true })
+    this._register(toDisposable(() => agent.destroy()))
+    const table = new RelayTable(create(RelaySchema, {
+      routes: [{ name: 'r', host: 'h', pathPrefix: '/', kind: RouteKind.REPEATABLE, targets: [{ role: 'u', weight: 1 }], timeoutMs: 2000, goalMs: 500, maxAttempts: 2, ..._options.route }],
+      roles: [{ name: 'u' }],
+      customers: [..._options.customers ?? []]
+    }))
+    this.server = this._register(new RelayServer({
+      context: {
+        clock,
+        random: new SeededRandom(1),
+        log: new LogService({ program: 'test', silent: true }),
+        hall: '',
+        agent,
+        upstreamProtocol: new FakeUpstreamProtocol(),
+        registry: this.registry,
+        pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1 }),
+        retry: new RetryBudget({ maxSaved: _options.retries ?? 10 }),
+        preparation: _options.preparation ?? NO_PREPARATION,
+        releaseDelay: new ReleaseDelay()
+      },
+      callerProtocol: new FakeCallerProtocol(),
+      getTable: () => table,
+      findObstacle: () => undefined
+    }))
+    this.server.onDidEnd(ended => this.ended.push(ended))
+  }
+
+  async start (): Promise<void> {
+    for (const [index, upstream] of this._options.upstreams.entries()) {
+      this._register(upstream)
+      this.registry.update({ id: `u${index}`, role: 'u', address: await upstream.listen(), hall: '', slots: 4, isLeaving: false }, 'test')
+    }
+    this._port = await this.server.listen('127.0.0.1', 0)
+  }
+
+  /** Sends one request on a connection of its own; resolves with all bytes that came and how the connection ended. */
+  call (id: string, headers = '', leaveAfterMs = 0): Promise<{ readonly text: string, readonly end: 'closed' | 'reset' }> {
+    return new Promise(resolve => {
+      const socket = connect(this._port, '127.0.0.1')
+      let text = ''
+      let end: 'closed' | 'reset' = 'closed'
+      socket.on('data', data => { text += data.toString('latin1') })
+      socket.on('error', () => { end = 'reset' })
+      socket.on('close', () => resolve({ text, end }))
+      socket.write(`GET /x HTTP/1.1\r\nHost: h\r\nId: ${id}\r\n${headers}Connection: close\r\n\r\n`)
+      if (leaveAfterMs > 0) setTimeout(() => socket.destroy(), leaveAfterMs)
+    })
+  }
+}
--- /dev/null
+++ b/src/services/relay/test/relayServer.test.ts
@@ -0,0 +1,141 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { answerWith, FakeUpstream, RelayHarness } from './fakes.ts'
+import type { RelayHarnessOptions, Script } from './fakes.ts'
+
+const test = suite('relayServer')
+
+const OK = 'HTTP/1.1 200 OK\r\nId: a\r\n'
+const WHOLE = `${OK}Content-Length: 4\r\n\r\nbody`
+const EVENT_HEAD = `${OK}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`
+
+function formatChunk (text: string): string {
+  return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`
+}
+
+async function runWith (scripts: readonly Script[], options: Partial<RelayHarnessOptions>, run: (harness: RelayHarness, upstreams: readonly FakeUpstream[]) => Promise<void>): Promise<void> {
+  const upstreams = scripts.map(script => new FakeUpstream(script))
+  const harness = new RelayHarness({ ...options, upstreams })
+  try {
+    await harness.start()
+    await run(harness, upstreams)
+  } finally {
+    harness.dispose()
+  }
+}
+
+test('a whole answer is handed on as it is', () => runWith([answerWith(WHOLE)], {}, async harness => {
+  const { text } = await harness.call('a')
+  assert.match(text, /^HTTP\/1\.1 200 OK\r\n/)
+  assert.match(text, /Content-Length: 4/)
+  assert.ok(text.endsWith('\r\n\r\nbody'))
+}))
+
+const UNFRAMED = `${OK}Connection: close\r\n\r\nbo`
+
+test('a body that ends with its connection is not handed on as if its end were known', () => runWith([answerWith(UNFRAMED, 'close')], {}, async harness => {
+  const { text } = await harness.call('a')
+  assert.ok(text.endsWith('\r\n\r\nbo'))
+  assert.not.match(text, /Content-Length|chunked/i)
+}))
+
+const torn: readonly (readonly [string, Script])[] = [
+  ['a body without a length that ends in a reset', answerWith(UNFRAMED, 'reset')],
+  ['a body shorter than its length', answerWith(`${OK}Content-Length: 9\r\n\r\nbody`, 'close')],
+  ['a chunked body that breaks off', answerWith(`${OK}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n`, 'close')],
+  ['an answer to another request', answerWith(WHOLE.replace('Id: a', 'Id: b'))],
+  ['bytes that are no answer', answerWith('nonsense\r\n\r\n', 'close')],
+  ['no answer at all', socket => socket.destroy()]
+]
+
+for (const [name, script] of torn) {
+  test(`${name} counts as unknown, and only a repeatable request is sent again`, async () => {
+    await runWith([script, script], {}, async (harness, upstreams) => {
+      const { text } = await harness.call('a')
+      assert.match(text, /^HTTP\/1\.1 502 .*outcomeUnknown$/s)
+      assert.is(upstreams.reduce((sum, upstream) => sum + upstream.heads.length, 0), 2)
+    })
+    await runWith([script, script], { route: { kind: RouteKind.UNREPEATABLE, maxAttempts: 2 } }, async (harness, upstreams) => {
+      const { text } = await harness.call('a')
+      assert.match(text, /^HTTP\/1\.1 502 .*outcomeUnknown$/s)
+      assert.is(upstreams.reduce((sum, upstream) => sum + upstream.heads.length, 0), 1)
+    })
+  })
+
+  test(`${name} is replaced by the answer of another upstream`, () => runWith([script, answerWith(WHOLE)], {}, async harness => {
+    assert.ok((await harness.call('a')).text.endsWith('body'))
+  }))
+}
+
+test('a further answer behind a whole one reaches nobody', () => runWith([answerWith(WHOLE + WHOLE.replace('Id: a', 'Id: z'))], {}, async harness => {
+  assert.ok((await harness.call('a')).text.endsWith('body'))
+  const { text } = await harness.call('a')
+  assert.not.match(text, /Id: z/)
+}))
+
+test('bytes behind a whole answer change nothing', () => runWith([answerWith(`${WHOLE}garbage`)], {}, async harness => {
+  const { text } = await harness.call('a')
+  assert.ok(text.endsWith('\r\n\r\nbody'))
+}))
+
+test('what upstreams turned away is refused as not run, also when it must not be repeated', () => runWith(
+  [answerWith('HTTP/1.1 503 Busy\r\nUnrun: full\r\nContent-Length: 0\r\n\r\n')],
+  { route: { kind: RouteKind.UNREPEATABLE, maxAttempts: 1 } },
+  async harness => assert.match((await harness.call('a')).text, /^HTTP\/1\.1 503 /)
+))
+
+test('a failure of the upstream\'s own is handed on when it may not run again', () => runWith(
+  [answerWith('HTTP/1.1 500 Failed\r\nId: a\r\nContent-Length: 3\r\n\r\nbad')],
+  { route: { kind: RouteKind.UNREPEATABLE, maxAttempts: 1 } },
+  async harness => {
+    const { text } = await harness.call('a')
+    assert.match(text, /^HTTP\/1\.1 500 /)
+    assert.ok(text.endsWith('bad'))
+  }
+))
+
+test('a request is not held beyond the time of its route', () => runWith([() => {}], { route: { timeoutMs: 200, maxAttempts: 1 } }, async harness => {
+  const startedAt = performance.now()
+  assert.match((await harness.call('a')).text, /^HTTP\/1\.1 502 .*deadlinePassed$/s)
+  assert.ok(performance.now() - startedAt < 400)
+}))
+
+test('a caller that leaves ends the work upstream', () => runWith([() => {}], {}, async (harness, upstreams) => {
+  await harness.call('a', '', 100)
+  await new Promise(resolve => { setTimeout(resolve, 100) })
+  assert.is(upstreams[0]?.closedCount, 1)
+  assert.is(harness.ended[0]?.end.result, 'cancelled')
+}))
+
+const stream = { kind: RouteKind.STREAM, maxAttempts: 2, isResumable: true }
+
+test('a stream is handed on in whole events, and goes on elsewhere after its last one', () => runWith([
+  socket => {
+    socket.write(EVENT_HEAD + formatChunk('id: 1\ndata: x\n\n') + formatChunk('id: 2\nda'), () => { setTimeout(() => socket.resetAndDestroy(), 30) })
+  },
+  (socket, head) => {
+    assert.match(head, /Last-Event-Id: 1\r\n/)
+    socket.write(EVENT_HEAD + formatChunk('id: 2\ndata: y\n\n') + formatChunk(''))
+  }
+], { route: stream }, async harness => {
+  const { text } = await harness.call('a')
+  const events = [...text.matchAll(/id: (\d)\ndata: (\w)\n\n/g)].map(match => `${match[1]}${match[2]}`)
+  assert.equal(events, ['1x', '2y'])
+  assert.ok(text.endsWith('0\r\n\r\n'))
+}))
+
+test('a stream that may not go on elsewhere is cut, never ended as whole', () => runWith([
+  socket => { socket.write(EVENT_HEAD + formatChunk('id: 1\ndata: x\n\n'), () => { setTimeout(() => socket.resetAndDestroy(), 30) }) }
+], { route: { kind: RouteKind.STREAM, maxAttempts: 2 } }, async harness => {
+  const { text } = await harness.call('a')
+  assert.match(text, /data: x/)
+  assert.not.ok(text.endsWith('0\r\n\r\n'))
+}))
+
+test('without a customer\'s key nothing is sent', () => runWith([answerWith(WHOLE)], { customers: [{ name: 'c', keySha256: ['0'.repeat(64)] }] }, async (harness, upstreams) => {
+  assert.match((await harness.call('a', 'Key: wrong\r\n')).text, /^HTTP\/1\.1 502 .*keyWrong$/s)
+  assert.is(upstreams[0]?.heads.length, 0)
+}))
+
+test.run()
--- a/src/services/upstream/common/upstreamRegistry.ts
+++ b/src/services/upstream/common/upstreamRegistry.ts
@@ -1,6 +1,7 @@
 /**
  * The upstreams that announced themselves: one entry for each boot, since an address may be given to another upstream.
- * A boot that was marked as leaving or dropped never comes back into use, whoever speaks of it later.
+ * A boot that was marked as leaving, or whose address answers as another, never comes back into use, whoever speaks of
+ * it later. One that is only missing from a list may: the list may have been wrong.
  */
 import { Disposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
@@ -76,14 +77,26 @@
     this._fire('leaving', next, signal)
   }
 
+  /** Takes an entry out until its source speaks of it again. */
   drop (id: string, signal: string): void {
     const held = this._entries.get(id)
     if (held === undefined) return
     this._entries.delete(id)
     this._byRole.delete(held.role)
+    // Leaving is for good, also over a gap in the list.
+    if (held.isLeaving) this._noteGone(id)
+    this._fire('dropped', held, signal)
+  }
+
+  /** Takes an entry out for good: the boot is known to have ended. */
+  dropForGood (id: string, signal: string): void {
+    this._noteGone(id)
+    this.drop(id, signal)
+  }
+
+  private _noteGone (id: string): void {
     this._gone.add(id)
     if (this._gone.size > MAX_REMEMBERED) for (const oldest of [...this._gone].slice(0, 1)) this._gone.delete(oldest)
-    this._fire('dropped', held, signal)
   }
 
   private _set (entry: UpstreamEntry): void {
--- a/src/services/upstream/common/upstreamSource.ts
+++ b/src/services/upstream/common/upstreamSource.ts
@@ -16,6 +16,9 @@
   private readonly _onDidRead = this._register(new Emitter<UpstreamNews>())
   readonly onDidRead = this._onDidRead.event
 
+  /** Whether the source answered lately, so that what it does not list is not there. */
+  abstract get isCurrent (): boolean
+
   /** Begins to follow the source, until disposed of. */
   abstract start (): void
 
