--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -119,7 +119,7 @@
       registry: this._registry,
       coordinator: this._coordinator,
       address: this._formatPreparationAddress(settings.address),
-      listAddresses: () => this._member.membership.listLive().map(member => this._formatPreparationAddress(member.address))
+      listCoordinators: () => this._member.membership.listLive().map(({ address, incarnation }) => ({ address: this._formatPreparationAddress(address), incarnation }))
     }))
     const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS, scheduling: 'lifo' })
     this._register(toDisposable(() => agent.destroy()))
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -3,7 +3,7 @@
  */
 import type { JobState } from './jobState.ts'
 import type { JobRefusal, PreparationJob } from './preparationJob.ts'
-import { computeCallMs } from './pieceUpstream.ts'
+import { computeCallMs, computePieceCost } from './pieceUpstream.ts'
 import type { PieceWorkSpec } from './pieceUpstream.ts'
 
 /** What a role can do. */
@@ -51,19 +51,28 @@
 /** Sums what waits or runs, by role. */
 export function countPieces (jobs: Iterable<JobState>): ReadonlyMap<string, number> {
   const counts = new Map<string, number>()
-  for (const state of jobs) {
-    state.job.stages.forEach((stage, index) => {
-      const open = (state.pieces[index] ?? []).filter(piece => piece.status === 'waiting' || piece.status === 'running').length
-      if (open > 0) counts.set(stage.role, (counts.get(stage.role) ?? 0) + open)
-    })
-  }
+  for (const state of jobs) addPieces(state, counts)
   return counts
 }
 
+/** Adds what waits or runs of one job. */
+export function addPieces (state: JobState, counts: Map<string, number>): void {
+  state.job.stages.forEach((stage, index) => {
+    const open = (state.pieces[index] ?? []).filter(piece => piece.status === 'waiting' || piece.status === 'running').length
+    if (open > 0) counts.set(stage.role, (counts.get(stage.role) ?? 0) + open)
+  })
+}
+
+/** How long the pieces ahead keep a job waiting: the role that is shortest of upstreams decides. */
+export function computeQueueMs (state: JobState, capacities: ReadonlyMap<string, RoleCapacity>, ahead: ReadonlyMap<string, number>): number {
+  const roles = state.job.stages.flatMap((stage, index) => state.isComplete(index) ? [] : [stage.role])
+  return Math.max(0, ...roles.map(role => computeWait(capacities.get(role), ahead.get(role) ?? 0)))
+}
+
 function computeWait (capacity: RoleCapacity | undefined, pieces: number): number {
   if (capacity === undefined || capacity.calls <= 0) return 0
   const { work, calls } = capacity
-  return pieces * (work.callMs / work.maxPiecesPerCall + work.pieceMs) / calls
+  return pieces * computePieceCost(work) / calls
 }
 
 /** The longest chain of stages, each in one call. */
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -99,6 +99,11 @@
     return this._getPieces(stage).filter(piece => piece.status === 'waiting').length
   }
 
+  /** Whether work was done for the job. */
+  get hasBegun (): boolean {
+    return this.pieces.some(stage => stage.some(piece => piece.status !== 'waiting'))
+  }
+
   hasStarted (stage: number): boolean {
     return this._getPieces(stage).some(piece => piece.status !== 'waiting')
   }
--- a/src/services/preparation/common/pieceUpstream.ts
+++ b/src/services/preparation/common/pieceUpstream.ts
@@ -26,6 +26,7 @@
 
 /** Weight of the newest call in the smoothed slowness. */
 const SLOWNESS_SMOOTHING = 0.4
+const SLOWNESS_HALF_LIFE_MS = 2000
 const FIRST_AVOID_MS = 400
 const MAX_AVOID_MS = 3200
 
@@ -36,8 +37,8 @@
   work: PieceWorkSpec
   isLeaving = false
   runningCalls = 0
-  /** How long calls take against what the configuration says. */
-  slowness = 1
+  private _slowness = 1
+  private _measuredAt = 0
   private _usedBytes = 0
   /** Results that may lie there and cannot be freed: they go when their lifetime ends. */
   private _strayed: readonly HeldRoom[] = []
@@ -51,6 +52,11 @@
     this.work = options.work
   }
 
+  /** How long calls take against what the configuration says; what was measured long ago counts less. */
+  getSlowness (now: number): number {
+    return 1 + (this._slowness - 1) * 0.5 ** (Math.max(0, now - this._measuredAt) / SLOWNESS_HALF_LIFE_MS)
+  }
+
   /** Whether a call may start now. */
   canStart (now: number): boolean {
     return !this.isLeaving && this.runningCalls < this.work.concurrentCalls && now >= this._avoidUntil
@@ -91,8 +97,10 @@
     if (free > 0) this._strayed = [...this._strayed, { bytes: free, until: now + FIRST_AVOID_MS }]
   }
 
-  recordCall (tookMs: number, expectedMs: number): void {
-    this.slowness += SLOWNESS_SMOOTHING * (tookMs / Math.max(1, expectedMs) - this.slowness)
+  recordCall (tookMs: number, expectedMs: number, now: number): void {
+    const held = this.getSlowness(now)
+    this._slowness = held + SLOWNESS_SMOOTHING * (tookMs / Math.max(1, expectedMs) - held)
+    this._measuredAt = now
     this._avoidMs = FIRST_AVOID_MS
   }
 
@@ -112,3 +120,8 @@
 export function computeCallMs (work: PieceWorkSpec, pieceCount: number): number {
   return work.callMs + work.pieceMs * pieceCount
 }
+
+/** What a piece costs in full calls. */
+export function computePieceCost (work: PieceWorkSpec): number {
+  return work.callMs / work.maxPiecesPerCall + work.pieceMs
+}
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -2,11 +2,11 @@
  * Plans the pieces of all jobs that a coordinator holds: which go together into a call, at which upstream, and when.
  * Pure: time is passed in, and calls are made by others.
  */
-import { countPieces, decideAdmission } from './jobForecast.ts'
+import { addPieces, computeQueueMs, countPieces, decideAdmission } from './jobForecast.ts'
 import type { RoleCapacity } from './jobForecast.ts'
 import { JobState } from './jobState.ts'
 import type { PieceState } from './jobState.ts'
-import { computeCallMs, PieceUpstream } from './pieceUpstream.ts'
+import { computeCallMs, computePieceCost, PieceUpstream } from './pieceUpstream.ts'
 import type { PieceUpstreamOptions, PieceWorkSpec } from './pieceUpstream.ts'
 import type { JobRefusal, PieceResult, PreparationJob } from './preparationJob.ts'
 import { TargetPlanner } from './targetPlanner.ts'
@@ -96,6 +96,9 @@
 /** A result this close to the end of its lifetime is not relied on. */
 const LIFETIME_MARGIN_MS = 400
 const INTERRUPTED_RETRY_MS = 300
+/** How often it is looked at what can still be done in time. */
+const FORECAST_PERIOD_MS = 100
+const MIN_RETRY_MS = 100
 const NO_WAIT: ReadonlyMap<string, number> = new Map()
 
 export class PreparationPlanner {
@@ -108,6 +111,7 @@
   private readonly _listTargets: (role: string) => readonly TargetCandidate[]
   private _news: JobNews[] = []
   private _nextCallId = 1
+  private _forecastAt = -Infinity
 
   constructor (listTargets: (role: string) => readonly TargetCandidate[]) {
     this._listTargets = listTargets
@@ -194,7 +198,7 @@
     const upstream = this._upstreams.get(started.call.upstreamId)
     if (upstream !== undefined) upstream.runningCalls--
     if (outcome.kind === 'answered') {
-      upstream?.recordCall(now - started.startedAt, started.call.expectedMs)
+      upstream?.recordCall(now - started.startedAt, started.call.expectedMs, now)
       started.pieces.forEach((piece, index) => this._settlePiece(piece, outcome.pieces[index] ?? { kind: 'failed', reason: 'failed' }, upstream, started, now))
     } else {
       this._settleFailedCall(started, outcome, upstream, now)
@@ -230,7 +234,7 @@
         id: upstream.id,
         role: upstream.role,
         runningCalls: upstream.runningCalls,
-        slowness: upstream.slowness,
+        slowness: upstream.getSlowness(now),
         freeBytes: upstream.getFreeBytes(now),
         isUsable: upstream.isUsable(now)
       }))
@@ -243,7 +247,7 @@
     const calls: PlannedCall[] = []
     let rest: readonly ReadyPiece[] = ready
     idle.forEach((upstream, index) => {
-      if (rest.length === 0) return
+      if (rest.length === 0 || !this._isWorthwhile(upstream, rest.length, now)) return
       const fitting = rest.filter(piece => this._isNearTarget(piece, upstream, now))
       const size = computeBatchSize(upstream, rest.length, idle.length - index)
       const chosen = takeBatch([...fitting, ...rest.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
@@ -259,7 +263,7 @@
     if (piece.bytes < LARGE_RESULT_BYTES || piece.state.targetHall === upstream.hall) return true
     const { role } = upstream
     for (const other of this._upstreams.values()) {
-      if (other.role === role && other.hall === piece.state.targetHall && other.isUsable(now) && other.slowness <= MAX_SLOWNESS) return false
+      if (other.role === role && other.hall === piece.state.targetHall && other.isUsable(now) && other.getSlowness(now) <= MAX_SLOWNESS) return false
     }
     return true
   }
@@ -278,7 +282,7 @@
       upstreamId: upstream.id,
       pieces: chosen.map(piece => createPlannedPiece(piece, now)),
       expectedMs,
-      timeoutMs: expectedMs * TIMEOUT_FACTOR * Math.max(1, upstream.slowness) + TIMEOUT_EXTRA_MS
+      timeoutMs: expectedMs * TIMEOUT_FACTOR * Math.max(1, upstream.getSlowness(now)) + TIMEOUT_EXTRA_MS
     }
     upstream.runningCalls++
     for (const piece of chosen) {
@@ -292,36 +296,47 @@
   /** Upstreams that can take a call now, by role, the fastest first. */
   private _groupIdle (now: number): ReadonlyMap<string, readonly PieceUpstream[]> {
     const groups = new Map<string, PieceUpstream[]>()
-    const hasUsual = new Set<string>()
     for (const upstream of this._upstreams.values()) {
-      if (upstream.isUsable(now) && upstream.slowness <= MAX_SLOWNESS) hasUsual.add(upstream.role)
+      if (upstream.canStart(now)) groups.set(upstream.role, [...groups.get(upstream.role) ?? [], upstream])
     }
-    for (const upstream of this._upstreams.values()) {
-      if (!upstream.canStart(now)) continue
-      if (upstream.slowness > MAX_SLOWNESS && hasUsual.has(upstream.role)) continue
-      groups.set(upstream.role, [...groups.get(upstream.role) ?? [], upstream])
-    }
-    for (const group of groups.values()) group.sort((a, b) => a.slowness - b.slowness || b.getFreeBytes(now) - a.getFreeBytes(now))
+    for (const group of groups.values()) group.sort((a, b) => a.getSlowness(now) - b.getSlowness(now) || b.getFreeBytes(now) - a.getFreeBytes(now))
     return groups
   }
 
+  /** A slow upstream is worth its while only when the others would need longer for what waits. */
+  private _isWorthwhile (upstream: PieceUpstream, waiting: number, now: number): boolean {
+    const slowness = upstream.getSlowness(now)
+    if (slowness <= MAX_SLOWNESS) return true
+    const { work } = upstream
+    let usualCalls = 0
+    for (const other of this._upstreams.values()) {
+      if (other.role === upstream.role && other.isUsable(now) && other.getSlowness(now) <= MAX_SLOWNESS) usualCalls += other.work.concurrentCalls
+    }
+    if (usualCalls === 0) return true
+    const waitMs = waiting * computePieceCost(work) / usualCalls
+    return waitMs + computeCallMs(work, 1) > slowness * computeCallMs(work, Math.min(waiting, work.maxPiecesPerCall))
+  }
+
   /** Pieces of a role that could start, in the order in which they should, as far as there is room for whole stages. */
   private _listReady (role: string, now: number): readonly ReadyPiece[] {
     const upstreams = [...this._upstreams.values()].filter(upstream => upstream.role === role && upstream.isUsable(now))
     let freeBytes = upstreams.reduce((sum, upstream) => sum + Math.max(0, upstream.getFreeBytes(now)), 0)
+    const begun: ReadyPiece[] = []
     const ready: ReadyPiece[] = []
     for (const state of this._listActive(now)) {
       for (const stage of state.listReadyStages()) {
         const spec = state.job.stages[stage]
         if (spec === undefined || spec.role !== role) continue
-        const wantedBytes = state.countWaiting(stage) * spec.resultBytes
-        // A stage that has begun holds room which only its end gives back, so it goes on whatever is left.
-        if (!state.hasStarted(stage) && wantedBytes > freeBytes) continue
+        const pieces = listWaiting(state, stage, spec.resultBytes)
+        const wantedBytes = pieces.length * spec.resultBytes
+        // A stage that has begun holds room which only its end gives back, so it goes first, whatever is left.
+        if (state.hasStarted(stage)) begun.push(...pieces)
+        else if (wantedBytes <= freeBytes) ready.push(...pieces)
+        else continue
         freeBytes -= wantedBytes
-        ready.push(...listWaiting(state, stage, spec.resultBytes))
       }
     }
-    return ready
+    return [...begun, ...ready]
   }
 
   private _listActive (now: number): readonly JobState[] {
@@ -332,10 +347,14 @@
       .map(({ state }) => state)
   }
 
-  /** Lower goes first: what has to start soonest, by rank, and what misses its goal anyway after that. */
+  /**
+   * Lower goes first: what has to start soonest, by rank, and after that what misses its goal
+   * anyway.
+   */
   private _scoreJob (state: JobState, now: number): number {
     const startBy = state.goalAt - this._estimateRemaining(state)
-    return startBy + state.job.rank * RANK_MS + (now > startBy ? LATE_MS : 0)
+    const isLate = now > startBy
+    return startBy + state.job.rank * RANK_MS + (isLate ? LATE_MS : 0)
   }
 
   /** The least time that a job still needs, the request itself included. */
@@ -353,7 +372,7 @@
     const capacities = new Map<string, RoleCapacity>()
     for (const upstream of this._upstreams.values()) {
       const held = capacities.get(upstream.role)?.calls ?? 0
-      const calls = upstream.isUsable(now) ? upstream.work.concurrentCalls / Math.max(1, upstream.slowness) : 0
+      const calls = upstream.isUsable(now) ? upstream.work.concurrentCalls / Math.max(1, upstream.getSlowness(now)) : 0
       capacities.set(upstream.role, { work: upstream.work, calls: held + calls })
     }
     return capacities
@@ -447,7 +466,7 @@
     const calls = new Map<string, number>()
     for (const upstream of this._upstreams.values()) {
       if (upstream.role !== role || !upstream.isUsable(now)) continue
-      calls.set(upstream.hall, (calls.get(upstream.hall) ?? 0) + upstream.work.concurrentCalls / Math.max(1, upstream.slowness))
+      calls.set(upstream.hall, (calls.get(upstream.hall) ?? 0) + upstream.work.concurrentCalls / Math.max(1, upstream.getSlowness(now)))
     }
     return calls
   }
@@ -491,6 +510,22 @@
       if (now >= state.deadlineAt) this._refuse(state, { reason: 'tooLate', retryAfterMs: 0 })
       else if (!state.isHandedOver) this._reopenExpired(state, now)
     }
+    if (now - this._forecastAt < FORECAST_PERIOD_MS) return
+    this._forecastAt = now
+    this._refuseHopeless(now)
+  }
+
+  /** Refuses what would not be done before its caller leaves, as soon as that can be seen: its work would be lost. */
+  private _refuseHopeless (now: number): void {
+    const capacities = this._computeCapacities(now)
+    const ahead = new Map<string, number>()
+    for (const state of this._listActive(now)) {
+      const waitMs = computeQueueMs(state, capacities, ahead)
+      const endAt = now + waitMs + this._estimateRemaining(state)
+      const isHopeless = endAt > state.deadlineAt && !state.hasBegun
+      if (isHopeless || now + this._estimateRemaining(state) > state.deadlineAt) this._refuse(state, { reason: 'overloaded', retryAfterMs: Math.max(MIN_RETRY_MS, Math.round(waitMs)) })
+      else addPieces(state, ahead)
+    }
   }
 
   /** Results that lie too long go; what still needs them has them made again. */
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -6,11 +6,12 @@
 import type { Either } from 'purify-ts'
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
-import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { listLastStages } from '../common/preparationJob.ts'
 import type { JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
+import { chooseCoordinator } from '../common/coordinatorChoice.ts'
+import type { CoordinatorCandidate } from '../common/coordinatorChoice.ts'
 import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobNews } from '../common/preparationPlanner.ts'
@@ -27,14 +28,12 @@
   /** Where the coordinator of this node is reached. */
   readonly address: string
   readonly localAddress?: string
-  /** Where the coordinators of all live nodes are reached, this one's included. */
-  readonly listAddresses: () => readonly string[]
+  /** The coordinators of all live nodes, this one's included. */
+  readonly listCoordinators: () => readonly CoordinatorCandidate[]
 }
 
 /** A coordinator that could not be reached is left alone for so long. */
 const AVOID_MS = 1500
-/** All nodes choose by this key. */
-const CHOICE_KEY = 'preparation'
 const MAX_MOVES = 4
 
 /** A job that its coordinator has not settled yet. */
@@ -66,8 +65,8 @@
   /** The address of the coordinator that new jobs go to. */
   get coordinatorAddress (): string {
     const now = this._options.clock.now()
-    const usable = this._options.listAddresses().filter(address => (this._avoidUntil.get(address) ?? 0) <= now)
-    return rankByRendezvous(CHOICE_KEY, usable)[0] ?? this._options.address
+    const usable = this._options.listCoordinators().filter(({ address }) => (this._avoidUntil.get(address) ?? 0) <= now)
+    return chooseCoordinator(usable) ?? this._options.address
   }
 
   prepare (job: PreparationJob, signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>> {
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -35,5 +35,5 @@
     sharedTokens: prompt === undefined ? 0 : countSharedTokens(prompt),
     inputTokens: prompt?.inputTokens ?? 0
   }
-  return { id: request.id, key: need.key, stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs }
+  return { id: request.id, key: need.key, stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs }
 }
