Make the pieces of a job in one hall, meet late seeds at once, and read shared parts again only when it pays

After a loss of power, nodes that started before their seeds met them only 2 s later; until then each coordinated its own jobs, and 202 calls found upstreams full. Change: a hall for the chain of each job, the one that keeps it waiting least; seeds are tried every 200 ms; shared parts that another upstream keeps weigh three times their reading time. The tests of late seeds and of halls failed before.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -60,6 +60,8 @@
 const IDLE_CONNECTION_MS = 3000
 /** How long a starting node waits for the source and its peers before it goes on with what it has. */
 const READY_WAIT_MS = 3000
+/** Until nodes know each other, each coordinates its own jobs; after a loss of power they start in any order. */
+const SEED_PERIOD_MS = 200
 const LOAD_MEMORY_MS = 5000
 /** The part of the fleet's retries that is handed out; the rest covers what nodes see differently. */
 const RETRY_SAFETY = 0.8
@@ -107,7 +109,8 @@
       address: settings.address,
       hall: settings.hall,
       listSeeds: () => this._settings.seeds,
-      readyWaitMs: READY_WAIT_MS
+      readyWaitMs: READY_WAIT_MS,
+      seedPeriodMs: SEED_PERIOD_MS
     }))
     const getTable = () => this._table
     this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: options.pieceProtocol, registry: this._registry, getTable }))
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -35,6 +35,8 @@
   /** Members to meet first, and again when they have been lost. */
   readonly listSeeds: () => readonly string[]
   readonly probePeriodMs?: number
+  /** How often members that are to be met first are tried again. */
+  readonly seedPeriodMs?: number
   /** How long a starting process waits for the configuration's source and its peers. */
   readonly readyWaitMs: number
 }
@@ -73,7 +75,8 @@
       random,
       link: { ...this._createLinkOptions(), localAddress: options.localIp },
       listSeeds: options.listSeeds,
-      probePeriodMs: options.probePeriodMs
+      probePeriodMs: options.probePeriodMs,
+      seedPeriodMs: options.seedPeriodMs
     }))
     this._register(this.configuration.onDidAccept(accepted => this._handleAccepted(accepted)))
     this._register(this.facts.onDidChange(fact => this._handleFact(fact)))
--- /dev/null
+++ b/src/services/membership/test/fleetMember.test.ts
@@ -0,0 +1,53 @@
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { SeededRandom } from '../../../base/common/random.ts'
+import { SystemClock } from '../../../base/node/systemClock.ts'
+import { LogService } from '../../log/node/logger.ts'
+import { FleetMember } from '../node/fleetMember.ts'
+
+const test = suite('fleetMember')
+
+/** A port that was free a moment ago: the seed's address must be known before the seed starts. */
+function findFreePort (): Promise<number> {
+  return new Promise(resolve => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo
+      server.close(() => resolve(port))
+    })
+  })
+}
+
+function createMember (port: number, seedPort: number): FleetMember {
+  return new FleetMember({
+    address: `127.0.0.1:${port}`,
+    hall: 'h',
+    incarnation: port,
+    clock: new SystemClock(),
+    random: new SeededRandom(port),
+    log: new LogService({ program: 'test', silent: true }),
+    listSeeds: () => [`127.0.0.1:${seedPort}`],
+    readyWaitMs: 100,
+    seedPeriodMs: 50
+  })
+}
+
+test('a member that started before its seed meets it soon after the seed starts', async () => {
+  const seedPort = await findFreePort()
+  const early = createMember(1, seedPort)
+  const seed = createMember(seedPort, seedPort)
+  try {
+    await early.join(Promise.resolve())
+    assert.is(early.membership.listLive().length, 1)
+    await seed.listen({ host: '127.0.0.1', port: seedPort })
+    for (let count = 0; count < 100 && seed.membership.listLive().length < 2; count++) await new Promise(resolve => { setTimeout(resolve, 10) })
+    assert.is(seed.membership.listLive().length, 2)
+  } finally {
+    early.dispose()
+    seed.dispose()
+  }
+})
+
+test.run()
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -15,6 +15,12 @@
   failures = 0
 }
 
+/** Where the pieces of a stage are best made: near the request's target, near the job's other pieces, or anywhere. */
+export type StagePlace = 'target' | 'chain' | 'any'
+
+/** Moving this much to another hall for one piece is worth waiting for an upstream nearby. */
+const LARGE_BYTES = 200_000
+
 export class JobState {
   readonly job: PreparationJob
   readonly arrivedAt: number
@@ -24,11 +30,14 @@
   /** Stages between this one and the request, this one included. */
   readonly heights: readonly number[]
   readonly lastStages: readonly number[]
+  readonly places: readonly StagePlace[]
   /** All results were made and handed over. */
   isHandedOver = false
   /** The upstream that should take the request, and its hall; empty when there is none. */
   targetId = ''
   targetHall = ''
+  /** The hall in which the pieces that need each other's results are made. */
+  chainHall = ''
   /** What the request is expected to take at the target until its first event. */
   requestMs = 0
   private readonly _readyAt = new Map<number, number>()
@@ -41,6 +50,7 @@
     this.pieces = job.stages.map(stage => Array.from({ length: stage.pieceCount }, () => new PieceState()))
     this.heights = computeHeights(job.stages)
     this.lastStages = listLastStages(job.stages)
+    this.places = job.stages.map((_, stage) => this._findPlace(stage))
   }
 
   /** Every piece that is still needed was made. */
@@ -126,6 +136,22 @@
     }
   }
 
+  /** The hall that a stage's pieces should be made in; empty when any will do. */
+  getHall (stage: number): string {
+    const place = this.places[stage]
+    return place === 'target' ? this.targetHall : place === 'chain' ? this.chainHall : ''
+  }
+
+  /** Every piece of a later stage fetches every result of an earlier one, so small results can be much to move. */
+  private _findPlace (stage: number): StagePlace {
+    const spec = this.job.stages[stage]
+    if (spec === undefined || spec.pieceCount === 0) return 'any'
+    if (this.lastStages.includes(stage) && spec.resultBytes >= LARGE_BYTES) return 'target'
+    const fetches = this.job.stages.reduce((sum, other) => sum + (other.after.includes(stage) ? other.pieceCount : 0), 0)
+    const inputBytes = spec.after.reduce((sum, before) => sum + (this.job.stages[before]?.pieceCount ?? 0) * (this.job.stages[before]?.resultBytes ?? 0), 0)
+    return spec.resultBytes * fetches >= LARGE_BYTES || inputBytes >= LARGE_BYTES ? 'chain' : 'any'
+  }
+
   private _hasInputs (stage: number): boolean {
     return (this.job.stages[stage]?.after ?? []).every(before => this._getPieces(before).every(piece => piece.status === 'made'))
   }
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -5,7 +5,7 @@
 import { addPieces, computeQueueMs, countPieces, decideAdmission } from './jobForecast.ts'
 import type { RoleCapacity } from './jobForecast.ts'
 import { JobState } from './jobState.ts'
-import type { PieceState } from './jobState.ts'
+import type { PieceState, StagePlace } from './jobState.ts'
 import { computeCallMs, computePieceCost, PieceUpstream } from './pieceUpstream.ts'
 import type { PieceUpstreamOptions, PieceWorkSpec } from './pieceUpstream.ts'
 import type { JobRefusal, PieceResult, PreparationJob } from './preparationJob.ts'
@@ -80,9 +80,7 @@
 const RANK_MS = 4000
 /** A job that misses its goal anyway counts like one whose goal is this much later. */
 const LATE_MS = 6000
-/** Results of at least this size are worth waiting for an upstream in the hall of the request's target. */
-const LARGE_RESULT_BYTES = 200_000
-/** How long a large piece waits for that hall, if its goal leaves the time. */
+/** How long a piece waits for an upstream in its hall, if its goal leaves the time. */
 const HALL_PATIENCE_MS = 250
 /** An upstream this much slower than the configuration says is used only when no other can be. */
 const MAX_SLOWNESS = 2.5
@@ -155,6 +153,7 @@
     if (refusal !== undefined) return refusal
     this._jobs.set(job.id, state)
     this._chooseTarget(state, now)
+    state.chainHall = this._chooseChainHall(state, now)
     return undefined
   }
 
@@ -248,7 +247,7 @@
     let rest: readonly ReadyPiece[] = ready
     idle.forEach((upstream, index) => {
       if (rest.length === 0 || !this._isWorthwhile(upstream, rest.length, now)) return
-      const fitting = rest.filter(piece => this._isNearTarget(piece, upstream, now))
+      const fitting = rest.filter(piece => this._isNear(piece, upstream, now))
       const size = computeBatchSize(upstream, rest.length, idle.length - index)
       const chosen = takeBatch([...fitting, ...rest.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
       const taken = new Set(chosen)
@@ -258,12 +257,12 @@
     return calls
   }
 
-  /** Whether a piece is small, or the upstream lies in the hall that wants it. */
-  private _isNearTarget (piece: ReadyPiece, upstream: PieceUpstream, now: number): boolean {
-    if (piece.bytes < LARGE_RESULT_BYTES || piece.state.targetHall === upstream.hall) return true
-    const { role } = upstream
+  /** Whether the upstream lies in the hall that a piece should be made in, or no upstream does. */
+  private _isNear (piece: ReadyPiece, upstream: PieceUpstream, now: number): boolean {
+    const hall = piece.state.getHall(piece.stage)
+    if (hall === '' || hall === upstream.hall) return true
     for (const other of this._upstreams.values()) {
-      if (other.role === role && other.hall === piece.state.targetHall && other.isUsable(now) && other.getSlowness(now) <= MAX_SLOWNESS) return false
+      if (other.role === upstream.role && other.hall === hall && other.isUsable(now) && other.getSlowness(now) <= MAX_SLOWNESS) return false
     }
     return true
   }
@@ -437,7 +436,7 @@
       shape: request,
       candidates: this._listTargets(request.role),
       bytesByHall: this._sumFinalBytes(state),
-      waitByHall: state.isHandedOver ? NO_WAIT : this._computeHallWaits(state, now)
+      waitByHall: state.isHandedOver ? NO_WAIT : this._computeHallWaits(state, 'target', now)
     }, now)
     state.requestMs = choice?.costMs ?? 0
     state.targetId = choice?.id ?? ''
@@ -445,18 +444,16 @@
     if (choice !== undefined && state.isHandedOver) this._targets.assign(id, request, choice.id, now)
   }
 
-  /** How long the large results of a job would wait for an upstream of a hall. */
-  private _computeHallWaits (state: JobState, now: number): ReadonlyMap<string, number> {
-    const roles = new Set(state.lastStages.flatMap(index => {
-      const stage = state.job.stages[index]
-      return stage !== undefined && stage.resultBytes >= LARGE_RESULT_BYTES ? [stage.role] : []
-    }))
+  /** How long the pieces of a job that should be made in one place would wait for it, by hall. */
+  private _computeHallWaits (state: JobState, place: StagePlace, now: number): ReadonlyMap<string, number> {
+    const roles = new Set(state.job.stages.flatMap((stage, index) => state.places[index] === place ? [stage.role] : []))
     const waits = new Map<string, number>()
     for (const role of roles) {
+      const work = this._getWork(role)
+      if (work === undefined) continue
       for (const [hall, calls] of this._countHallCalls(role, now)) {
-        const pieces = this._countLargePieces(role, hall)
-        const pieceMs = this._getWork(role)?.pieceMs ?? 0
-        waits.set(hall, Math.max(waits.get(hall) ?? 0, pieces * pieceMs / calls))
+        const waitMs = this._countHallPieces(role, hall) * computePieceCost(work) / calls
+        waits.set(hall, Math.max(waits.get(hall) ?? 0, waitMs))
       }
     }
     return waits
@@ -471,19 +468,35 @@
     return calls
   }
 
-  /** Large pieces of a role that wait or run for the targets of a hall. */
-  private _countLargePieces (role: string, hall: string): number {
+  /** Pieces of a role that wait or run for a hall. */
+  private _countHallPieces (role: string, hall: string): number {
     let count = 0
     for (const state of this._jobs.values()) {
-      if (state.isHandedOver || state.targetHall !== hall) continue
+      if (state.isHandedOver) continue
       state.job.stages.forEach((stage, index) => {
-        if (stage.role !== role || stage.resultBytes < LARGE_RESULT_BYTES) return
+        if (stage.role !== role || state.getHall(index) !== hall) return
         count += (state.pieces[index] ?? []).filter(piece => piece.status === 'waiting' || piece.status === 'running').length
       })
     }
     return count
   }
 
+  /** The hall where the job's chain would wait least; halls that lack a role of it are left out while another has all. */
+  private _chooseChainHall (state: JobState, now: number): string {
+    const roles = new Set(state.job.stages.flatMap((stage, index) => state.places[index] === 'chain' ? [stage.role] : []))
+    const waits = this._computeHallWaits(state, 'chain', now)
+    const isWhole = (hall: string) => [...roles].every(role => this._countHallCalls(role, now).has(hall))
+    let best = ''
+    let bestMs = Infinity
+    for (const [hall, waitMs] of waits) {
+      const scoreMs = waitMs + (isWhole(hall) ? 0 : HALL_PATIENCE_MS) + (hall === state.targetHall ? 0 : 1)
+      if (scoreMs >= bestMs) continue
+      best = hall
+      bestMs = scoreMs
+    }
+    return best
+  }
+
   private _sumFinalBytes (state: JobState): ReadonlyMap<string, number> {
     const sums = new Map<string, number>()
     for (const stage of state.lastStages) {
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -50,7 +50,7 @@
 /** A prompt that no one is known to have read is most likely kept by the upstream that every coordinator would choose first. */
 const GUESSED_SHARE = 0.5
 /** Reading shared parts again takes time and memory from other requests as well. */
-const READ_AGAIN_WEIGHT = 1
+const READ_AGAIN_WEIGHT = 3
 const MAX_PREFIXES = 5000
 
 class TargetState {
--- a/src/services/preparation/test/preparationPlanner.test.ts
+++ b/src/services/preparation/test/preparationPlanner.test.ts
@@ -176,6 +176,42 @@
   assert.equal(planner.startCalls(400).map(call => call.upstreamId), ['a-0'])
 })
 
+test('pieces that need many results are made in the hall where those lie', () => {
+  const planner = createPlanner({ upstreams: { a: 2, b: 2 }, work: { resultRoomBytes: 1e9 } })
+  planner.addJob(createJob('x', [createStage('a', 4, [], 60_000), createStage('b', 8, [0], 6000)]), 0)
+  const halls = new Set<string>()
+  runToEnd(planner, 0, call => halls.add(call.upstreamId.slice(-1)))
+  assert.is(halls.size, 1)
+  planner.addJob(createJob('y', [createStage('a', 4, [], 60_000), createStage('b', 8, [0], 6000)]), 1000)
+  planner.addJob(createJob('z', [createStage('a', 4, [], 60_000), createStage('b', 8, [0], 6000)]), 1000)
+  assert.is(planner.startCalls(1000).length, 2)
+})
+
+test('a job that the others keep waiting beyond its caller\'s patience is refused before anything is done for it', () => {
+  const planner = createPlanner({ upstreams: { a: 1 }, work: { maxPiecesPerCall: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 1)], { rank: 1, goalInMs: 300, deadlineInMs: 900 }), 0)
+  planner.startCalls(0)
+  planner.addJob(createJob('y', [createStage('a', 1)], { rank: 1, goalInMs: 300, deadlineInMs: 900 }), 0)
+  for (let index = 0; index < 12; index++) planner.addJob(createJob(`j${index}`, [createStage('a', 1)]), 0)
+  planner.startCalls(200)
+  const refused = planner.takeNews().flatMap(news => news.kind === 'refused' ? [news] : [])
+  assert.equal(refused.map(news => news.jobId), ['y'])
+  assert.ok((refused[0]?.refusal.retryAfterMs ?? 0) > 500)
+})
+
+test('an upstream that was slow is used when the others would take longer, and is not remembered as slow for ever', () => {
+  const planner = createPlanner({ upstreams: { a: 2 }, work: { maxPiecesPerCall: 1, resultRoomBytes: 1e6 } })
+  planner.addJob(createJob('x', [createStage('a', 2)]), 0)
+  const [first, second] = planner.startCalls(0)
+  assert.ok(first && second)
+  planner.settleCall(second.id, createAll(second), 110)
+  planner.settleCall(first.id, createAll(first), 880)
+  planner.addJob(createJob('y', [createStage('a', 1)]), 880)
+  assert.equal(planner.startCalls(880).map(call => call.upstreamId), [second.upstreamId])
+  planner.addJob(createJob('z', [createStage('a', 9)]), 880)
+  assert.equal(planner.startCalls(880).map(call => call.upstreamId), [first.upstreamId])
+})
+
 /** Any order of outcomes leaves no room held and no job without its end. */
 test('random histories end with every job settled and all room given back', () => {
   const outcome = fc.constantFrom('made', 'made', 'made', 'made', 'lost', 'full', 'noRoom', 'inputGone', 'failed')
