Plan by hall where halls have the upstreams for it, let the strongest host coordinate, and keep gossip quiet as the fleet grows

One coordinator would have planned for 226 requests/s on 0.3 of a core, and looked at all jobs for each role at each event. Change: urgent news is gathered for 20 ms, goes to 32 members from its origin and to 3 from those that heard it; only the first three links get all facts; a node speaks of itself when something changed, and every 10 s. With two or more upstreams of each role in a hall, each hall has a plan of its own, chosen by the prompt's shared parts; a refused job is offered to one more. Members tell what their host can do; the strongest and then the oldest coordinates. Planning waits 2 ms and looks at all jobs once.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -54,8 +54,10 @@
   readonly upstreamSource: UpstreamSource
 }
 
-/** How often a node tells the others what it has to do; it is not used by callers once it was silent for long. */
-const REPORT_PERIOD_MS = 500
+/** How often a node looks whether it has something new to say of itself. */
+const REPORT_PERIOD_MS = 200
+/** What it says without anything new, so that a lost fact is mended; probes tell whether it lives. */
+const REPEAT_PERIOD_MS = 10_000
 /** A connection to an upstream that was idle for so long may be closed there at any moment. */
 const IDLE_CONNECTION_MS = 3000
 /** How long a starting node waits for the source and its peers before it goes on with what it has. */
@@ -94,6 +96,8 @@
   private _settings: NodeSettings
   private _table: RelayTable | undefined
   private _factCounter = 0
+  private _reportedWord = ''
+  private _reportedAt = -Infinity
   private _isDraining = false
   private _isCatchingUp = false
 
@@ -110,7 +114,9 @@
       hall: settings.hall,
       listSeeds: () => this._settings.seeds,
       readyWaitMs: READY_WAIT_MS,
-      seedPeriodMs: SEED_PERIOD_MS
+      seedPeriodMs: SEED_PERIOD_MS,
+      hasGates: false,
+      weight: Math.round(settings.core_share * settings.core_speed * 100)
     }))
     const getTable = () => this._table
     this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: options.pieceProtocol, registry: this._registry, getTable }))
@@ -122,7 +128,8 @@
       registry: this._registry,
       coordinator: this._coordinator,
       address: this._formatPreparationAddress(settings.address),
-      listCoordinators: () => this._member.membership.listLive().map(({ address, incarnation }) => ({ address: this._formatPreparationAddress(address), incarnation }))
+      listCoordinators: () => this._member.membership.listLive().map(member => ({ ...member, address: this._formatPreparationAddress(member.address) })),
+      listPieceUpstreams: () => (this._table?.listPieceRoles() ?? []).flatMap(role => this._registry.listRole(role.name))
     }))
     const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS, scheduling: 'lifo' })
     this._register(toDisposable(() => agent.destroy()))
@@ -254,12 +261,16 @@
     for (const entry of this._registry.list()) if (!listed.has(entry.id)) this._registry.drop(entry.id, 'not listed')
   }
 
+  /** Says whether callers may use this node, when that has changed or was not said for long. */
   private _report (): void {
-    const { settings, incarnation } = this._options
+    const { settings, incarnation, clock } = this._options
+    const word = `${this.isReady}/${this._isDraining}`
+    if (word === this._reportedWord && clock.now() - this._reportedAt < REPEAT_PERIOD_MS) return
+    this._reportedWord = word
+    this._reportedAt = clock.now()
     const { callers_address: address, hall } = settings
     const subject = formatGateSubject(address)
     const known = this._member.facts.get(subject)?.incarnation ?? 0
-    this._recent.add(0)
     this._member.facts.merge({
       subject,
       // A node whose clock fell behind that of its predecessor at this address must still be heard.
@@ -277,6 +288,7 @@
       },
       ageMs: 0
     })
+    this._member.gossip.spreadNow()
   }
 
   private _listGates () {
--- a/src/entryNode/nodeSettings.ts
+++ b/src/entryNode/nodeSettings.ts
@@ -23,6 +23,10 @@
   /** Where nodes give each other preparation jobs; the same port on all. */
   preparation_port: Port,
   metrics_port: Schema.optional(Port),
+  /** The part of a core that this host gives the node. */
+  core_share: Schema.Number.pipe(Schema.positive()),
+  /** How fast that core is, against the usual one. */
+  core_speed: Schema.Number.pipe(Schema.positive()),
   /** Nodes to meet first. */
   seeds: Schema.Array(AddressText),
   /** Where configuration and upstreams are read. */
--- a/src/services/facts/common/fact.ts
+++ b/src/services/facts/common/fact.ts
@@ -12,6 +12,8 @@
   readonly address: string
   readonly hall: string
   readonly state: MemberState
+  /** How much its host can do, in hundredths of a core; 0 where that is not known. */
+  readonly weight: number
 }
 
 /** What a gate says of itself. */
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -15,7 +15,8 @@
     kind: Schema.Literal('member'),
     address: Name,
     hall: Name,
-    state: Schema.Literal('alive', 'suspect', 'dead', 'left')
+    state: Schema.Literal('alive', 'suspect', 'dead', 'left'),
+    weight: Schema.optionalWith(Count, { default: () => 0 })
   }),
   Schema.Struct({
     kind: Schema.Literal('gate'),
--- a/src/services/locate/common/nodeDirectory.ts
+++ b/src/services/locate/common/nodeDirectory.ts
@@ -3,7 +3,6 @@
  */
 import { parseAddress } from '../../../base/common/address.ts'
 import type { Member } from '../../membership/common/membershipTable.ts'
-import { isUsableGate } from './locatePolicy.ts'
 import type { GateView } from './locatePolicy.ts'
 
 export interface NodeDirectoryInputs {
@@ -25,11 +24,13 @@
 const KEEP_MS = 2000
 const MAX_ADDRESSES = 64
 
-/** Nodes that say that they take requests and that nobody suspects; the answering node's own view of itself goes first. */
+/** Nodes that said last that they take requests, and that answer probes; the answering node's own view of itself goes first. */
 export function listNodeAddresses (inputs: NodeDirectoryInputs): AddressAnswer {
   const { gates, members, own, maxKeepMs } = inputs
-  const silent = new Set(members.filter(member => member.state !== 'alive').map(member => getHost(member.address)))
-  const usable = gates.filter(gate => gate.address !== own && isUsableGate(gate) && !silent.has(getHost(gate.address))).map(gate => gate.address)
+  const alive = new Set(members.filter(member => member.state === 'alive').map(member => getHost(member.address)))
+  const usable = gates
+    .filter(gate => gate.address !== own && gate.ready && !gate.draining && alive.has(getHost(gate.address)))
+    .map(gate => gate.address)
   const addresses = own === undefined ? usable : [own, ...usable]
   return { addresses: addresses.slice(0, MAX_ADDRESSES), keepMs: Math.min(KEEP_MS, maxKeepMs) }
 }
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -12,6 +12,8 @@
 export interface MembershipOptions {
   readonly address: string
   readonly hall: string
+  /** How much this host can do, in hundredths of a core. */
+  readonly weight?: number
   /** Grows with each boot. */
   readonly incarnation: number
   readonly clock: IClock
@@ -28,6 +30,7 @@
   readonly hall: string
   readonly state: MemberState
   readonly incarnation: number
+  readonly weight: number
 }
 
 /** The counter of a member fact is the precedence of its state within an incarnation. */
@@ -64,7 +67,7 @@
 
   /** All members known, this one included. */
   listMembers (): readonly Member[] {
-    return this._listFacts().map(({ value, incarnation }) => ({ address: value.address, hall: value.hall, state: value.state, incarnation }))
+    return this._listFacts().map(({ value, incarnation }) => ({ address: value.address, hall: value.hall, state: value.state, incarnation, weight: value.weight }))
   }
 
   /** Members taken for alive, this one included; a suspect still counts. */
@@ -112,8 +115,8 @@
   }
 
   private _announce (): void {
-    const { address, hall, facts } = this._options
-    const value = { kind: 'member' as const, address, hall, state: this._state }
+    const { address, hall, facts, weight = 0 } = this._options
+    const value = { kind: 'member' as const, address, hall, state: this._state, weight }
     facts.merge({ subject: formatMemberSubject(address), incarnation: this._incarnation, counter: PRECEDENCE[this._state], value, ageMs: 0 })
   }
 
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -27,6 +27,8 @@
   readonly hall: string
   /** The address that its connections leave from. */
   readonly localIp?: string
+  /** How much this host can do, in hundredths of a core. */
+  readonly weight?: number
   /** Grows with each boot of the host. */
   readonly incarnation: number
   readonly clock: IClock
@@ -37,6 +39,8 @@
   readonly probePeriodMs?: number
   /** How often members that are to be met first are tried again. */
   readonly seedPeriodMs?: number
+  /** False where no gate is ever linked, which saves a timer. */
+  readonly hasGates?: boolean
   /** How long a starting process waits for the configuration's source and its peers. */
   readonly readyWaitMs: number
 }
@@ -107,7 +111,7 @@
    */
   async join (sourceRead: Promise<unknown>): Promise<void> {
     const { clock, readyWaitMs, log, address, hall } = this._options
-    this._register(startInterval(GATE_PUSH_PERIOD_MS, () => this.pushToGates()))
+    if (this._options.hasGates !== false) this._register(startInterval(GATE_PUSH_PERIOD_MS, () => this.pushToGates()))
     this._register(startInterval(FORGET_PERIOD_MS, () => this.facts.dropOldGates()))
     this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._announceConfiguration(COMPARED_COUNT)))
     const until = clock.now() + readyWaitMs
@@ -200,7 +204,7 @@
       return
     }
     // What matters at once does not wait for the next round.
-    this.gossip.spreadNow()
+    this.gossip.spreadNow(fact.source === '')
     this.pushToGates()
   }
 }
--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps links to the other stewards, spreads news over them and finds out who has died.
  */
-import { Disposable } from '../../../base/common/disposable.ts'
+import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import type { IRandom } from '../../../base/common/random.ts'
 import { startInterval } from '../../../base/node/interval.ts'
 import type { WireMessage } from '../../facts/common/wireMessage.ts'
@@ -30,8 +30,14 @@
 const NEWS_ROUNDS = 3
 /** Members that are asked to probe one that does not answer. */
 const HELPER_COUNT = 2
-/** Urgent news goes to at most so many members at once; they pass it on. */
+/** Urgent news of this member goes to at most so many others at once. */
 const MAX_URGENT_COUNT = 32
+/** Members that urgent news is passed on to by one that heard it from another. */
+const PASSED_URGENT_COUNT = 3
+/** Urgent news that comes within this time goes out together: when a fleet starts, all of its members are news. */
+const URGENT_DELAY_MS = 20
+/** The first links get all that is known; later ones, in a fleet that is known already, what is new. */
+const FULL_NEWS_LINKS = 3
 
 export class GossipService extends Disposable {
   private readonly _options: GossipServiceOptions
@@ -43,11 +49,14 @@
   /** The facts' sequence at the end of the last rounds, the oldest first. */
   private _roundMarks: readonly number[] = []
   private _closedTraffic: LinkTraffic = { sent: 0, received: 0 }
+  private _urgentTimer: NodeJS.Timeout | undefined
+  private _urgentCount = 0
 
   constructor (options: GossipServiceOptions) {
     super()
     this._options = options
     this._probeTimeoutMs = options.probeTimeoutMs ?? 400
+    this._register(toDisposable(() => clearTimeout(this._urgentTimer)))
     this._register(startInterval(options.probePeriodMs ?? 500, () => { void this._probe() }))
     this._register(startInterval(options.spreadPeriodMs ?? 200, () => this._spread()))
     this._register(startInterval(options.comparePeriodMs ?? 4000, () => this._compare()))
@@ -72,10 +81,16 @@
     return links.filter(link => link !== undefined).length
   }
 
-  /** Spreads news without waiting for the next round. */
-  spreadNow (): void {
-    const peers = this._options.membership.listPeers()
-    for (const peer of this._draw(peers.map(member => member.address), MAX_URGENT_COUNT)) void this._sendRecent(peer)
+  /** Spreads news without waiting for the next round: to many members where it is this one's own, to some otherwise. */
+  spreadNow (isOwn = true): void {
+    this._urgentCount = Math.max(this._urgentCount, isOwn ? MAX_URGENT_COUNT : PASSED_URGENT_COUNT)
+    if (this._urgentTimer !== undefined) return
+    this._urgentTimer = setTimeout(() => {
+      const peers = this._options.membership.listPeers()
+      for (const peer of this._draw(peers.map(member => member.address), this._urgentCount)) void this._sendRecent(peer)
+      this._urgentTimer = undefined
+      this._urgentCount = 0
+    }, URGENT_DELAY_MS)
   }
 
   /** Says which configuration is in force here to so many members: a higher one comes back, a lower one is asked for. */
@@ -160,7 +175,7 @@
         return undefined
       }
       this._links.set(address, link)
-      link.sendNews()
+      if (this._links.size <= FULL_NEWS_LINKS) link.sendNews()
       this._register(link)
       link.onDidReceive(message => this.handleMessage(link, message))
       link.onDidClose(() => {
--- a/src/services/membership/test/membershipTable.test.ts
+++ b/src/services/membership/test/membershipTable.test.ts
@@ -118,7 +118,7 @@
 })
 
 test('duties are shared out: few have each, all have the same picture, and a loss moves only what was lost', () => {
-  const members = Array.from({ length: 9 }, (_, index) => ({ address: `10.0.0.${index}:1`, hall: `h${index % 3}`, state: 'alive' as const, incarnation: 1 }))
+  const members = Array.from({ length: 9 }, (_, index) => ({ address: `10.0.0.${index}:1`, hall: `h${index % 3}`, state: 'alive' as const, incarnation: 1, weight: 0 }))
   const rest = members.slice(1)
   for (let index = 0; index < 40; index++) {
     const upstream = `u${index}`
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -32,7 +32,12 @@
 
 const PreparationMessageSchema = Schema.Union(
   /** An owner wants a job done. */
-  Schema.Struct({ kind: Schema.Literal('job'), job: JobSchema }),
+  Schema.Struct({
+    kind: Schema.Literal('job'),
+    job: JobSchema,
+    /** The hall whose upstreams do it; empty for all. */
+    hall: Schema.String.pipe(Schema.maxLength(256))
+  }),
   /** An owner needs the results no more. */
   Schema.Struct({ kind: Schema.Literal('release'), jobId: Id }),
   /** The request has shown its first event, or failed, at the upstream that the coordinator chose. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -95,12 +95,14 @@
 const LIFETIME_MARGIN_MS = 400
 const INTERRUPTED_RETRY_MS = 300
 /** How often it is looked at what can still be done in time. */
-const FORECAST_PERIOD_MS = 100
+const FORECAST_PERIOD_MS = 50
 const MIN_RETRY_MS = 100
 const NO_WAIT: ReadonlyMap<string, number> = new Map()
 
 export class PreparationPlanner {
   private readonly _upstreams = new Map<string, PieceUpstream>()
+  /** What upstreams of a role do; the configuration says the same of all of them. */
+  private readonly _works = new Map<string, PieceWorkSpec>()
   private readonly _jobs = new Map<string, JobState>()
   private readonly _calls = new Map<number, StartedCall>()
   private readonly _frees = new Map<string, PendingFree>()
@@ -126,6 +128,7 @@
   /** Adds an upstream or takes in what changed of it. */
   setUpstream (options: PieceUpstreamOptions): void {
     const held = this._upstreams.get(options.id)
+    this._works.set(options.role, options.work)
     if (held === undefined) this._upstreams.set(options.id, new PieceUpstream(options))
     else held.work = options.work
   }
@@ -184,8 +187,11 @@
   /** Starts the calls that should be made now. */
   startCalls (now: number): readonly PlannedCall[] {
     this._expire(now)
+    const idle = this._groupIdle(now)
+    if (idle.size === 0 || this._jobs.size === 0) return []
+    const ready = this._groupReady(idle, now)
     const calls: PlannedCall[] = []
-    for (const [role, upstreams] of this._groupIdle(now)) calls.push(...this._startRole(role, upstreams, now))
+    for (const [role, upstreams] of idle) calls.push(...this._startRole(ready.get(role) ?? [], upstreams, now))
     return calls
   }
 
@@ -240,9 +246,7 @@
     }
   }
 
-  private _startRole (role: string, idle: readonly PieceUpstream[], now: number): readonly PlannedCall[] {
-    const ready = this._listReady(role, now)
-    if (ready.length === 0) return []
+  private _startRole (ready: readonly ReadyPiece[], idle: readonly PieceUpstream[], now: number): readonly PlannedCall[] {
     const calls: PlannedCall[] = []
     let rest: readonly ReadyPiece[] = ready
     idle.forEach((upstream, index) => {
@@ -316,26 +320,34 @@
     return waitMs + computeCallMs(work, 1) > slowness * computeCallMs(work, Math.min(waiting, work.maxPiecesPerCall))
   }
 
-  /** Pieces of a role that could start, in the order in which they should, as far as there is room for whole stages. */
-  private _listReady (role: string, now: number): readonly ReadyPiece[] {
-    const upstreams = [...this._upstreams.values()].filter(upstream => upstream.role === role && upstream.isUsable(now))
-    let freeBytes = upstreams.reduce((sum, upstream) => sum + Math.max(0, upstream.getFreeBytes(now)), 0)
-    const begun: ReadyPiece[] = []
-    const ready: ReadyPiece[] = []
+  /** Pieces that could start at idle upstreams, by role, in the order in which they should, as far as there is room for whole stages. */
+  private _groupReady (idle: ReadonlyMap<string, unknown>, now: number): ReadonlyMap<string, readonly ReadyPiece[]> {
+    const freeBytes = this._sumFreeBytes(now)
+    const begun = new Map<string, ReadyPiece[]>()
+    const fresh = new Map<string, ReadyPiece[]>()
     for (const state of this._listActive(now)) {
       for (const stage of state.listReadyStages()) {
         const spec = state.job.stages[stage]
-        if (spec === undefined || spec.role !== role) continue
+        if (spec === undefined || !idle.has(spec.role)) continue
         const pieces = listWaiting(state, stage, spec.resultBytes)
         const wantedBytes = pieces.length * spec.resultBytes
+        const left = freeBytes.get(spec.role) ?? 0
         // A stage that has begun holds room which only its end gives back, so it goes first, whatever is left.
-        if (state.hasStarted(stage)) begun.push(...pieces)
-        else if (wantedBytes <= freeBytes) ready.push(...pieces)
-        else continue
-        freeBytes -= wantedBytes
+        const group = state.hasStarted(stage) ? begun : fresh
+        if (group === fresh && wantedBytes > left) continue
+        freeBytes.set(spec.role, left - wantedBytes)
+        group.set(spec.role, [...group.get(spec.role) ?? [], ...pieces])
       }
     }
-    return [...begun, ...ready]
+    return new Map([...idle.keys()].map(role => [role, [...begun.get(role) ?? [], ...fresh.get(role) ?? []]]))
+  }
+
+  private _sumFreeBytes (now: number): Map<string, number> {
+    const sums = new Map<string, number>()
+    for (const upstream of this._upstreams.values()) {
+      if (upstream.isUsable(now)) sums.set(upstream.role, (sums.get(upstream.role) ?? 0) + Math.max(0, upstream.getFreeBytes(now)))
+    }
+    return sums
   }
 
   private _listActive (now: number): readonly JobState[] {
@@ -363,8 +375,7 @@
   }
 
   private _getWork (role: string): PieceWorkSpec | undefined {
-    for (const upstream of this._upstreams.values()) if (upstream.role === role) return upstream.work
-    return undefined
+    return this._works.get(role)
   }
 
   private _computeCapacities (now: number): ReadonlyMap<string, RoleCapacity> {
@@ -519,12 +530,12 @@
   }
 
   private _expire (now: number): void {
+    if (now - this._forecastAt < FORECAST_PERIOD_MS) return
+    this._forecastAt = now
     for (const state of [...this._jobs.values()]) {
       if (now >= state.deadlineAt) this._refuse(state, { reason: 'tooLate', retryAfterMs: 0 })
       else if (!state.isHandedOver) this._reopenExpired(state, now)
     }
-    if (now - this._forecastAt < FORECAST_PERIOD_MS) return
-    this._forecastAt = now
     this._refuseHopeless(now)
   }
 
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -10,8 +10,8 @@
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { listLastStages } from '../common/preparationJob.ts'
 import type { JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
-import { chooseCoordinator } from '../common/coordinatorChoice.ts'
-import type { CoordinatorCandidate } from '../common/coordinatorChoice.ts'
+import { chooseCoordinator, listPlans } from '../common/coordinatorChoice.ts'
+import type { CoordinatorCandidate, PlannedUpstream } from '../common/coordinatorChoice.ts'
 import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobNews } from '../common/preparationPlanner.ts'
@@ -30,17 +30,23 @@
   readonly localAddress?: string
   /** The coordinators of all live nodes, this one's included. */
   readonly listCoordinators: () => readonly CoordinatorCandidate[]
+  /** All upstreams that make pieces. */
+  readonly listPieceUpstreams: () => readonly PlannedUpstream[]
 }
 
 /** A coordinator that could not be reached is left alone for so long. */
 const AVOID_MS = 1500
 const MAX_MOVES = 4
+/** Further plans that a refused job is offered to. */
+const MAX_REFUSALS = 1
 
 /** A job that its coordinator has not settled yet. */
 class OpenJob {
   readonly startedAt: number
   readonly settle: (news: JobNews) => void
   moves = 0
+  /** Plans that refused it. */
+  refusals = 0
   /** Undefined for this node's own coordinator. */
   link: CoordinatorLink | undefined
 
@@ -62,11 +68,11 @@
     this._register(toDisposable(() => { for (const link of this._links.values()) void link.then(open => open?.close()) }))
   }
 
-  /** The address of the coordinator that new jobs go to. */
-  get coordinatorAddress (): string {
+  /** The address of the coordinator that keeps a plan. */
+  findCoordinator (hall: string): string {
     const now = this._options.clock.now()
     const usable = this._options.listCoordinators().filter(({ address }) => (this._avoidUntil.get(address) ?? 0) <= now)
-    return chooseCoordinator(usable) ?? this._options.address
+    return chooseCoordinator(usable, hall) ?? this._options.address
   }
 
   prepare (job: PreparationJob, signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>> {
@@ -87,17 +93,37 @@
   }
 
   private async _submit (open: OpenJob): Promise<void> {
-    const address = this.coordinatorAddress
+    const hall = this._choosePlan(open)
+    const address = this.findCoordinator(hall)
     if (address === this._options.address) {
       open.link = undefined
-      return this._options.coordinator.submit(this._updateTimes(open), news => this._settle(open, news))
+      return this._options.coordinator.submit(this._updateTimes(open), hall, news => this._take(open, news))
     }
     const link = await this._getLink(address)
     if (this._jobs.get(open.job.id) !== open) return
     if (link === undefined || link.isClosed) return this._move(open)
     open.link = link
     link.openJobs++
-    link.send({ kind: 'job', job: this._updateTimes(open) })
+    link.send({ kind: 'job', job: this._updateTimes(open), hall })
+  }
+
+  /** Jobs with the same shared parts go to the same plan, which knows where these were read. */
+  private _choosePlan (open: OpenJob): string {
+    const { prefix } = open.job.request
+    const plans = listPlans(this._options.listPieceUpstreams(), prefix === '' ? open.job.id : prefix)
+    return plans[Math.min(open.refusals, plans.length - 1)] ?? ''
+  }
+
+  /** A plan that has no room or no upstreams may have a neighbour that has. */
+  private _take (open: OpenJob, news: JobNews): void {
+    if (this._jobs.get(open.job.id) !== open) return
+    const mayTryNext = news.kind === 'refused' && open.refusals < MAX_REFUSALS && news.refusal.reason !== 'tooLate'
+    if (!mayTryNext) return this._settle(open, news)
+    const before = this._choosePlan(open)
+    open.refusals++
+    if (this._choosePlan(open) === before) return this._settle(open, news)
+    if (open.link !== undefined) open.link.openJobs--
+    void this._submit(open)
   }
 
   /** Times in a job count from when it is submitted. */
@@ -109,7 +135,7 @@
 
   private _move (open: OpenJob): void {
     open.moves++
-    this._options.log.info('preparation_moved', { request: open.job.id, moves: open.moves, to: this.coordinatorAddress })
+    this._options.log.info('preparation_moved', { request: open.job.id, moves: open.moves })
     if (open.moves > MAX_MOVES) return this._settle(open, { kind: 'refused', jobId: open.job.id, refusal: { reason: 'interrupted', retryAfterMs: AVOID_MS } })
     void this._submit(open)
   }
@@ -138,7 +164,7 @@
     this._options.log.info('coordinator_linked', { coordinator: address })
     link.onDidReceive(news => {
       const open = this._jobs.get(news.jobId)
-      if (open?.link === link) this._settle(open, news)
+      if (open?.link === link) this._take(open, news)
     })
     link.onDidClose(() => {
       this._lose(address)
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -4,14 +4,14 @@
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
-import { startInterval } from '../../../base/node/interval.ts'
+import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
 import type { JobNews, PlannedCall, PlannedFree } from '../common/preparationPlanner.ts'
-import type { PreparationJob } from '../common/preparationJob.ts'
+import type { JobRefusal, PreparationJob } from '../common/preparationJob.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 
 export interface PreparationCoordinatorOptions {
@@ -25,75 +25,165 @@
 /** Who is told of a job. */
 export type JobListener = (news: JobNews) => void
 
-/** How often deadlines and lifetimes are looked at. */
-const SWEEP_PERIOD_MS = 25
+/** How often deadlines and lifetimes are looked at while there are jobs. */
+const SWEEP_PERIOD_MS = 50
+/** What becomes known within this time is planned together: planning looks at all jobs. */
+const DISPATCH_DELAY_MS = 2
 /** Results are given back together with what becomes free within this time. */
 const FREE_DELAY_MS = 10
 
+/** One plan: all upstreams, or those of one hall. */
+class Shard {
+  readonly planner: PreparationPlanner
+  isDispatching = false
+  isFreeing = false
+
+  constructor (readonly hall: string, registry: UpstreamRegistry) {
+    this.planner = new PreparationPlanner(role => registry.listRole(role).filter(entry => this.holds(entry)))
+  }
+
+  holds (entry: UpstreamEntry): boolean {
+    return this.hall === '' || this.hall === entry.hall
+  }
+}
+
+/** A job that its owner has not let go of. */
+class HeldJob {
+  isReleased = false
+  isReported = false
+
+  constructor (readonly shard: Shard) {}
+}
+
 export class PreparationCoordinator extends Disposable {
   private readonly _options: PreparationCoordinatorOptions
-  private readonly _planner: PreparationPlanner
+  private readonly _shards = new Map<string, Shard>()
   private readonly _listeners = new Map<string, JobListener>()
-  private _isFreeing = false
+  private readonly _jobs = new Map<string, HeldJob>()
+  private _sweep: IDisposable | undefined
 
   constructor (options: PreparationCoordinatorOptions) {
     super()
     this._options = options
-    this._planner = new PreparationPlanner(role => options.registry.listRole(role))
     this._register(options.registry.onDidChange(change => this._takeChange(change)))
-    this._register(startInterval(SWEEP_PERIOD_MS, () => { if (this._planner.jobCount > 0) this._dispatch() }))
-    this._register(toDisposable(() => this._listeners.clear()))
+    this._register(toDisposable(() => {
+      this._listeners.clear()
+      this._sweep?.dispose()
+    }))
   }
 
   get jobCount (): number {
-    return this._planner.jobCount
+    return this._jobs.size
+  }
+
+  /** Whether a job is known here. */
+  holds (jobId: string): boolean {
+    return this._jobs.has(jobId)
   }
 
   /** Takes in what the configuration says of the roles. */
   refresh (): void {
-    for (const entry of this._options.registry.list()) this._setUpstream(entry)
+    for (const shard of this._shards.values()) this._refreshShard(shard)
   }
 
-  submit (job: PreparationJob, listener: JobListener): void {
-    const refusal = this._planner.addJob(job, this._options.clock.now())
+  /** Takes a job into the plan of a hall; the empty hall stands for all of them. */
+  submit (job: PreparationJob, hall: string, listener: JobListener): void {
+    const shard = this._getShard(hall)
+    const refusal = shard.planner.addJob(job, this._options.clock.now())
     if (refusal !== undefined) {
-      this._options.log.info('preparation_refused', { request: job.id, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs, jobs: this._planner.jobCount })
+      this._noteRefused(job.id, refusal, shard)
       return listener({ kind: 'refused', jobId: job.id, refusal })
     }
     this._listeners.set(job.id, listener)
-    this._dispatch()
+    this._jobs.set(job.id, new HeldJob(shard))
+    this._scheduleDispatch(shard)
+    this._scheduleSweep()
   }
 
+  /** Gives results back. */
   release (jobId: string): void {
-    this._listeners.delete(jobId)
-    this._planner.releaseJob(jobId)
-    this._scheduleFrees()
+    const held = this._jobs.get(jobId)
+    if (held === undefined) return
+    // Nobody asked for a target yet, so no report will come.
+    if (this._listeners.delete(jobId)) held.isReported = true
+    held.isReleased = true
+    held.shard.planner.releaseJob(jobId)
+    this._scheduleFrees(held.shard)
+    this._forget(jobId, held)
   }
 
   /** Takes in how a request fared at the upstream that was chosen for it. */
   report (jobId: string, report: TargetReport): void {
-    this._planner.reportTarget(jobId, report, this._options.clock.now())
+    const held = this._jobs.get(jobId)
+    if (held === undefined) return
+    held.isReported = true
+    held.shard.planner.reportTarget(jobId, report, this._options.clock.now())
+    this._forget(jobId, held)
+  }
+
+  /** Release and report come in any order; with both, a job is over. */
+  private _forget (jobId: string, held: HeldJob): void {
+    if (held.isReleased && held.isReported) this._jobs.delete(jobId)
   }
 
   /** Makes results anew; false when the job is not known here. */
   reopen (jobId: string, listener: JobListener): boolean {
-    if (!this._planner.reopenJob(jobId, this._options.clock.now())) return false
+    const shard = this._jobs.get(jobId)?.shard
+    if (shard === undefined || !shard.planner.reopenJob(jobId, this._options.clock.now())) return false
+    this._jobs.set(jobId, new HeldJob(shard))
     this._listeners.set(jobId, listener)
-    this._dispatch()
+    this._scheduleDispatch(shard)
+    this._scheduleSweep()
     return true
   }
 
   describe (): object {
-    return this._planner.describe(this._options.clock.now())
+    const now = this._options.clock.now()
+    return [...this._shards.values()].map(shard => ({ hall: shard.hall, ...shard.planner.describe(now) }))
+  }
+
+  private _getShard (hall: string): Shard {
+    let shard = this._shards.get(hall)
+    if (shard === undefined) {
+      shard = new Shard(hall, this._options.registry)
+      this._shards.set(hall, shard)
+      this._refreshShard(shard)
+    }
+    return shard
+  }
+
+  private _refreshShard (shard: Shard): void {
+    for (const entry of this._options.registry.list()) this._setUpstream(shard, entry)
+  }
+
+  private _scheduleDispatch (shard: Shard): void {
+    if (shard.isDispatching) return
+    shard.isDispatching = true
+    this._options.clock.schedule(DISPATCH_DELAY_MS, () => {
+      shard.isDispatching = false
+      if (!this._isDisposed) this._dispatch(shard)
+    })
   }
 
-  private _dispatch (): void {
-    for (const call of this._planner.startCalls(this._options.clock.now())) void this._run(call)
-    this._deliver()
-    this._scheduleFrees()
+  /** Deadlines pass without any event. */
+  private _scheduleSweep (): void {
+    if (this._sweep !== undefined) return
+    this._sweep = this._options.clock.schedule(SWEEP_PERIOD_MS, () => {
+      this._sweep = undefined
+      if (this._isDisposed) return
+      const busy = [...this._shards.values()].filter(shard => shard.planner.jobCount > 0)
+      for (const shard of busy) this._dispatch(shard)
+      if (busy.length > 0) this._scheduleSweep()
+    })
+  }
+
+  private _dispatch (shard: Shard): void {
+    for (const call of shard.planner.startCalls(this._options.clock.now())) void this._run(shard, call)
+    this._deliver(shard)
+    this._scheduleFrees(shard)
   }
 
-  private async _run (call: PlannedCall): Promise<void> {
+  private async _run (shard: Shard, call: PlannedCall): Promise<void> {
     const { registry, protocol, clock, log } = this._options
     const upstream = registry.get(call.upstreamId)
     const startedAt = clock.now()
@@ -105,52 +195,60 @@
       log.info('piece_call_failed', { upstream: call.upstreamId, pieces: call.pieces.length, outcome: outcome.kind, reason: outcome.reason, took_ms: Math.round(clock.now() - startedAt) })
       if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') registry.dropForGood(call.upstreamId, 'address answers as another')
     }
-    this._planner.settleCall(call.id, outcome, clock.now())
-    this._dispatch()
+    shard.planner.settleCall(call.id, outcome, clock.now())
+    this._deliver(shard)
+    this._scheduleDispatch(shard)
   }
 
-  private _deliver (): void {
-    for (const news of this._planner.takeNews()) {
+  private _deliver (shard: Shard): void {
+    for (const news of shard.planner.takeNews()) {
       const listener = this._listeners.get(news.jobId)
       this._listeners.delete(news.jobId)
-      if (news.kind === 'refused') this._options.log.info('preparation_refused', { request: news.jobId, reason: news.refusal.reason, retry_after_ms: news.refusal.retryAfterMs, jobs: this._planner.jobCount })
+      if (news.kind === 'refused') this._noteRefused(news.jobId, news.refusal, shard)
       listener?.(news)
     }
   }
 
-  private _scheduleFrees (): void {
-    if (this._isFreeing || !this._planner.hasFrees) return
-    this._isFreeing = true
+  private _noteRefused (jobId: string, refusal: JobRefusal, shard: Shard): void {
+    this._jobs.delete(jobId)
+    this._options.log.info('preparation_refused', { request: jobId, hall: shard.hall, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs, jobs: shard.planner.jobCount })
+  }
+
+  private _scheduleFrees (shard: Shard): void {
+    if (shard.isFreeing || !shard.planner.hasFrees) return
+    shard.isFreeing = true
     this._options.clock.schedule(FREE_DELAY_MS, () => {
-      this._isFreeing = false
+      shard.isFreeing = false
       if (this._isDisposed) return
-      for (const free of this._planner.takeFrees()) void this._free(free)
+      for (const free of shard.planner.takeFrees()) void this._free(shard, free)
     })
   }
 
-  private async _free (free: PlannedFree): Promise<void> {
+  private async _free (shard: Shard, free: PlannedFree): Promise<void> {
     const upstream = this._options.registry.get(free.upstreamId)
     const isDone = upstream !== undefined && await this._options.protocol.freeResults(upstream, free.handles)
     if (this._isDisposed) return
-    this._planner.settleFree(free, isDone, this._options.clock.now())
-    if (this._planner.jobCount > 0) this._dispatch()
+    shard.planner.settleFree(free, isDone, this._options.clock.now())
+    if (shard.planner.jobCount > 0) this._scheduleDispatch(shard)
   }
 
   private _takeChange ({ kind, entry }: UpstreamChange): void {
-    if (kind === 'dropped') this._planner.dropUpstream(entry.id)
-    else this._setUpstream(entry)
+    for (const shard of this._shards.values()) {
+      if (kind === 'dropped') shard.planner.dropUpstream(entry.id)
+      else this._setUpstream(shard, entry)
+    }
   }
 
-  private _setUpstream (entry: UpstreamEntry): void {
+  private _setUpstream (shard: Shard, entry: UpstreamEntry): void {
     const work = this._options.getTable()?.getRole(entry.role)?.pieceWork
-    if (work === undefined) return
+    if (work === undefined || !shard.holds(entry)) return
     const { concurrentCalls, maxPiecesPerCall, callMs, pieceMs, resultRoomBytes, resultLifetimeMs } = work
-    this._planner.setUpstream({
+    shard.planner.setUpstream({
       id: entry.id,
       role: entry.role,
       hall: entry.hall,
       work: { concurrentCalls, maxPiecesPerCall, callMs, pieceMs, resultRoomBytes, resultLifetimeMs }
     })
-    if (entry.isLeaving) this._planner.markLeaving(entry.id)
+    if (entry.isLeaving) shard.planner.markLeaving(entry.id)
   }
 }
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -50,15 +50,16 @@
       send({ kind: 'pong' })
     } else if (message.kind === 'job') {
       jobs.add(message.job.id)
-      this._coordinator.submit(message.job, news => {
+      this._coordinator.submit(message.job, message.hall, news => {
         if (news.kind === 'refused') jobs.delete(news.jobId)
         send(news)
       })
     } else if (message.kind === 'release') {
       this._coordinator.release(message.jobId)
+      if (!this._coordinator.holds(message.jobId)) jobs.delete(message.jobId)
     } else if (message.kind === 'report') {
-      jobs.delete(message.jobId)
       this._coordinator.report(message.jobId, message)
+      if (!this._coordinator.holds(message.jobId)) jobs.delete(message.jobId)
     } else if (message.kind === 'reopen' && !this._coordinator.reopen(message.jobId, send)) {
       send({ kind: 'refused', jobId: message.jobId, refusal: { reason: 'interrupted', retryAfterMs: 0 } })
     }
--- a/src/services/preparation/test/coordinatorChoice.test.ts
+++ b/src/services/preparation/test/coordinatorChoice.test.ts
@@ -1,12 +1,12 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { chooseCoordinator } from '../common/coordinatorChoice.ts'
+import { chooseCoordinator, listPlans } from '../common/coordinatorChoice.ts'
 
 const test = suite('coordinatorChoice')
 
-const a = { address: '10.0.0.1:1', incarnation: 10 }
-const b = { address: '10.0.0.2:1', incarnation: 20 }
-const c = { address: '10.0.0.3:1', incarnation: 20 }
+const a = { address: '10.0.0.1:1', hall: 'x', incarnation: 10, weight: 1 }
+const b = { address: '10.0.0.2:1', hall: 'y', incarnation: 20, weight: 1 }
+const c = { address: '10.0.0.3:1', hall: 'y', incarnation: 20, weight: 1 }
 
 test('the node that runs for longest coordinates, whatever the order of the list', () => {
   assert.is(chooseCoordinator([b, a, c]), a.address)
@@ -19,4 +19,22 @@
   assert.is(chooseCoordinator([{ ...a, incarnation: 30 }, b, c]), b.address)
 })
 
+test('the strongest host goes first, and a node of the hall before any other', () => {
+  assert.is(chooseCoordinator([a, b, { ...c, weight: 4 }]), c.address)
+  assert.is(chooseCoordinator([a, b, c], 'y'), b.address)
+  assert.is(chooseCoordinator([a, b, c], 'z'), a.address)
+})
+
+function createUpstreams (perHall: number): readonly { readonly role: string, readonly hall: string }[] {
+  return ['x', 'y', 'z'].flatMap(hall => ['r', 's'].flatMap(role => Array.from({ length: perHall }, () => ({ role, hall }))))
+}
+
+test('halls plan for themselves when each has some upstreams of every role', () => {
+  assert.equal(listPlans(createUpstreams(1), 'p'), [''])
+  assert.equal([...listPlans(createUpstreams(3), 'p')].sort(), ['x', 'y', 'z'])
+  assert.equal(listPlans(createUpstreams(3), 'p'), listPlans(createUpstreams(3).toReversed(), 'p'))
+  assert.equal(listPlans([], 'p'), [''])
+  assert.equal(listPlans([...createUpstreams(3), { role: 't', hall: 'x' }], 'p'), [''])
+})
+
 test.run()
--- /dev/null
+++ b/src/services/preparation/test/preparationCoordinator.test.ts
@@ -0,0 +1,88 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { create } from '@bufbuild/protobuf'
+import { VirtualClock } from '../../../base/common/clock.ts'
+import { RelaySchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { LogService } from '../../log/node/logger.ts'
+import { RelayTable } from '../../relay/common/relayTable.ts'
+import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import { PieceProtocol } from '../common/pieceProtocol.ts'
+import type { JobNews, PieceCallOutcome, PlannedPiece } from '../common/preparationPlanner.ts'
+import { PreparationCoordinator } from '../node/preparationCoordinator.ts'
+import { createJob, createStage } from './fakes.ts'
+
+const test = suite('preparationCoordinator')
+
+/** Makes every piece at once and remembers what it was asked. */
+class FakePieces extends PieceProtocol {
+  readonly freed: string[] = []
+  readonly halls: string[] = []
+
+  runPieces (upstream: UpstreamEntry, pieces: readonly PlannedPiece[]): Promise<PieceCallOutcome> {
+    this.halls.push(upstream.hall)
+    return Promise.resolve({ kind: 'answered', pieces: pieces.map(piece => ({ kind: 'made', handle: `${piece.jobId}/${piece.stage}.${piece.index}` })) })
+  }
+
+  freeResults (_upstream: UpstreamEntry, handles: readonly string[]): Promise<boolean> {
+    this.freed.push(...handles)
+    return Promise.resolve(true)
+  }
+}
+
+async function runWith (run: (parts: { readonly coordinator: PreparationCoordinator, readonly pieces: FakePieces, readonly news: JobNews[], readonly advance: (ms: number) => Promise<void> }) => Promise<void>): Promise<void> {
+  const clock = new VirtualClock()
+  const registry = new UpstreamRegistry()
+  const pieces = new FakePieces()
+  const news: JobNews[] = []
+  const work = { concurrentCalls: 1, maxPiecesPerCall: 4, callMs: 100, pieceMs: 10, resultRoomBytes: 1000, resultLifetimeMs: 4000 }
+  const table = new RelayTable(create(RelaySchema, { roles: [{ name: 'a', pieceWork: work }] }))
+  const coordinator = new PreparationCoordinator({ clock, log: new LogService({ program: 'test', silent: true }), protocol: pieces, registry, getTable: () => table })
+  for (const hall of ['x', 'y']) registry.update({ id: `a-${hall}`, role: 'a', address: '127.0.0.1:1', hall, slots: 1, isLeaving: false }, 'test')
+  const advance = async (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 5) {
+      clock.advance(5)
+      await new Promise(resolve => { setImmediate(resolve) })
+    }
+  }
+  await run({ coordinator, pieces, news, advance })
+  coordinator.dispose()
+}
+
+for (const order of [['release', 'report'], ['report', 'release']] as const) {
+  test(`results are given back and the job is forgotten when ${order.join(' and ')} come in this order`, () => runWith(async ({ coordinator, pieces, news, advance }) => {
+    coordinator.submit(createJob('j', [createStage('a', 2)]), '', item => news.push(item))
+    await advance(50)
+    assert.is(news[0]?.kind, 'prepared')
+    for (const step of order) {
+      if (step === 'release') coordinator.release('j')
+      else coordinator.report('j', { outcome: 'produced', producedMs: 10 })
+    }
+    await advance(50)
+    assert.equal([...pieces.freed].sort(), ['j/0.0', 'j/0.1'])
+    assert.not(coordinator.holds('j'))
+  }))
+}
+
+test('a job that its owner gives up before its end is forgotten at once', () => runWith(async ({ coordinator, pieces, news, advance }) => {
+  coordinator.submit(createJob('j', [createStage('a', 1)]), '', item => news.push(item))
+  coordinator.release('j')
+  assert.not(coordinator.holds('j'))
+  await advance(50)
+  assert.equal(news, [])
+  assert.equal(pieces.halls, [])
+}))
+
+test('the plan of a hall uses the upstreams of that hall only', () => runWith(async ({ coordinator, pieces, news, advance }) => {
+  for (const id of ['j', 'k', 'l']) coordinator.submit(createJob(id, [createStage('a', 4)]), 'y', item => news.push(item))
+  await advance(100)
+  assert.is(news.length, 3)
+  assert.equal([...new Set(pieces.halls)], ['y'])
+}))
+
+test('a plan without upstreams refuses at once', () => runWith(async ({ coordinator, news }) => {
+  coordinator.submit(createJob('j', [createStage('a', 1)]), 'z', item => news.push(item))
+  assert.ok(news[0]?.kind === 'refused' && news[0].refusal.reason === 'noUpstream')
+}))
+
+test.run()
