--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -12,6 +12,7 @@
 import type { IRandom } from '../base/common/random.ts'
 import { startInterval, waitFor } from '../base/node/interval.ts'
 import type { ConfigurationSource } from '../services/configuration/common/configurationSource.ts'
+import { formatNumber } from '../services/configuration/common/configurationNumber.ts'
 import type { AcceptedConfiguration } from '../services/configuration/common/configurationService.ts'
 import { formatGateSubject, formatLeavingSubject } from '../services/facts/common/fact.ts'
 import type { HeldFact } from '../services/facts/common/factStore.ts'
@@ -149,6 +150,7 @@
       },
       callerProtocol: options.callerProtocol,
       getTable,
+      describeConfiguration: () => this._describeConfiguration(),
       findObstacle: () => this._findObstacle()
     }))
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
@@ -222,6 +224,12 @@
     this.dispose()
   }
 
+  private _describeConfiguration (): string {
+    const { current, number } = this._member.configuration
+    const ageMs = current === undefined ? 0 : this._options.clock.now() - current.acceptedAt
+    return `${formatNumber(number)} for ${Math.round(ageMs)} ms`
+  }
+
   private _findObstacle (): PepperwoodError | undefined {
     if (!this._member.isReady || this._table === undefined) return new PepperwoodError({ name: 'gateNotReady', message: 'no configuration is known yet' })
     if (this._pause.isStale) return new PepperwoodError({ name: 'gateNotReady', message: 'what is known is from before a pause' })
--- a/src/services/log/node/logger.ts
+++ b/src/services/log/node/logger.ts
@@ -5,6 +5,8 @@
 import type { ConsolaInstance } from 'consola'
 import { Emitter } from '../../../base/common/event.ts'
 import type { Event } from '../../../base/common/event.ts'
+import { startInterval } from '../../../base/node/interval.ts'
+import type { LineBudget } from '../common/lineBudget.ts'
 
 export type LogFields = Readonly<Record<string, string | number | boolean>>
 
@@ -26,9 +28,13 @@
   /** Nothing is printed, but events are still fired. */
   readonly silent?: boolean
   /** Where lines are written; standard error by default. */
-  readonly stream?: NodeJS.WritableStream
+  readonly stream?: { write (line: string): unknown }
+  /** Bounds the lines of each event; without it all are written. */
+  readonly budget?: LineBudget
 }
 
+/** How often it is told which lines were left out. */
+const LEFT_OUT_PERIOD_MS = 5000
 const PLAIN_VALUE = /^[\w.:/@+-]*$/
 
 function formatValue (value: string | number | boolean): string {
@@ -45,11 +51,14 @@
 export class LogService implements ILogService {
   private readonly _program: string
   private readonly _sink: ConsolaInstance
+  private readonly _budget: LineBudget | undefined
   private readonly _onDidLog = new Emitter<LogEvent>()
   readonly onDidLog = this._onDidLog.event
 
   constructor (options: LogServiceOptions) {
     this._program = options.program
+    this._budget = options.budget
+    if (options.budget !== undefined) startInterval(LEFT_OUT_PERIOD_MS, () => this._reportLeftOut())
     const stream = options.stream ?? process.stderr
     this._sink = createConsola({
       level: options.silent === true ? -999 : 3,
@@ -60,15 +69,23 @@
   }
 
   info (event: string, fields: LogFields = {}): void {
-    this._sink.info(this._record('info', event, fields))
+    if (this._mayWrite(event, false)) this._sink.info(this._record('info', event, fields))
   }
 
   warn (event: string, fields: LogFields = {}): void {
-    this._sink.warn(this._record('warn', event, fields))
+    if (this._mayWrite(event, true)) this._sink.warn(this._record('warn', event, fields))
   }
 
   error (event: string, fields: LogFields = {}): void {
-    this._sink.error(this._record('error', event, fields))
+    if (this._mayWrite(event, true)) this._sink.error(this._record('error', event, fields))
+  }
+
+  private _mayWrite (event: string, isFailure: boolean): boolean {
+    return this._budget === undefined || this._budget.take(event, isFailure)
+  }
+
+  private _reportLeftOut (): void {
+    for (const { event, count } of this._budget?.takeLeftOut() ?? []) this._sink.warn(this._record('warn', 'lines_left_out', { of: event, count }))
   }
 
   private _record (level: string, event: string, fields: LogFields): string {
--- a/src/services/relay/common/relayProtocol.ts
+++ b/src/services/relay/common/relayProtocol.ts
@@ -66,6 +66,8 @@
 /** Speaks with callers. */
 export abstract class CallerProtocol {
   abstract readRequest (head: MessageHead): Either<PepperwoodError, RelayRequest>
+  /** The id that the caller gave, for logs; empty when there is none. */
+  abstract findRequestId (head: MessageHead): string
   abstract createAnswer (refusal: RelayRefusal): OwnAnswer
 }
 
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -26,6 +26,6 @@
   readonly retry: RetryPolicy
   readonly preparation: IPreparationService
   readonly releaseDelay: ReleaseDelay
-  /** Sends a refusal in the callers' protocol. */
-  readonly refuse: (answer: CallerAnswer, refusal: RelayRefusal) => void
+  /** Sends a refusal in the callers' protocol, and logs it under the request's id. */
+  readonly refuse: (answer: CallerAnswer, refusal: RelayRefusal, requestId: string) => void
 }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -305,7 +305,7 @@
       return 'answerTorn'
     }
     const refusal: RelayRefusal = { error: new PepperwoodError({ name, message, place: this._role }), isNotRun, retryAfterMs }
-    this._context.refuse(answer, refusal)
+    this._context.refuse(answer, refusal, this._taken.request.id)
     return name
   }
 
@@ -313,13 +313,15 @@
     if (outcome.kind === 'delivered') return
     const { request } = this._taken
     const reason = 'reason' in outcome ? outcome.reason : 'status' in outcome ? String(outcome.status) : ''
-    this._context.log.info('attempt_ended', {
+    this._context.log.warn('attempt_ended', {
       request: request.id,
       upstream: upstream.id,
       role: this._role,
       outcome: outcome.kind,
       reason,
       next: decision.kind,
+      sends: this._sendCount,
+      may_have_run: this._runCount,
       left_ms: Math.round(this._getTimeLeft())
     })
   }
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -25,6 +25,8 @@
   readonly callerProtocol: CallerProtocol
   /** Undefined until a configuration is known. */
   readonly getTable: () => RelayTable | undefined
+  /** Number and age of the configuration in force, for logs. */
+  readonly describeConfiguration: () => string
   /** Why no request may be taken now. */
   readonly findObstacle: () => PepperwoodError | undefined
 }
@@ -62,7 +64,7 @@
   constructor (options: RelayServerOptions) {
     super()
     this._options = options
-    this._context = { ...options.context, refuse: (answer, refusal) => this._refuse(answer, refusal) }
+    this._context = { ...options.context, refuse: (answer, refusal, requestId) => this._refuse(answer, refusal, requestId) }
     this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS }, (request, response) => { void this._handle(request, response) })
     this._server.on('clientError', (_error, socket) => { socket.destroy() })
     this._register(toDisposable(() => {
@@ -128,11 +130,11 @@
     const taken = this._options.callerProtocol.readRequest(head)
       .mapLeft(error => ({ error, isNotRun: false }))
       .chain(request => this._admit(request))
-    if (taken.isLeft()) return this._refuse(answer, taken.extract() as RelayRefusal)
+    if (taken.isLeft()) return this._refuse(answer, taken.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = taken.unsafeCoerce()
     const body = await this._readBody(incoming)
     if (body === undefined) {
-      if (!answer.hasLeft) this._refuse(answer, createRefusal('requestTooLarge', 'the body is too large or was cut off', false))
+      if (!answer.hasLeft) this._refuse(answer, createRefusal('requestTooLarge', 'the body is too large or was cut off', false), admitted.request.id)
       return
     }
     const run = new RelayRun(this._context, { ...admitted, body, answer, arrivedAt })
@@ -185,9 +187,19 @@
     return incoming.complete ? Buffer.concat(parts) : undefined
   }
 
-  private _refuse (answer: CallerAnswer, refusal: RelayRefusal): void {
+  private _refuse (answer: CallerAnswer, refusal: RelayRefusal, requestId: string): void {
     const { status, headers, body } = this._options.callerProtocol.createAnswer(refusal)
-    this._context.log.info('request_refused', { code: refusal.error.code, result: refusal.error.resultName, reason: refusal.error.message, not_run: refusal.isNotRun, retry_after_ms: Math.round(refusal.retryAfterMs ?? 0) })
+    const { error, isNotRun, retryAfterMs = 0 } = refusal
+    this._context.log.warn('request_refused', {
+      request: requestId,
+      code: error.code,
+      result: error.resultName,
+      reason: error.message,
+      place: error.place,
+      not_run: isNotRun,
+      retry_after_ms: Math.round(retryAfterMs),
+      configuration: this._options.describeConfiguration()
+    })
     answer.send({ status, headers, body: Buffer.from(body), isFramed: true })
   }
 }
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -48,6 +48,10 @@
     })
   }
 
+  findRequestId ({ headers }: MessageHead): string {
+    return typeof headers.id === 'string' ? headers.id : ''
+  }
+
   createAnswer ({ error, isNotRun }: RelayRefusal): OwnAnswer {
     return { status: isNotRun ? 503 : 502, headers: [], body: error.resultName }
   }
@@ -167,6 +171,7 @@
       },
       callerProtocol: new FakeCallerProtocol(),
       getTable: () => table,
+      describeConfiguration: () => '',
       findObstacle: () => undefined
     }))
     this.server.onDidEnd(ended => this.ended.push(ended))
