--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -77,6 +77,8 @@
 const LEAVING_COUNTER = 1
 const GONE_COUNTER = 2
 const PEER_SIGNAL = 'peer'
+/** This node's own watch should have told what a peer said within this time. */
+const CONFIRM_MS = 700
 /** Boots are never heard of again so long after their end. */
 const FORGET_LEAVING_MS = 600_000
 const DROP_PERIOD_MS = 60_000
@@ -143,8 +145,8 @@
         agent,
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
-        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this._countNodes() }),
-        retry: new RetryBudget({ share: settings.retry_share * RETRY_SAFETY, maxSaved: () => settings.retry_spare * RETRY_SAFETY / this._countNodes() }),
+        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes() }),
+        retry: new RetryBudget({ share: settings.retry_share * RETRY_SAFETY, maxSaved: () => settings.retry_spare * RETRY_SAFETY / this.countNodes() }),
         preparation: this._preparation,
         releaseDelay: new ReleaseDelay()
       },
@@ -304,7 +306,8 @@
     return this._member.facts.listKind('gate').map(({ value, observedAt }) => ({ ...value, ageMs: now - observedAt }))
   }
 
-  private _countNodes (): number {
+  /** Nodes taken for alive, this one included. */
+  countNodes (): number {
     return Math.max(1, this._member.membership.listLive().length)
   }
 
@@ -335,8 +338,12 @@
   private _takeFact (fact: HeldFact): void {
     if (fact.value.kind !== 'leaving' || fact.source === '') return
     if (fact.counter === LEAVING_COUNTER) return this._registry.markLeaving(fact.value.upstream, PEER_SIGNAL)
-    // A peer's list may have been short for a moment; this node's own goes first while it is read.
-    if (!this._options.upstreamSource.isCurrent) this._registry.drop(fact.value.upstream, PEER_SIGNAL)
+    const { upstream } = fact.value
+    if (!this._options.upstreamSource.isCurrent) return this._registry.drop(upstream, PEER_SIGNAL)
+    // A peer's list may have been short for a moment, or this node's watch may have gone silent: a new list decides.
+    this._options.clock.schedule(CONFIRM_MS, () => {
+      if (!this._isDisposed && this._registry.get(upstream) !== undefined) this._options.upstreamSource.listAgain()
+    })
   }
 
   private _dropOldFacts (): void {
--- a/src/services/upstream/common/upstreamSource.ts
+++ b/src/services/upstream/common/upstreamSource.ts
@@ -19,6 +19,9 @@
   /** Whether the source answered lately, so that what it does not list is not there. */
   abstract get isCurrent (): boolean
 
+  /** Has everything listed anew at once. */
+  abstract listAgain (): void
+
   /** Begins to follow the source, until disposed of. */
   abstract start (): void
 
