--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -141,6 +141,8 @@
 
 export class RelayHarness extends Disposable {
   readonly ended: EndedRequest[] = []
+  /** Lines of the log, in order. */
+  readonly lines: string[] = []
   readonly registry = this._register(new UpstreamRegistry())
   readonly server: RelayServer
   private _port = 0
@@ -150,6 +152,8 @@
     const clock = new SystemClock()
     const agent = new Agent({ keepAlive: true })
     this._register(toDisposable(() => agent.destroy()))
+    const log = new LogService({ program: 'test', silent: true })
+    log.onDidLog(({ line }) => this.lines.push(line))
     const table = new RelayTable(create(RelaySchema, {
       routes: [{ name: 'r', host: 'h', pathPrefix: '/', kind: RouteKind.REPEATABLE, targets: [{ role: 'u', weight: 1 }], timeoutMs: 2000, goalMs: 500, maxAttempts: 2, ..._options.route }],
       roles: [{ name: 'u' }],
@@ -159,7 +163,7 @@
       context: {
         clock,
         random: new SeededRandom(1),
-        log: new LogService({ program: 'test', silent: true }),
+        log,
         hall: '',
         agent,
         upstreamProtocol: new FakeUpstreamProtocol(),
@@ -171,7 +175,7 @@
       },
       callerProtocol: new FakeCallerProtocol(),
       getTable: () => table,
-      describeConfiguration: () => '',
+      describeConfiguration: () => '1.7 for 20 ms',
       findObstacle: () => undefined
     }))
     this.server.onDidEnd(ended => this.ended.push(ended))
