--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -23,6 +23,7 @@
 import type { Member } from '../services/membership/common/membershipTable.ts'
 import { FleetMember } from '../services/membership/node/fleetMember.ts'
 import { PAUSE_CHECK_PERIOD_MS, PauseGuard } from '../services/pause/common/pauseGuard.ts'
+import { MetricsServer } from '../services/metrics/node/metricsServer.ts'
 import type { PieceProtocol } from '../services/preparation/common/pieceProtocol.ts'
 import { ReleaseDelay } from '../services/preparation/common/releaseDelay.ts'
 import { PreparationClient } from '../services/preparation/node/preparationClient.ts'
@@ -39,6 +40,7 @@
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamChange } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamNews, UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
+import { NodeMetrics } from './nodeMetrics.ts'
 import type { NodeSettings } from './nodeSettings.ts'
 
 export interface EntryNodeOptions {
@@ -89,6 +91,7 @@
   private readonly _registry = this._register(new UpstreamRegistry())
   private readonly _pause: PauseGuard
   private readonly _recent: DecayingCount
+  private readonly _metrics: NodeMetrics
   private readonly _relay: RelayServer
   private readonly _coordinator: PreparationCoordinator
   private readonly _preparation: PreparationClient
@@ -155,6 +158,15 @@
       describeConfiguration: () => this._describeConfiguration(),
       findObstacle: () => this._findObstacle()
     }))
+    this._metrics = new NodeMetrics({
+      countOpen: () => this._relay.openCount,
+      countMembers: () => this.countNodes(),
+      countUpstreams: () => this._registry.size,
+      countJobs: () => this._coordinator.jobCount,
+      getConfigurationVersion: () => this._member.configuration.number.version,
+      countPauses: () => this._pause.pauseCount,
+      getBytesSent: () => this._member.traffic.sent
+    })
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
     this._register(this._registry.onDidChange(change => this._noteChange(change)))
@@ -179,6 +191,7 @@
     await this._member.listen(address)
     await this._preparationServer.listen(address.host, settings.preparation_port)
     await this._relay.listen(callers.host, callers.port)
+    await this._serveMetrics(address.host)
     this._register(startInterval(PAUSE_CHECK_PERIOD_MS, () => this._checkPause()))
     this._register(startInterval(REPORT_PERIOD_MS, () => this._report()))
     this._register(startInterval(DROP_PERIOD_MS, () => this._dropOldFacts()))
@@ -188,6 +201,17 @@
     this._report()
   }
 
+  /** Requests are served also where the metrics' port is taken. */
+  private async _serveMetrics (host: string): Promise<void> {
+    const port = this._options.settings.metrics_port
+    if (port === undefined) return
+    try {
+      await this._register(new MetricsServer(this._metrics.metrics)).listen(host, port)
+    } catch (thrown) {
+      this._options.log.warn('metrics_unavailable', { port, reason: String(thrown) })
+    }
+  }
+
   /** Which addresses callers should use, and for how long. */
   locate (hall: string): AddressAnswer {
     return listNodeAddresses({
@@ -317,6 +341,7 @@
 
   private _noteEnd (ended: EndedRequest): void {
     this._recent.add(1)
+    this._metrics.record(ended)
     const { id, route, customer, elapsedMs, end } = ended
     this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, produced_ms: end.producedMs, upstream: end.lastUpstream, took_ms: Math.round(elapsedMs) })
   }
--- /dev/null
+++ b/src/entryNode/nodeMetrics.ts
@@ -0,0 +1,43 @@
+/**
+ * What a node counts. Labels take their values from small fixed sets; customers and routes are told by the log.
+ */
+import { MetricsRegistry } from '../services/metrics/node/metricsServer.ts'
+import type { EndedRequest } from '../services/relay/node/relayServer.ts'
+
+export interface NodeGauges {
+  readonly countOpen: () => number
+  readonly countMembers: () => number
+  readonly countUpstreams: () => number
+  readonly countJobs: () => number
+  readonly getConfigurationVersion: () => number
+  readonly countPauses: () => number
+  readonly getBytesSent: () => number
+}
+
+export class NodeMetrics {
+  readonly metrics = new MetricsRegistry()
+  private readonly _ends = this.metrics.createCounter('node_requests_total', 'Requests that ended', ['result'])
+  private readonly _attempts = this.metrics.createCounter('node_attempts_total', 'Sends to upstreams')
+  private readonly _times = this.metrics.createLatencyHistogram('node_request_ms', 'Time of requests, by result', ['result'])
+  private readonly _prepared = this.metrics.createLatencyHistogram('node_prepared_ms', 'Time in preparation')
+  private readonly _produced = this.metrics.createLatencyHistogram('node_produced_ms', 'From the end of preparation to the first event or the whole answer')
+
+  constructor (gauges: NodeGauges) {
+    this.metrics.addProcessMetrics()
+    this.metrics.createGauge('node_requests_open', 'Requests in progress', gauges.countOpen)
+    this.metrics.createGauge('node_members', 'Nodes taken for alive', gauges.countMembers)
+    this.metrics.createGauge('node_upstreams', 'Upstreams known', gauges.countUpstreams)
+    this.metrics.createGauge('node_jobs', 'Jobs that this node coordinates', gauges.countJobs)
+    this.metrics.createGauge('node_configuration_version', 'Version of the configuration in force', gauges.getConfigurationVersion)
+    this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
+    this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
+  }
+
+  record ({ elapsedMs, end }: EndedRequest): void {
+    this._ends.inc({ result: end.result })
+    this._attempts.inc(end.attempts)
+    this._times.observe({ result: end.result }, elapsedMs)
+    if (end.preparedMs > 0) this._prepared.observe(end.preparedMs)
+    if (end.producedMs > 0) this._produced.observe(end.producedMs)
+  }
+}
--- /dev/null
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -0,0 +1,30 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { NodeMetrics } from '../nodeMetrics.ts'
+
+const test = suite('nodeMetrics')
+
+test('requests are counted by result, and their times go into histograms', async () => {
+  const getZero = () => 0
+  const metrics = new NodeMetrics({
+    countOpen: () => 3,
+    countMembers: getZero,
+    countUpstreams: getZero,
+    countJobs: getZero,
+    getConfigurationVersion: () => 41,
+    countPauses: getZero,
+    getBytesSent: zero
+  })
+  const end = { result: 'delivered' as const, attempts: 2, preparedMs: 300, producedMs: 40, lastUpstream: 'u' }
+  metrics.record({ id: 'a', route: 'r', customer: 'c', elapsedMs: 400, end })
+  metrics.record({ id: 'b', route: 'r', customer: 'c', elapsedMs: 5, end: { ...end, result: 'overloaded', attempts: 0, preparedMs: 0, producedMs: 0 } })
+  const text = await metrics.metrics.registry.metrics()
+  assert.match(text, /pepperwood_node_requests_total\{result="delivered"\} 1/)
+  assert.match(text, /pepperwood_node_requests_total\{result="overloaded"\} 1/)
+  assert.match(text, /pepperwood_node_attempts_total 2/)
+  assert.match(text, /pepperwood_node_prepared_ms_count 1/)
+  assert.match(text, /pepperwood_node_configuration_version 41/)
+  assert.match(text, /pepperwood_node_requests_open 3/)
+})
+
+test.run()
