--- a/src/services/preparation/common/pieceProtocol.ts
+++ b/src/services/preparation/common/pieceProtocol.ts
@@ -2,7 +2,7 @@
  * The port to upstreams that make pieces.
  */
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
-import type { PieceCallOutcome, PlannedPiece } from './preparationPlanner.ts'
+import type { PieceCallOutcome, PlannedPiece } from './plannedCall.ts'
 
 export abstract class PieceProtocol {
   /** Asks for pieces in one call; never rejects. */
--- /dev/null
+++ b/src/services/preparation/common/plannedCall.ts
@@ -0,0 +1,46 @@
+/**
+ * Calls for pieces as they are planned, how they end, and what owners of jobs are told.
+ */
+import type { JobRefusal, PieceResult } from './preparationJob.ts'
+
+/** A piece as an upstream is asked for it. */
+export interface PlannedPiece {
+  readonly jobId: string
+  readonly stage: number
+  readonly index: number
+  /** For stages without inputs. */
+  readonly key: string | undefined
+  readonly inputs: readonly string[]
+  readonly timeLeftMs: number
+}
+
+export interface PlannedCall {
+  readonly id: number
+  readonly upstreamId: string
+  readonly pieces: readonly PlannedPiece[]
+  readonly expectedMs: number
+  readonly timeoutMs: number
+}
+
+/** What became of one piece of a call. */
+export type PieceOutcome =
+  | { readonly kind: 'made', readonly handle: string }
+  | { readonly kind: 'failed', readonly reason: 'late' | 'inputGone' | 'noRoom' | 'failed' }
+
+/** How a call ended. */
+export type PieceCallOutcome =
+  | { readonly kind: 'answered', readonly pieces: readonly PieceOutcome[] }
+  | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' }
+  | { readonly kind: 'lost', readonly reason: string }
+
+/** What the owner of a job is told. */
+export type JobNews =
+  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly hall: string }
+  | { readonly kind: 'refused', readonly jobId: string, readonly refusal: JobRefusal }
+
+/** Results to be given back at one upstream. */
+export interface PlannedFree {
+  readonly upstreamId: string
+  readonly handles: readonly string[]
+  readonly bytes: number
+}
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -3,92 +3,36 @@
  * Pure: time is passed in, and calls are made by others.
  */
 import { addPieces, computeQueueMs, countPieces, decideAdmission } from './jobForecast.ts'
-import type { RoleCapacity } from './jobForecast.ts'
 import { JobState } from './jobState.ts'
-import type { PieceState, StagePlace } from './jobState.ts'
-import { computeCallMs, computePieceCost, PieceUpstream } from './pieceUpstream.ts'
+import { HallLoads } from './hallLoads.ts'
+import type { PieceState } from './jobState.ts'
+import { computeCallMs, PieceUpstream } from './pieceUpstream.ts'
 import type { PieceUpstreamOptions, PieceWorkSpec } from './pieceUpstream.ts'
+import { PieceUpstreams } from './pieceUpstreams.ts'
+import { PendingFrees } from './pendingFrees.ts'
+import type { JobNews, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
 import type { JobRefusal, PieceResult, PreparationJob } from './preparationJob.ts'
+import { computeBatchSize, createPlannedPiece, getPiece, listWaiting, takeBatch } from './readyPiece.ts'
+import type { PieceKey, ReadyPiece } from './readyPiece.ts'
+import { findMainHall, sumBytesByHall } from './resultHalls.ts'
 import { TargetPlanner } from './targetPlanner.ts'
 import type { TargetCandidate, TargetReport } from './targetPlanner.ts'
 
-/** A piece as an upstream is asked for it. */
-export interface PlannedPiece {
-  readonly jobId: string
-  readonly stage: number
-  readonly index: number
-  /** For stages without inputs. */
-  readonly key: string | undefined
-  readonly inputs: readonly string[]
-  readonly timeLeftMs: number
-}
-
-export interface PlannedCall {
-  readonly id: number
-  readonly upstreamId: string
-  readonly pieces: readonly PlannedPiece[]
-  readonly expectedMs: number
-  readonly timeoutMs: number
-}
-
-/** What became of one piece of a call. */
-export type PieceOutcome =
-  | { readonly kind: 'made', readonly handle: string }
-  | { readonly kind: 'failed', readonly reason: 'late' | 'inputGone' | 'noRoom' | 'failed' }
-
-/** How a call ended. */
-export type PieceCallOutcome =
-  | { readonly kind: 'answered', readonly pieces: readonly PieceOutcome[] }
-  | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' }
-  | { readonly kind: 'lost', readonly reason: string }
-
-/** What the owner of a job is told. */
-export type JobNews =
-  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly hall: string }
-  | { readonly kind: 'refused', readonly jobId: string, readonly refusal: JobRefusal }
-
-/** Results to be given back at one upstream. */
-export interface PlannedFree {
-  readonly upstreamId: string
-  readonly handles: readonly string[]
-  readonly bytes: number
-}
-
-/** Results of one upstream that were not given back yet. */
-class PendingFree {
-  readonly handles: string[] = []
-  bytes = 0
-}
-
-interface StartedPiece {
-  readonly state: JobState
-  readonly stage: number
-  readonly index: number
-}
-
 interface StartedCall {
   readonly call: PlannedCall
-  readonly pieces: readonly StartedPiece[]
+  readonly pieces: readonly PieceKey[]
   readonly startedAt: number
 }
 
-interface ReadyPiece extends StartedPiece {
-  readonly bytes: number
-}
-
 /** A lower rank counts like a goal this much later. */
 const RANK_MS = 4000
 /** A job that misses its goal anyway counts like one whose goal is this much later. */
 const LATE_MS = 6000
 /** How long a piece waits for an upstream in its hall, if its goal leaves the time. */
 const HALL_PATIENCE_MS = 250
-/** An upstream this much slower than the configuration says is used only when no other can be. */
-const MAX_SLOWNESS = 2.5
 /** A call that takes so many times what it should, and some more, is given up. */
 const TIMEOUT_FACTOR = 3
 const TIMEOUT_EXTRA_MS = 500
-/** A batch holds at least as many pieces as take this part of what the call itself costs, if so many wait. */
-const MIN_FILL_SHARE = 0.5
 const FULL_PAUSE_MS = 60
 const MAX_PIECE_FAILURES = 4
 /** A result this close to the end of its lifetime is not relied on. */
@@ -104,8 +48,10 @@
   /** What upstreams of a role do; the configuration says the same of all of them. */
   private readonly _works = new Map<string, PieceWorkSpec>()
   private readonly _jobs = new Map<string, JobState>()
+  private readonly _pool = new PieceUpstreams(this._upstreams)
+  private readonly _halls = new HallLoads(this._upstreams, this._jobs, this._works)
   private readonly _calls = new Map<number, StartedCall>()
-  private readonly _frees = new Map<string, PendingFree>()
+  private readonly _frees = new PendingFrees()
   private readonly _targets = new TargetPlanner()
   /** Upstreams that requests themselves go to, by role. */
   private readonly _listTargets: (role: string) => readonly TargetCandidate[]
@@ -122,7 +68,7 @@
   }
 
   get hasFrees (): boolean {
-    return this._frees.size > 0
+    return !this._frees.isEmpty
   }
 
   /** Adds an upstream or takes in what changed of it. */
@@ -143,7 +89,7 @@
   dropUpstream (upstreamId: string): void {
     this._targets.drop(upstreamId)
     if (!this._upstreams.delete(upstreamId)) return
-    this._frees.delete(upstreamId)
+    this._frees.drop(upstreamId)
     for (const state of this._jobs.values()) this._reopenLost(state, result => result.upstreamId === upstreamId)
   }
 
@@ -152,11 +98,11 @@
     if (this._jobs.has(job.id)) return undefined
     const state = new JobState(job, now)
     const ahead = [...this._jobs.values()].filter(other => !other.isHandedOver && other.goalAt + other.job.rank * RANK_MS <= state.goalAt + job.rank * RANK_MS)
-    const refusal = decideAdmission({ job, capacities: this._computeCapacities(now), piecesAhead: countPieces(ahead) })
+    const refusal = decideAdmission({ job, capacities: this._pool.computeCapacities(now), piecesAhead: countPieces(ahead) })
     if (refusal !== undefined) return refusal
     this._jobs.set(job.id, state)
     this._chooseTarget(state, now)
-    state.chainHall = this._chooseChainHall(state, now)
+    state.chainHall = this._halls.chooseChainHall(state, now)
     return undefined
   }
 
@@ -187,7 +133,7 @@
   /** Starts the calls that should be made now. */
   startCalls (now: number): readonly PlannedCall[] {
     this._expire(now)
-    const idle = this._groupIdle(now)
+    const idle = this._pool.groupIdle(now)
     if (idle.size === 0 || this._jobs.size === 0) return []
     const ready = this._groupReady(idle, now)
     const calls: PlannedCall[] = []
@@ -220,9 +166,7 @@
 
   /** What has to be given back at upstreams since the last time. */
   takeFrees (): readonly PlannedFree[] {
-    const frees = [...this._frees].map(([upstreamId, { handles, bytes }]) => ({ upstreamId, handles, bytes }))
-    this._frees.clear()
-    return frees
+    return this._frees.take()
   }
 
   settleFree (free: PlannedFree, isDone: boolean, now: number): void {
@@ -250,8 +194,8 @@
     const calls: PlannedCall[] = []
     let rest: readonly ReadyPiece[] = ready
     idle.forEach((upstream, index) => {
-      if (rest.length === 0 || !this._isWorthwhile(upstream, rest.length, now)) return
-      const fitting = rest.filter(piece => this._isNear(piece, upstream, now))
+      if (rest.length === 0 || !this._pool.isWorthwhile(upstream, rest.length, now)) return
+      const fitting = rest.filter(piece => this._pool.isNear(upstream, piece.state.getHall(piece.stage), now))
       const size = computeBatchSize(upstream, rest.length, idle.length - index)
       const chosen = takeBatch([...fitting, ...rest.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
       const taken = new Set(chosen)
@@ -261,16 +205,6 @@
     return calls
   }
 
-  /** Whether the upstream lies in the hall that a piece should be made in, or no upstream does. */
-  private _isNear (piece: ReadyPiece, upstream: PieceUpstream, now: number): boolean {
-    const hall = piece.state.getHall(piece.stage)
-    if (hall === '' || hall === upstream.hall) return true
-    for (const other of this._upstreams.values()) {
-      if (other.role === upstream.role && other.hall === hall && other.isUsable(now) && other.getSlowness(now) <= MAX_SLOWNESS) return false
-    }
-    return true
-  }
-
   /** Whether a piece has waited long enough for its hall, or cannot wait. */
   private _isImpatient (piece: ReadyPiece, now: number): boolean {
     const { state } = piece
@@ -296,33 +230,9 @@
     return call
   }
 
-  /** Upstreams that can take a call now, by role, the fastest first. */
-  private _groupIdle (now: number): ReadonlyMap<string, readonly PieceUpstream[]> {
-    const groups = new Map<string, PieceUpstream[]>()
-    for (const upstream of this._upstreams.values()) {
-      if (upstream.canStart(now)) groups.set(upstream.role, [...groups.get(upstream.role) ?? [], upstream])
-    }
-    for (const group of groups.values()) group.sort((a, b) => a.getSlowness(now) - b.getSlowness(now) || b.getFreeBytes(now) - a.getFreeBytes(now))
-    return groups
-  }
-
-  /** A slow upstream is worth its while only when the others would need longer for what waits. */
-  private _isWorthwhile (upstream: PieceUpstream, waiting: number, now: number): boolean {
-    const slowness = upstream.getSlowness(now)
-    if (slowness <= MAX_SLOWNESS) return true
-    const { work } = upstream
-    let usualCalls = 0
-    for (const other of this._upstreams.values()) {
-      if (other.role === upstream.role && other.isUsable(now) && other.getSlowness(now) <= MAX_SLOWNESS) usualCalls += other.work.concurrentCalls
-    }
-    if (usualCalls === 0) return true
-    const waitMs = waiting * computePieceCost(work) / usualCalls
-    return waitMs + computeCallMs(work, 1) > slowness * computeCallMs(work, Math.min(waiting, work.maxPiecesPerCall))
-  }
-
   /** Pieces that could start at idle upstreams, by role, in the order in which they should, as far as there is room for whole stages. */
   private _groupReady (idle: ReadonlyMap<string, unknown>, now: number): ReadonlyMap<string, readonly ReadyPiece[]> {
-    const freeBytes = this._sumFreeBytes(now)
+    const freeBytes = this._pool.sumFreeBytes(now)
     const begun = new Map<string, ReadyPiece[]>()
     const fresh = new Map<string, ReadyPiece[]>()
     for (const state of this._listActive(now)) {
@@ -342,14 +252,6 @@
     return new Map([...idle.keys()].map(role => [role, [...begun.get(role) ?? [], ...fresh.get(role) ?? []]]))
   }
 
-  private _sumFreeBytes (now: number): Map<string, number> {
-    const sums = new Map<string, number>()
-    for (const upstream of this._upstreams.values()) {
-      if (upstream.isUsable(now)) sums.set(upstream.role, (sums.get(upstream.role) ?? 0) + Math.max(0, upstream.getFreeBytes(now)))
-    }
-    return sums
-  }
-
   private _listActive (now: number): readonly JobState[] {
     return [...this._jobs.values()]
       .filter(state => !state.isHandedOver)
@@ -378,17 +280,7 @@
     return this._works.get(role)
   }
 
-  private _computeCapacities (now: number): ReadonlyMap<string, RoleCapacity> {
-    const capacities = new Map<string, RoleCapacity>()
-    for (const upstream of this._upstreams.values()) {
-      const held = capacities.get(upstream.role)?.calls ?? 0
-      const calls = upstream.isUsable(now) ? upstream.work.concurrentCalls / Math.max(1, upstream.getSlowness(now)) : 0
-      capacities.set(upstream.role, { work: upstream.work, calls: held + calls })
-    }
-    return capacities
-  }
-
-  private _settlePiece (started: StartedPiece, outcome: PieceOutcome, upstream: PieceUpstream | undefined, call: StartedCall, now: number): void {
+  private _settlePiece (started: PieceKey, outcome: PieceOutcome, upstream: PieceUpstream | undefined, call: StartedCall, now: number): void {
     const piece = getPiece(started)
     const bytes = started.state.job.stages[started.stage]?.resultBytes ?? 0
     if (outcome.kind === 'made') {
@@ -437,7 +329,7 @@
     state.isHandedOver = true
     const results = state.listFinalResults()
     this._chooseTarget(state, now)
-    this._news.push({ kind: 'prepared', jobId: state.job.id, results, targetId: state.targetId, hall: this._findMainHall(results) })
+    this._news.push({ kind: 'prepared', jobId: state.job.id, results, targetId: state.targetId, hall: findMainHall(results, id => this._upstreams.get(id)?.hall) })
   }
 
   /** Chosen when a job comes, so that large results are made near the target, and again when they are there. */
@@ -446,8 +338,8 @@
     const choice = this._targets.choose({
       shape: request,
       candidates: this._listTargets(request.role),
-      bytesByHall: this._sumFinalBytes(state),
-      waitByHall: state.isHandedOver ? NO_WAIT : this._computeHallWaits(state, 'target', now)
+      bytesByHall: sumBytesByHall(state, id => this._upstreams.get(id)?.hall),
+      waitByHall: state.isHandedOver ? NO_WAIT : this._halls.computeWaits(state, 'target', now)
     }, now)
     state.requestMs = choice?.costMs ?? 0
     state.targetId = choice?.id ?? ''
@@ -455,80 +347,6 @@
     if (choice !== undefined && state.isHandedOver) this._targets.assign(id, request, choice.id, now)
   }
 
-  /** How long the pieces of a job that should be made in one place would wait for it, by hall. */
-  private _computeHallWaits (state: JobState, place: StagePlace, now: number): ReadonlyMap<string, number> {
-    const roles = new Set(state.job.stages.flatMap((stage, index) => state.places[index] === place ? [stage.role] : []))
-    const waits = new Map<string, number>()
-    for (const role of roles) {
-      const work = this._getWork(role)
-      if (work === undefined) continue
-      for (const [hall, calls] of this._countHallCalls(role, now)) {
-        const waitMs = this._countHallPieces(role, hall) * computePieceCost(work) / calls
-        waits.set(hall, Math.max(waits.get(hall) ?? 0, waitMs))
-      }
-    }
-    return waits
-  }
-
-  private _countHallCalls (role: string, now: number): ReadonlyMap<string, number> {
-    const calls = new Map<string, number>()
-    for (const upstream of this._upstreams.values()) {
-      if (upstream.role !== role || !upstream.isUsable(now)) continue
-      calls.set(upstream.hall, (calls.get(upstream.hall) ?? 0) + upstream.work.concurrentCalls / Math.max(1, upstream.getSlowness(now)))
-    }
-    return calls
-  }
-
-  /** Pieces of a role that wait or run for a hall. */
-  private _countHallPieces (role: string, hall: string): number {
-    let count = 0
-    for (const state of this._jobs.values()) {
-      if (state.isHandedOver) continue
-      state.job.stages.forEach((stage, index) => {
-        if (stage.role !== role || state.getHall(index) !== hall) return
-        count += (state.pieces[index] ?? []).filter(piece => piece.status === 'waiting' || piece.status === 'running').length
-      })
-    }
-    return count
-  }
-
-  /** The hall where the job's chain would wait least; halls that lack a role of it are left out while another has all. */
-  private _chooseChainHall (state: JobState, now: number): string {
-    const roles = new Set(state.job.stages.flatMap((stage, index) => state.places[index] === 'chain' ? [stage.role] : []))
-    const waits = this._computeHallWaits(state, 'chain', now)
-    const isWhole = (hall: string) => [...roles].every(role => this._countHallCalls(role, now).has(hall))
-    let best = ''
-    let bestMs = Infinity
-    for (const [hall, waitMs] of waits) {
-      const scoreMs = waitMs + (isWhole(hall) ? 0 : HALL_PATIENCE_MS) + (hall === state.targetHall ? 0 : 1)
-      if (scoreMs >= bestMs) continue
-      best = hall
-      bestMs = scoreMs
-    }
-    return best
-  }
-
-  private _sumFinalBytes (state: JobState): ReadonlyMap<string, number> {
-    const sums = new Map<string, number>()
-    for (const stage of state.lastStages) {
-      const bytes = state.job.stages[stage]?.resultBytes ?? 0
-      for (const { result } of state.pieces[stage] ?? []) {
-        const hall = result === undefined ? undefined : this._upstreams.get(result.upstreamId)?.hall
-        if (hall !== undefined) sums.set(hall, (sums.get(hall) ?? 0) + bytes)
-      }
-    }
-    return sums
-  }
-
-  private _findMainHall (results: readonly PieceResult[]): string {
-    const counts = new Map<string, number>()
-    for (const { upstreamId } of results) {
-      const hall = this._upstreams.get(upstreamId)?.hall ?? ''
-      counts.set(hall, (counts.get(hall) ?? 0) + 1)
-    }
-    return [...counts].sort((a, b) => b[1] - a[1])[0]?.[0] ?? ''
-  }
-
   private _expire (now: number): void {
     if (now - this._forecastAt < FORECAST_PERIOD_MS) return
     this._forecastAt = now
@@ -541,7 +359,7 @@
 
   /** Refuses what would not be done before its caller leaves, as soon as that can be seen: its work would be lost. */
   private _refuseHopeless (now: number): void {
-    const capacities = this._computeCapacities(now)
+    const capacities = this._pool.computeCapacities(now)
     const ahead = new Map<string, number>()
     for (const state of this._listActive(now)) {
       const waitMs = computeQueueMs(state, capacities, ahead)
@@ -586,55 +404,10 @@
     piece.status = 'freed'
     piece.result = undefined
     if (result === undefined || !this._upstreams.has(result.upstreamId)) return
-    const free = this._frees.get(result.upstreamId) ?? new PendingFree()
-    this._frees.set(result.upstreamId, free)
-    free.handles.push(result.handle)
-    free.bytes += bytes
+    this._frees.add(result, bytes)
   }
 
   private _holds (state: JobState): boolean {
     return this._jobs.get(state.job.id) === state
   }
 }
-
-function getPiece ({ state, stage, index }: StartedPiece): PieceState {
-  const piece = state.pieces[stage]?.[index]
-  if (piece === undefined) throw new Error(`no piece ${stage}/${index}`)
-  return piece
-}
-
-function listWaiting (state: JobState, stage: number, bytes: number): readonly ReadyPiece[] {
-  return (state.pieces[stage] ?? []).flatMap((piece, index) => piece.status === 'waiting' ? [{ state, stage, index, bytes }] : [])
-}
-
-/** Spreads what waits over the upstreams that are idle, but not so thin that the calls themselves cost most. */
-function computeBatchSize (upstream: PieceUpstream, waiting: number, idleCount: number): number {
-  const { work } = upstream
-  const minFill = Math.ceil(work.callMs / Math.max(1, work.pieceMs) * MIN_FILL_SHARE)
-  return Math.min(work.maxPiecesPerCall, Math.max(minFill, Math.ceil(waiting / idleCount)))
-}
-
-/** Takes the first pieces for which the upstream has room. */
-function takeBatch (pieces: readonly ReadyPiece[], upstream: PieceUpstream, size: number, now: number): readonly ReadyPiece[] {
-  let freeBytes = upstream.getFreeBytes(now)
-  const chosen: ReadyPiece[] = []
-  for (const piece of pieces) {
-    if (chosen.length >= size) break
-    if (piece.bytes > freeBytes) continue
-    chosen.push(piece)
-    freeBytes -= piece.bytes
-  }
-  return chosen
-}
-
-function createPlannedPiece ({ state, stage, index }: ReadyPiece, now: number): PlannedPiece {
-  const inputs = state.listInputs(stage).map(result => result.handle)
-  return {
-    jobId: state.job.id,
-    stage,
-    index,
-    key: inputs.length === 0 ? state.job.key : undefined,
-    inputs,
-    timeLeftMs: Math.max(1, Math.round(state.deadlineAt - now))
-  }
-}
--- /dev/null
+++ b/src/services/preparation/common/readyPiece.ts
@@ -0,0 +1,65 @@
+/**
+ * Pieces that could start now, and how many of them go into one call.
+ */
+import type { JobState, PieceState } from './jobState.ts'
+import type { PieceUpstream } from './pieceUpstream.ts'
+import type { PlannedPiece } from './plannedCall.ts'
+
+/** One piece of one job. */
+export interface PieceKey {
+  readonly state: JobState
+  readonly stage: number
+  readonly index: number
+}
+
+export interface ReadyPiece extends PieceKey {
+  readonly bytes: number
+}
+
+/** A batch holds at least as many pieces as take this part of what the call itself costs, if so many wait. */
+const MIN_FILL_SHARE = 0.5
+
+/** The state of a piece that is known to exist. */
+export function getPiece ({ state, stage, index }: PieceKey): PieceState {
+  const piece = state.pieces[stage]?.[index]
+  if (piece === undefined) throw new Error(`no piece ${stage}/${index}`)
+  return piece
+}
+
+/** The pieces of a stage that were not started. */
+export function listWaiting (state: JobState, stage: number, bytes: number): readonly ReadyPiece[] {
+  return (state.pieces[stage] ?? []).flatMap((piece, index) => piece.status === 'waiting' ? [{ state, stage, index, bytes }] : [])
+}
+
+/** Spreads what waits over the upstreams that are idle, but not so thin that the calls themselves cost most. */
+export function computeBatchSize (upstream: PieceUpstream, waiting: number, idleCount: number): number {
+  const { work } = upstream
+  const minFill = Math.ceil(work.callMs / Math.max(1, work.pieceMs) * MIN_FILL_SHARE)
+  return Math.min(work.maxPiecesPerCall, Math.max(minFill, Math.ceil(waiting / idleCount)))
+}
+
+/** Takes the first pieces for which the upstream has room. */
+export function takeBatch (pieces: readonly ReadyPiece[], upstream: PieceUpstream, size: number, now: number): readonly ReadyPiece[] {
+  let freeBytes = upstream.getFreeBytes(now)
+  const chosen: ReadyPiece[] = []
+  for (const piece of pieces) {
+    if (chosen.length >= size) break
+    if (piece.bytes > freeBytes) continue
+    chosen.push(piece)
+    freeBytes -= piece.bytes
+  }
+  return chosen
+}
+
+/** A piece as its upstream is asked for it. */
+export function createPlannedPiece ({ state, stage, index }: ReadyPiece, now: number): PlannedPiece {
+  const inputs = state.listInputs(stage).map(result => result.handle)
+  return {
+    jobId: state.job.id,
+    stage,
+    index,
+    key: inputs.length === 0 ? state.job.key : undefined,
+    inputs,
+    timeLeftMs: Math.max(1, Math.round(state.deadlineAt - now))
+  }
+}
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -9,7 +9,7 @@
 import { Emitter } from '../../../base/common/event.ts'
 import { FrameConnection } from '../../../base/node/frameConnection.ts'
 import { startInterval } from '../../../base/node/interval.ts'
-import type { JobNews } from '../common/preparationPlanner.ts'
+import type { JobNews } from '../common/plannedCall.ts'
 import { checkPreparationMessage } from '../common/preparationMessage.ts'
 import type { PreparationMessage } from '../common/preparationMessage.ts'
 
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -10,7 +10,7 @@
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
-import type { JobNews, PlannedCall, PlannedFree } from '../common/preparationPlanner.ts'
+import type { JobNews, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
 import type { JobRefusal, PreparationJob } from '../common/preparationJob.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 
--- a/src/services/preparation/test/preparationCoordinator.test.ts
+++ b/src/services/preparation/test/preparationCoordinator.test.ts
@@ -8,7 +8,7 @@
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import { PieceProtocol } from '../common/pieceProtocol.ts'
-import type { JobNews, PieceCallOutcome, PlannedPiece } from '../common/preparationPlanner.ts'
+import type { JobNews, PieceCallOutcome, PlannedPiece } from '../common/plannedCall.ts'
 import { PreparationCoordinator } from '../node/preparationCoordinator.ts'
 import { createJob, createStage } from './fakes.ts'
 
--- a/src/services/preparation/test/preparationPlanner.test.ts
+++ b/src/services/preparation/test/preparationPlanner.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { PlannedCall } from '../common/preparationPlanner.ts'
+import type { PlannedCall } from '../common/plannedCall.ts'
 import { createJob, createPlanner, createStage, createAll, runToEnd } from './fakes.ts'
 
 const SEED = 20261202
