Let rounds carry suspicions, and time probes by the weakest host

Change: suspicions and their refutations from others wait for the next round; the time to answer a probe is 400 ms for the usual host, up to three times as long where the fleet's weakest has less. Ruled out: the meeting of the fleet itself (40 members in one process: 21 ms of processor time each in the first second, then 1 ms a second).

--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -19,6 +19,7 @@
 import type { ILogService } from '../../log/node/logger.ts'
 import { FrameServer } from '../../rpc/node/frameServer.ts'
 import { MembershipTable } from '../common/membershipTable.ts'
+import { computeProbeTimeout } from '../common/probeTimeout.ts'
 import { GossipService } from './gossipService.ts'
 
 export interface FleetMemberOptions {
@@ -80,6 +81,7 @@
       link: { ...this._createLinkOptions(), localAddress: options.localIp },
       listSeeds: options.listSeeds,
       probePeriodMs: options.probePeriodMs,
+      probeTimeoutMs: () => computeProbeTimeout(this.membership.listLive().map(member => member.weight)),
       seedPeriodMs: options.seedPeriodMs
     }))
     this._register(this.configuration.onDidAccept(accepted => this._handleAccepted(accepted)))
@@ -203,8 +205,11 @@
     } else {
       return
     }
-    // What matters at once does not wait for the next round.
-    this.gossip.spreadNow(fact.source === '')
     this.pushToGates()
+    // Suspicions come by the hundred when a fleet is slow, and spreading each at once would make it slower; a round is
+    // soon enough for them and for what refutes them.
+    if (value.kind === 'member' && (value.state === 'suspect' || value.state === 'alive') && fact.source !== '') return
+    // What else matters does not wait for the next round.
+    this.gossip.spreadNow(fact.source === '')
   }
 }
--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -7,6 +7,7 @@
 import type { WireMessage } from '../../facts/common/wireMessage.ts'
 import { dialPeer, sumTraffic } from '../../facts/node/peerLink.ts'
 import type { DialOptions, LinkTraffic, PeerLink } from '../../facts/node/peerLink.ts'
+import { DEFAULT_PROBE_TIMEOUT_MS } from '../common/probeTimeout.ts'
 import type { MembershipTable } from '../common/membershipTable.ts'
 
 export interface GossipServiceOptions {
@@ -17,7 +18,8 @@
   /** Stewards to meet first, and again when they have been lost. */
   readonly listSeeds: () => readonly string[]
   readonly probePeriodMs?: number
-  readonly probeTimeoutMs?: number
+  /** How long a member has to answer; a function where it follows what the members' hosts can do. */
+  readonly probeTimeoutMs?: number | (() => number)
   readonly spreadPeriodMs?: number
   /** How often one member gets everything that it was not sent yet. */
   readonly comparePeriodMs?: number
@@ -44,7 +46,7 @@
   private readonly _links = new Map<string, PeerLink>()
   private readonly _dialing = new Map<string, Promise<PeerLink | undefined>>()
   private readonly _waitingAcks = new Map<number, () => void>()
-  private readonly _probeTimeoutMs: number
+  private readonly _getProbeTimeoutMs: () => number
   private _nextPingId = 1
   /** The facts' sequence at the end of the last rounds, the oldest first. */
   private _roundMarks: readonly number[] = []
@@ -55,7 +57,8 @@
   constructor (options: GossipServiceOptions) {
     super()
     this._options = options
-    this._probeTimeoutMs = options.probeTimeoutMs ?? 400
+    const { probeTimeoutMs = DEFAULT_PROBE_TIMEOUT_MS } = options
+    this._getProbeTimeoutMs = typeof probeTimeoutMs === 'number' ? () => probeTimeoutMs : probeTimeoutMs
     this._register(toDisposable(() => clearTimeout(this._urgentTimer)))
     this._register(startInterval(options.probePeriodMs ?? 500, () => { void this._probe() }))
     this._register(startInterval(options.spreadPeriodMs ?? 200, () => this._spread()))
@@ -124,7 +127,7 @@
     const link = await this._getLink(address)
     if (link === undefined) return false
     const id = this._nextPingId++
-    const timeoutMs = this._probeTimeoutMs * (target === undefined ? 1 : 2)
+    const timeoutMs = this._getProbeTimeoutMs() * (target === undefined ? 1 : 2)
     return await new Promise(resolve => {
       const end = (isAlive: boolean) => {
         clearTimeout(timer)
