Let a configuration be fetched once, and tell a few members of it

Cause: a node that heard a lower configuration number sent its whole document unasked. When three configurations came within 0.3 s, each node of a fleet of 78 told all its links of each, and every one that was ahead sent the document back.

Change: who hears a lower number answers with its own, and the other side asks for the document once (`configurationWanted`, under the same guard as before). Who asks for all that is known says what it holds. A new configuration is told to 8 members, news of others to 3 in place of 32; only a member that leaves still tells 32 at once.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -322,7 +322,7 @@
       },
       ageMs: 0
     })
-    this._member.gossip.spreadNow()
+    this._member.gossip.spreadNow(this._isDraining)
   }
 
   private _listGates () {
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -56,11 +56,13 @@
   /** Asks whether the receiver lives, or whether a third member does. */
   Schema.Struct({ kind: Schema.Literal('ping'), id: Count, target: Schema.optional(Name) }),
   Schema.Struct({ kind: Schema.Literal('ack'), id: Count }),
-  /** Asks for all facts and the configuration; the answer ends with `refreshed`. */
-  Schema.Struct({ kind: Schema.Literal('refresh'), id: Count }),
+  /** Asks for all facts, and for the configuration where it is higher than the sender's; the answer ends with `refreshed`. */
+  Schema.Struct({ kind: Schema.Literal('refresh'), id: Count, number: ConfigurationNumberSchema, revision: Count }),
   Schema.Struct({ kind: Schema.Literal('refreshed'), id: Count }),
-  /** The sender's number; a receiver that holds a higher document sends it. */
+  /** The sender's number; a receiver that holds a higher document answers with its own number. */
   Schema.Struct({ kind: Schema.Literal('configurationHeld'), number: ConfigurationNumberSchema, revision: Count }),
+  /** Asks for the document, if the receiver's is higher than what the sender holds. */
+  Schema.Struct({ kind: Schema.Literal('configurationWanted'), number: ConfigurationNumberSchema, revision: Count }),
   Schema.Struct({ kind: Schema.Literal('configuration'), text: Schema.String, revision: Count })
 )
 
--- a/src/services/facts/node/peerLink.ts
+++ b/src/services/facts/node/peerLink.ts
@@ -6,7 +6,7 @@
 import { Emitter } from '../../../base/common/event.ts'
 import { parseAddress } from '../../../base/common/address.ts'
 import { FrameConnection } from '../../../base/node/frameConnection.ts'
-import { compareStamps, NO_CONFIGURATION } from '../../configuration/common/configurationNumber.ts'
+import { compareStamps } from '../../configuration/common/configurationNumber.ts'
 import type { ConfigurationStamp } from '../../configuration/common/configurationNumber.ts'
 import type { IConfigurationService } from '../../configuration/common/configurationService.ts'
 import type { FetchGuard } from '../../configuration/common/fetchGuard.ts'
@@ -113,25 +113,33 @@
     }
   }
 
-  /** Says which configuration this side holds: the other side sends a higher one, or asks for this one. */
+  /** Says which configuration this side holds: the other side asks for it, or says that it holds a higher one. */
   announceConfiguration (): void {
     if (!this._options.mayShareConfiguration() && this._options.configuration.current !== undefined) return
-    const { number, revision } = this._getStamp()
-    this.send({ kind: 'configurationHeld', number, revision })
+    this.send({ kind: 'configurationHeld', ...this._getStamp() })
   }
 
-  /** Sends the configuration in force, unless the other side is known to hold one as high. */
-  sendConfiguration (held: ConfigurationStamp = { number: NO_CONFIGURATION, revision: 0 }): void {
+  /** Asks for all that the other side knows; the answer ends with `refreshed` and the same id. */
+  askAll (id: number): void {
+    this.send({ kind: 'refresh', id, ...this._getStamp() })
+  }
+
+  /** Sends the configuration in force, unless the other side holds one as high. */
+  sendConfiguration (held: ConfigurationStamp): void {
     const current = this._options.configuration.current
     if (current === undefined || !this._options.mayShareConfiguration()) return
     if (compareStamps(current, held) <= 0) return
     this.send({ kind: 'configuration', text: current.text, revision: current.revision })
   }
 
-  /** Sends the document to a side that holds a lower one; asks a side that holds a higher one, by saying what is held here. */
+  /**
+   * A side that holds a lower document is told so and asks for this one once, whoever tells it. Sent unasked, a new
+   * document would come from every peer: in a fleet of 78 that filled small links for seconds.
+   */
   private _compareConfiguration (held: ConfigurationStamp): void {
-    if (compareStamps(held, this._getStamp()) <= 0) this.sendConfiguration(held)
-    else if (this._options.fetchGuard.begin(held, this._getStamp())) this.announceConfiguration()
+    const own = this._getStamp()
+    if (compareStamps(held, own) < 0) this.announceConfiguration()
+    else if (this._options.fetchGuard.begin(held, own)) this.send({ kind: 'configurationWanted', ...own })
   }
 
   private _getStamp (): ConfigurationStamp {
@@ -162,6 +170,8 @@
       configuration.offer(message, this.peerAddress)
     } else if (message.kind === 'configurationHeld') {
       this._compareConfiguration(message)
+    } else if (message.kind === 'configurationWanted') {
+      this.sendConfiguration(message)
     }
     this._onDidReceive.fire(message)
   }
--- a/src/services/facts/node/stewardSubscription.ts
+++ b/src/services/facts/node/stewardSubscription.ts
@@ -79,7 +79,7 @@
         end(false)
         this._drop(link)
       }, REFRESH_TIMEOUT_MS)
-      link.send({ kind: 'refresh', id })
+      link.askAll(id)
     })
   }
 
--- a/src/services/facts/test/peerLink.test.ts
+++ b/src/services/facts/test/peerLink.test.ts
@@ -1,9 +1,11 @@
+import { create, toJsonString } from '@bufbuild/protobuf'
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { VirtualClock } from '../../../base/common/clock.ts'
 import { FrameConnection } from '../../../base/node/frameConnection.ts'
+import { ConfigurationSchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { ConfigurationService } from '../../configuration/common/configurationService.ts'
 import { FetchGuard } from '../../configuration/common/fetchGuard.ts'
 import { LogService } from '../../log/node/logger.ts'
@@ -20,16 +22,17 @@
 function createSide (socket: Socket, address: string) {
   const clock = new VirtualClock()
   const facts = new FactStore(clock)
+  const configuration = new ConfigurationService(clock)
   const link = new PeerLink({
     connection: new FrameConnection(socket),
     facts,
-    configuration: new ConfigurationService(clock),
+    configuration,
     fetchGuard: new FetchGuard(clock),
     log: new LogService({ program: 'test', silent: true }),
     hello: { kind: 'hello', role: 'steward', address, hall: 'h' },
     mayShareConfiguration: () => true
   })
-  return { facts, link }
+  return { facts, configuration, link }
 }
 
 type Side = ReturnType<typeof createSide>
@@ -86,4 +89,37 @@
   close()
 })
 
+function offer (side: Side, version: number): void {
+  side.configuration.offer({ text: toJsonString(ConfigurationSchema, create(ConfigurationSchema, { epoch: 1, version })), revision: version }, 'platform')
+}
+
+test('a higher document goes over once, however often the lower number is heard', async () => {
+  const { a, b, close } = await openPair()
+  offer(a, 2)
+  offer(b, 1)
+  let documents = 0
+  b.link.onDidReceive(message => { if (message.kind === 'configuration') documents++ })
+  for (let round = 0; round < 5; round++) b.link.announceConfiguration()
+  await settle(b, a)
+  await settle(a, b)
+  await settle(b, a)
+  await settle(a, b)
+  assert.is(b.configuration.number.version, 2)
+  assert.is(documents, 1)
+  close()
+})
+
+test('who asks for all that is known gets the document only where it is higher', async () => {
+  const { a, b, close } = await openPair()
+  offer(a, 2)
+  offer(b, 2)
+  let documents = 0
+  b.link.onDidReceive(message => { if (message.kind === 'configuration') documents++ })
+  b.link.askAll(1)
+  await settle(b, a)
+  await settle(a, b)
+  assert.is(documents, 0)
+  close()
+})
+
 test.run()
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -8,6 +8,7 @@
 import type { IRandom } from '../../../base/common/random.ts'
 import { startInterval, waitFor } from '../../../base/node/interval.ts'
 import { formatNumber } from '../../configuration/common/configurationNumber.ts'
+import type { ConfigurationStamp } from '../../configuration/common/configurationNumber.ts'
 import { ConfigurationService } from '../../configuration/common/configurationService.ts'
 import type { AcceptedConfiguration } from '../../configuration/common/configurationService.ts'
 import type { ConfigurationText } from '../../configuration/common/configurationDocument.ts'
@@ -50,8 +51,10 @@
 const GATE_PUSH_PERIOD_MS = 100
 /** How often the number of the configuration in force is compared with the peers'. */
 const ANNOUNCE_PERIOD_MS = 1000
-/** Members whose configuration is compared each time; a new one is announced to all. */
+/** Members whose configuration is compared each time. */
 const COMPARED_COUNT = 2
+/** Members that are told at once of a new configuration; each of them tells as many, so four steps reach thousands. */
+const ANNOUNCED_COUNT = 8
 const FORGET_PERIOD_MS = 60_000
 const LEAVE_SPREAD_MS = 500
 const READY_POLL_MS = 20
@@ -121,17 +124,17 @@
     const refreshed = new Set<PeerLink>()
     for (const link of this.gossip.links) {
       link.onDidReceive(message => { if (message.kind === 'refreshed') refreshed.add(link) })
-      link.send({ kind: 'refresh', id: 0 })
+      link.askAll(0)
     }
     while (refreshed.size < reached && clock.now() < until) await waitFor(READY_POLL_MS)
     this._isReady = true
     log.info('ready', { address, hall, configuration: formatNumber(this.configuration.number), peers: reached })
-    this._announceConfiguration()
+    this._announceConfiguration(ANNOUNCED_COUNT)
   }
 
   /** Has every linked peer say what it knows; what is higher comes back. */
   askPeers (): void {
-    for (const link of this.gossip.links) link.send({ kind: 'refresh', id: 0 })
+    for (const link of this.gossip.links) link.askAll(0)
   }
 
   /** Takes in a document that was read from the source. */
@@ -145,7 +148,7 @@
   /** Tells peers of a planned stop, and gives the news time to spread. */
   async leave (): Promise<void> {
     this.membership.leave()
-    this.gossip.spreadNow()
+    this.gossip.spreadNow(true)
     this.pushToGates()
     await waitFor(LEAVE_SPREAD_MS)
   }
@@ -174,26 +177,26 @@
       this._release(link)
     })
     link.onDidReceive(message => {
-      if (message.kind === 'refresh') this._answerRefresh(link, message.id)
+      if (message.kind === 'refresh') this._answerRefresh(link, message)
       else this.gossip.handleMessage(link, message)
     })
   }
 
-  private _answerRefresh (link: PeerLink, id: number): void {
+  private _answerRefresh (link: PeerLink, question: ConfigurationStamp & { readonly id: number }): void {
     link.sendNews()
-    link.sendConfiguration()
-    link.send({ kind: 'refreshed', id })
+    link.sendConfiguration(question)
+    link.send({ kind: 'refreshed', id: question.id })
   }
 
   /** Compares numbers with all processes; for gates it is also the sign that this one lives. */
-  private _announceConfiguration (count = Infinity): void {
+  private _announceConfiguration (count: number): void {
     this.gossip.announceConfiguration(count)
     for (const link of this.listGateLinks()) link.announceConfiguration()
   }
 
   private _handleAccepted (accepted: AcceptedConfiguration): void {
     this._options.log.info('configuration_accepted', { number: formatNumber(accepted.number), source: accepted.source })
-    this._announceConfiguration()
+    this._announceConfiguration(ANNOUNCED_COUNT)
   }
 
   private _handleFact (fact: HeldFact): void {
@@ -210,6 +213,6 @@
     // soon enough for them and for what refutes them.
     if (value.kind === 'member' && (value.state === 'suspect' || value.state === 'alive') && fact.source !== '') return
     // What else matters does not wait for the next round.
-    this.gossip.spreadNow(fact.source === '')
+    this.gossip.spreadNow(value.kind === 'member' && value.state === 'left' && fact.source === '')
   }
 }
--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -32,10 +32,10 @@
 const NEWS_ROUNDS = 3
 /** Members that are asked to probe one that does not answer. */
 const HELPER_COUNT = 2
-/** Urgent news of this member goes to at most so many others at once. */
-const MAX_URGENT_COUNT = 32
-/** Members that urgent news is passed on to by one that heard it from another. */
-const PASSED_URGENT_COUNT = 3
+/** Members that are told at once that this one leaves: they must stop sending callers here. */
+const LEAVE_COUNT = 32
+/** Members that other urgent news goes to at once; each of them passes it on to as many. */
+const URGENT_COUNT = 3
 /** Urgent news that comes within this time goes out together: when a fleet starts, all of its members are news. */
 const URGENT_DELAY_MS = 20
 /** The first links get all that is known; later ones, in a fleet that is known already, what is new. */
@@ -84,9 +84,9 @@
     return links.filter(link => link !== undefined).length
   }
 
-  /** Spreads news without waiting for the next round: to many members where it is this one's own, to some otherwise. */
-  spreadNow (isOwn = true): void {
-    this._urgentCount = Math.max(this._urgentCount, isOwn ? MAX_URGENT_COUNT : PASSED_URGENT_COUNT)
+  /** Spreads news without waiting for the next round: to many members at once where this one leaves, to some otherwise. */
+  spreadNow (isLeaving: boolean): void {
+    this._urgentCount = Math.max(this._urgentCount, isLeaving ? LEAVE_COUNT : URGENT_COUNT)
     if (this._urgentTimer !== undefined) return
     this._urgentTimer = setTimeout(() => {
       const peers = this._options.membership.listPeers()
@@ -97,7 +97,7 @@
   }
 
   /** Says which configuration is in force here to so many members: a higher one comes back, a lower one is asked for. */
-  announceConfiguration (count = Infinity): void {
+  announceConfiguration (count: number): void {
     for (const address of this._draw([...this._links.keys()], count)) this._links.get(address)?.announceConfiguration()
   }
 
