--- a/src/services/facts/common/factStore.ts
+++ b/src/services/facts/common/factStore.ts
@@ -31,6 +31,8 @@
 
 export class FactStore extends Disposable {
   private readonly _facts = new Map<string, HeldFact>()
+  /** Kept until a fact of the kind changes: members are looked at with every request, and rarely change. */
+  private readonly _listsByKind = new Map<FactValue['kind'], readonly HeldFact[]>()
   private _sequence = 0
   private readonly _onDidChange = this._register(new Emitter<HeldFact>())
   readonly onDidChange = this._onDidChange.event
@@ -60,6 +62,7 @@
     // A changed fact moves to the end, so that the map stays in the order of the sequence.
     this._facts.delete(subject)
     this._facts.set(subject, next)
+    this._listsByKind.delete(value.kind)
     this._onDidChange.fire(next)
     return true
   }
@@ -70,7 +73,10 @@
 
   /** Drops facts about subjects that no longer matter. */
   drop (subject: string): void {
+    const held = this._facts.get(subject)
+    if (held === undefined) return
     this._facts.delete(subject)
+    this._listsByKind.delete(held.value.kind)
   }
 
   /** Forgets gates that were not heard of for a long time. */
@@ -83,9 +89,11 @@
     return [...this._facts.values()]
   }
 
-  /** The facts of one kind. */
+  /** The facts of one kind; the same list until one of them changes. */
   listKind<K extends FactValue['kind']>(kind: K): readonly HeldFactOf<K>[] {
-    return this.list().filter((fact): fact is HeldFactOf<K> => fact.value.kind === kind)
+    const kept = this._listsByKind.get(kind) ?? this.list().filter(fact => fact.value.kind === kind)
+    this._listsByKind.set(kind, kept)
+    return kept as readonly HeldFactOf<K>[]
   }
 
   /** What was learned after a sequence number, but not from the given source, ready to send. */
--- a/src/services/facts/test/factStore.test.ts
+++ b/src/services/facts/test/factStore.test.ts
@@ -93,4 +93,17 @@
   assert.is(store.listSince(0, '')[0]?.ageMs, 100)
 })
 
+test('the facts of one kind are the same list until one of them changes', () => {
+  const store = new FactStore(new VirtualClock())
+  store.merge(createLeaving(1))
+  const before = store.listKind('leaving')
+  store.merge(createLoad(1, 1))
+  assert.is(store.listKind('leaving'), before)
+  store.merge(createLeaving(2))
+  assert.equal(store.listKind('leaving').map(fact => fact.incarnation), [2])
+  store.drop('leaving/u')
+  assert.equal(store.listKind('leaving'), [])
+  assert.is(store.listKind('load').length, 1)
+})
+
 test.run()
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -33,6 +33,13 @@
   readonly weight: number
 }
 
+/** What the facts say of members, with the list of facts that it was derived from. */
+interface KnownMembers {
+  readonly facts: readonly HeldFactOf<'member'>[]
+  readonly members: readonly Member[]
+  readonly live: readonly Member[]
+}
+
 /** The counter of a member fact is the precedence of its state within an incarnation. */
 const PRECEDENCE: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, dead: 2, left: 3 }
 
@@ -45,6 +52,7 @@
   private readonly _changedAt = new Map<string, number>()
   private _probeOrder: readonly string[] = []
   private _suspicions = 0
+  private _known: KnownMembers = { facts: [], members: [], live: [] }
 
   constructor (options: MembershipOptions) {
     super()
@@ -67,12 +75,21 @@
 
   /** All members known, this one included. */
   listMembers (): readonly Member[] {
-    return this._listFacts().map(({ value, incarnation }) => ({ address: value.address, hall: value.hall, state: value.state, incarnation, weight: value.weight }))
+    return this._deriveMembers().members
   }
 
   /** Members taken for alive, this one included; a suspect still counts. */
   listLive (): readonly Member[] {
-    return this.listMembers().filter(member => member.state === 'alive' || member.state === 'suspect')
+    return this._deriveMembers().live
+  }
+
+  /** Derived once for each change of a member. */
+  private _deriveMembers (): KnownMembers {
+    const facts = this._listFacts()
+    if (facts === this._known.facts) return this._known
+    const members = facts.map(({ value, incarnation }) => ({ address: value.address, hall: value.hall, state: value.state, incarnation, weight: value.weight }))
+    this._known = { facts, members, live: members.filter(member => !isGone(member.state)) }
+    return this._known
   }
 
   /** Other members taken for alive. */
