--- a/scripts/buildNode.mjs
+++ b/scripts/buildNode.mjs
@@ -8,7 +8,28 @@
 
 const rootPath = fileURLToPath(new URL('..', import.meta.url))
 
-await build({ ...bundleOptions, banner: undefined, format: 'cjs', entryPoints: [{ in: 'platform/main.ts', out: 'pepperwood-node.bundle' }], outdir: 'target', outExtension: { '.js': '.cjs' }, minify: true, sourcemap: false })
+/** Parts of prom-client that a node has no use for; they load TLS, compression and clusters with each start. */
+const withoutUnusedMetrics = {
+  name: 'without-unused-metrics',
+  setup: ({ onResolve, onLoad }) => {
+    onResolve({ filter: /^\.\/lib\/(pushgateway|cluster)$/ }, ({ path, importer }) => importer.includes('prom-client') ? { path, namespace: 'unused' } : undefined)
+    onLoad({ filter: /./, namespace: 'unused' }, () => ({ contents: '' }))
+  }
+}
+
+await build({
+  ...bundleOptions,
+  banner: undefined,
+  format: 'cjs',
+  entryPoints: [{ in: 'platform/main.ts', out: 'pepperwood-node.bundle' }],
+  outdir: 'target',
+  outExtension: { '.js': '.cjs' },
+  minify: true,
+  sourcemap: false,
+  plugins: [withoutUnusedMetrics],
+  // The native part of cbor-x is looked for with each start, and is not in the bundle.
+  define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' }
+})
 copyFileSync('scripts/startCached.cjs', 'target/pepperwood-node.cjs')
 // V8 takes a cache only from a process with the same options, so they are read from where the node's are.
 const [, run] = /^run = "node (.*?) target\//m.exec(readFileSync('deploy/system.toml', 'utf8')) ?? []
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -79,6 +79,7 @@
 const LEAVING_COUNTER = 1
 const GONE_COUNTER = 2
 const PEER_SIGNAL = 'peer'
+const LIST_SIGNAL = 'list'
 /** This node's own watch should have told what a peer said within this time. */
 const CONFIRM_MS = 700
 /** Boots are never heard of again so long after their end. */
@@ -291,7 +292,9 @@
     if (news.kind === 'updated') return this._registry.update(news.entry, 'source')
     if (news.kind === 'removed') return this._registry.drop(news.id, 'removed')
     const listed = new Set(news.entries.map(entry => entry.id))
-    for (const entry of news.entries) this._registry.update(entry, 'source')
+    const knownCount = this._registry.size
+    for (const entry of news.entries) this._registry.update(entry, LIST_SIGNAL)
+    if (this._registry.size > knownCount) this._options.log.info('upstreams_listed', { listed: listed.size, known_before: knownCount })
     for (const entry of this._registry.list()) if (!listed.has(entry.id)) this._registry.drop(entry.id, 'not listed')
   }
 
@@ -348,7 +351,8 @@
 
   /** What this node learned of an upstream's end goes to its peers, some of which may be cut off from the source. */
   private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
-    if (kind === 'changed') return
+    // A list of all upstreams is one line: a starting fleet would write thousands.
+    if (kind === 'changed' || (kind === 'added' && signal === LIST_SIGNAL)) return
     this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal })
     if (kind === 'added' || signal === PEER_SIGNAL) return
     this._member.facts.merge({
