Let a starting node take requests once the store has answered

In between they waited for seeds that were starting themselves, and told callers to come back after 500 ms.

Ruled out: the store (its answer was in force 45 to 190 ms after "starting").

Change: a read of the store holds all acknowledged writes, so no peer can know a higher configuration; the node is ready with it. Jobs for a coordinator wait until one peer has told the members, since a node alone would coordinate its own jobs in the room of the others. A caller that comes too early is asked back after 250 ms.

Tests: three cases of a member with a silent seed; the first failed before.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -121,6 +121,7 @@
       hall: settings.hall,
       listSeeds: () => this._settings.seeds,
       readyWaitMs: READY_WAIT_MS,
+      isSourceNewest: true,
       seedPeriodMs: SEED_PERIOD_MS,
       hasGates: false,
       weight: Math.round(settings.core_share * settings.core_speed * 100)
@@ -134,6 +135,8 @@
       protocol: options.pieceProtocol,
       registry: this._registry,
       coordinator: this._coordinator,
+      hasMembers: () => this._member.hasJoined,
+      onDidKnowMembers: this._member.onDidJoin,
       address: this._formatPreparationAddress(settings.address),
       listCoordinators: () => this._member.membership.listLive().map(member => ({ ...member, address: this._formatPreparationAddress(member.address) })),
       listPieceUpstreams: () => (this._table?.listPieceRoles() ?? []).flatMap(role => this._registry.listRole(role.name))
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -5,6 +5,7 @@
 import type { Address } from '../../../base/common/address.ts'
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
+import { Emitter } from '../../../base/common/event.ts'
 import type { IRandom } from '../../../base/common/random.ts'
 import { startInterval, waitFor } from '../../../base/node/interval.ts'
 import { formatNumber } from '../../configuration/common/configurationNumber.ts'
@@ -45,6 +46,8 @@
   readonly hasGates?: boolean
   /** How long a starting process waits for the configuration's source and its peers. */
   readonly readyWaitMs: number
+  /** The source's first read holds all acknowledged writes, so no peer can know of a higher configuration. */
+  readonly isSourceNewest?: boolean
 }
 
 /** How often gates get what is new. */
@@ -69,6 +72,10 @@
   private readonly _accepted = new Set<PeerLink>()
   private _closedTraffic: LinkTraffic = { sent: 0, received: 0 }
   private _isReady = false
+  private readonly _onDidJoin = this._register(new Emitter<void>())
+  private _hasJoined = false
+  /** Fired when the peers have said what they know, or the time for that is over. */
+  readonly onDidJoin = this._onDidJoin.event
 
   constructor (options: FleetMemberOptions) {
     super()
@@ -96,6 +103,11 @@
     return this._isReady
   }
 
+  /** Whether the peers have said what they know. */
+  get hasJoined (): boolean {
+    return this._hasJoined
+  }
+
   /** Bytes over all links with other processes of the system. */
   get traffic (): LinkTraffic {
     return sumTraffic([this._closedTraffic, this.gossip.traffic, ...[...this._accepted].map(link => link.traffic)])
@@ -112,23 +124,37 @@
 
   /**
    * The highest of the documents of the source and of the peers is taken before anything is handed on. Resolves when
-   * both have answered or the time is over.
+   * both have answered or the time is over. A source that is newest is enough to be ready, if its read resolves with
+   * true: hosts that start together would wait for each other.
    */
   async join (sourceRead: Promise<unknown>): Promise<void> {
-    const { clock, readyWaitMs, log, address, hall } = this._options
+    const { clock, readyWaitMs, isSourceNewest = false } = this._options
     if (this._options.hasGates !== false) this._register(startInterval(GATE_PUSH_PERIOD_MS, () => this.pushToGates()))
     this._register(startInterval(FORGET_PERIOD_MS, () => this.facts.dropOldGates()))
     this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._announceConfiguration(COMPARED_COUNT)))
     const until = clock.now() + readyWaitMs
-    const [reached] = await Promise.all([this.gossip.meetSeeds(), Promise.race([sourceRead, waitFor(readyWaitMs)])])
+    const reading = Promise.race([sourceRead, waitFor(readyWaitMs).then(() => false)])
+    if (isSourceNewest) void reading.then(isRead => { if (isRead === true) this._markReady('source') })
+    const [reached] = await Promise.all([this.gossip.meetSeeds(), reading])
     const refreshed = new Set<PeerLink>()
     for (const link of this.gossip.links) {
       link.onDidReceive(message => { if (message.kind === 'refreshed') refreshed.add(link) })
       link.askAll(0)
     }
-    while (refreshed.size < reached && clock.now() < until) await waitFor(READY_POLL_MS)
+    // Any peer knows the members; only for the highest configuration all are needed.
+    const needed = this._isReady ? Math.min(1, reached) : reached
+    while (refreshed.size < needed && clock.now() < until) await waitFor(READY_POLL_MS)
+    this._markReady('peers')
+    this._hasJoined = true
+    this._options.log.info('joined', { peers: reached, refreshed: refreshed.size, members: this.membership.listLive().length })
+    this._onDidJoin.fire()
+  }
+
+  private _markReady (reason: 'source' | 'peers'): void {
+    if (this._isReady || this._isDisposed) return
+    const { log, address, hall } = this._options
     this._isReady = true
-    log.info('ready', { address, hall, configuration: formatNumber(this.configuration.number), peers: reached })
+    log.info('ready', { address, hall, configuration: formatNumber(this.configuration.number), reason })
     this._announceConfiguration(ANNOUNCED_COUNT)
   }
 
--- a/src/services/membership/test/fleetMember.test.ts
+++ b/src/services/membership/test/fleetMember.test.ts
@@ -6,6 +6,7 @@
 import { SystemClock } from '../../../base/node/systemClock.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { FleetMember } from '../node/fleetMember.ts'
+import type { FleetMemberOptions } from '../node/fleetMember.ts'
 
 const test = suite('fleetMember')
 
@@ -20,7 +21,7 @@
   })
 }
 
-function createMember (port: number, seedPort: number): FleetMember {
+function createMember (port: number, seedPort: number, options: Partial<FleetMemberOptions> = {}): FleetMember {
   return new FleetMember({
     address: `127.0.0.1:${port}`,
     hall: 'h',
@@ -30,7 +31,8 @@
     log: new LogService({ program: 'test', silent: true }),
     listSeeds: () => [`127.0.0.1:${seedPort}`],
     readyWaitMs: 100,
-    seedPeriodMs: 50
+    seedPeriodMs: 50,
+    ...options
   })
 }
 
@@ -50,4 +52,29 @@
   }
 })
 
+const SOURCES = [
+  { name: 'is newest and was read', isSourceNewest: true, isRead: true, isReadyAlone: true },
+  { name: 'is newest and could not be read', isSourceNewest: true, isRead: false, isReadyAlone: false },
+  { name: 'may be stale', isSourceNewest: false, isRead: true, isReadyAlone: false }
+]
+
+for (const { name, isSourceNewest, isRead, isReadyAlone } of SOURCES) {
+  test(`a member whose source ${name} is ${isReadyAlone ? '' : 'not '}ready before its silent seed's time is over`, async () => {
+    const silent = createServer(() => {})
+    await new Promise<void>(resolve => { silent.listen(0, '127.0.0.1', resolve) })
+    const member = createMember(1, (silent.address() as AddressInfo).port, { isSourceNewest, readyWaitMs: 400 })
+    try {
+      const joining = member.join(Promise.resolve(isRead))
+      await new Promise(resolve => { setImmediate(resolve) })
+      assert.is(member.isReady, isReadyAlone)
+      assert.not(member.hasJoined)
+      await joining
+      assert.ok(member.isReady && member.hasJoined)
+    } finally {
+      member.dispose()
+      silent.close()
+    }
+  })
+}
+
 test.run()
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -5,6 +5,7 @@
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import type { IClock } from '../../../base/common/clock.ts'
+import type { Event } from '../../../base/common/event.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
@@ -28,6 +29,9 @@
   /** Where the coordinator of this node is reached. */
   readonly address: string
   readonly localAddress?: string
+  /** Whether the live nodes are known: before, each node would coordinate its own jobs, in the room of the others. */
+  readonly hasMembers: () => boolean
+  readonly onDidKnowMembers: Event<void>
   /** The coordinators of all live nodes, this one's included. */
   readonly listCoordinators: () => readonly CoordinatorCandidate[]
   /** All upstreams that make pieces. */
@@ -65,6 +69,7 @@
   constructor (options: PreparationClientOptions) {
     super()
     this._options = options
+    this._register(options.onDidKnowMembers(() => { for (const open of [...this._jobs.values()]) void this._submit(open) }))
     this._register(toDisposable(() => { for (const link of this._links.values()) void link.then(open => open?.close()) }))
   }
 
@@ -88,7 +93,7 @@
       })
       signal.addEventListener('abort', onAbort, { once: true })
       this._jobs.set(job.id, open)
-      void this._submit(open)
+      if (this._options.hasMembers()) void this._submit(open)
     })
   }
 
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -40,8 +40,8 @@
   readonly end: RelayEnd
 }
 
-/** Callers whose keys do not fit are told so once the configuration is known; until then they come back. */
-const NOT_READY_RETRY_MS = 500
+/** Callers whose keys do not fit are told so once the configuration is known; a start ends within this, as a rule. */
+const NOT_READY_RETRY_MS = 250
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 /** The most that Node.js reads of a head; the configuration's limit lies below. */
 const MAX_HEADER_BYTES = 64 * 1024
