--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -52,9 +52,17 @@
 /** Reading shared parts again takes time and memory from other requests as well. */
 const READ_AGAIN_WEIGHT = 3
 const MAX_PREFIXES = 5000
+/** A request that hears nothing for so many times what was expected, and some more, is overdue. */
+const OVERDUE_FACTOR = 3
+const OVERDUE_EXTRA_MS = 600
+/** So many overdue requests, and none that heard anything since, tell of an upstream that is gone before its entry is. */
+const MIN_OVERDUE = 2
 
 class TargetState {
   pendingTokens = 0
+  producedAt = -Infinity
+  /** Requests that have not heard anything yet. */
+  readonly waiting = new Set<Assignment>()
   msPerToken = FIRST_MS_PER_TOKEN
   readonly health: HealthTracker = new EjectingTracker()
 }
@@ -63,6 +71,9 @@
   readonly targetId: string
   readonly tokens: number
   readonly tokensAhead: number
+  readonly assignedAt: number
+  /** Without a first event by then, something is wrong. */
+  readonly overdueAt: number
 }
 
 export class TargetPlanner {
@@ -74,7 +85,7 @@
   /** The best target; undefined when there is none. */
   choose (question: TargetQuestion, now: number): TargetChoice | undefined {
     const { shape, candidates } = question
-    const healthy = candidates.filter(candidate => this._getTarget(candidate.id).health.getState(now) !== 'ejected')
+    const healthy = candidates.filter(candidate => this._isUsable(this._getTarget(candidate.id), now))
     const usable = healthy.length * 2 >= candidates.length ? healthy : candidates
     const favourite = findFavourite(shape.prefix, usable)
     let best: TargetChoice | undefined
@@ -94,8 +105,11 @@
     this._withdraw(jobId)
     const target = this._getTarget(targetId)
     const tokens = this._countUnread(shape, targetId, now)
-    this._assignments.set(jobId, { targetId, tokens, tokensAhead: target.pendingTokens })
+    const expectedMs = BASE_MS + (tokens + target.pendingTokens) * target.msPerToken
+    const assignment = { targetId, tokens, tokensAhead: target.pendingTokens, assignedAt: now, overdueAt: now + expectedMs * OVERDUE_FACTOR + OVERDUE_EXTRA_MS }
+    this._assignments.set(jobId, assignment)
     target.pendingTokens += tokens
+    target.waiting.add(assignment)
     if (shape.prefix !== '') this._notePrefix(shape.prefix, targetId, now)
   }
 
@@ -106,6 +120,7 @@
     const target = this._getTarget(assignment.targetId)
     target.health.record(report.outcome === 'produced', now)
     if (report.outcome !== 'produced') return
+    target.producedAt = now
     const tokens = assignment.tokens + assignment.tokensAhead
     if (tokens <= 0) return
     const measured = Math.min(MAX_MS_PER_TOKEN, Math.max(MIN_MS_PER_TOKEN, (report.producedMs - BASE_MS) / tokens))
@@ -121,6 +136,13 @@
     return [...this._targets].map(([id, { pendingTokens, msPerToken }]) => ({ id, pendingTokens, msPerToken }))
   }
 
+  private _isUsable (target: TargetState, now: number): boolean {
+    if (target.health.getState(now) === 'ejected') return false
+    let overdueCount = 0
+    for (const { assignedAt, overdueAt } of target.waiting) if (now > overdueAt && assignedAt > target.producedAt) overdueCount++
+    return overdueCount < MIN_OVERDUE
+  }
+
   /** Until the first event. */
   private _estimateMs ({ shape, waitByHall }: TargetQuestion, candidate: TargetCandidate, now: number): number {
     const target = this._getTarget(candidate.id)
@@ -159,7 +181,10 @@
     if (assignment === undefined) return undefined
     this._assignments.delete(jobId)
     const target = this._targets.get(assignment.targetId)
-    if (target !== undefined) target.pendingTokens -= assignment.tokens
+    if (target !== undefined) {
+      target.pendingTokens -= assignment.tokens
+      target.waiting.delete(assignment)
+    }
     return assignment
   }
 
--- a/src/services/preparation/test/targetPlanner.test.ts
+++ b/src/services/preparation/test/targetPlanner.test.ts
@@ -41,6 +41,29 @@
   assert.is(planner.choose(ask({ shape: small, bytesByHall: new Map([['h3', 6e6]]) }), 0)?.id, 'c')
 })
 
+test('an upstream from which several requests hear nothing is left out until one hears again', () => {
+  const planner = new TargetPlanner()
+  planner.assign('x', shape, 'b', 0)
+  planner.settle('x', { outcome: 'produced', producedMs: 275 }, 275)
+  planner.assign('silent1', shape, 'b', 300)
+  planner.assign('silent2', shape, 'b', 320)
+  assert.is(planner.choose(ask(), 600)?.id, 'b')
+  assert.is.not(planner.choose(ask(), 2000)?.id, 'b')
+  planner.settle('silent1', { outcome: 'produced', producedMs: 1750 }, 2050)
+  assert.is(planner.choose(ask(), 2060)?.id, 'b')
+})
+
+test('one request that hears nothing says little, and neither does an upstream that answers others', () => {
+  const alone = new TargetPlanner()
+  alone.assign('x', shape, 'b', 0)
+  assert.is(alone.choose(ask(), 5000)?.id, 'b')
+  const busy = new TargetPlanner()
+  for (const id of ['x', 'y']) busy.assign(id, shape, 'b', 0)
+  busy.assign('z', shape, 'b', 1800)
+  busy.settle('z', { outcome: 'produced', producedMs: 100 }, 1900)
+  assert.is(busy.choose(ask(), 2000)?.id, 'b')
+})
+
 test('a slow upstream is measured as such, and a failing one is left out', () => {
   const planner = new TargetPlanner()
   const unshared = { ...shape, prefix: '', sharedTokens: 0 }
