Refuse what waits before a planned stop ends, and stop taking requests earlier

Change: 1.2 s before the end, what was not sent to an upstream is refused as not run (or as unknown, where an earlier attempt may have run), with 50 ms to come back, since other nodes are there. New requests are taken for 0.3 of the grace time, and told to go elsewhere until the listener closes at 0.45.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -70,8 +70,12 @@
 const LOAD_MEMORY_MS = 5000
 /** The part of the fleet's retries that is handed out; the rest covers what nodes see differently. */
 const RETRY_SAFETY = 0.8
-/** Callers still come with old answers for about this part of the grace time. */
+/** Requests of callers that come with old answers are taken for this part of the grace time, so that they can end. */
+const TAKE_SHARE = 0.3
+/** Callers still come with old answers for about this part of the grace time, and are told to go elsewhere. */
 const LINGER_SHARE = 0.45
+/** What was not sent this long before the end would not be answered any more. */
+const LAST_SEND_MS = 1200
 /** The end is kept this far from the moment when the process would be ended by force. */
 const STOP_MARGIN_MS = 400
 const STOP_POLL_MS = 50
@@ -244,11 +248,16 @@
     this._report()
     this._relay.drain()
     await this._member.leave()
-    const lingerUntil = stoppedAt + graceMs * LINGER_SHARE
-    while (clock.now() < lingerUntil) await waitFor(STOP_POLL_MS)
+    const waitUntil = async (at: number, isDone = () => false): Promise<void> => { while (clock.now() < at && !isDone()) await waitFor(STOP_POLL_MS) }
+    const isIdle = () => this._relay.openCount === 0
+    await waitUntil(stoppedAt + graceMs * TAKE_SHARE)
+    this._relay.refuseNew()
+    await waitUntil(stoppedAt + graceMs * LINGER_SHARE)
     this._relay.close()
     const endAt = stoppedAt + graceMs - STOP_MARGIN_MS
-    while (this._relay.openCount > 0 && clock.now() < endAt) await waitFor(STOP_POLL_MS)
+    await waitUntil(endAt - LAST_SEND_MS, isIdle)
+    this._relay.giveUpWaiting()
+    await waitUntil(endAt, isIdle)
     log.info('stopped', { open: this._relay.openCount, took_ms: Math.round(clock.now() - stoppedAt) })
     this._onDidStop.fire()
     this.dispose()
--- a/src/services/relay/common/relayProtocol.ts
+++ b/src/services/relay/common/relayProtocol.ts
@@ -21,6 +21,9 @@
   readonly status: number
 }
 
+/** When to come back for a request that another node can take at once, in milliseconds. */
+export const ELSEWHERE_RETRY_MS = 50
+
 /** Why a request ends without an upstream's answer. */
 export interface RelayRefusal {
   readonly error: PepperwoodError
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -15,6 +15,7 @@
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { PoolVisit } from '../common/relayPool.ts'
+import { ELSEWHERE_RETRY_MS } from '../common/relayProtocol.ts'
 import type { RelayRefusal } from '../common/relayProtocol.ts'
 import type { RelayRequest } from '../common/relayRequest.ts'
 import { isRepeatable, pickTarget } from '../common/relayTable.ts'
@@ -63,6 +64,8 @@
   private _inputs: IPreparedInputs | undefined
   private _lastEventId: string | undefined
   private _preparedMs = 0
+  private _isAtUpstream = false
+  private _isGivenUp = false
   private _producedMs = 0
   private _lastUpstream = ''
   private readonly _tried = new Set<string>()
@@ -93,6 +96,13 @@
     }
   }
 
+  /** Ends a request that waits, since this node will not be there to send it; one that was sent goes on. */
+  giveUpWaiting (): void {
+    if (this._isAtUpstream || this._abort.signal.aborted) return
+    this._isGivenUp = true
+    this._abort.abort()
+  }
+
   private _end (result: RelayEnd['result']): RelayEnd {
     return { result, attempts: this._sendCount, preparedMs: Math.round(this._preparedMs), producedMs: Math.round(this._producedMs), lastUpstream: this._lastUpstream }
   }
@@ -169,6 +179,7 @@
     const timeLeftMs = this._getTimeLeft()
     const sentAt = context.clock.now()
     let releasing: IDisposable | undefined
+    this._isAtUpstream = true
     const result = await new RelayAttempt({
       agent: context.agent,
       clock: context.clock,
@@ -194,6 +205,7 @@
       onDidProduce: () => this._noteProduced(visit, upstream, context.clock.now() - sentAt),
       localAddress: context.localAddress
     }).run()
+    this._isAtUpstream = false
     visit.end(result.outcome)
     // What was not taken is still there for another upstream.
     if (result.outcome.kind === 'notRun') releasing?.dispose()
@@ -292,8 +304,9 @@
     return this._refuse('upstreamNoneLeft', `no upstream of ${this._role} takes work`, this._runCount === 0, RETRY_SOON_MS)
   }
 
-  /** Time ran out: what was sent may still run. */
+  /** Time ran out, or this node ends: what was sent may still run. */
   private _refuseLate (): ResultName {
+    if (this._isGivenUp) return this._refuse('gateDraining', 'this node is stopping', this._runCount === 0, ELSEWHERE_RETRY_MS)
     return this._refuse('deadlinePassed', 'time ran out', this._sendCount === 0, 0)
   }
 
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -11,6 +11,7 @@
 import { Emitter } from '../../../base/common/event.ts'
 import { hashSha256 } from '../../../base/node/digest.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import { ELSEWHERE_RETRY_MS } from '../common/relayProtocol.ts'
 import type { CallerProtocol, RelayRefusal } from '../common/relayProtocol.ts'
 import { getPath } from '../common/relayRequest.ts'
 import type { RelayRequest } from '../common/relayRequest.ts'
@@ -60,6 +61,8 @@
   private _openCount = 0
   private _takenCount = 0
   private _isDraining = false
+  private _isRefusing = false
+  private readonly _runs = new Set<RelayRun>()
 
   constructor (options: RelayServerOptions) {
     super()
@@ -102,6 +105,16 @@
     this._isDraining = true
   }
 
+  /** Requests that still come are told to go elsewhere: they would not end before this node does. */
+  refuseNew (): void {
+    this._isRefusing = true
+  }
+
+  /** Requests that were not sent yet are told to go elsewhere. */
+  giveUpWaiting (): void {
+    for (const run of [...this._runs]) run.giveUpWaiting()
+  }
+
   /** No connection is accepted any more, and idle ones are closed. */
   close (): void {
     this._server.close()
@@ -138,8 +151,12 @@
       return
     }
     const run = new RelayRun(this._context, { ...admitted, body, answer, arrivedAt })
-    const end = await run.run()
-    this._report(admitted, end, this._context.clock.now() - arrivedAt)
+    this._runs.add(run)
+    try {
+      this._report(admitted, await run.run(), this._context.clock.now() - arrivedAt)
+    } finally {
+      this._runs.delete(run)
+    }
   }
 
   private _report (admitted: AdmittedRequest, end: RelayEnd, elapsedMs: number): void {
@@ -150,6 +167,7 @@
   private _admit (request: RelayRequest): Either<RelayRefusal, AdmittedRequest> {
     const obstacle = this._options.findObstacle()
     const table = this._options.getTable()
+    if (this._isRefusing) return Left({ error: new PepperwoodError({ name: 'gateDraining', message: 'this node is stopping' }), isNotRun: true, retryAfterMs: ELSEWHERE_RETRY_MS })
     if (obstacle !== undefined) return Left({ error: obstacle, isNotRun: true, retryAfterMs: NOT_READY_RETRY_MS })
     if (table === undefined) return Left(createRefusal('gateNotReady', 'no configuration is known yet', true))
     const route = table.findRoute(request.host, getPath(request.target))
--- a/src/services/relay/test/relayServer.test.ts
+++ b/src/services/relay/test/relayServer.test.ts
@@ -1,6 +1,8 @@
+import { Left } from 'purify-ts'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import { answerWith, FakeUpstream, RelayHarness } from './fakes.ts'
 import type { RelayHarnessOptions, Script } from './fakes.ts'
 
@@ -108,6 +110,28 @@
   assert.is(harness.ended[0]?.end.result, 'cancelled')
 }))
 
+/** Preparation that never ends by itself. */
+const endless: IPreparationService = {
+  prepare: (_job, signal) => new Promise(resolve => { signal.addEventListener('abort', () => resolve(Left({ reason: 'interrupted', retryAfterMs: 0 }))) })
+}
+
+test('a node that stops refuses what waits, as not run, and lets end what was sent', () => runWith([
+  socket => { setTimeout(() => socket.write(WHOLE.replace('Id: a', 'Id: b')), 100) }
+], { route: { stages: [{ role: 'p', after: [], resultBytes: 1 }] }, preparation: endless }, async (harness, upstreams) => {
+  const waiting = harness.call('a', 'Pieces: 1\r\n')
+  const sent = harness.call('b')
+  while (upstreams[0]?.heads.length !== 1 || harness.server.openCount < 2) await new Promise(resolve => { setTimeout(resolve, 5) })
+  harness.server.giveUpWaiting()
+  assert.match((await waiting).text, /^HTTP\/1\.1 503 .*gateDraining$/s)
+  assert.match((await sent).text, /^HTTP\/1\.1 200 .*body$/s)
+}))
+
+test('a node near its end sends new requests elsewhere', () => runWith([answerWith(WHOLE)], {}, async (harness, upstreams) => {
+  harness.server.refuseNew()
+  assert.match((await harness.call('a')).text, /^HTTP\/1\.1 503 .*gateDraining$/s)
+  assert.is(upstreams[0]?.heads.length, 0)
+}))
+
 const stream = { kind: RouteKind.STREAM, maxAttempts: 2, isResumable: true }
 
 test('a stream is handed on in whole events, and goes on elsewhere after its last one', () => runWith([
