Open and reopen a job through one function

Cause: `_prepareAgain` added a listener to the request's abort signal that was never removed, beside its twin in `prepare` that removes its own; each request whose inputs were made again kept its job for as long as the signal lived. With a signal that was aborted already, the results were never given back.

Change: one function keeps a job until it is settled or given up; both use it. Behaviour is otherwise the same, and the tests of preparation and relay pass.

--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -44,6 +44,9 @@
 /** Further plans that a refused job is offered to. */
 const MAX_REFUSALS = 1
 
+/** The owner's own doing; it tells its caller itself. */
+const GIVEN_UP: JobRefusal = { reason: 'interrupted', retryAfterMs: 0 }
+
 /** A job that its coordinator has not settled yet. */
 class OpenJob {
   readonly startedAt: number
@@ -81,19 +84,26 @@
   }
 
   prepare (job: PreparationJob, signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>> {
+    return this._open(job, this._options.clock.now(), signal, open => {
+      if (this._options.hasMembers()) void this._submit(open)
+    })
+  }
+
+  /** Keeps a job until it is settled or its owner gives it up. */
+  private _open (job: PreparationJob, startedAt: number, signal: AbortSignal, onDidOpen: (open: OpenJob) => void): Promise<Either<JobRefusal, IPreparedInputs>> {
     return new Promise(resolve => {
-      if (signal.aborted) return resolve(Left({ reason: 'interrupted', retryAfterMs: 0 }))
+      if (signal.aborted) return resolve(Left(GIVEN_UP))
       const onAbort = () => {
         this._giveBack(open)
-        resolve(Left({ reason: 'interrupted', retryAfterMs: 0 }))
+        resolve(Left(GIVEN_UP))
       }
-      const open = new OpenJob(job, this._options.clock.now(), (settled, news) => {
+      const open = new OpenJob(job, startedAt, (settled, news) => {
         signal.removeEventListener('abort', onAbort)
         resolve(this._createOutcome(settled, news, signal))
       })
       signal.addEventListener('abort', onAbort, { once: true })
       this._jobs.set(job.id, open)
-      if (this._options.hasMembers()) void this._submit(open)
+      onDidOpen(open)
     })
   }
 
@@ -221,18 +231,13 @@
 
   private _prepareAgain (open: OpenJob, results: readonly PieceResult[], signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>> {
     const { job, link } = open
+    if (signal.aborted) this._giveBack(open, results)
     if (link?.isClosed === true) {
       this._freeDirectly(results)
       return this.prepare(this._updateTimes(open), signal)
     }
-    return new Promise(resolve => {
-      const again = new OpenJob(job, open.startedAt, (settled, news) => resolve(this._createOutcome(settled, news, signal)))
+    return this._open(job, open.startedAt, signal, again => {
       again.link = link
-      this._jobs.set(job.id, again)
-      signal.addEventListener('abort', () => {
-        this._giveBack(again)
-        resolve(Left({ reason: 'interrupted', retryAfterMs: 0 }))
-      }, { once: true })
       if (link !== undefined) {
         link.openJobs++
         link.send({ kind: 'reopen', jobId: job.id })
