Send overloaded callers back later

The time was only what the wait exceeded the limit by, as if nothing more came.

Change: at least half of the wait that was foreseen. One function serves admission and jobs that are given up later.

--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -28,6 +28,7 @@
 /** The part of the time to the deadline that preparation may fill; the rest is for the request itself. */
 const MAX_DEADLINE_SHARE = 0.6
 const MIN_RETRY_MS = 100
+const RETRY_WAIT_SHARE = 0.5
 const NO_UPSTREAM_RETRY_MS = 500
 
 export function forecastJob (inputs: ForecastInputs): JobForecast {
@@ -45,7 +46,15 @@
   const { aloneMs, waitMs } = forecastJob(inputs)
   const allowedMs = job.deadlineInMs * MAX_DEADLINE_SHARE
   if (aloneMs + waitMs <= allowedMs) return undefined
-  return { reason: 'overloaded', retryAfterMs: Math.round(Math.max(MIN_RETRY_MS, aloneMs + waitMs - allowedMs)) }
+  return { reason: 'overloaded', retryAfterMs: computeRetryAfter(waitMs, aloneMs + waitMs - allowedMs) }
+}
+
+/**
+ * When it makes sense to come back: what is too much must have been done, and since more keeps coming while a burst
+ * lasts, half of all that waits.
+ */
+export function computeRetryAfter (waitMs: number, excessMs: number): number {
+  return Math.round(Math.max(MIN_RETRY_MS, excessMs, waitMs * RETRY_WAIT_SHARE))
 }
 
 /** Sums what waits or runs, by role. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -2,7 +2,7 @@
  * Plans the pieces of all jobs that a coordinator holds: which go together into a call, at which upstream, and when.
  * Pure: time is passed in, and calls are made by others.
  */
-import { addPieces, computeQueueMs, countPieces, decideAdmission } from './jobForecast.ts'
+import { addPieces, computeQueueMs, computeRetryAfter, countPieces, decideAdmission } from './jobForecast.ts'
 import { JobState } from './jobState.ts'
 import { HallLoads } from './hallLoads.ts'
 import type { PieceState } from './jobState.ts'
@@ -40,7 +40,6 @@
 const INTERRUPTED_RETRY_MS = 300
 /** How often it is looked at what can still be done in time. */
 const FORECAST_PERIOD_MS = 50
-const MIN_RETRY_MS = 100
 const NO_WAIT: ReadonlyMap<string, number> = new Map()
 
 export class PreparationPlanner {
@@ -365,7 +364,7 @@
       const waitMs = computeQueueMs(state, capacities, ahead)
       const endAt = now + waitMs + this._estimateRemaining(state)
       const isHopeless = endAt > state.deadlineAt && !state.hasBegun
-      if (isHopeless || now + this._estimateRemaining(state) > state.deadlineAt) this._refuse(state, { reason: 'overloaded', retryAfterMs: Math.max(MIN_RETRY_MS, Math.round(waitMs)) })
+      if (isHopeless || now + this._estimateRemaining(state) > state.deadlineAt) this._refuse(state, { reason: 'overloaded', retryAfterMs: computeRetryAfter(waitMs, waitMs) })
       else addPieces(state, ahead)
     }
   }
