Take results of jobs out of the planner

Giving results back and having lost ones made again is a job of its own.

Behaviour is the same, the tests of preparation and relay pass unchanged.

--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -5,7 +5,7 @@
 import { addPieces, computeQueueMs, computeRetryAfter, countPieces, decideAdmission } from './jobForecast.ts'
 import { JobState } from './jobState.ts'
 import { HallLoads } from './hallLoads.ts'
-import type { PieceState } from './jobState.ts'
+import { HeldResults } from './heldResults.ts'
 import { computeCallMs, PieceUpstream } from './pieceUpstream.ts'
 import type { PieceUpstreamOptions, PieceWorkSpec } from './pieceUpstream.ts'
 import { PieceUpstreams } from './pieceUpstreams.ts'
@@ -51,6 +51,7 @@
   private readonly _halls = new HallLoads(this._upstreams, this._jobs, this._works)
   private readonly _calls = new Map<number, StartedCall>()
   private readonly _frees = new PendingFrees()
+  private readonly _results = new HeldResults(this._upstreams, this._frees)
   private readonly _targets = new TargetPlanner()
   /** Upstreams that requests themselves go to, by role. */
   private readonly _listTargets: (role: string) => readonly TargetCandidate[]
@@ -89,7 +90,7 @@
     this._targets.drop(upstreamId)
     if (!this._upstreams.delete(upstreamId)) return
     this._frees.drop(upstreamId)
-    for (const state of this._jobs.values()) this._reopenLost(state, result => result.upstreamId === upstreamId)
+    for (const state of this._jobs.values()) this._results.reopenLost(state, result => result.upstreamId === upstreamId)
   }
 
   /** Takes a job in, or says why not. */
@@ -115,7 +116,7 @@
     const state = this._jobs.get(jobId)
     if (state === undefined) return
     this._jobs.delete(jobId)
-    state.job.stages.forEach((_, stage) => this._freeStage(state, stage))
+    state.job.stages.forEach((_, stage) => this._results.freeStage(state, stage))
   }
 
   /** An upstream of the request found inputs missing: those that may be gone are made again. */
@@ -125,7 +126,7 @@
     state.isHandedOver = false
     const isSuspect = (result: PieceResult) => this._upstreams.get(result.upstreamId)?.isUsable(now) !== true
     const hasSuspects = state.listFinalResults().some(isSuspect)
-    this._reopenLost(state, result => !hasSuspects || isSuspect(result))
+    this._results.reopenLost(state, result => !hasSuspects || isSuspect(result))
     return true
   }
 
@@ -287,7 +288,7 @@
       piece.madeAt = now
       piece.result = { handle: outcome.handle, upstreamId: call.call.upstreamId }
       if (upstream === undefined) started.state.reopen(started.stage, piece)
-      else if (!this._holds(started.state)) this._freePiece(piece, bytes)
+      else if (!this._holds(started.state)) this._results.freePiece(piece, bytes)
       return
     }
     upstream?.releaseRoom(bytes)
@@ -303,7 +304,7 @@
     const isSuspect = (result: PieceResult) => this._upstreams.get(result.upstreamId)?.isUsable(now) !== true
     const suspects = inputs.filter(isSuspect)
     const lost = new Set((suspects.length > 0 ? suspects : inputs).map(result => result.handle))
-    this._reopenLost(state, result => lost.has(result.handle))
+    this._results.reopenLost(state, result => lost.has(result.handle))
   }
 
   private _settleFailedCall (started: StartedCall, outcome: PieceCallOutcome, upstream: PieceUpstream | undefined, now: number): void {
@@ -323,7 +324,7 @@
   private _advance (state: JobState, now: number): void {
     if (!this._holds(state) || state.isHandedOver) return
     if (state.pieces.some(stage => stage.some(piece => piece.failures > MAX_PIECE_FAILURES))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
-    for (const stage of state.listUsedUpStages()) this._freeStage(state, stage)
+    for (const stage of state.listUsedUpStages()) this._results.freeStage(state, stage)
     if (!state.isDone) return
     state.isHandedOver = true
     const results = state.listFinalResults()
@@ -371,41 +372,17 @@
 
   /** Results that lie too long go; what still needs them has them made again. */
   private _reopenExpired (state: JobState, now: number): void {
-    this._reopenLost(state, (result, piece) => {
+    this._results.reopenLost(state, (result, piece) => {
       const lifetimeMs = this._upstreams.get(result.upstreamId)?.work.resultLifetimeMs ?? 0
       return now - piece.madeAt > lifetimeMs - LIFETIME_MARGIN_MS
     })
   }
 
-  private _reopenLost (state: JobState, isLost: (result: PieceResult, piece: PieceState) => boolean): void {
-    state.pieces.forEach((pieces, stage) => {
-      const bytes = state.job.stages[stage]?.resultBytes ?? 0
-      for (const piece of pieces) {
-        if (piece.status !== 'made' || piece.result === undefined || !isLost(piece.result, piece)) continue
-        this._freePiece(piece, bytes)
-        state.reopen(stage, piece)
-      }
-    })
-  }
-
   private _refuse (state: JobState, refusal: JobRefusal): void {
     if (!state.isHandedOver) this._news.push({ kind: 'refused', jobId: state.job.id, refusal })
     this.releaseJob(state.job.id)
   }
 
-  private _freeStage (state: JobState, stage: number): void {
-    const bytes = state.job.stages[stage]?.resultBytes ?? 0
-    for (const piece of state.pieces[stage] ?? []) if (piece.status === 'made') this._freePiece(piece, bytes)
-  }
-
-  private _freePiece (piece: PieceState, bytes: number): void {
-    const { result } = piece
-    piece.status = 'freed'
-    piece.result = undefined
-    if (result === undefined || !this._upstreams.has(result.upstreamId)) return
-    this._frees.add(result, bytes)
-  }
-
   private _holds (state: JobState): boolean {
     return this._jobs.get(state.job.id) === state
   }
