--- a/scripts/buildNode.mjs
+++ b/scripts/buildNode.mjs
@@ -32,5 +32,7 @@
 })
 copyFileSync('scripts/startCached.cjs', 'target/pepperwood-node.cjs')
 // V8 takes a cache only from a process with the same options, so they are read from where the node's are.
-const [, run] = /^run = "node (.*?) target\//m.exec(readFileSync('deploy/system.toml', 'utf8')) ?? []
-execFileSync(process.execPath, [...(run ?? '').split(' ').filter(Boolean), 'target/pepperwood-node.cjs', '--make-cache'], { cwd: rootPath, stdio: 'inherit' })
+const [, options] = /^run = "node (.*?) ?target\//m.exec(readFileSync('deploy/system.toml', 'utf8')) ?? []
+// A cache made with other options would be refused at each start, without a word.
+if (options === undefined) throw new Error('deploy/system.toml: no role runs a program of target/ with node')
+execFileSync(process.execPath, [...options.split(' ').filter(Boolean), 'target/pepperwood-node.cjs', '--make-cache'], { cwd: rootPath, stdio: 'inherit' })
