--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -1,6 +1,7 @@
 /**
  * One job at its coordinator: which pieces wait, run, are made, or were given back.
  */
+import { JobClock } from './jobTimes.ts'
 import { computeCallMs } from './pieceUpstream.ts'
 import type { PieceWorkSpec } from './pieceUpstream.ts'
 import { listLastStages } from './preparationJob.ts'
@@ -40,11 +41,13 @@
   chainHall = ''
   /** What the request is expected to take at the target until its first event. */
   requestMs = 0
+  readonly clock: JobClock
   private readonly _readyAt = new Map<number, number>()
 
   constructor (job: PreparationJob, now: number) {
     this.job = job
     this.arrivedAt = now
+    this.clock = new JobClock(now)
     this.goalAt = now + job.goalInMs
     this.deadlineAt = now + job.deadlineInMs
     this.pieces = job.stages.map(stage => Array.from({ length: stage.pieceCount }, () => new PieceState()))
--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -1,6 +1,7 @@
 /**
  * Calls for pieces as they are planned, how they end, and what owners of jobs are told.
  */
+import type { JobTimes } from './jobTimes.ts'
 import type { JobRefusal, PieceResult } from './preparationJob.ts'
 
 /** A piece as an upstream is asked for it. */
@@ -17,7 +18,12 @@
 export interface PlannedCall {
   readonly id: number
   readonly upstreamId: string
+  readonly role: string
   readonly pieces: readonly PlannedPiece[]
+  /** Pieces of the role that could have started too and were left waiting. */
+  readonly leftWaiting: number
+  /** Room at the upstream when the call was planned, its own results not counted. */
+  readonly freeBytes: number
   readonly expectedMs: number
   readonly timeoutMs: number
 }
@@ -35,7 +41,7 @@
 
 /** What the owner of a job is told. */
 export type JobNews =
-  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly hall: string }
+  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly hall: string, readonly times: JobTimes }
   | { readonly kind: 'refused', readonly jobId: string, readonly refusal: JobRefusal }
 
 /** Results to be given back at one upstream. */
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -51,7 +51,8 @@
     results: Schema.Array(Schema.Struct({ handle: Id, upstreamId: Id })),
     /** The upstream that should take the request; empty when there is none. */
     targetId: Schema.String,
-    hall: Schema.String
+    hall: Schema.String,
+    times: Schema.Struct({ queuedMs: Span, madeMs: Span, betweenMs: Span })
   }),
   /** The coordinator gives the job up. */
   Schema.Struct({
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -148,6 +148,7 @@
     this._calls.delete(callId)
     const upstream = this._upstreams.get(started.call.upstreamId)
     if (upstream !== undefined) upstream.runningCalls--
+    for (const piece of started.pieces) piece.state.clock.recordEnd(now)
     if (outcome.kind === 'answered') {
       upstream?.recordCall(now - started.startedAt, started.call.expectedMs, now)
       started.pieces.forEach((piece, index) => this._settlePiece(piece, outcome.pieces[index] ?? { kind: 'failed', reason: 'failed' }, upstream, started, now))
@@ -200,7 +201,7 @@
       const chosen = takeBatch([...fitting, ...rest.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
       const taken = new Set(chosen)
       rest = rest.filter(piece => !taken.has(piece))
-      if (chosen.length > 0) calls.push(this._start(upstream, chosen, now))
+      if (chosen.length > 0) calls.push(this._start(upstream, chosen, rest.length, now))
     })
     return calls
   }
@@ -212,11 +213,14 @@
     return now - state.getReadyAt(piece.stage, now) >= Math.min(HALL_PATIENCE_MS, Math.max(0, slackMs))
   }
 
-  private _start (upstream: PieceUpstream, chosen: readonly ReadyPiece[], now: number): PlannedCall {
+  private _start (upstream: PieceUpstream, chosen: readonly ReadyPiece[], leftWaiting: number, now: number): PlannedCall {
     const expectedMs = computeCallMs(upstream.work, chosen.length)
     const call: PlannedCall = {
       id: this._nextCallId++,
       upstreamId: upstream.id,
+      role: upstream.role,
+      leftWaiting,
+      freeBytes: upstream.getFreeBytes(now),
       pieces: chosen.map(piece => createPlannedPiece(piece, now)),
       expectedMs,
       timeoutMs: expectedMs * TIMEOUT_FACTOR * Math.max(1, upstream.getSlowness(now)) + TIMEOUT_EXTRA_MS
@@ -224,6 +228,7 @@
     upstream.runningCalls++
     for (const piece of chosen) {
       getPiece(piece).status = 'running'
+      piece.state.clock.recordStart(now)
       upstream.holdRoom(piece.bytes)
     }
     this._calls.set(call.id, { call, pieces: chosen, startedAt: now })
@@ -329,7 +334,7 @@
     state.isHandedOver = true
     const results = state.listFinalResults()
     this._chooseTarget(state, now)
-    this._news.push({ kind: 'prepared', jobId: state.job.id, results, targetId: state.targetId, hall: findMainHall(results, id => this._upstreams.get(id)?.hall) })
+    this._news.push({ kind: 'prepared', jobId: state.job.id, results, targetId: state.targetId, hall: findMainHall(results, id => this._upstreams.get(id)?.hall), times: state.clock.measure(now) })
   }
 
   /** Chosen when a job comes, so that large results are made near the target, and again when they are there. */
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -10,7 +10,7 @@
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
-import type { JobNews, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
+import type { JobNews, PieceCallOutcome, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
 import type { JobRefusal, PreparationJob } from '../common/preparationJob.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 
@@ -31,6 +31,7 @@
 const DISPATCH_DELAY_MS = 2
 /** Results are given back together with what becomes free within this time. */
 const FREE_DELAY_MS = 10
+const BYTES_PER_KB = 1000
 
 /** One plan: all upstreams, or those of one hall. */
 class Shard {
@@ -195,16 +196,44 @@
       log.info('piece_call_failed', { upstream: call.upstreamId, pieces: call.pieces.length, outcome: outcome.kind, reason: outcome.reason, took_ms: Math.round(clock.now() - startedAt) })
       if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') registry.dropForGood(call.upstreamId, 'address answers as another')
     }
+    this._noteCall(call, outcome, clock.now() - startedAt)
     shard.planner.settleCall(call.id, outcome, clock.now())
     this._deliver(shard)
     this._scheduleDispatch(shard)
   }
 
+  private _noteCall (call: PlannedCall, outcome: PieceCallOutcome, tookMs: number): void {
+    const { id, upstreamId, role, pieces, leftWaiting, freeBytes, expectedMs } = call
+    const outcomes = outcome.kind === 'answered' ? outcome.pieces : []
+    const countFailed = (reason: string) => outcomes.filter(piece => piece.kind === 'failed' && piece.reason === reason).length
+    this._options.log.info('piece_call', {
+      call: id,
+      upstream: upstreamId,
+      role,
+      pieces: pieces.length,
+      left_waiting: leftWaiting,
+      free_kb: Math.round(freeBytes / BYTES_PER_KB),
+      outcome: outcome.kind,
+      made: outcomes.filter(piece => piece.kind === 'made').length,
+      no_room: countFailed('noRoom'),
+      input_gone: countFailed('inputGone'),
+      late: countFailed('late'),
+      expected_ms: Math.round(expectedMs),
+      took_ms: Math.round(tookMs)
+    })
+  }
+
+  private _notePrepared ({ jobId, targetId, times }: JobNews & { readonly kind: 'prepared' }): void {
+    const { queuedMs, madeMs, betweenMs } = times
+    this._options.log.info('preparation_done', { request: jobId, target: targetId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
+  }
+
   private _deliver (shard: Shard): void {
     for (const news of shard.planner.takeNews()) {
       const listener = this._listeners.get(news.jobId)
       this._listeners.delete(news.jobId)
       if (news.kind === 'refused') this._noteRefused(news.jobId, news.refusal, shard)
+      else this._notePrepared(news)
       listener?.(news)
     }
   }
--- /dev/null
+++ b/src/services/preparation/test/jobTimes.test.ts
@@ -0,0 +1,36 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { JobClock } from '../common/jobTimes.ts'
+import { createAll, createJob, createPlanner, createStage } from './fakes.ts'
+
+const test = suite('jobTimes')
+
+test('the time of a job is divided into queueing, making and gaps between stages', () => {
+  const clock = new JobClock(100)
+  clock.recordStart(130)
+  clock.recordStart(150)
+  clock.recordEnd(200)
+  clock.recordEnd(230)
+  clock.recordStart(300)
+  clock.recordEnd(350)
+  assert.equal(clock.measure(350), { queuedMs: 30, madeMs: 150, betweenMs: 70 })
+})
+
+test('a job that never started has only queued', () => {
+  assert.equal(new JobClock(100).measure(180), { queuedMs: 80, madeMs: 0, betweenMs: 0 })
+})
+
+test('the owner of a job is told how its time was spent', () => {
+  const planner = createPlanner({ upstreams: { a: 1, b: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 1), createStage('b', 1, [0])]), 0)
+  const [first] = planner.startCalls(40)
+  assert.ok(first)
+  planner.settleCall(first.id, createAll(first), 150)
+  const [second] = planner.startCalls(170)
+  assert.ok(second)
+  planner.settleCall(second.id, createAll(second), 280)
+  const [news] = planner.takeNews()
+  assert.equal(news?.kind === 'prepared' && news.times, { queuedMs: 40, madeMs: 220, betweenMs: 20 })
+})
+
+test.run()
