Let plans survive the node that makes them, and nodes that start find one planner

Cause: when the planning node stopped, died or was cut off, its jobs started anew elsewhere, and what had been made filled the makers' room until it expired (479 pieces without room in six seconds of rolling stops). After the loss of all nodes each node waited up to 0.5 s for seeds that did not answer, though peers had found it, then planned alone: four planners in the same room for over a second.

Change: the owner of a job is told of each result as it is made and brings them to the next coordinator; a planned stop hands jobs over once their calls have ended; a coordinator whose link to an owner broke keeps results for 1.5 s; a node joins with the first peer that has spoken, whoever dialled; plans that another node should keep go there. Late jobs go behind their own rank, not behind lower ones, and what keeps coming passes them only until they have aged.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -89,6 +89,8 @@
 /** Boots are never heard of again so long after their end. */
 const FORGET_LEAVING_MS = 600_000
 const DROP_PERIOD_MS = 60_000
+/** Changes of members within this time move jobs once. */
+const MOVE_DELAY_MS = 40
 
 export class EntryNode extends Disposable {
   private readonly _options: EntryNodeOptions
@@ -111,6 +113,7 @@
   private _reportedAt = -Infinity
   private _isDraining = false
   private _isCatchingUp = false
+  private _isMoving = false
 
   constructor (options: EntryNodeOptions) {
     super()
@@ -179,6 +182,7 @@
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
     this._register(this._registry.onDidChange(change => this._noteChange(change)))
     this._register(this._member.facts.onDidChange(fact => this._takeFact(fact)))
+    this._register(this._member.onDidJoin(() => this._scheduleMove()))
     this._register(options.configurationSource)
     this._register(options.configurationSource.onDidRead(document => this._member.offer(document)))
     this._register(options.upstreamSource)
@@ -248,6 +252,7 @@
     this._report()
     this._relay.drain()
     await this._member.leave()
+    if (this._preparation.hasOtherCoordinator()) this._coordinator.moveJobs()
     const waitUntil = async (at: number, isDone = () => false): Promise<void> => { while (clock.now() < at && !isDone()) await waitFor(STOP_POLL_MS) }
     const isIdle = () => this._relay.openCount === 0
     await waitUntil(stoppedAt + graceMs * TAKE_SHARE)
@@ -376,7 +381,18 @@
     })
   }
 
+  /** Members become known one after the other. */
+  private _scheduleMove (): void {
+    if (this._isMoving) return
+    this._isMoving = true
+    this._options.clock.schedule(MOVE_DELAY_MS, () => {
+      this._isMoving = false
+      if (!this._isDisposed) this._preparation.moveJobs()
+    })
+  }
+
   private _takeFact (fact: HeldFact): void {
+    if (fact.value.kind === 'member') this._scheduleMove()
     if (fact.value.kind !== 'leaving' || fact.source === '') return
     if (fact.counter === LEAVING_COUNTER) return this._registry.markLeaving(fact.value.upstream, PEER_SIGNAL)
     const { upstream } = fact.value
--- a/src/load/lab/labRun.ts
+++ b/src/load/lab/labRun.ts
@@ -5,7 +5,7 @@
 import type { IRandom } from '../../base/common/random.ts'
 import { PreparationPlanner } from '../../services/preparation/common/preparationPlanner.ts'
 import type { PlannedCall } from '../../services/preparation/common/plannedCall.ts'
-import type { JobRefusal, PreparationJob } from '../../services/preparation/common/preparationJob.ts'
+import type { CarriedPiece, JobRefusal, MadePiece, PreparationJob } from '../../services/preparation/common/preparationJob.ts'
 import { LabUpstreamModel } from './labUpstreamModel.ts'
 import type { LabDeployment, LabKind } from './labDeployment.ts'
 import { scoreRun } from './labScore.ts'
@@ -29,8 +29,17 @@
   askedAt = 0
   isOver = false
   results: readonly string[] = []
+  private readonly _made = new Map<string, MadePiece & { readonly at: number }>()
 
   constructor (readonly id: string, readonly kind: LabKind, readonly sentAt: number, readonly counts: readonly number[], readonly requestMs: number) {}
+
+  recordMade (pieces: readonly MadePiece[], at: number): void {
+    for (const piece of pieces) this._made.set(`${piece.stage}/${piece.index}`, { ...piece, at })
+  }
+
+  listCarried (now: number): readonly CarriedPiece[] {
+    return [...this._made.values()].map(({ stage, index, result, at }) => ({ stage, index, result, ageMs: now - at }))
+  }
 }
 
 export class LabRun {
@@ -105,7 +114,7 @@
   }
 
   private _submit (request: LabRequest): void {
-    const refusal = this._planner.addJob(this._createJob(request), this._events.now)
+    const refusal = this._planner.addJob(this._createJob(request), this._events.now, request.listCarried(this._events.now))
     if (refusal !== undefined) this._refuse(request, refusal)
     else this._events.schedule(this._events.now + 2, () => this._step())
   }
@@ -138,7 +147,8 @@
       const request = this._requests.get(news.jobId)
       if (request === undefined) continue
       if (news.kind === 'refused') this._refuse(request, news.refusal)
-      else {
+      else if (news.kind === 'made') request.recordMade(news.pieces, now)
+      else if (news.kind === 'prepared') {
         request.results = news.results.map(result => result.handle)
         this._countMoves(request.results, news.targetId.split('-')[1] ?? '', request.id)
         this._send(request)
--- a/src/services/facts/node/peerLink.ts
+++ b/src/services/facts/node/peerLink.ts
@@ -142,6 +142,12 @@
     else if (this._options.fetchGuard.begin(held, own)) this.send({ kind: 'configurationWanted', ...own })
   }
 
+  private _answerRefresh (question: ConfigurationStamp & { readonly id: number }): void {
+    this.sendNews()
+    this.sendConfiguration(question)
+    this.send({ kind: 'refreshed', id: question.id })
+  }
+
   private _getStamp (): ConfigurationStamp {
     const { current, number } = this._options.configuration
     return { number, revision: current?.revision ?? 0 }
@@ -170,6 +176,8 @@
       configuration.offer(message, this.peerAddress)
     } else if (message.kind === 'configurationHeld') {
       this._compareConfiguration(message)
+    } else if (message.kind === 'refresh') {
+      this._answerRefresh(message)
     } else if (message.kind === 'configurationWanted') {
       this.sendConfiguration(message)
     }
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -9,7 +9,6 @@
 import type { IRandom } from '../../../base/common/random.ts'
 import { startInterval, waitFor } from '../../../base/node/interval.ts'
 import { formatNumber } from '../../configuration/common/configurationNumber.ts'
-import type { ConfigurationStamp } from '../../configuration/common/configurationNumber.ts'
 import { ConfigurationService } from '../../configuration/common/configurationService.ts'
 import type { AcceptedConfiguration } from '../../configuration/common/configurationService.ts'
 import type { ConfigurationText } from '../../configuration/common/configurationDocument.ts'
@@ -62,6 +61,33 @@
 const LEAVE_SPREAD_MS = 500
 const READY_POLL_MS = 20
 
+/**
+ * A node that its seeds do not answer waits so long for a peer before it takes itself for the only one: hosts that start
+ * together come up within 0.4 s of each other, and each would plan alone in the room of the others.
+ */
+const LONELY_WAIT_MS = 1000
+
+/** Peers that were asked for all that they know, and those that have answered. */
+class PeerAnswers {
+  private readonly _asked = new Set<PeerLink>()
+  private readonly _answered = new Set<PeerLink>()
+
+  get askedCount (): number {
+    return this._asked.size
+  }
+
+  get count (): number {
+    return this._answered.size
+  }
+
+  ask (link: PeerLink): void {
+    if (this._asked.has(link)) return
+    this._asked.add(link)
+    link.onDidReceive(message => { if (message.kind === 'refreshed') this._answered.add(link) })
+    link.askAll(0)
+  }
+}
+
 export class FleetMember extends Disposable {
   readonly facts: FactStore
   readonly configuration: ConfigurationService
@@ -117,6 +143,11 @@
     return [...this._accepted].filter(link => link.peerRole === 'gate')
   }
 
+  /** Links that other members opened. */
+  private _listPeerLinks (): readonly PeerLink[] {
+    return [...this._accepted].filter(link => link.peerRole === 'steward')
+  }
+
   async listen (address: Address): Promise<void> {
     const frames = this._register(new FrameServer(connection => this._accept(new PeerLink({ ...this._createLinkOptions(), connection }))))
     await frames.listen(address.host, address.port)
@@ -135,21 +166,33 @@
     const until = clock.now() + readyWaitMs
     const reading = Promise.race([sourceRead, waitFor(readyWaitMs).then(() => false)])
     if (isSourceNewest) void reading.then(isRead => { if (isRead === true) this._markReady('source') })
-    const [reached] = await Promise.all([this.gossip.meetSeeds(), reading])
-    const refreshed = new Set<PeerLink>()
-    for (const link of this.gossip.links) {
-      link.onDidReceive(message => { if (message.kind === 'refreshed') refreshed.add(link) })
-      link.askAll(0)
+    const answers = new PeerAnswers()
+    const isHeard = this._watchJoin(answers, reading, clock.now() + Math.min(readyWaitMs, LONELY_WAIT_MS))
+    while (!isHeard() && clock.now() < until) {
+      for (const link of [...this.gossip.links, ...this._listPeerLinks()]) answers.ask(link)
+      await waitFor(READY_POLL_MS)
     }
-    // Any peer knows the members; only for the highest configuration all are needed.
-    const needed = this._isReady ? Math.min(1, reached) : reached
-    while (refreshed.size < needed && clock.now() < until) await waitFor(READY_POLL_MS)
     this._markReady('peers')
     this._hasJoined = true
-    this._options.log.info('joined', { peers: reached, refreshed: refreshed.size, members: this.membership.listLive().length })
+    this._options.log.info('joined', { asked: answers.askedCount, refreshed: answers.count, members: this.membership.listLive().length })
     this._onDidJoin.fire()
   }
 
+  /**
+   * Tells when enough was heard. Any one peer knows the members, whoever of the two opened the link: a seed that does not
+   * answer its dial must not hold up a node that its peers have found. Only where the source was not read, all that can
+   * be reached are needed for the highest configuration.
+   */
+  private _watchJoin (answers: PeerAnswers, reading: Promise<unknown>, lonelyUntil: number): () => boolean {
+    const { clock } = this._options
+    let reached: number | undefined
+    void Promise.all([this.gossip.meetSeeds(), reading]).then(([count]) => { reached = count })
+    return () => {
+      if (this._isReady) return answers.count > 0 || (reached !== undefined && clock.now() >= lonelyUntil)
+      return reached !== undefined && answers.count >= reached
+    }
+  }
+
   private _markReady (reason: 'source' | 'peers'): void {
     if (this._isReady || this._isDisposed) return
     const { log, address, hall } = this._options
@@ -202,16 +245,7 @@
       this._closedTraffic = sumTraffic([this._closedTraffic, link.traffic])
       this._release(link)
     })
-    link.onDidReceive(message => {
-      if (message.kind === 'refresh') this._answerRefresh(link, message)
-      else this.gossip.handleMessage(link, message)
-    })
-  }
-
-  private _answerRefresh (link: PeerLink, question: ConfigurationStamp & { readonly id: number }): void {
-    link.sendNews()
-    link.sendConfiguration(question)
-    link.send({ kind: 'refreshed', id: question.id })
+    link.onDidReceive(message => this.gossip.handleMessage(link, message))
   }
 
   /** Compares numbers with all processes; for gates it is also the sign that this one lives. */
--- a/src/services/membership/test/fleetMember.test.ts
+++ b/src/services/membership/test/fleetMember.test.ts
@@ -52,6 +52,26 @@
   }
 })
 
+test('a member that a peer has found does not wait for its silent seed', async () => {
+  const port = await findFreePort()
+  const silent = createServer(() => {})
+  await new Promise<void>(resolve => { silent.listen(0, '127.0.0.1', resolve) })
+  const found = createMember(port, (silent.address() as AddressInfo).port, { isSourceNewest: true, readyWaitMs: 5000 })
+  const finder = createMember(1, port, { isSourceNewest: true, readyWaitMs: 5000 })
+  try {
+    await found.listen({ host: '127.0.0.1', port })
+    const joining = found.join(Promise.resolve(true))
+    const startedAt = performance.now()
+    await Promise.all([joining, finder.join(Promise.resolve(true))])
+    assert.ok(performance.now() - startedAt < 800)
+    assert.is(found.membership.listLive().length, 2)
+  } finally {
+    found.dispose()
+    finder.dispose()
+    silent.close()
+  }
+})
+
 const SOURCES = [
   { name: 'is newest and was read', isSourceNewest: true, isRead: true, isReadyAlone: true },
   { name: 'is newest and could not be read', isSourceNewest: true, isRead: false, isReadyAlone: false },
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -34,7 +34,7 @@
 /** A lower rank counts like a goal this much later. */
 export const RANK_MS = 4000
 /** A job that misses its goal anyway counts like one whose goal is this much later. */
-export const LATE_MS = 6000
+export const LATE_MS = 3000
 /**
  * The part of a caller's patience that may pass until the first event; the rest is for the answer. A job that was taken
  * may come nearer to the end, since its forecast is not exact.
@@ -54,7 +54,7 @@
   const forecasts: JobForecast[] = []
   const late: ForecastEntry[] = []
   for (const entry of entries) {
-    const waitMs = computeQueueMs(entry.state, capacities, ahead, getRate)
+    const waitMs = computeQueueMs(entry.state, capacities, ahead, computeWaitMs)
     const endAt = now + waitMs + entry.remainingMs
     if (endAt > entry.state.goalAt) {
       late.push(entry)
@@ -64,7 +64,7 @@
     addPieces(entry.state, ahead)
   }
   for (const { state, remainingMs } of late) {
-    const waitMs = computeQueueMs(state, capacities, ahead, computeSpareRate)
+    const waitMs = computeQueueMs(state, capacities, ahead, (capacity, pieces, other) => computeLateWaitMs(capacity, pieces, other, now))
     forecasts.push({ state, endAt: now + waitMs + remainingMs, waitMs, isLate: true })
     addPieces(state, ahead)
   }
@@ -95,27 +95,32 @@
 }
 
 /** How long the pieces ahead keep a job waiting: the role that is shortest of upstreams decides. */
-function computeQueueMs (state: JobState, capacities: ReadonlyMap<string, RoleCapacity>, ahead: ReadonlyMap<string, number>, computeRate: (capacity: RoleCapacity, rank: number) => number): number {
+function computeQueueMs (state: JobState, capacities: ReadonlyMap<string, RoleCapacity>, ahead: ReadonlyMap<string, number>, computeMs: (capacity: RoleCapacity, pieces: number, state: JobState) => number): number {
   const roles = state.job.stages.flatMap((stage, index) => state.isComplete(index) ? [] : [stage.role])
   return Math.max(0, ...roles.map(role => {
     const capacity = capacities.get(role)
     const pieces = ahead.get(role) ?? 0
-    return capacity === undefined || capacity.calls <= 0 || pieces === 0 ? 0 : pieces / computeRate(capacity, state.job.rank)
+    return capacity === undefined || capacity.calls <= 0 || pieces === 0 ? 0 : computeMs(capacity, pieces, state)
   }))
 }
 
-function getRate ({ piecesPerMs }: RoleCapacity): number {
-  return piecesPerMs
+function computeWaitMs ({ piecesPerMs }: RoleCapacity, pieces: number): number {
+  return pieces / piecesPerMs
 }
 
-/** What is left of a role for a late job when all that keeps coming and goes first has been taken off. */
-function computeSpareRate ({ piecesPerMs, arrivalsPerMs }: RoleCapacity, rank: number): number {
+/**
+ * What keeps coming goes before a late job as well, but only until that has waited for so long that it comes before new
+ * ones: a late job of a high rank soon does.
+ */
+function computeLateWaitMs ({ piecesPerMs, arrivalsPerMs }: RoleCapacity, pieces: number, { job, goalAt }: JobState, now: number): number {
   let comingPerMs = 0
-  for (const [other, perMs] of arrivalsPerMs) if (isFirst(other, rank)) comingPerMs += perMs
-  return Math.max(piecesPerMs * MIN_LATE_SHARE, piecesPerMs - comingPerMs)
-}
-
-/** Whether jobs of a rank that can be in time go before late ones of another. */
-function isFirst (rank: number, lateRank: number): boolean {
-  return rank * RANK_MS < lateRank * RANK_MS + LATE_MS
+  let comingPieces = 0
+  for (const [rank, perMs] of arrivalsPerMs) {
+    const passedForMs = LATE_MS + (job.rank - rank) * RANK_MS - Math.max(0, now - goalAt)
+    if (passedForMs <= 0) continue
+    comingPerMs += perMs
+    comingPieces += perMs * passedForMs
+  }
+  const spareRate = Math.max(piecesPerMs * MIN_LATE_SHARE, piecesPerMs - comingPerMs)
+  return Math.min(pieces / spareRate, (pieces + comingPieces) / piecesPerMs)
 }
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -34,6 +34,8 @@
   isLate = false
   /** All results were made and handed over. */
   isHandedOver = false
+  /** The link to its owner broke. */
+  isDetached = false
   /** The upstream that should take the request, and its hall; empty when there is none. */
   targetId = ''
   targetHall = ''
@@ -112,6 +114,16 @@
     return this._getPieces(stage).filter(piece => piece.status === 'waiting').length
   }
 
+  /** Its pieces should be made. */
+  get isWanted (): boolean {
+    return !this.isHandedOver && !this.isDetached
+  }
+
+  /** A call with a piece of the job has not ended. */
+  get isRunning (): boolean {
+    return this.pieces.some(stage => stage.some(piece => piece.status === 'running'))
+  }
+
   /** Pieces that wait or run. */
   countOpen (stage: number): number {
     return this._getPieces(stage).filter(piece => piece.status === 'waiting' || piece.status === 'running').length
--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -2,7 +2,7 @@
  * Calls for pieces as they are planned, how they end, and what owners of jobs are told.
  */
 import type { JobTimes } from './jobTimes.ts'
-import type { JobRefusal, PieceResult } from './preparationJob.ts'
+import type { JobRefusal, MadePiece, PieceResult } from './preparationJob.ts'
 
 /** A piece as an upstream is asked for it. */
 export interface PlannedPiece {
@@ -41,6 +41,14 @@
 
 /** What the owner of a job is told. */
 export type JobNews =
+  | JobEnd
+  /** These results lie at their makers; another coordinator can go on from them. */
+  | { readonly kind: 'made', readonly jobId: string, readonly pieces: readonly MadePiece[] }
+  /** The coordinator is about to end; the job goes to the next one. */
+  | { readonly kind: 'moved', readonly jobId: string }
+
+/** How a job ends. */
+export type JobEnd =
   | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly hall: string, readonly times: JobTimes }
   | { readonly kind: 'refused', readonly jobId: string, readonly refusal: JobRefusal }
 
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -43,6 +43,18 @@
   readonly upstreamId: string
 }
 
+/** A result of a job and the piece that it is of. */
+export interface MadePiece {
+  readonly stage: number
+  readonly index: number
+  readonly result: PieceResult
+}
+
+/** A result that was made under an earlier plan. */
+export interface CarriedPiece extends MadePiece {
+  readonly ageMs: number
+}
+
 /** Why a job ended without results. */
 export interface JobRefusal {
   readonly reason: 'overloaded' | 'tooLate' | 'noUpstream' | 'interrupted'
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -30,13 +30,21 @@
   deadlineInMs: Span
 })
 
+const ResultSchema = Schema.Struct({ handle: Id, upstreamId: Id })
+
+const MadePieceSchema = Schema.Struct({ stage: Count, index: Count, result: ResultSchema })
+
+const CarriedPieceSchema = Schema.Struct({ ...MadePieceSchema.fields, ageMs: Span })
+
 const PreparationMessageSchema = Schema.Union(
   /** An owner wants a job done. */
   Schema.Struct({
     kind: Schema.Literal('job'),
     job: JobSchema,
     /** The hall whose upstreams do it; empty for all. */
-    hall: Schema.String.pipe(Schema.maxLength(256))
+    hall: Schema.String.pipe(Schema.maxLength(256)),
+    /** What an earlier coordinator made. */
+    carried: Schema.Array(CarriedPieceSchema).pipe(Schema.maxItems(MAX_PIECES))
   }),
   /** An owner needs the results no more. */
   Schema.Struct({ kind: Schema.Literal('release'), jobId: Id }),
@@ -44,11 +52,15 @@
   Schema.Struct({ kind: Schema.Literal('report'), jobId: Id, outcome: Schema.Literal('produced', 'failed', 'unused'), producedMs: Span }),
   /** An owner found results missing. */
   Schema.Struct({ kind: Schema.Literal('reopen'), jobId: Id }),
+  /** Results that lie at their makers, for the case that the coordinator is lost. */
+  Schema.Struct({ kind: Schema.Literal('made'), jobId: Id, pieces: Schema.Array(MadePieceSchema) }),
+  /** The coordinator ends and leaves the job, with its results, to the next one. */
+  Schema.Struct({ kind: Schema.Literal('moved'), jobId: Id }),
   /** The coordinator has all results. */
   Schema.Struct({
     kind: Schema.Literal('prepared'),
     jobId: Id,
-    results: Schema.Array(Schema.Struct({ handle: Id, upstreamId: Id })),
+    results: Schema.Array(ResultSchema),
     /** The upstream that should take the request; empty when there is none. */
     targetId: Schema.String,
     hall: Schema.String,
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -12,7 +12,7 @@
 import { PieceUpstreams } from './pieceUpstreams.ts'
 import { PendingFrees } from './pendingFrees.ts'
 import type { JobNews, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
-import type { JobRefusal, PieceResult, PreparationJob } from './preparationJob.ts'
+import type { CarriedPiece, JobRefusal, MadePiece, PieceResult, PreparationJob } from './preparationJob.ts'
 import { computeBatchSize, createPlannedPiece, getPiece, listWaiting, takeBatch } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall, sumBytesByHall } from './resultHalls.ts'
@@ -55,6 +55,7 @@
   private _news: JobNews[] = []
   private _nextCallId = 1
   private _forecastAt = -Infinity
+  private _isEnding = false
 
   constructor (listTargets: (role: string) => readonly TargetCandidate[]) {
     this._listTargets = listTargets
@@ -90,18 +91,23 @@
     for (const state of this._jobs.values()) this._results.reopenLost(state, result => result.upstreamId === upstreamId)
   }
 
-  /** Takes a job in, or says why not. */
-  addJob (job: PreparationJob, now: number): JobRefusal | undefined {
+  /** Takes a job in, or says why not. What an earlier plan made for it is used, or given back. */
+  addJob (job: PreparationJob, now: number, carried: readonly CarriedPiece[] = []): JobRefusal | undefined {
     if (this._jobs.has(job.id)) return undefined
     const state = new JobState(job, now)
+    this._results.restore(state, carried, now)
     this._chooseTarget(state, now)
     const capacities = this._pool.computeCapacities(now)
     const forecast = this._forecast([...this._jobs.values(), state], capacities, now).find(other => other.state === state)
     const refusal = forecast === undefined ? undefined : decideAdmission(forecast, capacities, now)
-    if (refusal !== undefined) return refusal
+    if (refusal !== undefined) {
+      this._results.freeAll(state)
+      return refusal
+    }
     this._jobs.set(job.id, state)
     job.stages.forEach(stage => this._pool.getRate(stage.role).recordArrival(job.rank, stage.pieceCount, now))
     state.chainHall = this._halls.chooseChainHall(state, now)
+    if (carried.length > 0) this._advance(state, now)
     return undefined
   }
 
@@ -115,7 +121,37 @@
     const state = this._jobs.get(jobId)
     if (state === undefined) return
     this._jobs.delete(jobId)
-    state.job.stages.forEach((_, stage) => this._results.freeStage(state, stage))
+    this._results.freeAll(state)
+  }
+
+  /**
+   * From now on no call starts, and jobs leave with `takeIdleJobs`. Their results stay where they are: the next plan
+   * goes on from them.
+   */
+  end (): void {
+    this._isEnding = true
+  }
+
+  /** Jobs of a plan that ends and for which nothing is being made any more. */
+  takeIdleJobs (): readonly string[] {
+    if (!this._isEnding) return []
+    const idle = [...this._jobs.values()].filter(state => !state.isHandedOver && !state.isRunning)
+    for (const state of idle) this._jobs.delete(state.job.id)
+    return idle.map(state => state.job.id)
+  }
+
+  /** Nobody is known to want the job: nothing more is made for it, and its results stay until it is released. */
+  detachJob (jobId: string): void {
+    const state = this._jobs.get(jobId)
+    if (state !== undefined) state.isDetached = true
+  }
+
+  /** Leaves a job out without giving its results back: its owner brings them with it again. */
+  forgetJob (jobId: string): void {
+    const state = this._jobs.get(jobId)
+    if (state === undefined) return
+    this._jobs.delete(jobId)
+    this._results.forgetAll(state)
   }
 
   /** An upstream of the request found inputs missing: those that may be gone are made again. */
@@ -132,6 +168,7 @@
   /** Starts the calls that should be made now. */
   startCalls (now: number): readonly PlannedCall[] {
     this._expire(now)
+    if (this._isEnding) return []
     const idle = this._pool.groupIdle(now)
     if (idle.size === 0 || this._jobs.size === 0) return []
     const ready = this._groupReady(idle, now)
@@ -161,9 +198,21 @@
     } else {
       this._settleFailedCall(started, outcome, upstream, now)
     }
+    this._noteMade(started)
     for (const state of new Set(started.pieces.map(piece => piece.state))) this._advance(state, now)
   }
 
+  /** Owners know what lies where, so that their jobs survive this plan. */
+  private _noteMade ({ pieces }: StartedCall): void {
+    const byJob = new Map<string, MadePiece[]>()
+    for (const key of pieces) {
+      const { status, result } = getPiece(key)
+      const { id } = key.state.job
+      if (status === 'made' && result !== undefined && this._holds(key.state) && !key.state.isDone) byJob.set(id, [...byJob.get(id) ?? [], { stage: key.stage, index: key.index, result }])
+    }
+    for (const [jobId, made] of byJob) this._news.push({ kind: 'made', jobId, pieces: made })
+  }
+
   /** What the owners of jobs have to be told since the last time. */
   takeNews (): readonly JobNews[] {
     const news = this._news
@@ -265,7 +314,7 @@
 
   private _listActive (now: number): readonly JobState[] {
     return [...this._jobs.values()]
-      .filter(state => !state.isHandedOver)
+      .filter(state => state.isWanted)
       .map(state => ({ state, score: this._scoreJob(state, now) }))
       .sort((a, b) => a.score - b.score)
       .map(({ state }) => state)
@@ -345,7 +394,7 @@
     if (!this._holds(state) || state.isHandedOver) return
     if (state.pieces.some(stage => stage.some(piece => piece.failures > MAX_PIECE_FAILURES))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
     for (const stage of state.listUsedUpStages()) this._results.freeStage(state, stage)
-    if (!state.isDone) return
+    if (!state.isDone || state.isDetached) return
     state.isHandedOver = true
     const results = state.listFinalResults()
     this._chooseTarget(state, now)
@@ -371,6 +420,7 @@
     if (now - this._forecastAt < FORECAST_PERIOD_MS) return
     this._forecastAt = now
     for (const state of [...this._jobs.values()]) {
+      if (state.isDetached) continue
       if (now >= state.deadlineAt) this._refuse(state, { reason: 'tooLate', retryAfterMs: 0 })
       else if (!state.isHandedOver) this._reopenExpired(state, now)
     }
@@ -392,7 +442,7 @@
   /** When each job would be done, those first that should go first. */
   private _forecast (states: readonly JobState[], capacities: ReadonlyMap<string, RoleCapacity>, now: number): readonly JobForecast[] {
     const entries = states
-      .filter(state => !state.isHandedOver)
+      .filter(state => state.isWanted)
       .map(state => ({ state, remainingMs: this._estimateLeast(state), score: this._scoreOnTime(state, now) }))
       .sort((a, b) => a.score - b.score)
     return forecastJobs(entries, capacities, now)
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -35,7 +35,7 @@
   /** Jobs that wait for news; without any, nothing is asked. */
   openJobs = 0
 
-  private constructor (socket: Socket, private readonly _clock: IClock) {
+  private constructor (readonly address: string, socket: Socket, private readonly _clock: IClock) {
     super()
     this._heardAt = _clock.now()
     this._connection = this._register(new FrameConnection(socket))
@@ -60,7 +60,7 @@
       socket.once('connect', () => {
         clearTimeout(timer)
         socket.off('close', onFail)
-        resolve(new CoordinatorLink(socket, options.clock))
+        resolve(new CoordinatorLink(options.address, socket, options.clock))
       })
     })
   }
@@ -82,7 +82,7 @@
     this._heardAt = this._clock.now()
     checkPreparationMessage(frame).caseOf({
       Left: () => this.close(),
-      Right: message => { if (message.kind === 'prepared' || message.kind === 'refused') this._onDidReceive.fire(message) }
+      Right: message => { if (message.kind === 'prepared' || message.kind === 'refused' || message.kind === 'made' || message.kind === 'moved') this._onDidReceive.fire(message) }
     })
   }
 
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -10,12 +10,12 @@
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { listLastStages } from '../common/preparationJob.ts'
-import type { JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
+import type { CarriedPiece, JobRefusal, MadePiece, PieceResult, PreparationJob } from '../common/preparationJob.ts'
 import { chooseCoordinator, listPlans } from '../common/coordinatorChoice.ts'
 import type { CoordinatorCandidate, PlannedUpstream } from '../common/coordinatorChoice.ts'
 import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
-import type { JobNews } from '../common/plannedCall.ts'
+import type { JobEnd, JobNews } from '../common/plannedCall.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 import { CoordinatorLink } from './coordinatorLink.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
@@ -50,17 +50,34 @@
 /** A job that its coordinator has not settled yet. */
 class OpenJob {
   readonly startedAt: number
-  readonly settle: (news: JobNews) => void
+  readonly settle: (news: JobEnd) => void
   moves = 0
   /** Plans that refused it. */
   refusals = 0
   /** Undefined for this node's own coordinator. */
   link: CoordinatorLink | undefined
+  private readonly _made = new Map<string, HeldPiece>()
 
-  constructor (readonly job: PreparationJob, startedAt: number, settle: (open: OpenJob, news: JobNews) => void) {
+  constructor (readonly job: PreparationJob, startedAt: number, settle: (open: OpenJob, news: JobEnd) => void) {
     this.startedAt = startedAt
     this.settle = news => settle(this, news)
   }
+
+  recordMade (pieces: readonly MadePiece[], now: number): void {
+    for (const piece of pieces) this._made.set(`${piece.stage}/${piece.index}`, { ...piece, madeAt: now })
+  }
+
+  forgetMade (): void {
+    this._made.clear()
+  }
+
+  listCarried (now: number): readonly CarriedPiece[] {
+    return [...this._made.values()].map(({ stage, index, result, madeAt }) => ({ stage, index, result, ageMs: now - madeAt }))
+  }
+}
+
+interface HeldPiece extends MadePiece {
+  readonly madeAt: number
 }
 
 export class PreparationClient extends Disposable implements IPreparationService {
@@ -83,6 +100,16 @@
     return chooseCoordinator(usable, hall) ?? this._options.address
   }
 
+  /** Jobs that this node plans though another one should, which was not known when they came, go there. */
+  moveJobs (): void {
+    if (this._options.hasMembers()) this._options.coordinator.moveJobsOf(hall => this.findCoordinator(hall) !== this._options.address)
+  }
+
+  /** Whether another node could take over this one's plans. */
+  hasOtherCoordinator (): boolean {
+    return this._options.listCoordinators().some(({ address }) => address !== this._options.address)
+  }
+
   prepare (job: PreparationJob, signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>> {
     return this._open(job, this._options.clock.now(), signal, open => {
       if (this._options.hasMembers()) void this._submit(open)
@@ -112,14 +139,18 @@
     const address = this.findCoordinator(hall)
     if (address === this._options.address) {
       open.link = undefined
-      return this._options.coordinator.submit(this._updateTimes(open), hall, news => this._take(open, news))
+      return this._options.coordinator.submit({ job: this._updateTimes(open), hall, carried: this._listCarried(open) }, news => this._take(open, news))
     }
     const link = await this._getLink(address)
     if (this._jobs.get(open.job.id) !== open) return
     if (link === undefined || link.isClosed) return this._move(open)
     open.link = link
     link.openJobs++
-    link.send({ kind: 'job', job: this._updateTimes(open), hall })
+    link.send({ kind: 'job', job: this._updateTimes(open), hall, carried: this._listCarried(open) })
+  }
+
+  private _listCarried (open: OpenJob): readonly CarriedPiece[] {
+    return open.listCarried(this._options.clock.now())
   }
 
   /** Jobs with the same shared parts go to the same plan, which knows where these were read. */
@@ -132,6 +163,10 @@
   /** A plan that has no room or no upstreams may have a neighbour that has. */
   private _take (open: OpenJob, news: JobNews): void {
     if (this._jobs.get(open.job.id) !== open) return
+    if (news.kind === 'made') return open.recordMade(news.pieces, this._options.clock.now())
+    if (news.kind === 'moved') return this._leave(open)
+    // Whoever refuses a job gives its results back.
+    open.forgetMade()
     const mayTryNext = news.kind === 'refused' && open.refusals < MAX_REFUSALS && news.refusal.reason !== 'tooLate'
     if (!mayTryNext) return this._settle(open, news)
     const before = this._choosePlan(open)
@@ -148,6 +183,14 @@
     return { ...job, goalInMs: Math.max(0, job.goalInMs - elapsedMs), deadlineInMs: Math.max(0, job.deadlineInMs - elapsedMs) }
   }
 
+  /** The coordinator ends, and says so: the next one takes the job, and every later one. */
+  private _leave (open: OpenJob): void {
+    const { link } = open
+    this._avoidUntil.set(link?.address ?? this._options.address, this._options.clock.now() + AVOID_MS)
+    if (link !== undefined) link.openJobs--
+    this._move(open)
+  }
+
   private _move (open: OpenJob): void {
     open.moves++
     this._options.log.info('preparation_moved', { request: open.job.id, moves: open.moves })
@@ -155,7 +198,7 @@
     void this._submit(open)
   }
 
-  private _settle (open: OpenJob, news: JobNews): void {
+  private _settle (open: OpenJob, news: JobEnd): void {
     if (this._jobs.get(open.job.id) !== open) return
     this._jobs.delete(open.job.id)
     if (open.link !== undefined) open.link.openJobs--
@@ -195,11 +238,11 @@
     this._options.log.warn('coordinator_lost', { coordinator: address, jobs: this._jobs.size })
   }
 
-  private _createOutcome (open: OpenJob, news: JobNews, signal: AbortSignal): Either<JobRefusal, IPreparedInputs> {
+  private _createOutcome (open: OpenJob, news: JobEnd, signal: AbortSignal): Either<JobRefusal, IPreparedInputs> {
     return news.kind === 'refused' ? Left(news.refusal) : Right(this._createInputs(open, news, signal))
   }
 
-  private _createInputs (open: OpenJob, news: JobNews & { readonly kind: 'prepared' }, signal: AbortSignal): IPreparedInputs {
+  private _createInputs (open: OpenJob, news: JobEnd & { readonly kind: 'prepared' }, signal: AbortSignal): IPreparedInputs {
     const { results, targetId, hall } = news
     let isReleased = false
     let isReported = false
@@ -241,7 +284,7 @@
       if (link !== undefined) {
         link.openJobs++
         link.send({ kind: 'reopen', jobId: job.id })
-      } else if (!this._options.coordinator.reopen(job.id, news => this._settle(again, news))) {
+      } else if (!this._options.coordinator.reopen(job.id, news => this._take(again, news))) {
         this._settle(again, { kind: 'refused', jobId: job.id, refusal: { reason: 'interrupted', retryAfterMs: 0 } })
       }
     })
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -10,8 +10,8 @@
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
-import type { JobNews, PieceCallOutcome, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
-import type { JobRefusal, PreparationJob } from '../common/preparationJob.ts'
+import type { JobEnd, JobNews, PieceCallOutcome, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
+import type { CarriedPiece, JobRefusal, PreparationJob } from '../common/preparationJob.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 
 export interface PreparationCoordinatorOptions {
@@ -22,6 +22,15 @@
   readonly getTable: () => RelayTable | undefined
 }
 
+/** A job as it comes to a coordinator. */
+export interface SubmittedJob {
+  readonly job: PreparationJob
+  /** The hall whose upstreams do it; empty for all. */
+  readonly hall: string
+  /** What an earlier coordinator made. */
+  readonly carried?: readonly CarriedPiece[]
+}
+
 /** Who is told of a job. */
 export type JobListener = (news: JobNews) => void
 
@@ -32,6 +41,8 @@
 /** Results are given back together with what becomes free within this time. */
 const FREE_DELAY_MS = 10
 const BYTES_PER_KB = 1000
+/** A job that went on elsewhere has taken over what lies at its makers within this time. */
+const DETACHED_MS = 1500
 
 /** One plan: all upstreams, or those of one hall. */
 class Shard {
@@ -51,6 +62,7 @@
 /** A job that its owner has not let go of. */
 class HeldJob {
   isReleased = false
+  isDetached = false
   isReported = false
 
   constructor (readonly shard: Shard) {}
@@ -59,9 +71,12 @@
 export class PreparationCoordinator extends Disposable {
   private readonly _options: PreparationCoordinatorOptions
   private readonly _shards = new Map<string, Shard>()
+  /** Plans whose jobs go elsewhere as soon as nothing is being made for them. */
+  private readonly _endingShards = new Set<Shard>()
   private readonly _listeners = new Map<string, JobListener>()
   private readonly _jobs = new Map<string, HeldJob>()
   private _sweep: IDisposable | undefined
+  private _isEnding = false
 
   constructor (options: PreparationCoordinatorOptions) {
     super()
@@ -88,11 +103,15 @@
   }
 
   /** Takes a job into the plan of a hall; the empty hall stands for all of them. */
-  submit (job: PreparationJob, hall: string, listener: JobListener): void {
+  submit ({ job, hall, carried = [] }: SubmittedJob, listener: JobListener): void {
+    if (this._isEnding) return listener({ kind: 'moved', jobId: job.id })
     const shard = this._getShard(hall)
-    const refusal = shard.planner.addJob(job, this._options.clock.now())
+    if (carried.length > 0) this._options.log.info('preparation_carried', { request: job.id, hall, pieces: carried.length })
+    if (this._jobs.get(job.id)?.isDetached === true) this._forgetDetached(job.id)
+    const refusal = shard.planner.addJob(job, this._options.clock.now(), carried)
     if (refusal !== undefined) {
       this._noteRefused(job.id, refusal, shard)
+      this._scheduleFrees(shard)
       return listener({ kind: 'refused', jobId: job.id, refusal })
     }
     this._listeners.set(job.id, listener)
@@ -101,6 +120,29 @@
     this._scheduleSweep()
   }
 
+  /** Jobs go to the next coordinator, with their results, as soon as nothing is being made for them. */
+  moveJobs (): void {
+    this._isEnding = true
+    for (const shard of this._shards.values()) this._endShard(shard)
+  }
+
+  /**
+   * Ends the plans that another coordinator should keep. Nodes that start together plan alone for a moment; two plans
+   * fill the same room, and each takes the other's results for free room.
+   */
+  moveJobsOf (isElsewhere: (hall: string) => boolean): void {
+    for (const shard of [...this._shards.values()]) if (shard.planner.jobCount > 0 && isElsewhere(shard.hall)) this._endShard(shard)
+  }
+
+  /** Jobs that still come for the hall start a new plan. */
+  private _endShard (shard: Shard): void {
+    this._options.log.info('plan_ending', { hall: shard.hall, jobs: shard.planner.jobCount })
+    this._shards.delete(shard.hall)
+    this._endingShards.add(shard)
+    shard.planner.end()
+    this._deliver(shard)
+  }
+
   /** Gives results back. */
   release (jobId: string): void {
     const held = this._jobs.get(jobId)
@@ -113,6 +155,29 @@
     this._forget(jobId, held)
   }
 
+  /**
+   * The link to a job's owner broke. If the owner is gone, the results are of no use; if only the link is, another
+   * coordinator may be going on from them. Nothing more is made, and they are given back when they must have been used.
+   */
+  detach (jobId: string): void {
+    const held = this._jobs.get(jobId)
+    if (held === undefined || held.isDetached) return
+    held.isDetached = true
+    this._listeners.delete(jobId)
+    held.shard.planner.detachJob(jobId)
+    this._options.clock.schedule(DETACHED_MS, () => {
+      if (this._isDisposed || this._jobs.get(jobId) !== held) return
+      this.release(jobId)
+      this.report(jobId, { outcome: 'unused', producedMs: 0 })
+    })
+  }
+
+  /** The owner is back, and knows which results it has. */
+  private _forgetDetached (jobId: string): void {
+    this._jobs.get(jobId)?.shard.planner.forgetJob(jobId)
+    this._jobs.delete(jobId)
+  }
+
   /** Takes in how a request fared at the upstream that was chosen for it. */
   report (jobId: string, report: TargetReport): void {
     const held = this._jobs.get(jobId)
@@ -172,7 +237,8 @@
     this._sweep = this._options.clock.schedule(SWEEP_PERIOD_MS, () => {
       this._sweep = undefined
       if (this._isDisposed) return
-      const busy = [...this._shards.values()].filter(shard => shard.planner.jobCount > 0)
+      for (const shard of this._endingShards) if (shard.planner.jobCount === 0) this._endingShards.delete(shard)
+      const busy = [...this._shards.values(), ...this._endingShards].filter(shard => shard.planner.jobCount > 0)
       for (const shard of busy) this._dispatch(shard)
       if (busy.length > 0) this._scheduleSweep()
     })
@@ -223,7 +289,14 @@
     })
   }
 
-  private _notePrepared ({ jobId, targetId, times }: JobNews & { readonly kind: 'prepared' }): void {
+  private _moveAway (jobId: string): void {
+    const listener = this._listeners.get(jobId)
+    this._listeners.delete(jobId)
+    this._jobs.delete(jobId)
+    listener?.({ kind: 'moved', jobId })
+  }
+
+  private _notePrepared ({ jobId, targetId, times }: JobEnd & { readonly kind: 'prepared' }): void {
     const { queuedMs, madeMs, betweenMs } = times
     this._options.log.info('preparation_done', { request: jobId, target: targetId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
   }
@@ -231,11 +304,12 @@
   private _deliver (shard: Shard): void {
     for (const news of shard.planner.takeNews()) {
       const listener = this._listeners.get(news.jobId)
-      this._listeners.delete(news.jobId)
+      if (news.kind !== 'made') this._listeners.delete(news.jobId)
       if (news.kind === 'refused') this._noteRefused(news.jobId, news.refusal, shard)
-      else this._notePrepared(news)
+      else if (news.kind === 'prepared') this._notePrepared(news)
       listener?.(news)
     }
+    for (const jobId of shard.planner.takeIdleJobs()) this._moveAway(jobId)
   }
 
   private _noteRefused (jobId: string, refusal: JobRefusal, shard: Shard): void {
@@ -262,7 +336,7 @@
   }
 
   private _takeChange ({ kind, entry }: UpstreamChange): void {
-    for (const shard of this._shards.values()) {
+    for (const shard of [...this._shards.values(), ...this._endingShards]) {
       if (kind === 'dropped') shard.planner.dropUpstream(entry.id)
       else this._setUpstream(shard, entry)
     }
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -7,11 +7,8 @@
 import { FrameServer } from '../../rpc/node/frameServer.ts'
 import { checkPreparationMessage } from '../common/preparationMessage.ts'
 import type { PreparationMessage } from '../common/preparationMessage.ts'
-import type { TargetReport } from '../common/targetPlanner.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
 
-const UNUSED: TargetReport = { outcome: 'unused', producedMs: 0 }
-
 export class PreparationServer extends Disposable {
   private readonly _server = this._register(new FrameServer(connection => this._accept(connection)))
 
@@ -35,13 +32,7 @@
         Right: message => this._take(connection, jobs, message)
       })
     })
-    // An owner that is gone needs nothing; its callers are gone with it.
-    connection.onDidClose(() => {
-      for (const jobId of jobs) {
-        this._coordinator.release(jobId)
-        this._coordinator.report(jobId, UNUSED)
-      }
-    })
+    connection.onDidClose(() => { for (const jobId of jobs) this._coordinator.detach(jobId) })
   }
 
   private _take (connection: FrameConnection, jobs: Set<string>, message: PreparationMessage): void {
@@ -50,8 +41,8 @@
       send({ kind: 'pong' })
     } else if (message.kind === 'job') {
       jobs.add(message.job.id)
-      this._coordinator.submit(message.job, message.hall, news => {
-        if (news.kind === 'refused') jobs.delete(news.jobId)
+      this._coordinator.submit({ job: message.job, hall: message.hall, carried: message.carried }, news => {
+        if (news.kind === 'refused' || news.kind === 'moved') jobs.delete(news.jobId)
         send(news)
       })
     } else if (message.kind === 'release') {
--- a/src/services/preparation/test/fakes.ts
+++ b/src/services/preparation/test/fakes.ts
@@ -4,7 +4,7 @@
 import type { JobStage, PreparationJob } from '../common/preparationJob.ts'
 import type { PieceWorkSpec } from '../common/pieceUpstream.ts'
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
-import type { PieceCallOutcome, PlannedCall } from '../common/plannedCall.ts'
+import type { JobEnd, PieceCallOutcome, PlannedCall } from '../common/plannedCall.ts'
 import type { TargetCandidate } from '../common/targetPlanner.ts'
 
 export const WORK: PieceWorkSpec = { concurrentCalls: 1, maxPiecesPerCall: 4, callMs: 100, pieceMs: 10, resultRoomBytes: 1000, resultLifetimeMs: 4000 }
@@ -66,3 +66,8 @@
   }
   return now
 }
+
+/** How jobs ended since the last time. */
+export function takeEnds (planner: PreparationPlanner): readonly JobEnd[] {
+  return planner.takeNews().flatMap(news => news.kind === 'prepared' || news.kind === 'refused' ? [news] : [])
+}
