--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -32,6 +32,7 @@
 import type { CallerProtocol, UpstreamProtocol } from '../services/relay/common/relayProtocol.ts'
 import { RelayPool } from '../services/relay/common/relayPool.ts'
 import { AffinityRouter } from '../services/relay/common/relayRouter.ts'
+import { estimateReadyMs } from '../services/relay/common/readyForecast.ts'
 import { RelayTable } from '../services/relay/common/relayTable.ts'
 import { RelayServer } from '../services/relay/node/relayServer.ts'
 import type { EndedRequest } from '../services/relay/node/relayServer.ts'
@@ -113,6 +114,7 @@
   private _reportedAt = -Infinity
   private _isDraining = false
   private _isCatchingUp = false
+  private readonly _startedAt: number
   private _isMoving = false
 
   constructor (options: EntryNodeOptions) {
@@ -120,6 +122,7 @@
     this._options = options
     this._settings = options.settings
     const { clock, log, random, settings } = options
+    this._startedAt = clock.now()
     this._pause = new PauseGuard(clock)
     this._recent = new DecayingCount(clock, LOAD_MEMORY_MS)
     this._member = this._register(new FleetMember({
@@ -167,7 +170,8 @@
       callerProtocol: options.callerProtocol,
       getTable,
       describeConfiguration: () => this._describeConfiguration(),
-      findObstacle: () => this._findObstacle()
+      findObstacle: () => this._findObstacle(),
+      estimateObstacleMs: () => estimateReadyMs({ isOutage: this._member.isReady && this._table === undefined, sinceMs: clock.now() - this._startedAt })
     }))
     this._metrics = new NodeMetrics({
       countOpen: () => this._relay.openCount,
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -30,6 +30,8 @@
   readonly describeConfiguration: () => string
   /** Why no request may be taken now. */
   readonly findObstacle: () => PepperwoodError | undefined
+  /** How long it may take until that is over, in milliseconds. */
+  readonly estimateObstacleMs: () => number
 }
 
 /** A request that ended, for logs and metrics. */
@@ -168,7 +170,7 @@
     const obstacle = this._options.findObstacle()
     const table = this._options.getTable()
     if (this._isRefusing) return Left({ error: new PepperwoodError({ name: 'gateDraining', message: 'this node is stopping' }), isNotRun: true, retryAfterMs: ELSEWHERE_RETRY_MS })
-    if (obstacle !== undefined) return Left({ error: obstacle, isNotRun: true, retryAfterMs: NOT_READY_RETRY_MS })
+    if (obstacle !== undefined) return Left({ error: obstacle, isNotRun: true, retryAfterMs: this._options.estimateObstacleMs() })
     if (table === undefined) return Left(createRefusal('gateNotReady', 'no configuration is known yet', true))
     const route = table.findRoute(request.host, getPath(request.target))
     if (route === undefined) return Left(createRefusal('routeUnknown', 'no route has this host and path', false, request.host))
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -176,7 +176,8 @@
       callerProtocol: new FakeCallerProtocol(),
       getTable: () => table,
       describeConfiguration: () => '1.7 for 20 ms',
-      findObstacle: () => undefined
+      findObstacle: () => undefined,
+      estimateObstacleMs: () => 250
     }))
     this.server.onDidEnd(ended => this.ended.push(ended))
   }
