Carry what is known of prompts to the next planner

Change: owners note where their prompts were sent and tell a coordinator that they reach anew. PrefixBook keeps nested beginnings, so the time to a first event counts a shorter one that is kept.

--- a/src/load/lab/labRun.ts
+++ b/src/load/lab/labRun.ts
@@ -130,7 +130,7 @@
       // A caller that comes back asks anew; nothing tells when it asked first.
       goalInMs: Math.max(0, kind.goalMs - waitedMs),
       deadlineInMs: Math.max(0, request.sentAt + kind.deadlineMs - now),
-      request: { role: 'model', prefix: '', sharedTokens: 0, inputTokens: 0 },
+      request: { role: 'model', shared: [], inputTokens: 0 },
       stages: kind.stages.map((stage, index) => ({
         role: stage.role,
         after: stage.after.filter(before => (counts[before] ?? 0) > 0),
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -1,6 +1,7 @@
 /**
  * Work that has to be done before a request can run: stages of pieces, some of which need the results of others.
  */
+import type { SharedPrefix } from './prefixBook.ts'
 
 export interface JobStage {
   readonly role: string
@@ -15,9 +16,8 @@
 export interface RequestShape {
   /** The role of the upstreams that can run it. */
   readonly role: string
-  /** Tells apart prompts with other shared parts; empty where nothing is shared. */
-  readonly prefix: string
-  readonly sharedTokens: number
+  /** Beginnings that other prompts have as well, the shortest first. */
+  readonly shared: readonly SharedPrefix[]
   readonly inputTokens: number
 }
 
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -12,6 +12,9 @@
 
 const MAX_STAGES = 64
 const MAX_PIECES = 10_000
+const MAX_PREFIX_PARTS = 64
+/** The most notes on prefixes that one message holds. */
+export const MAX_PREFIX_NOTES = 400
 
 const StageSchema = Schema.Struct({
   role: Id,
@@ -20,11 +23,13 @@
   resultBytes: Span
 })
 
+const SharedSchema = Schema.Array(Schema.Struct({ key: Schema.String.pipe(Schema.maxLength(4096)), tokens: Count })).pipe(Schema.maxItems(MAX_PREFIX_PARTS))
+
 const JobSchema = Schema.Struct({
   id: Id,
   key: Schema.String.pipe(Schema.maxLength(4096)),
   stages: Schema.Array(StageSchema).pipe(Schema.maxItems(MAX_STAGES)),
-  request: Schema.Struct({ role: Id, prefix: Schema.String.pipe(Schema.maxLength(4096)), sharedTokens: Count, inputTokens: Count }),
+  request: Schema.Struct({ role: Id, shared: SharedSchema, inputTokens: Count }),
   rank: Count,
   goalInMs: Span,
   deadlineInMs: Span
@@ -72,6 +77,12 @@
     jobId: Id,
     refusal: Schema.Struct({ reason: Schema.Literal('overloaded', 'tooLate', 'noUpstream', 'interrupted'), retryAfterMs: Span })
   }),
+  /** What the owner knows of the upstreams that read its prompts, for a coordinator that may be new. */
+  Schema.Struct({
+    kind: Schema.Literal('prefixes'),
+    hall: Schema.String.pipe(Schema.maxLength(256)),
+    notes: Schema.Array(Schema.Struct({ shared: SharedSchema, targetId: Id, ageMs: Span })).pipe(Schema.maxItems(MAX_PREFIX_NOTES))
+  }),
   /** Asks whether the other side lives. */
   Schema.Struct({ kind: Schema.Literal('ping') }),
   Schema.Struct({ kind: Schema.Literal('pong') })
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -16,6 +16,7 @@
 import { computeBatchSize, createPlannedPiece, getPiece, listWaiting, takeBatch } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall, sumBytesByHall } from './resultHalls.ts'
+import type { PrefixNote } from './prefixBook.ts'
 import { TargetPlanner } from './targetPlanner.ts'
 import type { TargetCandidate, TargetReport } from './targetPlanner.ts'
 
@@ -111,6 +112,11 @@
     return undefined
   }
 
+  /** Takes in what owners know of the prompts that upstreams have read. */
+  addPrefixes (notes: readonly PrefixNote[], now: number): void {
+    this._targets.addPrefixes(notes, now)
+  }
+
   /** Takes in how a request fared at its target. */
   reportTarget (jobId: string, report: TargetReport, now: number): void {
     this._targets.settle(jobId, report, now)
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -5,6 +5,8 @@
 import { hashText } from '../../../base/common/rendezvous.ts'
 import { EjectingTracker } from '../../health/common/healthTracker.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
+import { PrefixBook } from './prefixBook.ts'
+import type { PrefixNote } from './prefixBook.ts'
 import type { RequestShape } from './preparationJob.ts'
 
 export interface TargetCandidate {
@@ -45,13 +47,10 @@
 /** Reading for this long costs as much as moving a megabyte of results to another hall. */
 const MOVE_MS_PER_MB = 5
 const BYTES_PER_MB = 1e6
-/** What was read so long ago and not used since has probably given way. */
-const KEPT_MS = 60_000
 /** A prompt that no one is known to have read is most likely kept by the upstream that every coordinator would choose first. */
 const GUESSED_SHARE = 0.5
 /** Reading shared parts again takes time and memory from other requests as well. */
 const READ_AGAIN_WEIGHT = 3
-const MAX_PREFIXES = 5000
 /** A request that hears nothing for so many times what was expected, and some more, is overdue. */
 const OVERDUE_FACTOR = 3
 const OVERDUE_EXTRA_MS = 600
@@ -79,15 +78,14 @@
 export class TargetPlanner {
   private readonly _targets = new Map<string, TargetState>()
   private readonly _assignments = new Map<string, Assignment>()
-  /** When each target was last sent a prompt with the prefix. */
-  private readonly _prefixes = new Map<string, Map<string, number>>()
+  private readonly _prefixes = new PrefixBook()
 
   /** The best target; undefined when there is none. */
   choose (question: TargetQuestion, now: number): TargetChoice | undefined {
     const { shape, candidates } = question
     const healthy = candidates.filter(candidate => this._isUsable(this._getTarget(candidate.id), now))
     const usable = healthy.length * 2 >= candidates.length ? healthy : candidates
-    const favourite = findFavourite(shape.prefix, usable)
+    const favourite = findFavourite(shape.shared.at(-1)?.key ?? '', usable)
     let best: TargetChoice | undefined
     let bestScore = Infinity
     for (const candidate of usable) {
@@ -110,7 +108,7 @@
     this._assignments.set(jobId, assignment)
     target.pendingTokens += tokens
     target.waiting.add(assignment)
-    if (shape.prefix !== '') this._notePrefix(shape.prefix, targetId, now)
+    this._prefixes.add(shape.shared, targetId, now)
   }
 
   /** The request has shown its first event, or will show none. */
@@ -129,7 +127,12 @@
 
   drop (targetId: string): void {
     this._targets.delete(targetId)
-    for (const kept of this._prefixes.values()) kept.delete(targetId)
+    this._prefixes.drop(targetId)
+  }
+
+  /** Takes in what others know. */
+  addPrefixes (notes: readonly PrefixNote[], now: number): void {
+    for (const { shared, targetId, ageMs } of notes) this._prefixes.add(shared, targetId, now - ageMs)
   }
 
   describe (): readonly object[] {
@@ -152,28 +155,19 @@
 
   /** What the choice costs the fleet beyond the time of this request. */
   private _scoreWork ({ shape, bytesByHall }: TargetQuestion, candidate: TargetCandidate, favourite: string, now: number): number {
-    const isKnown = this._prefixes.has(shape.prefix)
-    const isGuess = candidate.id === favourite && !isKnown
-    const isReadAgain = isKnown && this._countUnread(shape, candidate.id, now) === shape.inputTokens
-    const again = isReadAgain ? READ_AGAIN_WEIGHT : isGuess ? -GUESSED_SHARE : 0
+    const longest = shape.shared.slice(-1)
+    const sharedTokens = longest[0]?.tokens ?? 0
+    const isKnown = this._prefixes.isKnown(longest)
+    const againTokens = isKnown ? sharedTokens - this._prefixes.countKept(longest, candidate.id, now) : 0
+    const guessedTokens = candidate.id === favourite && !isKnown ? sharedTokens : 0
+    const workTokens = againTokens * READ_AGAIN_WEIGHT - guessedTokens * GUESSED_SHARE
     let movedBytes = 0
     for (const [hall, bytes] of bytesByHall) if (hall !== candidate.hall) movedBytes += bytes
-    return again * shape.sharedTokens * FIRST_MS_PER_TOKEN + movedBytes / BYTES_PER_MB * MOVE_MS_PER_MB
+    return workTokens * FIRST_MS_PER_TOKEN + movedBytes / BYTES_PER_MB * MOVE_MS_PER_MB
   }
 
   private _countUnread (shape: RequestShape, targetId: string, now: number): number {
-    const readAt = this._prefixes.get(shape.prefix)?.get(targetId)
-    const isKept = readAt !== undefined && now - readAt < KEPT_MS
-    return Math.max(0, shape.inputTokens - (isKept ? shape.sharedTokens : 0))
-  }
-
-  private _notePrefix (prefix: string, targetId: string, now: number): void {
-    const kept = this._prefixes.get(prefix) ?? new Map<string, number>()
-    // The prefix moves to the end, so that the first one is the one unused for longest.
-    this._prefixes.delete(prefix)
-    this._prefixes.set(prefix, kept)
-    kept.set(targetId, now)
-    if (this._prefixes.size > MAX_PREFIXES) for (const oldest of [...this._prefixes.keys()].slice(0, 1)) this._prefixes.delete(oldest)
+    return Math.max(0, shape.inputTokens - this._prefixes.countKept(shape.shared, targetId, now))
   }
 
   private _withdraw (jobId: string): Assignment | undefined {
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -32,6 +32,7 @@
   private readonly _connection: FrameConnection
   private _heardAt: number
   private _isClosed = false
+  private readonly _toldHalls = new Set<string>()
   /** Jobs that wait for news; without any, nothing is asked. */
   openJobs = 0
 
@@ -65,6 +66,13 @@
     })
   }
 
+  /** Once for each hall: a coordinator that is reached anew may have begun to plan. */
+  mayTellPrefixes (hall: string): boolean {
+    const isNew = !this._toldHalls.has(hall)
+    this._toldHalls.add(hall)
+    return isNew
+  }
+
   get isClosed (): boolean {
     return this._isClosed
   }
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -14,6 +14,8 @@
 import { chooseCoordinator, listPlans } from '../common/coordinatorChoice.ts'
 import type { CoordinatorCandidate, PlannedUpstream } from '../common/coordinatorChoice.ts'
 import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
+import { MAX_PREFIX_NOTES } from '../common/preparationMessage.ts'
+import { PrefixBook } from '../common/prefixBook.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobEnd, JobNews } from '../common/plannedCall.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
@@ -84,6 +86,7 @@
   private readonly _options: PreparationClientOptions
   private readonly _jobs = new Map<string, OpenJob>()
   private readonly _links = new Map<string, Promise<CoordinatorLink | undefined>>()
+  private readonly _prefixes = new PrefixBook()
   private readonly _avoidUntil = new Map<string, number>()
 
   constructor (options: PreparationClientOptions) {
@@ -139,6 +142,7 @@
     const address = this.findCoordinator(hall)
     if (address === this._options.address) {
       open.link = undefined
+      this._pushPrefixes(hall)
       return this._options.coordinator.submit({ job: this._updateTimes(open), hall, carried: this._listCarried(open) }, news => this._take(open, news))
     }
     const link = await this._getLink(address)
@@ -146,17 +150,24 @@
     if (link === undefined || link.isClosed) return this._move(open)
     open.link = link
     link.openJobs++
+    if (link.mayTellPrefixes(hall)) link.send({ kind: 'prefixes', hall, notes: this._prefixes.list(MAX_PREFIX_NOTES, this._options.clock.now()) })
     link.send({ kind: 'job', job: this._updateTimes(open), hall, carried: this._listCarried(open) })
   }
 
+  /** When this node begins to plan for a hall, it knows what its own prompts were sent to. */
+  private _pushPrefixes (hall: string): void {
+    if (this._options.coordinator.hasPlan(hall)) return
+    this._options.coordinator.addPrefixes(hall, this._prefixes.list(MAX_PREFIX_NOTES, this._options.clock.now()))
+  }
+
   private _listCarried (open: OpenJob): readonly CarriedPiece[] {
     return open.listCarried(this._options.clock.now())
   }
 
   /** Jobs with the same shared parts go to the same plan, which knows where these were read. */
   private _choosePlan (open: OpenJob): string {
-    const { prefix } = open.job.request
-    const plans = listPlans(this._options.listPieceUpstreams(), prefix === '' ? open.job.id : prefix)
+    const longest = open.job.request.shared.at(-1)
+    const plans = listPlans(this._options.listPieceUpstreams(), longest?.key ?? open.job.id)
     return plans[Math.min(open.refusals, plans.length - 1)] ?? ''
   }
 
@@ -244,6 +255,7 @@
 
   private _createInputs (open: OpenJob, news: JobEnd & { readonly kind: 'prepared' }, signal: AbortSignal): IPreparedInputs {
     const { results, targetId, hall } = news
+    if (targetId !== '') this._prefixes.add(open.job.request.shared, targetId, this._options.clock.now())
     let isReleased = false
     let isReported = false
     return {
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -12,6 +12,7 @@
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
 import type { JobEnd, JobNews, PieceCallOutcome, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
 import type { CarriedPiece, JobRefusal, PreparationJob } from '../common/preparationJob.ts'
+import type { PrefixNote } from '../common/prefixBook.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 
 export interface PreparationCoordinatorOptions {
@@ -92,6 +93,11 @@
     return this._jobs.size
   }
 
+  /** Whether this coordinator plans for a hall already. */
+  hasPlan (hall: string): boolean {
+    return this._shards.has(hall)
+  }
+
   /** Whether a job is known here. */
   holds (jobId: string): boolean {
     return this._jobs.has(jobId)
@@ -178,6 +184,11 @@
     this._jobs.delete(jobId)
   }
 
+  /** Takes in what an owner knows of the prompts that upstreams have read. */
+  addPrefixes (hall: string, notes: readonly PrefixNote[]): void {
+    this._getShard(hall).planner.addPrefixes(notes, this._options.clock.now())
+  }
+
   /** Takes in how a request fared at the upstream that was chosen for it. */
   report (jobId: string, report: TargetReport): void {
     const held = this._jobs.get(jobId)
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -45,6 +45,8 @@
         if (news.kind === 'refused' || news.kind === 'moved') jobs.delete(news.jobId)
         send(news)
       })
+    } else if (message.kind === 'prefixes') {
+      this._coordinator.addPrefixes(message.hall, message.notes)
     } else if (message.kind === 'release') {
       this._coordinator.release(message.jobId)
       if (!this._coordinator.holds(message.jobId)) jobs.delete(message.jobId)
--- a/src/services/preparation/test/fakes.ts
+++ b/src/services/preparation/test/fakes.ts
@@ -18,7 +18,7 @@
     id,
     key: `key of ${id}`,
     stages,
-    request: { role: 'model', prefix: '', sharedTokens: 0, inputTokens: 0 },
+    request: { role: 'model', shared: [], inputTokens: 0 },
     rank: 0,
     goalInMs: 1000,
     deadlineInMs: 8000,
--- /dev/null
+++ b/src/services/preparation/test/prefixBook.test.ts
@@ -0,0 +1,37 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { PrefixBook } from '../common/prefixBook.ts'
+
+const test = suite('prefixBook')
+
+const COMMON = { key: 'system', tokens: 100 }
+const SHARED = [COMMON, { key: 'system/topic', tokens: 300 }]
+
+test('the longest beginning that an upstream keeps counts', () => {
+  const book = new PrefixBook()
+  book.add(SHARED, 'a', 0)
+  assert.is(book.countKept(SHARED, 'a', 10), 300)
+  assert.is(book.countKept([COMMON, { key: 'system/other', tokens: 500 }], 'a', 10), 100)
+  assert.is(book.countKept(SHARED, 'b', 10), 0)
+})
+
+test('what an upstream kept is forgotten with it, and after a minute', () => {
+  const book = new PrefixBook()
+  book.add(SHARED, 'a', 0)
+  assert.is(book.countKept(SHARED, 'a', 60_000), 0)
+  book.drop('a')
+  assert.is(book.countKept(SHARED, 'a', 10), 0)
+  assert.not(book.isKnown(SHARED))
+})
+
+test('another book goes on from its notes, and an older note does not hide a newer one', () => {
+  const book = new PrefixBook()
+  book.add(SHARED, 'a', 1000)
+  const other = new PrefixBook()
+  other.add(SHARED, 'a', 59_000)
+  for (const { shared, targetId, ageMs } of book.list(10, 31_000)) other.add(shared, targetId, 61_000 - ageMs)
+  assert.is(other.countKept(SHARED, 'a', 110_000), 300)
+  assert.equal(book.list(1, 31_000), [{ shared: SHARED, targetId: 'a', ageMs: 30_000 }])
+})
+
+test.run()
--- a/src/services/preparation/test/targetPlanner.test.ts
+++ b/src/services/preparation/test/targetPlanner.test.ts
@@ -6,7 +6,11 @@
 
 const test = suite('targetPlanner')
 
-const shape = { role: 'm', prefix: 'p', sharedTokens: 12_000, inputTokens: 15_000 }
+const shape = createShape('p')
+function createShape (key: string) {
+  return { role: 'm', shared: [{ key, tokens: 12_000 }], inputTokens: 15_000 }
+}
+
 const candidates = [{ id: 'a', hall: 'h1' }, { id: 'b', hall: 'h2' }, { id: 'c', hall: 'h3' }]
 
 function ask (options: Partial<TargetQuestion> = {}): TargetQuestion {
@@ -24,20 +28,20 @@
 test('it goes elsewhere when that upstream has more to read than the shared parts', () => {
   const planner = new TargetPlanner()
   planner.assign('x', shape, 'b', 0)
-  for (let index = 0; index < 4; index++) planner.assign(`y${index}`, { ...shape, prefix: `q${index}` }, 'b', 0)
+  for (let index = 0; index < 4; index++) planner.assign(`y${index}`, createShape(`q${index}`), 'b', 0)
   assert.is.not(planner.choose(ask(), 400)?.id, 'b')
 })
 
 test('two coordinators that know nothing choose the same upstream for a prompt', () => {
   for (const prefix of ['p', 'q', 'r', 's']) {
-    const question = ask({ shape: { ...shape, prefix } })
+    const question = ask({ shape: createShape(prefix) })
     assert.is(new TargetPlanner().choose(question, 0)?.id, new TargetPlanner().choose(question, 5000)?.id)
   }
 })
 
 test('large results draw a request that shares nothing into their hall', () => {
   const planner = new TargetPlanner()
-  const small = { ...shape, prefix: '', sharedTokens: 0, inputTokens: 1000 }
+  const small = { ...shape, shared: [], inputTokens: 1000 }
   assert.is(planner.choose(ask({ shape: small, bytesByHall: new Map([['h3', 6e6]]) }), 0)?.id, 'c')
 })
 
@@ -66,7 +70,7 @@
 
 test('a slow upstream is measured as such, and a failing one is left out', () => {
   const planner = new TargetPlanner()
-  const unshared = { ...shape, prefix: '', sharedTokens: 0 }
+  const unshared = { ...shape, shared: [] }
   for (let index = 0; index < 10; index++) {
     planner.assign(`a${index}`, unshared, 'a', 0)
     planner.settle(`a${index}`, { outcome: 'produced', producedMs: 2500 }, 0)
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -3,7 +3,7 @@
  */
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
-import { countSharedTokens, getSharedPrefix } from './relayRequest.ts'
+import { listSharedPrefixes } from './relayRequest.ts'
 import type { RelayRequest } from './relayRequest.ts'
 
 export interface PreparationNeedInputs {
@@ -31,8 +31,7 @@
   const { prompt } = request
   const shape = {
     role,
-    prefix: prompt === undefined ? '' : getSharedPrefix(prompt),
-    sharedTokens: prompt === undefined ? 0 : countSharedTokens(prompt),
+    shared: prompt === undefined ? [] : listSharedPrefixes(prompt),
     inputTokens: prompt?.inputTokens ?? 0
   }
   return { id: request.id, key: need.key, stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs }
--- a/src/services/relay/common/relayRequest.ts
+++ b/src/services/relay/common/relayRequest.ts
@@ -1,6 +1,7 @@
 /**
  * A caller's HTTP request as the relay sees it, with the names of the wire taken off.
  */
+import type { SharedPrefix } from '../../preparation/common/prefixBook.ts'
 
 /** A header that is passed on as it is. */
 export interface HeaderField {
@@ -59,6 +60,14 @@
   return prompt.parts.slice(0, -1).map(part => part.id).join('/')
 }
 
+/** Beginnings of the prompt that other requests can have too, the shortest first. */
+export function listSharedPrefixes (prompt: PromptShape): readonly SharedPrefix[] {
+  return prompt.parts.slice(0, -1).map((_, index, shared) => {
+    const parts = shared.slice(0, index + 1)
+    return { key: parts.map(part => part.id).join('/'), tokens: parts.reduce((sum, part) => sum + part.tokens, 0) }
+  })
+}
+
 /** Tokens of the parts that other requests can have too. */
 export function countSharedTokens (prompt: PromptShape): number {
   return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
