Take shared parts of prompts from an upstream that keeps them

Change: where the configuration tells the size of a token and the speed of the links, the target takes what it lacks from the upstream that keeps most of it; the choice of a target counts that at its own cost.

--- a/src/load/lab/labRun.ts
+++ b/src/load/lab/labRun.ts
@@ -77,7 +77,7 @@
 
   private _createPlanner (): PreparationPlanner {
     const halls = [...new Set(this._deployment.upstreams.map(upstream => upstream.hall))]
-    const planner = new PreparationPlanner(() => halls.flatMap(hall => [{ id: `model-${hall}-0`, hall }, { id: `model-${hall}-1`, hall }]))
+    const planner = new PreparationPlanner(() => halls.flatMap(hall => [{ id: `model-${hall}-0`, hall, msPerMovedToken: Infinity }, { id: `model-${hall}-1`, hall, msPerMovedToken: Infinity }]))
     for (const upstream of this._deployment.upstreams) planner.setUpstream(upstream)
     return planner
   }
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -39,6 +39,8 @@
   /** The upstream that should take the request, and its hall; empty when there is none. */
   targetId = ''
   targetHall = ''
+  /** The upstream that the target should take the beginning of the prompt from; empty when there is none. */
+  prefixSourceId = ''
   /** The hall in which the pieces that need each other's results are made. */
   chainHall = ''
   /** What the request is expected to take at the target until its first event. */
--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -49,7 +49,7 @@
 
 /** How a job ends. */
 export type JobEnd =
-  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly hall: string, readonly times: JobTimes }
+  | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly prefixSourceId: string, readonly hall: string, readonly times: JobTimes }
   | { readonly kind: 'refused', readonly jobId: string, readonly refusal: JobRefusal }
 
 /** Results to be given back at one upstream. */
--- a/src/services/preparation/common/prefixBook.ts
+++ b/src/services/preparation/common/prefixBook.ts
@@ -18,6 +18,12 @@
   readonly ageMs: number
 }
 
+/** An upstream and the tokens that it keeps of a prompt. */
+export interface PrefixKeeper {
+  readonly id: string
+  readonly tokens: number
+}
+
 interface HeldNote {
   readonly shared: readonly SharedPrefix[]
   readonly readAt: Map<string, number>
@@ -47,6 +53,16 @@
     return this._countLongest(shared, key => now - (this._notes.get(key)?.readAt.get(targetId) ?? -Infinity) < KEPT_MS)
   }
 
+  /** The other upstream that keeps most, of those that may be asked. */
+  findKeeper (shared: readonly SharedPrefix[], candidateIds: ReadonlySet<string>, now: number): PrefixKeeper | undefined {
+    for (let index = shared.length - 1; index >= 0; index--) {
+      const prefix = shared[index]
+      if (prefix === undefined) continue
+      for (const [id, readAt] of this._notes.get(prefix.key)?.readAt ?? []) if (candidateIds.has(id) && now - readAt < KEPT_MS) return { id, tokens: prefix.tokens }
+    }
+    return undefined
+  }
+
   /** Whether any upstream was sent one of the beginnings. */
   isKnown (shared: readonly SharedPrefix[]): boolean {
     return shared.some(({ key }) => (this._notes.get(key)?.readAt.size ?? 0) > 0)
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -68,6 +68,8 @@
     results: Schema.Array(ResultSchema),
     /** The upstream that should take the request; empty when there is none. */
     targetId: Schema.String,
+    /** The upstream that the target should take the beginning of the prompt from; empty when there is none. */
+    prefixSourceId: Schema.String,
     hall: Schema.String,
     times: Schema.Struct({ queuedMs: Span, madeMs: Span, betweenMs: Span })
   }),
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -404,7 +404,7 @@
     state.isHandedOver = true
     const results = state.listFinalResults()
     this._chooseTarget(state, now)
-    this._news.push({ kind: 'prepared', jobId: state.job.id, results, targetId: state.targetId, hall: findMainHall(results, id => this._upstreams.get(id)?.hall), times: state.clock.measure(now) })
+    this._news.push({ kind: 'prepared', jobId: state.job.id, results, targetId: state.targetId, prefixSourceId: state.prefixSourceId, hall: findMainHall(results, id => this._upstreams.get(id)?.hall), times: state.clock.measure(now) })
   }
 
   /** Chosen when a job comes, so that large results are made near the target, and again when they are there. */
@@ -418,8 +418,9 @@
     }, now)
     state.requestMs = choice?.costMs ?? 0
     state.targetId = choice?.id ?? ''
+    state.prefixSourceId = choice?.prefixSourceId ?? ''
     state.targetHall = choice?.hall ?? ''
-    if (choice !== undefined && state.isHandedOver) this._targets.assign(id, request, choice.id, now)
+    if (choice !== undefined && state.isHandedOver) this._targets.assign({ jobId: id, shape: request, targetId: choice.id, readTokens: choice.readTokens }, now)
   }
 
   private _expire (now: number): void {
--- a/src/services/preparation/common/preparationService.ts
+++ b/src/services/preparation/common/preparationService.ts
@@ -13,6 +13,8 @@
   readonly isReleased: boolean
   /** The upstream that should take the request; empty when any may. */
   readonly targetId: string
+  /** The upstream that the target should take the beginning of the prompt from; empty when there is none. */
+  readonly prefixSourceId: string
   /** The hall that most of the results are in. */
   readonly hall: string
   /** Tells how the request fared at the target. */
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -6,12 +6,14 @@
 import { EjectingTracker } from '../../health/common/healthTracker.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
 import { PrefixBook } from './prefixBook.ts'
-import type { PrefixNote } from './prefixBook.ts'
+import type { PrefixKeeper, PrefixNote } from './prefixBook.ts'
 import type { RequestShape } from './preparationJob.ts'
 
 export interface TargetCandidate {
   readonly id: string
   readonly hall: string
+  /** How long it takes to have a token from another upstream; infinite where that cannot be done. */
+  readonly msPerMovedToken: number
 }
 
 export interface TargetQuestion {
@@ -28,6 +30,25 @@
   readonly hall: string
   /** Until the first event, waiting included. */
   readonly costMs: number
+  /** What the target has to read itself. */
+  readonly readTokens: number
+  /** The upstream that it should take the beginning of the prompt from; empty when there is none. */
+  readonly prefixSourceId: string
+}
+
+/** A request on its way to a target. */
+export interface TargetRequest {
+  readonly jobId: string
+  readonly shape: RequestShape
+  readonly targetId: string
+  readonly readTokens: number
+}
+
+/** How a target would come by a prompt. */
+interface ReadingPlan {
+  readonly readTokens: number
+  readonly movedTokens: number
+  readonly prefixSourceId: string
 }
 
 /** How a request fared at its target. */
@@ -51,6 +72,10 @@
 const GUESSED_SHARE = 0.5
 /** Reading shared parts again takes time and memory from other requests as well. */
 const READ_AGAIN_WEIGHT = 3
+/** Taking shared parts from another upstream keeps the links and the memory of both busy, but no processor. */
+const MOVED_WEIGHT = 0.3
+/** Less is read as quickly as it is asked for elsewhere. */
+const MIN_MOVED_TOKENS = 256
 /** A request that hears nothing for so many times what was expected, and some more, is overdue. */
 const OVERDUE_FACTOR = 3
 const OVERDUE_EXTRA_MS = 600
@@ -86,23 +111,32 @@
     const healthy = candidates.filter(candidate => this._isUsable(this._getTarget(candidate.id), now))
     const usable = healthy.length * 2 >= candidates.length ? healthy : candidates
     const favourite = findFavourite(shape.shared.at(-1)?.key ?? '', usable)
+    const keeper = this._prefixes.findKeeper(shape.shared, new Set(usable.map(({ id }) => id)), now)
     let best: TargetChoice | undefined
     let bestScore = Infinity
     for (const candidate of usable) {
-      const costMs = this._estimateMs(question, candidate, now)
-      const score = costMs + this._scoreWork(question, candidate, favourite, now)
+      const plan = this._planReading(shape, candidate, keeper, now)
+      const costMs = this._estimateMs(question, candidate, plan)
+      const score = costMs + this._scoreWork(question, candidate, favourite, plan)
       if (score >= bestScore) continue
       bestScore = score
-      best = { id: candidate.id, hall: candidate.hall, costMs }
+      best = { id: candidate.id, hall: candidate.hall, costMs, readTokens: plan.readTokens, prefixSourceId: plan.prefixSourceId }
     }
     return best
   }
 
+  /** Shared parts that another upstream keeps are taken from there: that is several times as fast as reading them again. */
+  private _planReading (shape: RequestShape, { id, msPerMovedToken }: TargetCandidate, keeper: PrefixKeeper | undefined, now: number): ReadingPlan {
+    const keptTokens = this._prefixes.countKept(shape.shared, id, now)
+    const movableTokens = keeper === undefined || keeper.id === id || !Number.isFinite(msPerMovedToken) ? 0 : keeper.tokens - keptTokens
+    const movedTokens = movableTokens >= MIN_MOVED_TOKENS ? movableTokens : 0
+    return { readTokens: Math.max(0, shape.inputTokens - keptTokens - movedTokens), movedTokens, prefixSourceId: movedTokens > 0 ? keeper?.id ?? '' : '' }
+  }
+
   /** Counts a request as on its way to a target. */
-  assign (jobId: string, shape: RequestShape, targetId: string, now: number): void {
+  assign ({ jobId, shape, targetId, readTokens: tokens }: TargetRequest, now: number): void {
     this._withdraw(jobId)
     const target = this._getTarget(targetId)
-    const tokens = this._countUnread(shape, targetId, now)
     const expectedMs = BASE_MS + (tokens + target.pendingTokens) * target.msPerToken
     const assignment = { targetId, tokens, tokensAhead: target.pendingTokens, assignedAt: now, overdueAt: now + expectedMs * OVERDUE_FACTOR + OVERDUE_EXTRA_MS }
     this._assignments.set(jobId, assignment)
@@ -147,29 +181,25 @@
   }
 
   /** Until the first event. */
-  private _estimateMs ({ shape, waitByHall }: TargetQuestion, candidate: TargetCandidate, now: number): number {
+  private _estimateMs ({ waitByHall }: TargetQuestion, candidate: TargetCandidate, { readTokens, movedTokens }: ReadingPlan): number {
     const target = this._getTarget(candidate.id)
-    const readTokens = target.pendingTokens + this._countUnread(shape, candidate.id, now)
-    return BASE_MS + readTokens * target.msPerToken + (waitByHall.get(candidate.hall) ?? 0)
+    const moveMs = movedTokens > 0 ? movedTokens * candidate.msPerMovedToken : 0
+    return BASE_MS + (target.pendingTokens + readTokens) * target.msPerToken + moveMs + (waitByHall.get(candidate.hall) ?? 0)
   }
 
   /** What the choice costs the fleet beyond the time of this request. */
-  private _scoreWork ({ shape, bytesByHall }: TargetQuestion, candidate: TargetCandidate, favourite: string, now: number): number {
+  private _scoreWork ({ shape, bytesByHall }: TargetQuestion, candidate: TargetCandidate, favourite: string, { readTokens, movedTokens }: ReadingPlan): number {
     const longest = shape.shared.slice(-1)
     const sharedTokens = longest[0]?.tokens ?? 0
     const isKnown = this._prefixes.isKnown(longest)
-    const againTokens = isKnown ? sharedTokens - this._prefixes.countKept(longest, candidate.id, now) : 0
+    const againTokens = isKnown ? Math.max(0, readTokens - (shape.inputTokens - sharedTokens)) : 0
     const guessedTokens = candidate.id === favourite && !isKnown ? sharedTokens : 0
-    const workTokens = againTokens * READ_AGAIN_WEIGHT - guessedTokens * GUESSED_SHARE
+    const workTokens = againTokens * READ_AGAIN_WEIGHT + movedTokens * MOVED_WEIGHT - guessedTokens * GUESSED_SHARE
     let movedBytes = 0
     for (const [hall, bytes] of bytesByHall) if (hall !== candidate.hall) movedBytes += bytes
     return workTokens * FIRST_MS_PER_TOKEN + movedBytes / BYTES_PER_MB * MOVE_MS_PER_MB
   }
 
-  private _countUnread (shape: RequestShape, targetId: string, now: number): number {
-    return Math.max(0, shape.inputTokens - this._prefixes.countKept(shape.shared, targetId, now))
-  }
-
   private _withdraw (jobId: string): Assignment | undefined {
     const assignment = this._assignments.get(jobId)
     if (assignment === undefined) return undefined
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -254,7 +254,7 @@
   }
 
   private _createInputs (open: OpenJob, news: JobEnd & { readonly kind: 'prepared' }, signal: AbortSignal): IPreparedInputs {
-    const { results, targetId, hall } = news
+    const { results, targetId, prefixSourceId, hall } = news
     if (targetId !== '') this._prefixes.add(open.job.request.shared, targetId, this._options.clock.now())
     let isReleased = false
     let isReported = false
@@ -262,6 +262,7 @@
       handles: results.map(result => result.handle),
       bytes: sumFinalBytes(open.job),
       targetId,
+      prefixSourceId,
       hall,
       get isReleased () { return isReleased },
       report: report => {
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -3,6 +3,7 @@
  * gives results back.
  */
 import type { IClock } from '../../../base/common/clock.ts'
+import type { GenerationWork } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
@@ -51,8 +52,11 @@
   isDispatching = false
   isFreeing = false
 
-  constructor (readonly hall: string, registry: UpstreamRegistry) {
-    this.planner = new PreparationPlanner(role => registry.listRole(role).filter(entry => this.holds(entry)))
+  constructor (readonly hall: string, registry: UpstreamRegistry, computeRoleMoveMs: (role: string) => number) {
+    this.planner = new PreparationPlanner(role => {
+      const msPerMovedToken = computeRoleMoveMs(role)
+      return registry.listRole(role).filter(entry => this.holds(entry)).map(({ id, hall }) => ({ id, hall, msPerMovedToken }))
+    })
   }
 
   holds (entry: UpstreamEntry): boolean {
@@ -60,6 +64,11 @@
   }
 }
 
+/** How long it takes one upstream to take a token from another. */
+function computeMoveMs (work: GenerationWork | undefined): number {
+  return work === undefined || work.tokenBytes <= 0 || work.linkBytesPerMs <= 0 ? Infinity : work.tokenBytes / work.linkBytesPerMs
+}
+
 /** A job that its owner has not let go of. */
 class HeldJob {
   isReleased = false
@@ -222,7 +231,7 @@
   private _getShard (hall: string): Shard {
     let shard = this._shards.get(hall)
     if (shard === undefined) {
-      shard = new Shard(hall, this._options.registry)
+      shard = new Shard(hall, this._options.registry, role => computeMoveMs(this._options.getTable()?.getRole(role)?.generationWork))
       this._shards.set(hall, shard)
       this._refreshShard(shard)
     }
@@ -307,9 +316,9 @@
     listener?.({ kind: 'moved', jobId })
   }
 
-  private _notePrepared ({ jobId, targetId, times }: JobEnd & { readonly kind: 'prepared' }): void {
+  private _notePrepared ({ jobId, targetId, prefixSourceId, times }: JobEnd & { readonly kind: 'prepared' }): void {
     const { queuedMs, madeMs, betweenMs } = times
-    this._options.log.info('preparation_done', { request: jobId, target: targetId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
+    this._options.log.info('preparation_done', { request: jobId, target: targetId, prefix_from: prefixSourceId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
   }
 
   private _deliver (shard: Shard): void {
--- a/src/services/preparation/test/preparationPlanner.test.ts
+++ b/src/services/preparation/test/preparationPlanner.test.ts
@@ -168,7 +168,7 @@
 })
 
 test('large results are made in the hall of the upstream that takes the request, while the goal leaves time', () => {
-  const targets = [{ id: 't', hall: 'h1' }]
+  const targets = [{ id: 't', hall: 'h1', msPerMovedToken: Infinity }]
   const planner = createPlanner({ upstreams: { a: 2 }, work: { resultRoomBytes: 1e9 }, targets })
   planner.addJob(createJob('x', [createStage('a', 1, [], 3e6)]), 0)
   assert.equal(planner.startCalls(0).map(call => call.upstreamId), ['a-1'])
--- a/src/services/relay/common/relayProtocol.ts
+++ b/src/services/relay/common/relayProtocol.ts
@@ -50,6 +50,8 @@
   readonly priority: number
   /** Handles of the results that preparation left, in order. */
   readonly inputs: readonly string[]
+  /** The address of an upstream that keeps more of the prompt's beginning than this one does. */
+  readonly prefixSource: string | undefined
   /** The last event that the caller has of this stream. */
   readonly lastEventId: string | undefined
   readonly bodyBytes: number
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -191,6 +191,7 @@
         timeLeftMs,
         priority: taken.priority,
         inputs: this._inputs?.handles ?? [],
+        prefixSource: this._findPrefixSource(upstream),
         lastEventId: this._lastEventId,
         bodyBytes: taken.body.length
       },
@@ -214,6 +215,13 @@
     return result
   }
 
+  /** The copy was planned for the upstream that was chosen together with it. */
+  private _findPrefixSource (upstream: UpstreamEntry): string | undefined {
+    const inputs = this._inputs
+    if (inputs === undefined || inputs.targetId !== upstream.id || inputs.prefixSourceId === '') return undefined
+    return this._context.registry.get(inputs.prefixSourceId)?.address
+  }
+
   /** Gives the results back once the upstream must have fetched them. */
   private _scheduleRelease (): IDisposable | undefined {
     const inputs = this._inputs
