Place requests without preparation with the planner too

Change: a request whose prompt shares 512 tokens or more asks the planner for its place as a job without pieces. It waits 60 ms at most and goes on alone when the planner is lost or refuses.

--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -36,6 +36,11 @@
   readonly deadlineInMs: number
 }
 
+/** Whether results have to be made; otherwise only an upstream is asked for. */
+export function hasPieces (job: PreparationJob): boolean {
+  return job.stages.some(stage => stage.pieceCount > 0)
+}
+
 /** A result that an upstream holds. */
 export interface PieceResult {
   readonly handle: string
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -108,7 +108,7 @@
     this._jobs.set(job.id, state)
     job.stages.forEach(stage => this._pool.getRate(stage.role).recordArrival(job.rank, stage.pieceCount, now))
     state.chainHall = this._halls.chooseChainHall(state, now)
-    if (carried.length > 0) this._advance(state, now)
+    if (carried.length > 0 || state.isDone) this._advance(state, now)
     return undefined
   }
 
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -15,24 +15,31 @@
   readonly deadlineInMs: number
 }
 
-/** Undefined when nothing has to be done before the request can run. */
+/** Shared parts this long are worth asking which upstream keeps them: reading them takes longer than the question. */
+const MIN_PLACED_TOKENS = 512
+
+/**
+ * Undefined when nothing has to be done before the request can run. A job without pieces only asks which upstream should
+ * take the request: its prompt has long parts that others share, and the planner knows where these are kept.
+ */
 export function createPreparationJob (inputs: PreparationNeedInputs): PreparationJob | undefined {
   const { request, route, role, priority, deadlineInMs } = inputs
+  if (route.stages.length === 0) return undefined
   const need = request.preparation
-  if (need === undefined || route.stages.length === 0) return undefined
-  const counts = route.stages.map((_, index) => need.pieceCounts[index] ?? 0)
-  if (counts.every(count => count === 0)) return undefined
+  const counts = route.stages.map((_, index) => need?.pieceCounts[index] ?? 0)
+  const { prompt } = request
+  const shared = prompt === undefined ? [] : listSharedPrefixes(prompt)
+  if (counts.every(count => count === 0) && (shared.at(-1)?.tokens ?? 0) < MIN_PLACED_TOKENS) return undefined
   const stages = route.stages.map((stage, index) => ({
     role: stage.role,
     after: stage.after.filter(before => (counts[before] ?? 0) > 0),
     pieceCount: counts[index] ?? 0,
     resultBytes: stage.resultBytes
   }))
-  const { prompt } = request
   const shape = {
     role,
-    shared: prompt === undefined ? [] : listSharedPrefixes(prompt),
+    shared,
     inputTokens: prompt?.inputTokens ?? 0
   }
-  return { id: request.id, key: need.key, stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs }
+  return { id: request.id, key: need?.key ?? '', stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs }
 }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -2,6 +2,7 @@
  * One request at the relay: prepares what it needs, sends it to upstreams one after another until one delivers, and
  * ends it with an answer or an honest refusal.
  */
+import type { Either } from 'purify-ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -10,7 +11,8 @@
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { IPreparedInputs } from '../../preparation/common/preparationService.ts'
 import type { TargetReport } from '../../preparation/common/targetPlanner.ts'
-import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
+import { hasPieces } from '../../preparation/common/preparationJob.ts'
+import type { JobRefusal, PreparationJob } from '../../preparation/common/preparationJob.ts'
 import { decideAfterAttempt } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
@@ -47,6 +49,8 @@
   readonly lastUpstream: string
 }
 
+/** A planner in another hall answers within a few milliseconds. */
+const MAX_PLACE_MS = 60
 /** Less than this is left for an answer's way back to the caller. */
 const ANSWER_MARGIN_MS = 20
 /** A further attempt needs at least this much time. */
@@ -111,7 +115,7 @@
     const refused = await this._prepare()
     if (refused !== undefined) return refused
     for (;;) {
-      if (this._inputs?.isReleased === true) {
+      if (this._inputs?.isReleased === true && this._inputs.handles.length > 0) {
         const failed = await this._prepareAgain()
         if (failed !== undefined) return failed
       }
@@ -140,14 +144,25 @@
     const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, deadlineInMs: this._getTimeLeft() })
     if (job === undefined) return undefined
     const startedAt = clock.now()
-    const result = await preparation.prepare(job, this._abort.signal)
+    const result = await (hasPieces(job) ? preparation.prepare(job, this._abort.signal) : this._askPlace(job))
     this._preparedMs = clock.now() - startedAt
     return result.caseOf({
-      Left: refusal => this._refusePreparation(refusal),
+      Left: refusal => hasPieces(job) ? this._refusePreparation(refusal) : undefined,
       Right: inputs => { this._inputs = inputs; return undefined }
     })
   }
 
+  /** The request can run anywhere, so it does not wait for a planner that is lost. */
+  private async _askPlace (job: PreparationJob): Promise<Either<JobRefusal, IPreparedInputs>> {
+    const asking = new AbortController()
+    const timer = this._context.clock.schedule(MAX_PLACE_MS, () => asking.abort())
+    try {
+      return await this._context.preparation.prepare(job, AbortSignal.any([asking.signal, this._abort.signal]))
+    } finally {
+      timer.dispose()
+    }
+  }
+
   private async _prepareAgain (): Promise<ResultName | undefined> {
     const inputs = this._inputs
     if (inputs === undefined) return this._refuse('upstreamRefused', 'the upstream wants inputs that the route does not have', this._runCount === 0)
@@ -163,7 +178,7 @@
     return chosen ?? this._context.pool.choose({
       role: this._role,
       prompt: request.prompt,
-      hall: this._inputs?.hall ?? this._context.hall,
+      hall: this._inputs?.hall || this._context.hall,
       tried: this._tried
     })
   }
