--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -39,11 +39,11 @@
  * The part of a caller's patience that may pass until the first event; the rest is for the answer. A job that was taken
  * may come nearer to the end, since its forecast is not exact.
  */
-const ADMITTED_PATIENCE_SHARE = 0.6
+const ADMITTED_PATIENCE_SHARE = 0.75
 const MIN_RETRY_MS = 100
 const NO_UPSTREAM_RETRY_MS = 500
 /** Late jobs get at least this part of a role, however much keeps coming that can be in time. */
-const MIN_LATE_SHARE = 0.1
+const MIN_LATE_SHARE = 0.3
 
 /**
  * Forecasts all jobs, given in the order in which they should go. A job that would miss its goal goes behind those that
