Divide the planner, its client and its coordinator by what their parts do

Change: the order of jobs and their forecast (jobOrder.ts), a job as its owner holds it (openJob.ts), one plan of a coordinator (planShard.ts) and what it writes to the log (planLog.ts) stand alone. Code is moved, not changed; constants whose figures were measured say so.

--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -33,7 +33,11 @@
 
 /** A lower rank counts like a goal this much later. */
 export const RANK_MS = 4000
-/** A job that misses its goal anyway counts like one whose goal is this much later. */
+/**
+ * A job that misses its goal anyway counts like one whose goal is this much later: behind its own rank, before the next.
+ * At 6000, behind the next rank as well, five days with faults earned 0.536 of their worth in place of 0.554 in the mean
+ * of one run each, since urgent late requests were refused or left.
+ */
 export const LATE_MS = 3000
 /**
  * The part of a caller's patience that may pass until the first event; the rest is for the answer. A job that was taken
@@ -42,7 +46,10 @@
 const ADMITTED_PATIENCE_SHARE = 0.75
 const MIN_RETRY_MS = 100
 const NO_UPSTREAM_RETRY_MS = 500
-/** Late jobs get at least this part of a role, however much keeps coming that can be in time. */
+/**
+ * Late jobs get at least this part of a role, however much keeps coming that can be in time. At 0.1 a day without faults
+ * refused 16 in 1,000 requests, with 0.3 it refused 4, one run each.
+ */
 const MIN_LATE_SHARE = 0.3
 
 /**
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -2,8 +2,8 @@
  * Plans the pieces of all jobs that a coordinator holds: which go together into a call, at which upstream, and when.
  * Pure: time is passed in, and calls are made by others.
  */
-import { computeRetryAfter, decideAdmission, forecastJobs, LATE_MS, RANK_MS } from './jobForecast.ts'
-import type { JobForecast, RoleCapacity } from './jobForecast.ts'
+import { computeRetryAfter, decideAdmission } from './jobForecast.ts'
+import { JobOrder } from './jobOrder.ts'
 import { JobState } from './jobState.ts'
 import { HallLoads } from './hallLoads.ts'
 import { HeldResults } from './heldResults.ts'
@@ -46,6 +46,7 @@
   private readonly _works = new Map<string, PieceWorkSpec>()
   private readonly _jobs = new Map<string, JobState>()
   private readonly _pool = new PieceUpstreams(this._upstreams)
+  private readonly _order = new JobOrder(this._works, this._pool)
   private readonly _halls = new HallLoads(this._upstreams, this._jobs, this._works)
   private readonly _calls = new Map<number, StartedCall>()
   private readonly _frees = new PendingFrees()
@@ -99,7 +100,7 @@
     this._results.restore(state, carried, now)
     this._chooseTarget(state, now)
     const capacities = this._pool.computeCapacities(now)
-    const forecast = this._forecast([...this._jobs.values(), state], capacities, now).find(other => other.state === state)
+    const forecast = this._order.forecast([...this._jobs.values(), state], capacities, now).find(other => other.state === state)
     const refusal = forecast === undefined ? undefined : decideAdmission(forecast, capacities, now)
     if (refusal !== undefined) {
       this._results.freeAll(state)
@@ -270,7 +271,7 @@
   /** Whether a piece has waited long enough for its hall, or cannot wait. */
   private _isImpatient (piece: ReadyPiece, now: number): boolean {
     const { state } = piece
-    const slackMs = state.goalAt - now - this._estimateRemaining(state, now)
+    const slackMs = state.goalAt - now - this._order.estimateRemaining(state, now)
     return now - state.getReadyAt(piece.stage, now) >= Math.min(HALL_PATIENCE_MS, Math.max(0, slackMs))
   }
 
@@ -301,7 +302,7 @@
     const freeBytes = this._pool.sumFreeBytes(now)
     const begun = new Map<string, ReadyPiece[]>()
     const fresh = new Map<string, ReadyPiece[]>()
-    for (const state of this._listActive(now)) {
+    for (const state of this._order.rank(this._jobs.values(), now)) {
       for (const stage of state.listReadyStages()) {
         const spec = state.job.stages[stage]
         if (spec === undefined || !idle.has(spec.role)) continue
@@ -318,43 +319,6 @@
     return new Map([...idle.keys()].map(role => [role, [...begun.get(role) ?? [], ...fresh.get(role) ?? []]]))
   }
 
-  private _listActive (now: number): readonly JobState[] {
-    return [...this._jobs.values()]
-      .filter(state => state.isWanted)
-      .map(state => ({ state, score: this._scoreJob(state, now) }))
-      .sort((a, b) => a.score - b.score)
-      .map(({ state }) => state)
-  }
-
-  /**
-   * Lower goes first: what has to start soonest, by rank, and after that what misses its goal
-   * anyway.
-   */
-  private _scoreJob (state: JobState, now: number): number {
-    return this._scoreOnTime(state, now) + (state.isLate ? LATE_MS : 0)
-  }
-
-  /** Lower goes first among jobs that can be in time. */
-  private _scoreOnTime (state: JobState, now: number): number {
-    return state.goalAt - this._estimateRemaining(state, now) + state.job.rank * RANK_MS
-  }
-
-  /** As little as a job can still need: its own pieces alone in its calls. */
-  private _estimateLeast (state: JobState): number {
-    return state.requestMs + state.estimateStages((role, pieceCount) => {
-      const work = this._works.get(role)
-      return work === undefined ? 0 : computeCallMs(work, Math.min(pieceCount, work.maxPiecesPerCall))
-    })
-  }
-
-  /** What a job still needs when nothing keeps it waiting, the request itself included. */
-  private _estimateRemaining (state: JobState, now: number): number {
-    return state.requestMs + state.estimateStages((role, pieceCount) => {
-      const work = this._works.get(role)
-      return work === undefined ? 0 : this._pool.getRate(role).computeUsualCallMs(work, pieceCount, now)
-    })
-  }
-
   private _settlePiece (started: PieceKey, outcome: PieceOutcome, upstream: PieceUpstream | undefined, call: StartedCall, now: number): void {
     const piece = getPiece(started)
     const bytes = started.state.job.stages[started.stage]?.resultBytes ?? 0
@@ -436,25 +400,16 @@
 
   /** Refuses what would not be done before its caller leaves, as soon as that can be seen: its work would be lost. */
   private _refuseHopeless (now: number): void {
-    const forecasts = this._forecast([...this._jobs.values()], this._pool.computeCapacities(now), now)
+    const forecasts = this._order.forecast(this._jobs.values(), this._pool.computeCapacities(now), now)
     for (const forecast of forecasts) {
       const { state } = forecast
       state.isLate = forecast.isLate
       const isHopeless = forecast.endAt > state.deadlineAt && !state.hasBegun
-      const isOver = now + this._estimateRemaining(state, now) > state.deadlineAt
+      const isOver = now + this._order.estimateRemaining(state, now) > state.deadlineAt
       if (isHopeless || isOver) this._refuse(state, { reason: 'overloaded', retryAfterMs: computeRetryAfter(forecast, state.deadlineAt) })
     }
   }
 
-  /** When each job would be done, those first that should go first. */
-  private _forecast (states: readonly JobState[], capacities: ReadonlyMap<string, RoleCapacity>, now: number): readonly JobForecast[] {
-    const entries = states
-      .filter(state => state.isWanted)
-      .map(state => ({ state, remainingMs: this._estimateLeast(state), score: this._scoreOnTime(state, now) }))
-      .sort((a, b) => a.score - b.score)
-    return forecastJobs(entries, capacities, now)
-  }
-
   /** Results that lie too long go; what still needs them has them made again. */
   private _reopenExpired (state: JobState, now: number): void {
     this._results.reopenLost(state, (result, piece) => {
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -72,7 +72,10 @@
 const GUESSED_SHARE = 0.5
 /** Reading shared parts again takes time and memory from other requests as well. */
 const READ_AGAIN_WEIGHT = 3
-/** Taking shared parts from another upstream keeps the links and the memory of both busy, but no processor. */
+/**
+ * Taking shared parts from another upstream keeps the links and the memory of both busy, but no processor: 6,300 tokens
+ * of 164 kB take 32 ms over 260 Gbit/s, and 164 ms to read at 38 tokens a ms.
+ */
 const MOVED_WEIGHT = 0.3
 /** Less is read as quickly as it is asked for elsewhere. */
 const MIN_MOVED_TOKENS = 256
--- /dev/null
+++ b/src/services/preparation/node/planLog.ts
@@ -0,0 +1,37 @@
+/**
+ * What a coordinator writes of its calls and jobs: late and refused requests are explained from these lines.
+ */
+import type { ILogService } from '../../log/node/logger.ts'
+import type { JobEnd, PieceCallOutcome, PlannedCall } from '../common/plannedCall.ts'
+
+const BYTES_PER_KB = 1000
+
+export class PlanLog {
+  constructor (private readonly _log: ILogService) {}
+
+  noteCall (call: PlannedCall, outcome: PieceCallOutcome, tookMs: number): void {
+    const { id, upstreamId, role, pieces, leftWaiting, freeBytes, expectedMs } = call
+    const outcomes = outcome.kind === 'answered' ? outcome.pieces : []
+    const countFailed = (reason: string) => outcomes.filter(piece => piece.kind === 'failed' && piece.reason === reason).length
+    this._log.info('piece_call', {
+      call: id,
+      upstream: upstreamId,
+      role,
+      pieces: pieces.length,
+      left_waiting: leftWaiting,
+      free_kb: Math.round(freeBytes / BYTES_PER_KB),
+      outcome: outcome.kind,
+      made: outcomes.filter(piece => piece.kind === 'made').length,
+      no_room: countFailed('noRoom'),
+      input_gone: countFailed('inputGone'),
+      late: countFailed('late'),
+      expected_ms: Math.round(expectedMs),
+      took_ms: Math.round(tookMs)
+    })
+  }
+
+  notePrepared ({ jobId, targetId, prefixSourceId, times }: JobEnd & { readonly kind: 'prepared' }): void {
+    const { queuedMs, madeMs, betweenMs } = times
+    this._log.info('preparation_done', { request: jobId, target: targetId, prefix_from: prefixSourceId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
+  }
+}
--- /dev/null
+++ b/src/services/preparation/node/planShard.ts
@@ -0,0 +1,39 @@
+/**
+ * One plan of a coordinator, and the jobs that it holds for their owners.
+ */
+import type { GenerationWork } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { RelayTable } from '../../relay/common/relayTable.ts'
+import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import { PreparationPlanner } from '../common/preparationPlanner.ts'
+
+/** One plan: all upstreams, or those of one hall. */
+export class PlanShard {
+  readonly planner: PreparationPlanner
+  isDispatching = false
+  isFreeing = false
+
+  constructor (readonly hall: string, registry: UpstreamRegistry, getTable: () => RelayTable | undefined) {
+    this.planner = new PreparationPlanner(role => {
+      const msPerMovedToken = computeMoveMs(getTable()?.getRole(role)?.generationWork)
+      return registry.listRole(role).filter(entry => this.holds(entry)).map(({ id, hall }) => ({ id, hall, msPerMovedToken }))
+    })
+  }
+
+  holds (entry: UpstreamEntry): boolean {
+    return this.hall === '' || this.hall === entry.hall
+  }
+}
+
+/** How long it takes one upstream to take a token from another. */
+function computeMoveMs (work: GenerationWork | undefined): number {
+  return work === undefined || work.tokenBytes <= 0 || work.linkBytesPerMs <= 0 ? Infinity : work.tokenBytes / work.linkBytesPerMs
+}
+
+/** A job that its owner has not let go of. */
+export class HeldJob {
+  isReleased = false
+  isDetached = false
+  isReported = false
+
+  constructor (readonly shard: PlanShard) {}
+}
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -10,7 +10,7 @@
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { listLastStages } from '../common/preparationJob.ts'
-import type { CarriedPiece, JobRefusal, MadePiece, PieceResult, PreparationJob } from '../common/preparationJob.ts'
+import type { CarriedPiece, JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
 import { chooseCoordinator, listPlans } from '../common/coordinatorChoice.ts'
 import type { CoordinatorCandidate, PlannedUpstream } from '../common/coordinatorChoice.ts'
 import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
@@ -20,6 +20,7 @@
 import type { JobEnd, JobNews } from '../common/plannedCall.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 import { CoordinatorLink } from './coordinatorLink.ts'
+import { OpenJob } from './openJob.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
 
 export interface PreparationClientOptions {
@@ -49,39 +50,6 @@
 /** The owner's own doing; it tells its caller itself. */
 const GIVEN_UP: JobRefusal = { reason: 'interrupted', retryAfterMs: 0 }
 
-/** A job that its coordinator has not settled yet. */
-class OpenJob {
-  readonly startedAt: number
-  readonly settle: (news: JobEnd) => void
-  moves = 0
-  /** Plans that refused it. */
-  refusals = 0
-  /** Undefined for this node's own coordinator. */
-  link: CoordinatorLink | undefined
-  private readonly _made = new Map<string, HeldPiece>()
-
-  constructor (readonly job: PreparationJob, startedAt: number, settle: (open: OpenJob, news: JobEnd) => void) {
-    this.startedAt = startedAt
-    this.settle = news => settle(this, news)
-  }
-
-  recordMade (pieces: readonly MadePiece[], now: number): void {
-    for (const piece of pieces) this._made.set(`${piece.stage}/${piece.index}`, { ...piece, madeAt: now })
-  }
-
-  forgetMade (): void {
-    this._made.clear()
-  }
-
-  listCarried (now: number): readonly CarriedPiece[] {
-    return [...this._made.values()].map(({ stage, index, result, madeAt }) => ({ stage, index, result, ageMs: now - madeAt }))
-  }
-}
-
-interface HeldPiece extends MadePiece {
-  readonly madeAt: number
-}
-
 export class PreparationClient extends Disposable implements IPreparationService {
   private readonly _options: PreparationClientOptions
   private readonly _jobs = new Map<string, OpenJob>()
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -3,18 +3,18 @@
  * gives results back.
  */
 import type { IClock } from '../../../base/common/clock.ts'
-import type { GenerationWork } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
-import { PreparationPlanner } from '../common/preparationPlanner.ts'
-import type { JobEnd, JobNews, PieceCallOutcome, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
+import type { JobNews, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
 import type { CarriedPiece, JobRefusal, PreparationJob } from '../common/preparationJob.ts'
 import type { PrefixNote } from '../common/prefixBook.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
+import { PlanLog } from './planLog.ts'
+import { HeldJob, PlanShard } from './planShard.ts'
 
 export interface PreparationCoordinatorOptions {
   readonly clock: IClock
@@ -42,55 +42,27 @@
 const DISPATCH_DELAY_MS = 2
 /** Results are given back together with what becomes free within this time. */
 const FREE_DELAY_MS = 10
-const BYTES_PER_KB = 1000
-/** A job that went on elsewhere has taken over what lies at its makers within this time. */
+/**
+ * A job that went on elsewhere has used what lies at its makers within this time: an owner takes a silent coordinator for
+ * lost after 600 ms, and a stage takes about 400.
+ */
 const DETACHED_MS = 1500
 
-/** One plan: all upstreams, or those of one hall. */
-class Shard {
-  readonly planner: PreparationPlanner
-  isDispatching = false
-  isFreeing = false
-
-  constructor (readonly hall: string, registry: UpstreamRegistry, computeRoleMoveMs: (role: string) => number) {
-    this.planner = new PreparationPlanner(role => {
-      const msPerMovedToken = computeRoleMoveMs(role)
-      return registry.listRole(role).filter(entry => this.holds(entry)).map(({ id, hall }) => ({ id, hall, msPerMovedToken }))
-    })
-  }
-
-  holds (entry: UpstreamEntry): boolean {
-    return this.hall === '' || this.hall === entry.hall
-  }
-}
-
-/** How long it takes one upstream to take a token from another. */
-function computeMoveMs (work: GenerationWork | undefined): number {
-  return work === undefined || work.tokenBytes <= 0 || work.linkBytesPerMs <= 0 ? Infinity : work.tokenBytes / work.linkBytesPerMs
-}
-
-/** A job that its owner has not let go of. */
-class HeldJob {
-  isReleased = false
-  isDetached = false
-  isReported = false
-
-  constructor (readonly shard: Shard) {}
-}
-
 export class PreparationCoordinator extends Disposable {
   private readonly _options: PreparationCoordinatorOptions
-  private readonly _shards = new Map<string, Shard>()
+  private readonly _shards = new Map<string, PlanShard>()
   /** Plans whose jobs go elsewhere as soon as nothing is being made for them. */
-  private readonly _endingShards = new Set<Shard>()
+  private readonly _endingShards = new Set<PlanShard>()
   private readonly _listeners = new Map<string, JobListener>()
   private readonly _jobs = new Map<string, HeldJob>()
   private _sweep: IDisposable | undefined
   private _isEnding = false
+  private readonly _planLog: PlanLog
 
   constructor (options: PreparationCoordinatorOptions) {
     super()
     this._options = options
+    this._planLog = new PlanLog(options.log)
     this._register(options.registry.onDidChange(change => this._takeChange(change)))
     this._register(toDisposable(() => {
       this._listeners.clear()
@@ -150,7 +122,7 @@
   }
 
   /** Jobs that still come for the hall start a new plan. */
-  private _endShard (shard: Shard): void {
+  private _endShard (shard: PlanShard): void {
     this._options.log.info('plan_ending', { hall: shard.hall, jobs: shard.planner.jobCount })
     this._shards.delete(shard.hall)
     this._endingShards.add(shard)
@@ -228,21 +200,21 @@
     return [...this._shards.values()].map(shard => ({ hall: shard.hall, ...shard.planner.describe(now) }))
   }
 
-  private _getShard (hall: string): Shard {
+  private _getShard (hall: string): PlanShard {
     let shard = this._shards.get(hall)
     if (shard === undefined) {
-      shard = new Shard(hall, this._options.registry, role => computeMoveMs(this._options.getTable()?.getRole(role)?.generationWork))
+      shard = new PlanShard(hall, this._options.registry, this._options.getTable)
       this._shards.set(hall, shard)
       this._refreshShard(shard)
     }
     return shard
   }
 
-  private _refreshShard (shard: Shard): void {
+  private _refreshShard (shard: PlanShard): void {
     for (const entry of this._options.registry.list()) this._setUpstream(shard, entry)
   }
 
-  private _scheduleDispatch (shard: Shard): void {
+  private _scheduleDispatch (shard: PlanShard): void {
     if (shard.isDispatching) return
     shard.isDispatching = true
     this._options.clock.schedule(DISPATCH_DELAY_MS, () => {
@@ -264,13 +236,13 @@
     })
   }
 
-  private _dispatch (shard: Shard): void {
+  private _dispatch (shard: PlanShard): void {
     for (const call of shard.planner.startCalls(this._options.clock.now())) void this._run(shard, call)
     this._deliver(shard)
     this._scheduleFrees(shard)
   }
 
-  private async _run (shard: Shard, call: PlannedCall): Promise<void> {
+  private async _run (shard: PlanShard, call: PlannedCall): Promise<void> {
     const { registry, protocol, clock, log } = this._options
     const upstream = registry.get(call.upstreamId)
     const startedAt = clock.now()
@@ -282,33 +254,12 @@
       log.info('piece_call_failed', { upstream: call.upstreamId, pieces: call.pieces.length, outcome: outcome.kind, reason: outcome.reason, took_ms: Math.round(clock.now() - startedAt) })
       if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') registry.dropForGood(call.upstreamId, 'address answers as another')
     }
-    this._noteCall(call, outcome, clock.now() - startedAt)
+    this._planLog.noteCall(call, outcome, clock.now() - startedAt)
     shard.planner.settleCall(call.id, outcome, clock.now())
     this._deliver(shard)
     this._scheduleDispatch(shard)
   }
 
-  private _noteCall (call: PlannedCall, outcome: PieceCallOutcome, tookMs: number): void {
-    const { id, upstreamId, role, pieces, leftWaiting, freeBytes, expectedMs } = call
-    const outcomes = outcome.kind === 'answered' ? outcome.pieces : []
-    const countFailed = (reason: string) => outcomes.filter(piece => piece.kind === 'failed' && piece.reason === reason).length
-    this._options.log.info('piece_call', {
-      call: id,
-      upstream: upstreamId,
-      role,
-      pieces: pieces.length,
-      left_waiting: leftWaiting,
-      free_kb: Math.round(freeBytes / BYTES_PER_KB),
-      outcome: outcome.kind,
-      made: outcomes.filter(piece => piece.kind === 'made').length,
-      no_room: countFailed('noRoom'),
-      input_gone: countFailed('inputGone'),
-      late: countFailed('late'),
-      expected_ms: Math.round(expectedMs),
-      took_ms: Math.round(tookMs)
-    })
-  }
-
   private _moveAway (jobId: string): void {
     const listener = this._listeners.get(jobId)
     this._listeners.delete(jobId)
@@ -316,28 +267,23 @@
     listener?.({ kind: 'moved', jobId })
   }
 
-  private _notePrepared ({ jobId, targetId, prefixSourceId, times }: JobEnd & { readonly kind: 'prepared' }): void {
-    const { queuedMs, madeMs, betweenMs } = times
-    this._options.log.info('preparation_done', { request: jobId, target: targetId, prefix_from: prefixSourceId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
-  }
-
-  private _deliver (shard: Shard): void {
+  private _deliver (shard: PlanShard): void {
     for (const news of shard.planner.takeNews()) {
       const listener = this._listeners.get(news.jobId)
       if (news.kind !== 'made') this._listeners.delete(news.jobId)
       if (news.kind === 'refused') this._noteRefused(news.jobId, news.refusal, shard)
-      else if (news.kind === 'prepared') this._notePrepared(news)
+      else if (news.kind === 'prepared') this._planLog.notePrepared(news)
       listener?.(news)
     }
     for (const jobId of shard.planner.takeIdleJobs()) this._moveAway(jobId)
   }
 
-  private _noteRefused (jobId: string, refusal: JobRefusal, shard: Shard): void {
+  private _noteRefused (jobId: string, refusal: JobRefusal, shard: PlanShard): void {
     this._jobs.delete(jobId)
     this._options.log.info('preparation_refused', { request: jobId, hall: shard.hall, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs, jobs: shard.planner.jobCount })
   }
 
-  private _scheduleFrees (shard: Shard): void {
+  private _scheduleFrees (shard: PlanShard): void {
     if (shard.isFreeing || !shard.planner.hasFrees) return
     shard.isFreeing = true
     this._options.clock.schedule(FREE_DELAY_MS, () => {
@@ -347,7 +293,7 @@
     })
   }
 
-  private async _free (shard: Shard, free: PlannedFree): Promise<void> {
+  private async _free (shard: PlanShard, free: PlannedFree): Promise<void> {
     const upstream = this._options.registry.get(free.upstreamId)
     const isDone = upstream !== undefined && await this._options.protocol.freeResults(upstream, free.handles)
     if (this._isDisposed) return
@@ -362,7 +308,7 @@
     }
   }
 
-  private _setUpstream (shard: Shard, entry: UpstreamEntry): void {
+  private _setUpstream (shard: PlanShard, entry: UpstreamEntry): void {
     const work = this._options.getTable()?.getRole(entry.role)?.pieceWork
     if (work === undefined || !shard.holds(entry)) return
     const { concurrentCalls, maxPiecesPerCall, callMs, pieceMs, resultRoomBytes, resultLifetimeMs } = work
