--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -94,7 +94,7 @@
 }
 
 /** Adds what waits or runs of one job. */
-export function addPieces (state: JobState, counts: Map<string, number>): void {
+function addPieces (state: JobState, counts: Map<string, number>): void {
   state.job.stages.forEach((stage, index) => {
     const open = state.countOpen(index)
     if (open > 0) counts.set(stage.role, (counts.get(stage.role) ?? 0) + open)
