--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -16,7 +16,7 @@
 }
 
 /** Shared parts this long are worth asking which upstream keeps them: reading them takes longer than the question. */
-const MIN_PLACED_TOKENS = 512
+const MIN_ASKED_TOKENS = 512
 
 /**
  * Undefined when nothing has to be done before the request can run. A job without pieces only asks which upstream should
@@ -29,7 +29,7 @@
   const counts = route.stages.map((_, index) => need?.pieceCounts[index] ?? 0)
   const { prompt } = request
   const shared = prompt === undefined ? [] : listSharedPrefixes(prompt)
-  if (counts.every(count => count === 0) && (shared.at(-1)?.tokens ?? 0) < MIN_PLACED_TOKENS) return undefined
+  if (counts.every(count => count === 0) && (shared.at(-1)?.tokens ?? 0) < MIN_ASKED_TOKENS) return undefined
   const stages = route.stages.map((stage, index) => ({
     role: stage.role,
     after: stage.after.filter(before => (counts[before] ?? 0) > 0),
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -50,7 +50,7 @@
 }
 
 /** A planner in another hall answers within a few milliseconds. */
-const MAX_PLACE_MS = 60
+const MAX_TARGET_WAIT_MS = 60
 /** Less than this is left for an answer's way back to the caller. */
 const ANSWER_MARGIN_MS = 20
 /** A further attempt needs at least this much time. */
@@ -144,7 +144,7 @@
     const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, deadlineInMs: this._getTimeLeft() })
     if (job === undefined) return undefined
     const startedAt = clock.now()
-    const result = await (hasPieces(job) ? preparation.prepare(job, this._abort.signal) : this._askPlace(job))
+    const result = await (hasPieces(job) ? preparation.prepare(job, this._abort.signal) : this._askTarget(job))
     this._preparedMs = clock.now() - startedAt
     return result.caseOf({
       Left: refusal => hasPieces(job) ? this._refusePreparation(refusal) : undefined,
@@ -153,9 +153,9 @@
   }
 
   /** The request can run anywhere, so it does not wait for a planner that is lost. */
-  private async _askPlace (job: PreparationJob): Promise<Either<JobRefusal, IPreparedInputs>> {
+  private async _askTarget (job: PreparationJob): Promise<Either<JobRefusal, IPreparedInputs>> {
     const asking = new AbortController()
-    const timer = this._context.clock.schedule(MAX_PLACE_MS, () => asking.abort())
+    const timer = this._context.clock.schedule(MAX_TARGET_WAIT_MS, () => asking.abort())
     try {
       return await this._context.preparation.prepare(job, AbortSignal.any([asking.signal, this._abort.signal]))
     } finally {
