Spend less processor time on forecasts

Change: jobs without pieces are not forecast, and the wait behind others is worked out without building lists.

--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -103,12 +103,14 @@
 
 /** How long the pieces ahead keep a job waiting: the role that is shortest of upstreams decides. */
 function computeQueueMs (state: JobState, capacities: ReadonlyMap<string, RoleCapacity>, ahead: ReadonlyMap<string, number>, computeMs: (capacity: RoleCapacity, pieces: number, state: JobState) => number): number {
-  const roles = state.job.stages.flatMap((stage, index) => state.isComplete(index) ? [] : [stage.role])
-  return Math.max(0, ...roles.map(role => {
-    const capacity = capacities.get(role)
+  let longestMs = 0
+  state.job.stages.forEach(({ role }, index) => {
     const pieces = ahead.get(role) ?? 0
-    return capacity === undefined || capacity.calls <= 0 || pieces === 0 ? 0 : computeMs(capacity, pieces, state)
-  }))
+    const capacity = capacities.get(role)
+    if (pieces === 0 || capacity === undefined || capacity.calls <= 0 || state.isComplete(index)) return
+    longestMs = Math.max(longestMs, computeMs(capacity, pieces, state))
+  })
+  return longestMs
 }
 
 function computeWaitMs ({ piecesPerMs }: RoleCapacity, pieces: number): number {
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -12,6 +12,7 @@
 import { PieceUpstreams } from './pieceUpstreams.ts'
 import { PendingFrees } from './pendingFrees.ts'
 import type { JobNews, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
+import { hasPieces } from './preparationJob.ts'
 import type { CarriedPiece, JobRefusal, MadePiece, PieceResult, PreparationJob } from './preparationJob.ts'
 import { computeBatchSize, createPlannedPiece, getPiece, listWaiting, takeBatch } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
@@ -99,9 +100,7 @@
     const state = new JobState(job, now)
     this._results.restore(state, carried, now)
     this._chooseTarget(state, now)
-    const capacities = this._pool.computeCapacities(now)
-    const forecast = this._order.forecast([...this._jobs.values(), state], capacities, now).find(other => other.state === state)
-    const refusal = forecast === undefined ? undefined : decideAdmission(forecast, capacities, now)
+    const refusal = hasPieces(job) ? this._decideAdmission(state, now) : undefined
     if (refusal !== undefined) {
       this._results.freeAll(state)
       return refusal
@@ -113,6 +112,12 @@
     return undefined
   }
 
+  private _decideAdmission (state: JobState, now: number): JobRefusal | undefined {
+    const capacities = this._pool.computeCapacities(now)
+    const forecast = this._order.forecast([...this._jobs.values(), state], capacities, now).find(other => other.state === state)
+    return forecast === undefined ? undefined : decideAdmission(forecast, capacities, now)
+  }
+
   /** Takes in what owners know of the prompts that upstreams have read. */
   addPrefixes (notes: readonly PrefixNote[], now: number): void {
     this._targets.addPrefixes(notes, now)
