Let one function tell the shared beginnings of a prompt, and one count open pieces

Cause: listSharedPrefixes stood beside getSharedPrefix and countSharedTokens, which are its last entry; HallLoads counted open pieces as JobState does.

Change: the relay pool and the hall loads call the one piece.

--- a/src/services/preparation/common/hallLoads.ts
+++ b/src/services/preparation/common/hallLoads.ts
@@ -45,8 +45,7 @@
     for (const state of this._jobs.values()) {
       if (state.isHandedOver) continue
       state.job.stages.forEach((stage, index) => {
-        if (stage.role !== role || state.getHall(index) !== hall) return
-        count += (state.pieces[index] ?? []).filter(piece => piece.status === 'waiting' || piece.status === 'running').length
+        if (stage.role === role && state.getHall(index) === hall) count += state.countOpen(index)
       })
     }
     return count
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -5,7 +5,7 @@
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { AttemptOutcome } from './attemptDecision.ts'
-import { countSharedTokens, getSharedPrefix } from './relayRequest.ts'
+import { listSharedPrefixes } from './relayRequest.ts'
 import type { PromptShape } from './relayRequest.ts'
 import type { UpstreamLoad } from './relayProtocol.ts'
 import type { RelayCandidate, RelayRouter } from './relayRouter.ts'
@@ -69,10 +69,9 @@
     const entries = this._options.registry.listRole(question.role)
     const untried = entries.filter(entry => !question.tried.has(entry.id))
     const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length)
-    const shared = question.prompt === undefined ? '' : getSharedPrefix(question.prompt)
-    const sharedTokens = question.prompt === undefined ? 0 : countSharedTokens(question.prompt)
+    const shared = question.prompt === undefined ? undefined : listSharedPrefixes(question.prompt).at(-1)
     const choice = this._options.router.choose(
-      { sharedPrefix: shared, sharedTokens, hall: question.hall, nodeCount: this._options.countNodes() },
+      { sharedPrefix: shared?.key ?? '', sharedTokens: shared?.tokens ?? 0, hall: question.hall, nodeCount: this._options.countNodes() },
       usable.map(entry => this._createCandidate(entry))
     )
     return choice === undefined ? undefined : this._options.registry.get(choice.id)
--- a/src/services/relay/common/relayRequest.ts
+++ b/src/services/relay/common/relayRequest.ts
@@ -55,11 +55,6 @@
   return end < 0 ? target : target.slice(0, end)
 }
 
-/** What tells apart prompts that share all parts but the last. */
-export function getSharedPrefix (prompt: PromptShape): string {
-  return prompt.parts.slice(0, -1).map(part => part.id).join('/')
-}
-
 /** Beginnings of the prompt that other requests can have too, the shortest first. */
 export function listSharedPrefixes (prompt: PromptShape): readonly SharedPrefix[] {
   return prompt.parts.slice(0, -1).map((_, index, shared) => {
@@ -67,8 +62,3 @@
     return { key: parts.map(part => part.id).join('/'), tokens: parts.reduce((sum, part) => sum + part.tokens, 0) }
   })
 }
-
-/** Tokens of the parts that other requests can have too. */
-export function countSharedTokens (prompt: PromptShape): number {
-  return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-}
