--- a/src/services/preparation/common/heldResults.ts
+++ b/src/services/preparation/common/heldResults.ts
@@ -1,7 +1,8 @@
 /**
  * Gives results of jobs back, and has lost ones made again.
  */
-import type { JobState, PieceState } from './jobState.ts'
+import type { JobState } from './jobState.ts'
+import type { PieceState } from './pieceState.ts'
 import type { PieceUpstream } from './pieceUpstream.ts'
 import type { PendingFrees } from './pendingFrees.ts'
 import type { CarriedPiece, PieceResult } from './preparationJob.ts'
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -2,18 +2,11 @@
  * One job at its coordinator: which pieces wait, run, are made, or were given back.
  */
 import { JobClock } from './jobTimes.ts'
+import { StagePieces } from './pieceState.ts'
+import type { PieceState, PieceStatus } from './pieceState.ts'
 import { listLastStages } from './preparationJob.ts'
 import type { JobStage, PieceResult, PreparationJob } from './preparationJob.ts'
 
-export type PieceStatus = 'waiting' | 'running' | 'made' | 'freed'
-
-export class PieceState {
-  status: PieceStatus = 'waiting'
-  result: PieceResult | undefined
-  madeAt = 0
-  failures = 0
-}
-
 /** Where the pieces of a stage are best made: near the request's target, near the job's other pieces, or anywhere. */
 export type StagePlace = 'target' | 'chain' | 'any'
 
@@ -46,6 +39,7 @@
   /** What the request is expected to take at the target until its first event. */
   requestMs = 0
   readonly clock: JobClock
+  private readonly _stages: readonly StagePieces[]
   private readonly _readyAt = new Map<number, number>()
 
   constructor (job: PreparationJob, now: number) {
@@ -54,7 +48,8 @@
     this.clock = new JobClock(now)
     this.goalAt = now + job.goalInMs
     this.deadlineAt = now + job.deadlineInMs
-    this.pieces = job.stages.map(stage => Array.from({ length: stage.pieceCount }, () => new PieceState()))
+    this._stages = job.stages.map(stage => new StagePieces(stage.pieceCount))
+    this.pieces = this._stages.map(stage => stage.pieces)
     this.heights = computeHeights(job.stages)
     this.lastStages = listLastStages(job.stages)
     this.places = job.stages.map((_, stage) => this._findPlace(stage))
@@ -62,7 +57,7 @@
 
   /** Every piece that is still needed was made. */
   isComplete (stage: number): boolean {
-    return this._getPieces(stage).every(piece => piece.status === 'made' || piece.status === 'freed')
+    return this.countOpen(stage) === 0
   }
 
   get isDone (): boolean {
@@ -75,7 +70,7 @@
     const highest = Math.max(0, ...unfinished.map(stage => this.heights[stage] ?? 0))
     return unfinished.filter(stage => {
       const isNext = (this.heights[stage] ?? 0) >= highest
-      return isNext && this._getPieces(stage).some(piece => piece.status === 'waiting') && this._hasInputs(stage)
+      return isNext && this.countWaiting(stage) > 0 && this._hasInputs(stage)
     })
   }
 
@@ -113,7 +108,7 @@
   }
 
   countWaiting (stage: number): number {
-    return this._getPieces(stage).filter(piece => piece.status === 'waiting').length
+    return this._count(stage, 'waiting')
   }
 
   /** Its pieces should be made. */
@@ -123,21 +118,21 @@
 
   /** A call with a piece of the job has not ended. */
   get isRunning (): boolean {
-    return this.pieces.some(stage => stage.some(piece => piece.status === 'running'))
+    return this._stages.some(stage => stage.count('running') > 0)
   }
 
   /** Pieces that wait or run. */
   countOpen (stage: number): number {
-    return this._getPieces(stage).filter(piece => piece.status === 'waiting' || piece.status === 'running').length
+    return this._stages[stage]?.openCount ?? 0
   }
 
   /** Whether work was done for the job. */
   get hasBegun (): boolean {
-    return this.pieces.some(stage => stage.some(piece => piece.status !== 'waiting'))
+    return this._stages.some(stage => stage.hasStarted)
   }
 
   hasStarted (stage: number): boolean {
-    return this._getPieces(stage).some(piece => piece.status !== 'waiting')
+    return this._stages[stage]?.hasStarted ?? false
   }
 
   /** Stages whose results no unfinished stage needs any more and that the request does not take either. */
@@ -175,7 +170,11 @@
   }
 
   private _hasInputs (stage: number): boolean {
-    return (this.job.stages[stage]?.after ?? []).every(before => this._getPieces(before).every(piece => piece.status === 'made'))
+    return (this.job.stages[stage]?.after ?? []).every(before => this._count(before, 'made') === this._getPieces(before).length)
+  }
+
+  private _count (stage: number, status: PieceStatus): number {
+    return this._stages[stage]?.count(status) ?? 0
   }
 
   private _listResults (stage: number): readonly PieceResult[] {
--- a/src/services/preparation/common/readyPiece.ts
+++ b/src/services/preparation/common/readyPiece.ts
@@ -1,7 +1,8 @@
 /**
  * Pieces that could start now, and how many of them go into one call.
  */
-import type { JobState, PieceState } from './jobState.ts'
+import type { JobState } from './jobState.ts'
+import type { PieceState } from './pieceState.ts'
 import type { PieceUpstream } from './pieceUpstream.ts'
 import type { PlannedPiece } from './plannedCall.ts'
 
