Look only at jobs that an idle role could start, and build no list twice

Cause: at every call all open jobs were asked for their ready stages, and each job's pieces were added to a new copy of all pieces before them.

Change: jobs without a waiting piece for an idle role are passed over, and pieces are appended.

--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -64,14 +64,18 @@
     return this.job.stages.every((_, stage) => this.isComplete(stage))
   }
 
+  /** Whether a piece that some of these roles make was not started; it may still lack its inputs. */
+  hasWaiting (roles: ReadonlyMap<string, unknown>): boolean {
+    return this.job.stages.some((stage, index) => roles.has(stage.role) && this.countWaiting(index) > 0)
+  }
+
   /** Stages that may start pieces now: their inputs are there, and nothing further from the request is unfinished. */
   listReadyStages (): readonly number[] {
-    const unfinished = this.job.stages.flatMap((_, stage) => this.isComplete(stage) ? [] : [stage])
-    const highest = Math.max(0, ...unfinished.map(stage => this.heights[stage] ?? 0))
-    return unfinished.filter(stage => {
-      const isNext = (this.heights[stage] ?? 0) >= highest
-      return isNext && this.countWaiting(stage) > 0 && this._hasInputs(stage)
-    })
+    let highest = 0
+    this.heights.forEach((height, stage) => { if (height > highest && !this.isComplete(stage)) highest = height })
+    const ready: number[] = []
+    this.heights.forEach((height, stage) => { if (height >= highest && this.countWaiting(stage) > 0 && this._hasInputs(stage)) ready.push(stage) })
+    return ready
   }
 
   /** Handles of the inputs of a stage's pieces, in the order of stages and pieces. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -308,6 +308,7 @@
     const begun = new Map<string, ReadyPiece[]>()
     const fresh = new Map<string, ReadyPiece[]>()
     for (const state of this._order.rank(this._jobs.values(), now)) {
+      if (!state.hasWaiting(idle)) continue
       for (const stage of state.listReadyStages()) {
         const spec = state.job.stages[stage]
         if (spec === undefined || !idle.has(spec.role)) continue
@@ -318,7 +319,9 @@
         const group = state.hasStarted(stage) ? begun : fresh
         if (group === fresh && wantedBytes > left) continue
         freeBytes.set(spec.role, left - wantedBytes)
-        group.set(spec.role, [...group.get(spec.role) ?? [], ...pieces])
+        const held = group.get(spec.role)
+        if (held === undefined) group.set(spec.role, [...pieces])
+        else held.push(...pieces)
       }
     }
     return new Map([...idle.keys()].map(role => [role, [...begun.get(role) ?? [], ...fresh.get(role) ?? []]]))
