Let only the link that brought a job detach it

Cause, found by reading: an owner that comes back over a new link before the coordinator has noticed the end of the old one has its job again; the old link's end then detached it, nothing more was made, and the owner heard nothing until its caller's deadline.

Change: a job knows the link that it came over, and detach names one.

--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -35,5 +35,5 @@
   isDetached = false
   isReported = false
 
-  constructor (readonly shard: PlanShard) {}
+  constructor (readonly shard: PlanShard, readonly link: object | undefined) {}
 }
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -31,6 +31,8 @@
   readonly hall: string
   /** What an earlier coordinator made. */
   readonly carried?: readonly CarriedPiece[]
+  /** What the job came over; missing for this node's own jobs. */
+  readonly link?: object
 }
 
 /** Who is told of a job. */
@@ -90,7 +92,7 @@
   }
 
   /** Takes a job into the plan of a hall; the empty hall stands for all of them. */
-  submit ({ job, hall, carried = [] }: SubmittedJob, listener: JobListener): void {
+  submit ({ job, hall, carried = [], link }: SubmittedJob, listener: JobListener): void {
     if (this._isEnding) return listener({ kind: 'moved', jobId: job.id })
     const shard = this._getShard(hall)
     if (carried.length > 0) this._options.log.info('preparation_carried', { request: job.id, hall, pieces: carried.length })
@@ -102,7 +104,7 @@
       return listener({ kind: 'refused', jobId: job.id, refusal })
     }
     this._listeners.set(job.id, listener)
-    this._jobs.set(job.id, new HeldJob(shard))
+    this._jobs.set(job.id, new HeldJob(shard, link))
     this._scheduleDispatch(shard)
     this._scheduleSweep()
   }
@@ -146,9 +148,10 @@
    * The link to a job's owner broke. If the owner is gone, the results are of no use; if only the link is, another
    * coordinator may be going on from them. Nothing more is made, and they are given back when they must have been used.
    */
-  detach (jobId: string): void {
+  detach (jobId: string, link: object): void {
     const held = this._jobs.get(jobId)
-    if (held === undefined || held.isDetached) return
+    // An owner that came back over a new link has the job again, whenever the end of the old one is noticed.
+    if (held === undefined || held.isDetached || held.link !== link) return
     held.isDetached = true
     this._listeners.delete(jobId)
     held.shard.planner.detachJob(jobId)
@@ -186,9 +189,10 @@
 
   /** Makes results anew; false when the job is not known here. */
   reopen (jobId: string, listener: JobListener): boolean {
-    const shard = this._jobs.get(jobId)?.shard
-    if (shard === undefined || !shard.planner.reopenJob(jobId, this._options.clock.now())) return false
-    this._jobs.set(jobId, new HeldJob(shard))
+    const held = this._jobs.get(jobId)
+    if (held === undefined || !held.shard.planner.reopenJob(jobId, this._options.clock.now())) return false
+    const { shard, link } = held
+    this._jobs.set(jobId, new HeldJob(shard, link))
     this._listeners.set(jobId, listener)
     this._scheduleDispatch(shard)
     this._scheduleSweep()
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -32,7 +32,7 @@
         Right: message => this._take(connection, jobs, message)
       })
     })
-    connection.onDidClose(() => { for (const jobId of jobs) this._coordinator.detach(jobId) })
+    connection.onDidClose(() => { for (const jobId of jobs) this._coordinator.detach(jobId, connection) })
   }
 
   private _take (connection: FrameConnection, jobs: Set<string>, message: PreparationMessage): void {
@@ -41,7 +41,7 @@
       send({ kind: 'pong' })
     } else if (message.kind === 'job') {
       jobs.add(message.job.id)
-      this._coordinator.submit({ job: message.job, hall: message.hall, carried: message.carried }, news => {
+      this._coordinator.submit({ job: message.job, hall: message.hall, carried: message.carried, link: connection }, news => {
         if (news.kind === 'refused' || news.kind === 'moved') jobs.delete(news.jobId)
         send(news)
       })
--- a/src/services/preparation/test/preparationCoordinator.test.ts
+++ b/src/services/preparation/test/preparationCoordinator.test.ts
@@ -14,6 +14,9 @@
 
 const test = suite('preparationCoordinator')
 
+/** Stands for an owner's connection. */
+const LINK = {}
+
 /** Makes every piece at once and remembers what it was asked. */
 class FakePieces extends PieceProtocol {
   readonly freed: string[] = []
@@ -117,9 +120,9 @@
 }))
 
 test('the results of a job whose owner is out of reach are given back only when they must have been taken over', () => runWith(async ({ coordinator, pieces, news, advance }) => {
-  coordinator.submit({ job: createJob('j', [createStage('a', 1)]), hall: '' }, item => news.push(item))
+  coordinator.submit({ job: createJob('j', [createStage('a', 1)]), hall: '', link: LINK }, item => news.push(item))
   await advance(50)
-  coordinator.detach('j')
+  coordinator.detach('j', LINK)
   await advance(1000)
   assert.equal(pieces.freed, [])
   await advance(1000)
@@ -127,11 +130,21 @@
   assert.not(coordinator.holds('j'))
 }))
 
+test('the end of an old link does not take a job from the owner that came back over a new one', () => runWith(async ({ coordinator, news, advance }) => {
+  const job = createJob('j', [createStage('a', 1)])
+  const [oldLink, newLink] = [{}, {}]
+  coordinator.submit({ job, hall: '', link: oldLink }, () => {})
+  coordinator.submit({ job, hall: '', link: newLink }, item => news.push(item))
+  coordinator.detach('j', oldLink)
+  await advance(50)
+  assert.is(news.at(-1)?.kind, 'prepared')
+}))
+
 test('an owner that comes back goes on with the results that it has', () => runWith(async ({ coordinator, pieces, news, advance }) => {
   const job = createJob('j', [createStage('a', 1)])
-  coordinator.submit({ job, hall: '' }, item => news.push(item))
+  coordinator.submit({ job, hall: '', link: LINK }, item => news.push(item))
   await advance(50)
-  coordinator.detach('j')
+  coordinator.detach('j', LINK)
   const carried = [{ stage: 0, index: 0, result: { handle: 'j/0.0', upstreamId: 'a-x' }, ageMs: 50 }]
   coordinator.submit({ job, hall: '', carried }, item => news.push(item))
   await advance(2000)
