List what is known of prompts in one place

The client wrote the same list twice, for its own coordinator and for a link. Nothing changes in what is sent; 62 tests of preparation pass.

--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -16,6 +16,7 @@
 import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
 import { MAX_PREFIX_NOTES } from '../common/preparationMessage.ts'
 import { PrefixBook } from '../common/prefixBook.ts'
+import type { PrefixNote } from '../common/prefixBook.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobEnd, JobNews } from '../common/plannedCall.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
@@ -118,14 +119,18 @@
     if (link === undefined || link.isClosed) return this._move(open)
     open.link = link
     link.openJobs++
-    if (link.mayTellPrefixes(hall)) link.send({ kind: 'prefixes', hall, notes: this._prefixes.list(MAX_PREFIX_NOTES, this._options.clock.now()) })
+    if (link.mayTellPrefixes(hall)) link.send({ kind: 'prefixes', hall, notes: this._listPrefixes() })
     link.send({ kind: 'job', job: this._updateTimes(open), hall, carried: this._listCarried(open) })
   }
 
   /** When this node begins to plan for a hall, it knows what its own prompts were sent to. */
   private _pushPrefixes (hall: string): void {
     if (this._options.coordinator.hasPlan(hall)) return
-    this._options.coordinator.addPrefixes(hall, this._prefixes.list(MAX_PREFIX_NOTES, this._options.clock.now()))
+    this._options.coordinator.addPrefixes(hall, this._listPrefixes())
+  }
+
+  private _listPrefixes (): readonly PrefixNote[] {
+    return this._prefixes.list(MAX_PREFIX_NOTES, this._options.clock.now())
   }
 
   private _listCarried (open: OpenJob): readonly CarriedPiece[] {
