Move what a node shares of upstreams out of EntryNode

No change of behaviour: the same code behind a class of its own, where the age of what is believed can be noted. Lint, types and the tests of src/preparation and src/entryNode pass.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -14,8 +14,7 @@
 import type { ConfigurationSource } from '../services/configuration/common/configurationSource.ts'
 import { formatNumber } from '../services/configuration/common/configurationNumber.ts'
 import type { AcceptedConfiguration } from '../services/configuration/common/configurationService.ts'
-import { formatGateSubject, formatLeavingSubject } from '../services/facts/common/fact.ts'
-import type { HeldFact } from '../services/facts/common/factStore.ts'
+import { formatGateSubject } from '../services/facts/common/fact.ts'
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { listNodeAddresses } from '../services/locate/common/nodeDirectory.ts'
@@ -39,10 +38,10 @@
 import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import { RetryBudget } from '../services/retry/common/retryPolicy.ts'
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
-import type { UpstreamChange } from '../services/upstream/common/upstreamRegistry.ts'
-import type { UpstreamNews, UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
+import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
 import type { NodeSettings } from './nodeSettings.ts'
+import { UpstreamSharing } from './upstreamSharing.ts'
 
 export interface EntryNodeOptions {
   readonly settings: NodeSettings
@@ -80,16 +79,6 @@
 /** The end is kept this far from the moment when the process would be ended by force. */
 const STOP_MARGIN_MS = 400
 const STOP_POLL_MS = 50
-/** Order of what is said of one boot: gone outweighs leaving. */
-const LEAVING_COUNTER = 1
-const GONE_COUNTER = 2
-const PEER_SIGNAL = 'peer'
-const LIST_SIGNAL = 'list'
-/** This node's own watch should have told what a peer said within this time. */
-const CONFIRM_MS = 700
-/** Boots are never heard of again so long after their end. */
-const FORGET_LEAVING_MS = 600_000
-const DROP_PERIOD_MS = 60_000
 /** Changes of members within this time move jobs once. */
 const MOVE_DELAY_MS = 40
 
@@ -115,6 +104,7 @@
   private _isDraining = false
   private _isCatchingUp = false
   private readonly _startedAt: number
+  private readonly _sharing: UpstreamSharing
   private _isMoving = false
 
   constructor (options: EntryNodeOptions) {
@@ -184,13 +174,12 @@
     })
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
-    this._register(this._registry.onDidChange(change => this._noteChange(change)))
-    this._register(this._member.facts.onDidChange(fact => this._takeFact(fact)))
+    this._sharing = this._register(new UpstreamSharing({ clock, log, facts: this._member.facts, registry: this._registry, source: options.upstreamSource }))
+    this._register(this._member.facts.onDidChange(fact => { if (fact.value.kind === 'member') this._scheduleMove() }))
     this._register(this._member.onDidJoin(() => this._scheduleMove()))
     this._register(options.configurationSource)
     this._register(options.configurationSource.onDidRead(document => this._member.offer(document)))
     this._register(options.upstreamSource)
-    this._register(options.upstreamSource.onDidRead(news => this._takeNews(news)))
   }
 
   /** Whether callers should use this node. */
@@ -199,7 +188,7 @@
   }
 
   async start (): Promise<void> {
-    const { settings, log, configurationSource, upstreamSource } = this._options
+    const { settings, log, configurationSource } = this._options
     log.info('starting', { node: settings.name, hall: settings.hall, address: settings.address, seeds: settings.seeds.length })
     const address = parseAddress(settings.address)
     const callers = parseAddress(settings.callers_address)
@@ -210,8 +199,7 @@
     await this._serveMetrics(address.host)
     this._register(startInterval(PAUSE_CHECK_PERIOD_MS, () => this._checkPause()))
     this._register(startInterval(REPORT_PERIOD_MS, () => this._report()))
-    this._register(startInterval(DROP_PERIOD_MS, () => this._dropOldFacts()))
-    upstreamSource.start()
+    this._sharing.start()
     configurationSource.start()
     await this._member.join(configurationSource.readNewest())
     this._report()
@@ -309,16 +297,6 @@
     this._coordinator.refresh()
   }
 
-  private _takeNews (news: UpstreamNews): void {
-    if (news.kind === 'updated') return this._registry.update(news.entry, 'source')
-    if (news.kind === 'removed') return this._registry.drop(news.id, 'removed')
-    const listed = new Set(news.entries.map(entry => entry.id))
-    const knownCount = this._registry.size
-    for (const entry of news.entries) this._registry.update(entry, LIST_SIGNAL)
-    if (this._registry.size > knownCount) this._options.log.info('upstreams_listed', { listed: listed.size, known_before: knownCount })
-    for (const entry of this._registry.list()) if (!listed.has(entry.id)) this._registry.drop(entry.id, 'not listed')
-  }
-
   /** Says whether callers may use this node, when that has changed or was not said for long. */
   private _report (): void {
     const { settings, incarnation, clock } = this._options
@@ -370,21 +348,6 @@
     this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, produced_ms: end.producedMs, upstream: end.lastUpstream, took_ms: Math.round(elapsedMs) })
   }
 
-  /** What this node learned of an upstream's end goes to its peers, some of which may be cut off from the source. */
-  private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
-    // A list of all upstreams is one line: a starting fleet would write thousands.
-    if (kind === 'changed' || (kind === 'added' && signal === LIST_SIGNAL)) return
-    this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal })
-    if (kind === 'added' || signal === PEER_SIGNAL) return
-    this._member.facts.merge({
-      subject: formatLeavingSubject(entry.id),
-      incarnation: 1,
-      counter: kind === 'leaving' ? LEAVING_COUNTER : GONE_COUNTER,
-      value: { kind: 'leaving', upstream: entry.id, signal },
-      ageMs: 0
-    })
-  }
-
   /** Members become known one after the other. */
   private _scheduleMove (): void {
     if (this._isMoving) return
@@ -395,23 +358,6 @@
     })
   }
 
-  private _takeFact (fact: HeldFact): void {
-    if (fact.value.kind === 'member') this._scheduleMove()
-    if (fact.value.kind !== 'leaving' || fact.source === '') return
-    if (fact.counter === LEAVING_COUNTER) return this._registry.markLeaving(fact.value.upstream, PEER_SIGNAL)
-    const { upstream } = fact.value
-    if (!this._options.upstreamSource.isCurrent) return this._registry.drop(upstream, PEER_SIGNAL)
-    // A peer's list may have been short for a moment, or this node's watch may have gone silent: a new list decides.
-    this._options.clock.schedule(CONFIRM_MS, () => {
-      if (!this._isDisposed && this._registry.get(upstream) !== undefined) this._options.upstreamSource.listAgain()
-    })
-  }
-
-  private _dropOldFacts (): void {
-    const now = this._options.clock.now()
-    for (const fact of this._member.facts.listKind('leaving')) if (now - fact.observedAt > FORGET_LEAVING_MS) this._member.facts.drop(fact.subject)
-  }
-
   /** Members as this node knows them, for the dump. */
   listMembers (): readonly Member[] {
     return this._member.membership.listMembers()
--- /dev/null
+++ b/src/entryNode/upstreamSharing.ts
@@ -0,0 +1,91 @@
+/**
+ * What a node knows of upstreams, from its source and from its peers: the source's news go into the registry, and what
+ * is learned of an upstream's end goes to the peers, some of which may be cut off from the source.
+ */
+import type { IClock } from '../base/common/clock.ts'
+import { Disposable } from '../base/common/disposable.ts'
+import { startInterval } from '../base/node/interval.ts'
+import { formatLeavingSubject } from '../services/facts/common/fact.ts'
+import type { FactStore, HeldFact } from '../services/facts/common/factStore.ts'
+import type { ILogService } from '../services/log/node/logger.ts'
+import type { UpstreamChange, UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
+import type { UpstreamNews, UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
+
+export interface UpstreamSharingOptions {
+  readonly clock: IClock
+  readonly log: ILogService
+  readonly facts: FactStore
+  readonly registry: UpstreamRegistry
+  readonly source: UpstreamSource
+}
+
+/** Order of what is said of one boot: gone outweighs leaving. */
+const LEAVING_COUNTER = 1
+const GONE_COUNTER = 2
+const PEER_SIGNAL = 'peer'
+const LIST_SIGNAL = 'list'
+/** This node's own watch should have told what a peer said within this time. */
+const CONFIRM_MS = 700
+/** Boots are never heard of again so long after their end. */
+const FORGET_LEAVING_MS = 600_000
+const DROP_PERIOD_MS = 60_000
+
+export class UpstreamSharing extends Disposable {
+  private readonly _options: UpstreamSharingOptions
+
+  constructor (options: UpstreamSharingOptions) {
+    super()
+    this._options = options
+    this._register(options.registry.onDidChange(change => this._noteChange(change)))
+    this._register(options.facts.onDidChange(fact => this._takeFact(fact)))
+    this._register(options.source.onDidRead(news => this._takeNews(news)))
+  }
+
+  start (): void {
+    this._register(startInterval(DROP_PERIOD_MS, () => this._dropOldFacts()))
+    this._options.source.start()
+  }
+
+  private _takeNews (news: UpstreamNews): void {
+    const { log, registry } = this._options
+    if (news.kind === 'updated') return registry.update(news.entry, 'source')
+    if (news.kind === 'removed') return registry.drop(news.id, 'removed')
+    const listed = new Set(news.entries.map(entry => entry.id))
+    const knownCount = registry.size
+    for (const entry of news.entries) registry.update(entry, LIST_SIGNAL)
+    if (registry.size > knownCount) log.info('upstreams_listed', { listed: listed.size, known_before: knownCount })
+    for (const entry of registry.list()) if (!listed.has(entry.id)) registry.drop(entry.id, 'not listed')
+  }
+
+  private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
+    // A list of all upstreams is one line: a starting fleet would write thousands.
+    if (kind === 'changed' || (kind === 'added' && signal === LIST_SIGNAL)) return
+    this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal })
+    if (kind === 'added' || signal === PEER_SIGNAL) return
+    this._options.facts.merge({
+      subject: formatLeavingSubject(entry.id),
+      incarnation: 1,
+      counter: kind === 'leaving' ? LEAVING_COUNTER : GONE_COUNTER,
+      value: { kind: 'leaving', upstream: entry.id, signal },
+      ageMs: 0
+    })
+  }
+
+  private _takeFact (fact: HeldFact): void {
+    const { clock, registry, source } = this._options
+    if (fact.value.kind !== 'leaving' || fact.source === '') return
+    if (fact.counter === LEAVING_COUNTER) return registry.markLeaving(fact.value.upstream, PEER_SIGNAL)
+    const { upstream } = fact.value
+    if (!source.isCurrent) return registry.drop(upstream, PEER_SIGNAL)
+    // A peer's list may have been short for a moment, or this node's watch may have gone silent: a new list decides.
+    clock.schedule(CONFIRM_MS, () => {
+      if (!this._isDisposed && registry.get(upstream) !== undefined) source.listAgain()
+    })
+  }
+
+  private _dropOldFacts (): void {
+    const { clock, facts } = this._options
+    const now = clock.now()
+    for (const fact of facts.listKind('leaving')) if (now - fact.observedAt > FORGET_LEAVING_MS) facts.drop(fact.subject)
+  }
+}
