--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -2,6 +2,7 @@
  * Plans the pieces of all jobs that a coordinator holds: which go together into a call, at which upstream, and when.
  * Pure: time is passed in, and calls are made by others.
  */
+import { BatchChoice } from './batchChoice.ts'
 import { computeRetryAfter, decideAdmission } from './jobForecast.ts'
 import { JobOrder } from './jobOrder.ts'
 import { JobState } from './jobState.ts'
@@ -14,7 +15,7 @@
 import type { JobNews, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
 import { hasPieces } from './preparationJob.ts'
 import type { CarriedPiece, JobRefusal, MadePiece, PieceResult, PreparationJob } from './preparationJob.ts'
-import { computeBatchSize, createPlannedPiece, getPiece, listWaiting, takeBatch } from './readyPiece.ts'
+import { createPlannedPiece, getPiece } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall, sumBytesByHall } from './resultHalls.ts'
 import type { PrefixNote } from './prefixBook.ts'
@@ -27,8 +28,6 @@
   readonly startedAt: number
 }
 
-/** How long a piece waits for an upstream in its hall, if its goal leaves the time. */
-const HALL_PATIENCE_MS = 250
 /** A call that takes so many times what it should, and some more, is given up. */
 const TIMEOUT_FACTOR = 3
 const TIMEOUT_EXTRA_MS = 500
@@ -48,6 +47,7 @@
   private readonly _jobs = new Map<string, JobState>()
   private readonly _pool = new PieceUpstreams(this._upstreams)
   private readonly _order = new JobOrder(this._works, this._pool)
+  private readonly _batches = new BatchChoice(this._pool, this._order)
   private readonly _halls = new HallLoads(this._upstreams, this._jobs, this._works)
   private readonly _calls = new Map<number, StartedCall>()
   private readonly _frees = new PendingFrees()
@@ -183,13 +183,16 @@
     if (this._isEnding) return []
     const idle = this._pool.groupIdle(now)
     if (idle.size === 0 || this._jobs.size === 0) return []
-    const ready = this._groupReady(idle, now)
+    const ready = this._batches.groupReady(this._jobs.values(), idle, now)
     const calls: PlannedCall[] = []
     for (const [role, upstreams] of idle) {
-      const roleCalls = this._startRole(ready.get(role) ?? [], upstreams, now)
-      calls.push(...roleCalls)
-      const started = roleCalls.reduce((sum, call) => sum + call.pieces.length, 0)
-      this._pool.getRate(role).setBacklog((ready.get(role)?.length ?? 0) > started, now)
+      const pieces = ready.get(role) ?? []
+      let startedCount = 0
+      this._batches.spread(pieces, upstreams, now, (upstream, chosen, leftWaiting) => {
+        calls.push(this._start(upstream, chosen, leftWaiting, now))
+        startedCount += chosen.length
+      })
+      this._pool.getRate(role).setBacklog(pieces.length > startedCount, now)
     }
     return calls
   }
@@ -258,28 +261,6 @@
     }
   }
 
-  private _startRole (ready: readonly ReadyPiece[], idle: readonly PieceUpstream[], now: number): readonly PlannedCall[] {
-    const calls: PlannedCall[] = []
-    let rest: readonly ReadyPiece[] = ready
-    idle.forEach((upstream, index) => {
-      if (rest.length === 0 || !this._pool.isWorthwhile(upstream, rest.length, now)) return
-      const fitting = rest.filter(piece => this._pool.isNear(upstream, piece.state.getHall(piece.stage), now))
-      const size = computeBatchSize(upstream, rest.length, idle.length - index)
-      const chosen = takeBatch([...fitting, ...rest.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
-      const taken = new Set(chosen)
-      rest = rest.filter(piece => !taken.has(piece))
-      if (chosen.length > 0) calls.push(this._start(upstream, chosen, rest.length, now))
-    })
-    return calls
-  }
-
-  /** Whether a piece has waited long enough for its hall, or cannot wait. */
-  private _isImpatient (piece: ReadyPiece, now: number): boolean {
-    const { state } = piece
-    const slackMs = state.goalAt - now - this._order.estimateRemaining(state, now)
-    return now - state.getReadyAt(piece.stage, now) >= Math.min(HALL_PATIENCE_MS, Math.max(0, slackMs))
-  }
-
   private _start (upstream: PieceUpstream, chosen: readonly ReadyPiece[], leftWaiting: number, now: number): PlannedCall {
     const expectedMs = computeCallMs(upstream.work, chosen.length)
     const call: PlannedCall = {
@@ -302,31 +283,6 @@
     return call
   }
 
-  /** Pieces that could start at idle upstreams, by role, in the order in which they should, as far as there is room for whole stages. */
-  private _groupReady (idle: ReadonlyMap<string, unknown>, now: number): ReadonlyMap<string, readonly ReadyPiece[]> {
-    const freeBytes = this._pool.sumFreeBytes(now)
-    const begun = new Map<string, ReadyPiece[]>()
-    const fresh = new Map<string, ReadyPiece[]>()
-    for (const state of this._order.rank(this._jobs.values(), now)) {
-      if (!state.hasWaiting(idle)) continue
-      for (const stage of state.listReadyStages()) {
-        const spec = state.job.stages[stage]
-        if (spec === undefined || !idle.has(spec.role)) continue
-        const pieces = listWaiting(state, stage, spec.resultBytes)
-        const wantedBytes = pieces.length * spec.resultBytes
-        const left = freeBytes.get(spec.role) ?? 0
-        // A stage that has begun holds room which only its end gives back, so it goes first, whatever is left.
-        const group = state.hasStarted(stage) ? begun : fresh
-        if (group === fresh && wantedBytes > left) continue
-        freeBytes.set(spec.role, left - wantedBytes)
-        const held = group.get(spec.role)
-        if (held === undefined) group.set(spec.role, [...pieces])
-        else held.push(...pieces)
-      }
-    }
-    return new Map([...idle.keys()].map(role => [role, [...begun.get(role) ?? [], ...fresh.get(role) ?? []]]))
-  }
-
   private _settlePiece (started: PieceKey, outcome: PieceOutcome, upstream: PieceUpstream | undefined, call: StartedCall, now: number): void {
     const piece = getPiece(started)
     const bytes = started.state.job.stages[started.stage]?.resultBytes ?? 0
