Log and count how current the upstreams are that a request was sent by

Tells a deaf watch (age grows) from a list that is wrong (age small) and from what was decided elsewhere.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -167,6 +167,7 @@
       countOpen: () => this._relay.openCount,
       countMembers: () => this.countNodes(),
       countUpstreams: () => this._registry.size,
+      getKnownAgeMs: () => this._registry.computeAge(clock.now()).ageMs,
       countJobs: () => this._coordinator.jobCount,
       getConfigurationVersion: () => this._member.configuration.number.version,
       countPauses: () => this._pause.pauseCount,
@@ -345,7 +346,7 @@
     this._recent.add(1)
     this._metrics.record(ended)
     const { id, route, customer, elapsedMs, end } = ended
-    this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, produced_ms: end.producedMs, upstream: end.lastUpstream, took_ms: Math.round(elapsedMs) })
+    this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, produced_ms: end.producedMs, upstream: end.lastUpstream, known_revision: end.known.revision, known_age_ms: Math.round(end.known.ageMs), took_ms: Math.round(elapsedMs) })
   }
 
   /** Members become known one after the other. */
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -10,12 +10,13 @@
     countOpen: () => 3,
     countMembers: getZero,
     countUpstreams: getZero,
+    getKnownAgeMs: () => 250,
     countJobs: getZero,
     getConfigurationVersion: () => 41,
     countPauses: getZero,
     getBytesSent: getZero
   })
-  const end = { result: 'delivered' as const, attempts: 2, preparedMs: 300, producedMs: 40, lastUpstream: 'u' }
+  const end = { result: 'delivered' as const, attempts: 2, preparedMs: 300, producedMs: 40, lastUpstream: 'u', known: { revision: 7, ageMs: 250 } }
   metrics.record({ id: 'a', route: 'r', customer: 'c', elapsedMs: 400, end })
   metrics.record({ id: 'b', route: 'r', customer: 'c', elapsedMs: 5, end: { ...end, result: 'overloaded', attempts: 0, preparedMs: 0, producedMs: 0 } })
   const text = await metrics.metrics.registry.metrics()
@@ -24,6 +25,7 @@
   assert.match(text, /pepperwood_node_attempts_total 2/)
   assert.match(text, /pepperwood_node_prepared_ms_count 1/)
   assert.match(text, /pepperwood_node_configuration_version 41/)
+  assert.match(text, /pepperwood_node_known_age_ms 250/)
   assert.match(text, /pepperwood_node_requests_open 3/)
 })
 
--- a/src/entryNode/upstreamSharing.ts
+++ b/src/entryNode/upstreamSharing.ts
@@ -39,6 +39,7 @@
     this._register(options.registry.onDidChange(change => this._noteChange(change)))
     this._register(options.facts.onDidChange(fact => this._takeFact(fact)))
     this._register(options.source.onDidRead(news => this._takeNews(news)))
+    this._register(options.source.onDidConfirm(revision => options.registry.confirm(revision, options.clock.now())))
   }
 
   start (): void {
@@ -60,7 +61,8 @@
   private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
     // A list of all upstreams is one line: a starting fleet would write thousands.
     if (kind === 'changed' || (kind === 'added' && signal === LIST_SIGNAL)) return
-    this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal })
+    const { revision, ageMs } = this._options.registry.computeAge(this._options.clock.now())
+    this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal, known_revision: revision, known_age_ms: Math.round(ageMs) })
     if (kind === 'added' || signal === PEER_SIGNAL) return
     this._options.facts.merge({
       subject: formatLeavingSubject(entry.id),
--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -112,10 +112,11 @@
   }
 
   private async _probe (): Promise<void> {
-    const { membership } = this._options
+    const { membership, link: { log } } = this._options
     membership.expire()
     const target = membership.chooseProbe()
     if (target === undefined || await this._ping(target)) return
+    log.info('probe_unanswered', { member: target, is_linked: this._links.has(target) })
     const others = membership.listPeers().map(member => member.address).filter(address => address !== target)
     const helpers = this._draw(others, HELPER_COUNT)
     const answers = await Promise.all(helpers.map(helper => this._ping(helper, target)))
--- a/src/services/preparation/node/planLog.ts
+++ b/src/services/preparation/node/planLog.ts
@@ -2,14 +2,23 @@
  * What a coordinator writes of its calls and jobs: late and refused requests are explained from these lines.
  */
 import type { ILogService } from '../../log/node/logger.ts'
+import type { PictureAge } from '../../upstream/common/upstreamRegistry.ts'
 import type { JobEnd, PieceCallOutcome, PlannedCall } from '../common/plannedCall.ts'
 
+/** How a call ended, and on what it was sent. */
+export interface EndedCall {
+  readonly outcome: PieceCallOutcome
+  readonly tookMs: number
+  /** How current the upstreams were that it was sent by. */
+  readonly known: PictureAge
+}
+
 const BYTES_PER_KB = 1000
 
 export class PlanLog {
   constructor (private readonly _log: ILogService) {}
 
-  noteCall (call: PlannedCall, outcome: PieceCallOutcome, tookMs: number): void {
+  noteCall (call: PlannedCall, { outcome, tookMs, known }: EndedCall): void {
     const { id, upstreamId, role, pieces, leftWaiting, freeBytes, expectedMs } = call
     const outcomes = outcome.kind === 'answered' ? outcome.pieces : []
     const countFailed = (reason: string) => outcomes.filter(piece => piece.kind === 'failed' && piece.reason === reason).length
@@ -26,7 +35,9 @@
       input_gone: countFailed('inputGone'),
       late: countFailed('late'),
       expected_ms: Math.round(expectedMs),
-      took_ms: Math.round(tookMs)
+      took_ms: Math.round(tookMs),
+      known_revision: known.revision,
+      known_age_ms: Math.round(known.ageMs)
     })
   }
 
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -250,6 +250,7 @@
     const { registry, protocol, clock, log } = this._options
     const upstream = registry.get(call.upstreamId)
     const startedAt = clock.now()
+    const known = registry.computeAge(startedAt)
     const outcome = upstream === undefined
       ? { kind: 'notRun' as const, reason: 'unreachable' as const }
       : await protocol.runPieces(upstream, call.pieces, call.timeoutMs)
@@ -258,7 +259,7 @@
       log.info('piece_call_failed', { upstream: call.upstreamId, pieces: call.pieces.length, outcome: outcome.kind, reason: outcome.reason, took_ms: Math.round(clock.now() - startedAt) })
       if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') registry.dropForGood(call.upstreamId, 'address answers as another')
     }
-    this._planLog.noteCall(call, outcome, clock.now() - startedAt)
+    this._planLog.noteCall(call, { outcome, tookMs: clock.now() - startedAt, known })
     shard.planner.settleCall(call.id, outcome, clock.now())
     this._deliver(shard)
     this._scheduleDispatch(shard)
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -8,7 +8,7 @@
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { ResultName } from '../../result/common/resultCodes.ts'
-import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import type { PictureAge, UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { IPreparedInputs } from '../../preparation/common/preparationService.ts'
 import type { TargetReport } from '../../preparation/common/targetPlanner.ts'
 import { hasPieces } from '../../preparation/common/preparationJob.ts'
@@ -47,6 +47,8 @@
   /** From when the results were there to the first event or the whole answer; 0 when there was none. */
   readonly producedMs: number
   readonly lastUpstream: string
+  /** How current the upstreams were when the last one was chosen. */
+  readonly known: PictureAge
 }
 
 /** A planner in another hall answers within a few milliseconds. */
@@ -72,6 +74,7 @@
   private _isGivenUp = false
   private _producedMs = 0
   private _lastUpstream = ''
+  private _known: PictureAge
   private readonly _tried = new Set<string>()
   private readonly _abort = new AbortController()
   private readonly _deadlineAt: number
@@ -82,6 +85,7 @@
     this._deadlineAt = arrivedAt + Math.min(route.timeoutMs, request.timeLeftMs ?? Infinity)
     this._lastEventId = request.lastEventId
     this._role = pickTarget(route.targets, _context.random)
+    this._known = _context.registry.computeAge(arrivedAt)
   }
 
   /** Runs to the end; the caller has its answer, or is gone, when it resolves. */
@@ -108,7 +112,7 @@
   }
 
   private _end (result: RelayEnd['result']): RelayEnd {
-    return { result, attempts: this._sendCount, preparedMs: Math.round(this._preparedMs), producedMs: Math.round(this._producedMs), lastUpstream: this._lastUpstream }
+    return { result, attempts: this._sendCount, preparedMs: Math.round(this._preparedMs), producedMs: Math.round(this._producedMs), lastUpstream: this._lastUpstream, known: this._known }
   }
 
   private async _runAttempts (): Promise<RelayEnd['result']> {
@@ -193,6 +197,7 @@
     const visit = context.pool.begin(upstream, request.prompt)
     const timeLeftMs = this._getTimeLeft()
     const sentAt = context.clock.now()
+    this._known = context.registry.computeAge(sentAt)
     let releasing: IDisposable | undefined
     this._isAtUpstream = true
     const result = await new RelayAttempt({
--- a/src/services/upstream/common/upstreamRegistry.ts
+++ b/src/services/upstream/common/upstreamRegistry.ts
@@ -25,6 +25,14 @@
   readonly signal: string
 }
 
+/** How current the entries are, for logs: a request that went to the wrong place is explained by it. */
+export interface PictureAge {
+  /** The source's revision up to which its changes are known. */
+  readonly revision: number
+  /** Milliseconds since the source last said so; Infinity before it did. */
+  readonly ageMs: number
+}
+
 /** Ids of dropped boots that are remembered, the oldest forgotten first. */
 const MAX_REMEMBERED = 2000
 
@@ -32,6 +40,8 @@
   private readonly _entries = new Map<string, UpstreamEntry>()
   private readonly _byRole = new Map<string, readonly UpstreamEntry[]>()
   private readonly _gone = new Set<string>()
+  private _confirmedRevision = 0
+  private _confirmedAt = -Infinity
   private readonly _onDidChange = this._register(new Emitter<UpstreamChange>())
   readonly onDidChange = this._onDidChange.event
 
@@ -94,6 +104,16 @@
     this.drop(id, signal)
   }
 
+  /** The source says that nothing changed beyond what was taken in up to this revision. */
+  confirm (revision: number, now: number): void {
+    this._confirmedRevision = revision
+    this._confirmedAt = now
+  }
+
+  computeAge (now: number): PictureAge {
+    return { revision: this._confirmedRevision, ageMs: now - this._confirmedAt }
+  }
+
   private _noteGone (id: string): void {
     this._gone.add(id)
     if (this._gone.size > MAX_REMEMBERED) for (const oldest of [...this._gone].slice(0, 1)) this._gone.delete(oldest)
--- a/src/services/upstream/common/upstreamSource.ts
+++ b/src/services/upstream/common/upstreamSource.ts
@@ -15,6 +15,9 @@
 export abstract class UpstreamSource extends Disposable {
   private readonly _onDidRead = this._register(new Emitter<UpstreamNews>())
   readonly onDidRead = this._onDidRead.event
+  private readonly _onDidConfirm = this._register(new Emitter<number>())
+  /** Everything up to this revision of the source was told. */
+  readonly onDidConfirm = this._onDidConfirm.event
 
   /** Whether the source answered lately, so that what it does not list is not there. */
   abstract get isCurrent (): boolean
@@ -25,6 +28,10 @@
   /** Begins to follow the source, until disposed of. */
   abstract start (): void
 
+  protected _confirm (revision: number): void {
+    this._onDidConfirm.fire(revision)
+  }
+
   protected _publish (news: UpstreamNews): void {
     this._onDidRead.fire(news)
   }
