--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -114,6 +114,18 @@
   })
 }
 
+/**
+ * Closes the pool's idle connections to an address. After one of them gave no answer in time, others that were open
+ * then may be as silent, and each would hold up one more call.
+ */
+export function dropIdleConnections (agent: Agent, address: string): void {
+  const parsed = parseAddress(address)
+  for (const [name, sockets] of Object.entries(agent.freeSockets)) {
+    if (parsed === undefined || !name.startsWith(`${parsed.host}:${parsed.port}:`)) continue
+    for (const socket of [...sockets ?? []]) socket.destroy()
+  }
+}
+
 /** Reads a body of bounded size; undefined when it was cut off or is too large. */
 export async function readBody (response: IncomingMessage, maxBytes: number): Promise<string | undefined> {
   const parts: Buffer[] = []
