Ask a coordinator over a new connection before it is taken for lost

Now a link that answered before its silence is opened anew first. A coordinator that gets a job again over another link forgets what it said into the old one, whose end it never hears.

--- a/src/services/membership/test/silentLinks.test.ts
+++ b/src/services/membership/test/silentLinks.test.ts
@@ -6,13 +6,13 @@
  * Cause: a probe that got no answer made the member suspect, but the link that it had gone over was kept and used again
  * for everything, the probes of the helpers included.
  */
-import { connect, createServer } from 'node:net'
-import type { AddressInfo, Socket } from 'node:net'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
-import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { MutableRelay } from '../../../base/test/mutableRelay.ts'
 import { formatLeavingSubject } from '../../facts/common/fact.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { FleetMember } from '../node/fleetMember.ts'
@@ -22,33 +22,6 @@
 const MEMBER_COUNT = 4
 const MAX_DEAF_MS = 2600
 
-/** A way to a member; the connections that are open when it stops forwarding stay open and say nothing more. */
-class MutableRelay extends Disposable {
-  private readonly _pairs = new Set<readonly Socket[]>()
-
-  /** Resolves with its port. */
-  listen (getTarget: () => number): Promise<number> {
-    const server = createServer(near => {
-      const far = connect(getTarget(), '127.0.0.1')
-      const pair = [near, far] as const
-      this._pairs.add(pair)
-      for (const [socket, other] of [[near, far], [far, near]] as const) {
-        socket.setNoDelay(true)
-        socket.on('error', () => {})
-        socket.on('data', data => { if (this._pairs.has(pair)) other.write(data) })
-        socket.on('close', () => { if (this._pairs.has(pair)) other.destroy() })
-      }
-      this._register(toDisposable(() => { for (const socket of pair) socket.destroy() }))
-    })
-    this._register(toDisposable(() => { server.close() }))
-    return new Promise(resolve => { server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port)) })
-  }
-
-  stopForwarding (): void {
-    this._pairs.clear()
-  }
-}
-
 async function findFreePort (): Promise<number> {
   const server = createServer()
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -21,7 +21,7 @@
 
 const DIAL_TIMEOUT_MS = 250
 const PING_PERIOD_MS = 150
-/** A coordinator that is silent for so long is taken for lost; its jobs go elsewhere, which is always allowed. */
+/** A link that is silent for so long is given up; its jobs may go elsewhere, which is always allowed. */
 const SILENCE_MS = 600
 
 export class CoordinatorLink extends Disposable {
@@ -32,6 +32,8 @@
   private readonly _connection: FrameConnection
   private _heardAt: number
   private _isClosed = false
+  private _wasHeard = false
+  private _wentSilent = false
   private readonly _toldHalls = new Set<string>()
   /** Jobs that wait for news; without any, nothing is asked. */
   openJobs = 0
@@ -77,6 +79,11 @@
     return this._isClosed
   }
 
+  /** Answers came before the silence, so that it may be the connection's alone and not the coordinator's. */
+  get wentSilent (): boolean {
+    return this._wentSilent && this._wasHeard
+  }
+
   send (message: PreparationMessage): void {
     this._connection.send(message)
   }
@@ -88,6 +95,7 @@
 
   private _take (frame: unknown): void {
     this._heardAt = this._clock.now()
+    this._wasHeard = true
     checkPreparationMessage(frame).caseOf({
       Left: () => this.close(),
       Right: message => { if (message.kind === 'prepared' || message.kind === 'refused' || message.kind === 'made' || message.kind === 'moved') this._onDidReceive.fire(message) }
@@ -97,10 +105,15 @@
   private _ping (): void {
     const silentMs = this._clock.now() - this._heardAt
     if (this.openJobs === 0) this._heardAt = this._clock.now()
-    else if (silentMs > SILENCE_MS) this.close()
+    else if (silentMs > SILENCE_MS) this._giveUp()
     else if (silentMs > PING_PERIOD_MS) this.send({ kind: 'ping' })
   }
 
+  private _giveUp (): void {
+    this._wentSilent = true
+    this.close()
+  }
+
   private _close (): void {
     if (this._isClosed) return
     this._isClosed = true
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -200,7 +200,7 @@
   private async _openLink (address: string): Promise<CoordinatorLink | undefined> {
     const link = await CoordinatorLink.open({ address, localAddress: this._options.localAddress, clock: this._options.clock })
     if (link === undefined) {
-      this._lose(address)
+      this._lose(address, { mayAskAgain: false })
       return undefined
     }
     this._options.log.info('coordinator_linked', { coordinator: address })
@@ -209,17 +209,21 @@
       if (open?.link === link) this._take(open, news)
     })
     link.onDidClose(() => {
-      this._lose(address)
+      this._lose(address, { mayAskAgain: link.wentSilent })
       for (const open of [...this._jobs.values()]) if (open.link === link) this._move(open)
     })
     return link
   }
 
-  private _lose (address: string): void {
+  /**
+   * A coordinator is asked over a new connection before it is left alone: when connections go silent, nodes that went on
+   * to the next coordinator, and found it silent too, each planned alone in the same upstreams.
+   */
+  private _lose (address: string, { mayAskAgain }: { readonly mayAskAgain: boolean }): void {
     this._links.delete(address)
     if (this._isDisposed) return
-    this._avoidUntil.set(address, this._options.clock.now() + AVOID_MS)
-    this._options.log.warn('coordinator_lost', { coordinator: address, jobs: this._jobs.size })
+    if (!mayAskAgain) this._avoidUntil.set(address, this._options.clock.now() + AVOID_MS)
+    this._options.log.warn('coordinator_lost', { coordinator: address, jobs: this._jobs.size, asked_again: mayAskAgain })
   }
 
   private _createOutcome (open: OpenJob, news: JobEnd, signal: AbortSignal): Either<JobRefusal, IPreparedInputs> {
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -96,7 +96,7 @@
     if (this._isEnding) return listener({ kind: 'moved', jobId: job.id })
     const shard = this._getShard(hall)
     if (carried.length > 0) this._options.log.info('preparation_carried', { request: job.id, hall, pieces: carried.length })
-    if (this._jobs.get(job.id)?.isDetached === true) this._forgetDetached(job.id)
+    this._forgetReplaced(job.id, link)
     const refusal = shard.planner.addJob(job, this._options.clock.now(), carried)
     if (refusal !== undefined) {
       this._noteRefused(job.id, refusal, shard)
@@ -162,9 +162,14 @@
     })
   }
 
-  /** The owner is back, and knows which results it has. */
-  private _forgetDetached (jobId: string): void {
-    this._jobs.get(jobId)?.shard.planner.forgetJob(jobId)
+  /**
+   * The owner is back, and knows which results it has. Its old link may still look open where that went silent; what was
+   * said over it since was not heard.
+   */
+  private _forgetReplaced (jobId: string, link: object | undefined): void {
+    const held = this._jobs.get(jobId)
+    if (held === undefined || (!held.isDetached && held.link === link)) return
+    held.shard.planner.forgetJob(jobId)
     this._jobs.delete(jobId)
   }
 
--- a/src/services/preparation/test/preparationCoordinator.test.ts
+++ b/src/services/preparation/test/preparationCoordinator.test.ts
@@ -153,4 +153,15 @@
   assert.equal(pieces.freed, [])
 }))
 
+test('an owner that asks again over a new link is told what was said into the silence of the old one', () => runWith(async ({ coordinator, pieces, news, advance }) => {
+  const job = createJob('j', [createStage('a', 1)])
+  coordinator.submit({ job, hall: '', link: {} }, () => {})
+  await advance(50)
+  const carried = [{ stage: 0, index: 0, result: { handle: 'j/0.0', upstreamId: 'a-x' }, ageMs: 50 }]
+  coordinator.submit({ job, hall: '', link: LINK, carried }, item => news.push(item))
+  await advance(50)
+  assert.equal(news.map(item => item.kind), ['prepared'])
+  assert.is(pieces.halls.length, 1)
+}))
+
 test.run()
