Use no other idle connection to an upstream that gave no answer in time

After a time-out the idle ones to that address are closed. Before: the new test fails, the call after the silent one waits out its time too.

--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -3,7 +3,7 @@
  */
 import type { Agent, IncomingMessage } from 'node:http'
 import type { IClock } from '../../../base/common/clock.ts'
-import { startExchange } from '../../upstream/node/httpExchange.ts'
+import { dropIdleConnections, startExchange } from '../../upstream/node/httpExchange.ts'
 import type { IExchange } from '../../upstream/node/httpExchange.ts'
 import type { AttemptOutcome } from '../common/attemptDecision.ts'
 import { EventSplitter } from '../common/eventSplitter.ts'
@@ -203,6 +203,7 @@
     this._timer?.dispose()
     this._timer = this._options.clock.schedule(Math.min(timeoutMs, NO_TIMEOUT), () => {
       this._timedOut = true
+      dropIdleConnections(this._options.agent, this._options.call.upstream.address)
       run()
     })
   }
