--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -128,15 +128,14 @@
 
   /**
    * Asks over a new link: the one that the probe went over may have gone silent while the member lives. If so, others
-   * may have gone silent with it.
+   * may have gone silent with it. Without a link from before, the probe went over a new one already.
    */
   private async _pingAnew (address: string, link: PeerLink | undefined): Promise<boolean> {
-    if (link !== undefined) this._dropLink(address, link)
-    if (!await this._ping(address)) return false
-    if (link !== undefined && !this._isDisposed) {
-      this._options.link.log.warn('link_silent', { member: address, links: this._links.size })
-      void this._checkLinks()
-    }
+    if (link === undefined) return false
+    this._dropLink(address, link)
+    if (!await this._ping(address) || this._isDisposed) return false
+    this._options.link.log.warn('link_silent', { member: address, links: this._links.size })
+    void this._checkLinks()
     return true
   }
 
