Add a soak of built nodes under seeded faults

Real processes, struck by signals and through relays on their ways to the store and to upstreams: silenced, reset, cut, delayed; series overlap and pauses follow, since a node is held to times only when nothing struck it. Callers keep their connections until they are gone. Promises are judged by what callers and upstreams saw.

Left: links between nodes are not struck, since peers dial the address that a node listens on; preparation is not used.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -53,7 +53,7 @@
   { files: ['src/services/*/common/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noNode]) } },
   { files: ['src/base/**/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noServices]) } },
   { files: ['src/base/common/*.ts'], rules: { 'no-restricted-imports': restrictImports([noPrograms, noServices, noNode]) } },
-  { files: ['src/load/**/*.ts', 'bench/**/*.ts'], rules: { 'no-restricted-imports': restrictImports([], restrictedImports.filter(item => !item.name.includes('child_process'))) } },
+  { files: ['src/load/**/*.ts', 'bench/**/*.ts', 'platform/soak/*.ts', 'platform/test/*.ts'], rules: { 'no-restricted-imports': restrictImports([], restrictedImports.filter(item => !item.name.includes('child_process'))) } },
   // Tests may reach into any layer to build what they need, and give fakes short names.
   { files: ['src/**/test/*.ts'], rules: { 'no-restricted-imports': restrictImports([]) } }
 ]
--- a/src/services/membership/test/silentLinks.test.ts
+++ b/src/services/membership/test/silentLinks.test.ts
@@ -12,7 +12,7 @@
 import * as assert from 'uvu/assert'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
-import { MutableRelay } from '../../../base/test/mutableRelay.ts'
+import { FaultRelay } from '../../../base/test/faultRelay.ts'
 import { formatLeavingSubject } from '../../facts/common/fact.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { FleetMember } from '../node/fleetMember.ts'
@@ -37,11 +37,11 @@
 }
 
 /** Members that reach each other through relays only, each linked to all others. */
-async function runWith (run: (members: readonly FleetMember[], relays: readonly MutableRelay[], events: readonly string[]) => Promise<void>): Promise<void> {
+async function runWith (run: (members: readonly FleetMember[], relays: readonly FaultRelay[], events: readonly string[]) => Promise<void>): Promise<void> {
   const events: string[] = []
-  const relays = Array.from({ length: MEMBER_COUNT }, () => new MutableRelay())
+  const relays = Array.from({ length: MEMBER_COUNT }, () => new FaultRelay())
   const targets = await Promise.all(relays.map(() => findFreePort()))
-  const ports = await Promise.all(relays.map((relay, index) => relay.listen(() => targets[index] ?? 0)))
+  const ports = await Promise.all(relays.map((relay, index) => relay.listen(() => ({ host: '127.0.0.1', port: targets[index] ?? 0 }))))
   const addresses = ports.map(port => `127.0.0.1:${port}`)
   const members = addresses.map((address, index) => {
     const log = new LogService({ program: 'test', silent: true })
--- a/src/services/preparation/test/silentCoordinator.test.ts
+++ b/src/services/preparation/test/silentCoordinator.test.ts
@@ -10,7 +10,7 @@
 import { create } from '@bufbuild/protobuf'
 import { Emitter } from '../../../base/common/event.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
-import { MutableRelay } from '../../../base/test/mutableRelay.ts'
+import { FaultRelay } from '../../../base/test/faultRelay.ts'
 import { RelaySchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { RelayTable } from '../../relay/common/relayTable.ts'
@@ -58,8 +58,8 @@
   const near = createNode()
   const server = new PreparationServer(far.coordinator, far.log)
   const port = await server.listen('127.0.0.1', 0)
-  const relay = new MutableRelay()
-  const address = `127.0.0.1:${await relay.listen(() => port)}`
+  const relay = new FaultRelay()
+  const address = `127.0.0.1:${await relay.listen(() => ({ host: '127.0.0.1', port }))}`
   const client = new PreparationClient({
     clock: near.clock,
     log: near.log,
