--- a/bench/kinds.mjs
+++ b/bench/kinds.mjs
@@ -21,7 +21,7 @@
   ['scale_in', ['spot', 'reclaim'], { share: 0.15, for_s: 5 }],
   ['srv_cut', ['', 'fronts', 'one_way', 'reset'], { for_s: 5, share: 0.2 }],
   ['replace_with_reuse', ['', 'drain', 'dark'], { share: 0.15 }],
-  ['reset_conns', [''], { share: 0.3, x: 0.6 }],
+  ['reset_conns', ['', 'silent'], { share: 0.3, x: 0.6 }],
   ['after_ack_kill', ['kill', 'timed'], { for_s: 3 }],
   ['config_change', ['route', 'weights', 'timeout', 'tenant', 'quota', 'topup', 'idle'], {}],
   ['revoke', ['last'], { count: 2, gap_s: 0.5 }],
