--- a/src/services/membership/test/fleetMember.test.ts
+++ b/src/services/membership/test/fleetMember.test.ts
@@ -4,23 +4,13 @@
 import * as assert from 'uvu/assert'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
+import { findFreePort } from '../../../base/test/polling.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { FleetMember } from '../node/fleetMember.ts'
 import type { FleetMemberOptions } from '../node/fleetMember.ts'
 
 const test = suite('fleetMember')
 
-/** A port that was free a moment ago: the seed's address must be known before the seed starts. */
-function findFreePort (): Promise<number> {
-  return new Promise(resolve => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(port))
-    })
-  })
-}
-
 function createMember (port: number, seedPort: number, options: Partial<FleetMemberOptions> = {}): FleetMember {
   return new FleetMember({
     address: `127.0.0.1:${port}`,
--- a/src/services/membership/test/silentLinks.test.ts
+++ b/src/services/membership/test/silentLinks.test.ts
@@ -6,13 +6,12 @@
  * Cause: a probe that got no answer made the member suspect, but the link that it had gone over was kept and used again
  * for everything, the probes of the helpers included.
  */
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
 import { FaultRelay } from '../../../base/test/faultRelay.ts'
+import { findFreePort, waitUntil } from '../../../base/test/polling.ts'
 import { formatLeavingSubject } from '../../facts/common/fact.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { FleetMember } from '../node/fleetMember.ts'
@@ -22,20 +21,6 @@
 const MEMBER_COUNT = 4
 const MAX_DEAF_MS = 2600
 
-async function findFreePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => { server.close(resolve) })
-  return port
-}
-
-async function waitFor (isTrue: () => boolean, maxMs: number): Promise<boolean> {
-  const until = performance.now() + maxMs
-  while (!isTrue() && performance.now() < until) await new Promise(resolve => { setTimeout(resolve, 10) })
-  return isTrue()
-}
-
 /** Members that reach each other through relays only, each linked to all others. */
 async function runWith (run: (members: readonly FleetMember[], relays: readonly FaultRelay[], events: readonly string[]) => Promise<void>): Promise<void> {
   const events: string[] = []
@@ -51,7 +36,7 @@
   try {
     await Promise.all(members.map((member, index) => member.listen({ host: '127.0.0.1', port: targets[index] ?? 0 })))
     await Promise.all(members.map(member => member.join(Promise.resolve(true))))
-    assert.ok(await waitFor(() => members.every(member => member.gossip.links.length === MEMBER_COUNT - 1), MAX_DEAF_MS))
+    assert.ok(await waitUntil(() => members.every(member => member.gossip.links.length === MEMBER_COUNT - 1), MAX_DEAF_MS))
     await run(members, relays, events)
   } finally {
     for (const part of [...members, ...relays]) part.dispose()
@@ -62,8 +47,8 @@
   for (const relay of relays) relay.stopForwarding()
   members[0]?.facts.merge({ subject: formatLeavingSubject('u'), incarnation: 1, counter: 1, value: { kind: 'leaving', upstream: 'u', signal: 's' }, ageMs: 0 })
   const hasHeard = (member: FleetMember) => member.facts.get(formatLeavingSubject('u')) !== undefined
-  assert.ok(await waitFor(() => members.every(hasHeard), MAX_DEAF_MS), 'a member did not hear the news')
-  assert.not(await waitFor(() => members.some(member => member.membership.listLive().length < MEMBER_COUNT), MAX_DEAF_MS))
+  assert.ok(await waitUntil(() => members.every(hasHeard), MAX_DEAF_MS), 'a member did not hear the news')
+  assert.not(await waitUntil(() => members.some(member => member.membership.listLive().length < MEMBER_COUNT), MAX_DEAF_MS))
   assert.not(events.some(event => event.includes('state=dead')))
 }))
 
