Let one node of each hall follow the source and hand on what it says

Cause: each node follows the store for itself, so a change wakes as many watches as there are nodes, and each asks again for the next one.

Change: the first node of each hall (rendezvous) follows, and sends changes in the store's own revisions, and a word with each answer of the store, to those that listen; each node listens to two. A reader relies on a feeder only while the store answered the feeder within 1.5 s, the reader has taken all that it told, and it is not behind; else it follows the store from its own revision as before. Long values are not handed on; the peers' tree spreads configurations.

The first form failed "a feeder that hears nothing of the store": asked again, it answered from memory and was believed anew; messages now carry how old the store's word is.

Ruled out: calls of the check of each second (a tenth of them). A relay of tests could keep a process from ending: a socket that is being shut down cannot be reset.

--- a/src/base/node/frameConnection.ts
+++ b/src/base/node/frameConnection.ts
@@ -7,6 +7,16 @@
 import { Emitter } from '../common/event.ts'
 
 const LENGTH_BYTES = 4
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
+
+/** A value as it is sent; one that goes over many connections is encoded once. */
+export function createFrame (value: unknown): Buffer {
+  const body = encoder.encode(value)
+  const head = Buffer.allocUnsafe(LENGTH_BYTES)
+  head.writeUInt32BE(body.length)
+  return Buffer.concat([head, body])
+}
+
 /** A configuration document of 1 MB and its envelope fit with room to spare. */
 export const MAX_FRAME_BYTES = 2 * 1024 * 1024
 /** A receiver that lets so much pile up is cut off; it gets everything anew when it comes back. */
@@ -16,7 +26,6 @@
 export type FrameFault = 'frameTooLarge' | 'frameUnreadable'
 
 export class FrameConnection extends Disposable {
-  private readonly _encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
   private _pending: Buffer = Buffer.alloc(0)
   private readonly _onDidReceive = this._register(new Emitter<unknown>())
   private readonly _onDidClose = this._register(new Emitter<FrameFault | undefined>())
@@ -42,12 +51,14 @@
 
   /** Sends one value; nothing happens when the connection is closed. */
   send (value: unknown): void {
+    if (!this._isClosed) this.sendFrame(createFrame(value))
+  }
+
+  /** Sends what `createFrame` has made. */
+  sendFrame (frame: Buffer): void {
     if (this._isClosed) return
-    const body = this._encoder.encode(value)
-    const head = Buffer.allocUnsafe(LENGTH_BYTES)
-    head.writeUInt32BE(body.length)
-    this._socket.write(Buffer.concat([head, body]))
-    this.bytesSent += LENGTH_BYTES + body.length
+    this._socket.write(frame)
+    this.bytesSent += frame.length
     if (this._socket.writableLength > MAX_UNSENT_BYTES) this._close()
   }
 
@@ -67,7 +78,7 @@
   private _deliver (body: Buffer): void {
     let value: unknown
     try {
-      value = this._encoder.decode(body)
+      value = encoder.decode(body)
     } catch {
       return this._close('frameUnreadable')
     }
--- a/src/base/test/faultRelay.ts
+++ b/src/base/test/faultRelay.ts
@@ -72,8 +72,12 @@
     }
   }
 
+  /** A socket that is being shut down cannot be reset any more: the process would wait for its end for ever. */
   cancel (): void {
-    for (const socket of [this._near, this._far]) socket.resetAndDestroy()
+    for (const socket of [this._near, this._far]) {
+      if (socket.writableEnded) socket.destroy()
+      else socket.resetAndDestroy()
+    }
   }
 
   private _forward (target: Socket, data: Buffer, delayMs: number): void {
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -15,6 +15,7 @@
 import { formatNumber } from '../services/configuration/common/configurationNumber.ts'
 import type { AcceptedConfiguration } from '../services/configuration/common/configurationService.ts'
 import { formatGateSubject } from '../services/facts/common/fact.ts'
+import { FeedService } from '../services/feed/node/feedService.ts'
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { listNodeAddresses } from '../services/locate/common/nodeDirectory.ts'
@@ -79,6 +80,8 @@
 /** The end is kept this far from the moment when the process would be ended by force. */
 const STOP_MARGIN_MS = 400
 const STOP_POLL_MS = 50
+/** A document reaches 195 nodes in three steps of some 50 ms each; it has to be in force within 2 s. */
+const MISSED_DOCUMENT_MS = 600
 /** Changes of members within this time move jobs once. */
 const MOVE_DELAY_MS = 40
 
@@ -94,6 +97,8 @@
   private readonly _preparation: PreparationClient
   private readonly _preparationServer: PreparationServer
   private readonly _onDidStop = this._register(new Emitter<void>())
+  /** What this node tells others of the source of upstreams and configuration, and is told by them. */
+  readonly feed: FeedService
   /** Fired at the end of a planned stop. */
   readonly onDidStop = this._onDidStop.event
   private _settings: NodeSettings
@@ -126,6 +131,14 @@
       hasGates: false,
       weight: Math.round(settings.core_share * settings.core_speed * 100)
     }))
+    this.feed = this._register(new FeedService({
+      own: settings,
+      clock,
+      log,
+      links: this._member.gossip,
+      listMembers: () => this._member.membership.listLive(),
+      hasMembers: () => this._member.hasJoined
+    }))
     const getTable = () => this._table
     this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: options.pieceProtocol, registry: this._registry, getTable }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log))
@@ -180,6 +193,7 @@
     this._register(this._member.onDidJoin(() => this._scheduleMove()))
     this._register(options.configurationSource)
     this._register(options.configurationSource.onDidRead(document => this._member.offer(document)))
+    this._register(options.configurationSource.onDidMiss(revision => this._readMissed(revision)))
     this._register(options.upstreamSource)
   }
 
@@ -282,6 +296,14 @@
     void this._catchUp()
   }
 
+  /** Peers hand a new document on within this time, or this node reads it by itself. */
+  private _readMissed (revision: number): void {
+    this._options.clock.schedule(MISSED_DOCUMENT_MS, () => {
+      const held = this._member.configuration.current?.revision ?? 0
+      if (!this._isDisposed && held < revision) void this._options.configurationSource.readNewest()
+    })
+  }
+
   private async _catchUp (): Promise<void> {
     const { configurationSource } = this._options
     this._member.askPeers()
--- a/src/services/configuration/common/configurationSource.ts
+++ b/src/services/configuration/common/configurationSource.ts
@@ -10,6 +10,10 @@
   /** A document in the product's own form. */
   readonly onDidRead = this._onDidRead.event
 
+  private readonly _onDidMiss = this._register(new Emitter<number>())
+  /** A document of this revision of the source was published and not told; peers may have it. */
+  readonly onDidMiss = this._onDidMiss.event
+
   /** Begins to follow the source, until disposed of. */
   abstract start (): void
 
@@ -19,4 +23,8 @@
   protected _publish (document: ConfigurationText): void {
     this._onDidRead.fire(document)
   }
+
+  protected _noteMissed (revision: number): void {
+    this._onDidMiss.fire(revision)
+  }
 }
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -49,6 +49,20 @@
   ageMs: Count
 })
 
+/** Longer than any key of a source. */
+const Key = Schema.String.pipe(Schema.maxLength(256))
+const Item = Schema.Struct({ key: Key, text: Schema.String, revision: Count })
+const ChangeSchema = Schema.Struct({
+  key: Key,
+  revision: Count,
+  item: Schema.UndefinedOr(Item),
+  isWithheld: Schema.optional(Schema.Boolean)
+})
+/** For how long the sender has heard its source without a break, in milliseconds. */
+const HeardForMs = Count
+/** How long ago the source last told the sender that there is no more, in milliseconds. */
+const ConfirmedAgeMs = Count
+
 const WireMessageSchema = Schema.Union(
   /** The first message of each side. */
   Schema.Struct({ kind: Schema.Literal('hello'), role: Schema.Literal('steward', 'gate'), address: Name, hall: Name }),
@@ -63,7 +77,16 @@
   Schema.Struct({ kind: Schema.Literal('configurationHeld'), number: ConfigurationNumberSchema, revision: Count }),
   /** Asks for the document, if the receiver's is higher than what the sender holds. */
   Schema.Struct({ kind: Schema.Literal('configurationWanted'), number: ConfigurationNumberSchema, revision: Count }),
-  Schema.Struct({ kind: Schema.Literal('configuration'), text: Schema.String, revision: Count })
+  Schema.Struct({ kind: Schema.Literal('configuration'), text: Schema.String, revision: Count }),
+  /** Asks to be told what the receiver hears from its source after a revision, from now on. */
+  Schema.Struct({ kind: Schema.Literal('feedWanted'), after: Count }),
+  Schema.Struct({ kind: Schema.Literal('feedChanges'), after: Count, revision: Count, heardForMs: HeardForMs, ageMs: ConfirmedAgeMs, changes: Schema.Array(ChangeSchema) }),
+  /** The source has said that there is nothing after the revision. */
+  Schema.Struct({ kind: Schema.Literal('feedConfirmed'), revision: Count, heardForMs: HeardForMs, ageMs: ConfirmedAgeMs }),
+  /** The sender does not hear the source, or no longer follows it. */
+  Schema.Struct({ kind: Schema.Literal('feedLost') }),
+  /** The sender no longer has all changes after the revision that was asked for. */
+  Schema.Struct({ kind: Schema.Literal('feedGap'), after: Count })
 )
 
 export type WireMessage = typeof WireMessageSchema.Type
--- a/src/services/facts/node/peerLink.ts
+++ b/src/services/facts/node/peerLink.ts
@@ -91,6 +91,11 @@
     this._options.connection.send(message)
   }
 
+  /** Sends what `createFrame` has made of a message. */
+  sendFrame (frame: Buffer): void {
+    this._options.connection.sendFrame(frame)
+  }
+
   /** Sends all facts that the other side has not had from here. */
   sendNews (): void {
     const { facts } = this._options
--- /dev/null
+++ b/src/services/feed/common/sourceChanges.ts
@@ -0,0 +1,27 @@
+/**
+ * What a source of keyed values says of them, in its own revisions.
+ */
+
+/** A value of the source. */
+export interface SourceItem {
+  readonly key: string
+  readonly text: string
+  /** The source's revision of the value's last write. */
+  readonly revision: number
+}
+
+/** A change of the source; without an item the value is gone. */
+export interface SourceChange {
+  readonly key: string
+  readonly revision: number
+  readonly item: SourceItem | undefined
+  /** The value was written, but is too long to be handed on by a feed. */
+  readonly isWithheld?: boolean
+}
+
+/** All changes after one revision, up to another. */
+export interface SourceChanges {
+  readonly after: number
+  readonly revision: number
+  readonly changes: readonly SourceChange[]
+}
--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -3,6 +3,7 @@
  */
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import type { IRandom } from '../../../base/common/random.ts'
+import { Emitter } from '../../../base/common/event.ts'
 import { startInterval } from '../../../base/node/interval.ts'
 import type { WireMessage } from '../../facts/common/wireMessage.ts'
 import { dialPeer, sumTraffic } from '../../facts/node/peerLink.ts'
@@ -10,6 +11,12 @@
 import { DEFAULT_PROBE_TIMEOUT_MS } from '../common/probeTimeout.ts'
 import type { MembershipTable } from '../common/membershipTable.ts'
 
+/** A message, and the link that it came over. */
+export interface PeerMessage {
+  readonly link: PeerLink
+  readonly message: WireMessage
+}
+
 export interface GossipServiceOptions {
   readonly membership: MembershipTable
   readonly random: IRandom
@@ -54,6 +61,9 @@
   private _urgentTimer: NodeJS.Timeout | undefined
   private _urgentCount = 0
   private _isCheckingLinks = false
+  private readonly _onDidReceive = this._register(new Emitter<PeerMessage>())
+  /** Every message of a peer, whoever of the two opened the link. */
+  readonly onDidReceive = this._onDidReceive.event
 
   constructor (options: GossipServiceOptions) {
     super()
@@ -106,6 +116,18 @@
   handleMessage (link: PeerLink, message: WireMessage): void {
     if (message.kind === 'ack') this._waitingAcks.get(message.id)?.()
     else if (message.kind === 'ping') void this._answerPing(link, message.id, message.target)
+    else this._onDidReceive.fire({ link, message })
+  }
+
+  /** A link to a member, opened if there is none; undefined when the member cannot be reached. */
+  connect (address: string): Promise<PeerLink | undefined> {
+    return this._getLink(address)
+  }
+
+  /** Ends the link to a member, if there is one: nothing was heard over it for too long. */
+  dropLink (address: string): void {
+    const link = this._links.get(address)
+    if (link !== undefined) this._dropLink(address, link)
   }
 
   private async _answerPing (link: PeerLink, id: number, target: string | undefined): Promise<void> {
