Begin no attempt so late that the deadline would cut it off

An attempt was begun with 10 ms left; the deadline cut it off, nobody knew whether it ran, and so the answer said.

--- a/src/services/pipeline/common/outcomeDecision.ts
+++ b/src/services/pipeline/common/outcomeDecision.ts
@@ -25,7 +25,11 @@
   | { readonly kind: 'giveUp', readonly reason: 'outcomeUnknown' | 'stageFailed' | 'noTime' }
 
 const MAX_RESUMES = 2
-const MIN_TIME_LEFT_MS = 10
+/**
+ * An upstream that is busy answers within this. An attempt that the deadline cuts off leaves the caller of an unrepeatable
+ * request not knowing whether it ran, so after a refusal none is begun this late.
+ */
+const MIN_TIME_LEFT_MS = 50
 const FIRST_BACKOFF_MS = 10
 const MAX_BACKOFF_MS = 250
 const MAX_DOUBLINGS = 10
