Take from each teller of the source only what is new

Cause, found by reading: a watch that was begun before a feeder told more could answer later with less, and was taken whole: what the feeder said is gone came back, and the revision with it. A link that a member replaces is closed without a word, and stayed among a feeder's readers.

Tests: a property over batches of two tellers in any order. Before, the function was not there.

--- a/src/services/feed/common/sourceChanges.ts
+++ b/src/services/feed/common/sourceChanges.ts
@@ -25,3 +25,15 @@
   readonly revision: number
   readonly changes: readonly SourceChange[]
 }
+
+/**
+ * What changes add to a revision that is known already. Two that tell of the same source overtake each other: taken whole,
+ * the slower one would bring back what the faster one said is gone.
+ */
+export function dropKnown (told: SourceChanges, known: number): SourceChanges {
+  return {
+    after: Math.max(told.after, known),
+    revision: Math.max(told.revision, known),
+    changes: told.changes.filter(change => change.revision > known)
+  }
+}
--- a/src/services/feed/node/feedService.ts
+++ b/src/services/feed/node/feedService.ts
@@ -126,6 +126,8 @@
 
   /** Encoded once for all readers. */
   private _sendAll (message: WireMessage): void {
+    // A link that was replaced by a newer one of the same member is closed without a word.
+    for (const link of this._readers) if (link.isClosed) this._readers.delete(link)
     if (this._readers.size === 0) return
     const frame = createFrame(message)
     for (const link of this._readers) link.sendFrame(frame)
--- a/src/services/feed/test/feedDecisions.test.ts
+++ b/src/services/feed/test/feedDecisions.test.ts
@@ -4,6 +4,7 @@
 import { ChangeHistory } from '../common/changeHistory.ts'
 import { FeedBelief, MAX_BEHIND_MS, MAX_SILENCE_MS } from '../common/feedBelief.ts'
 import { chooseFeeders, listFeeders, MIN_FED_HOSTS } from '../common/feederChoice.ts'
+import { dropKnown } from '../common/sourceChanges.ts'
 import type { SourceChange } from '../common/sourceChanges.ts'
 
 const SEED = 20261202
@@ -106,4 +107,22 @@
   assert.is(history.revision, 7)
 })
 
+test('revisions never go back, and nothing is told twice, in whatever order two tellers are heard', () => {
+  const all = Array.from({ length: 12 }, (_, index) => createChange(index + 1))
+  const batch = fc.tuple(fc.nat({ max: 12 }), fc.nat({ max: 12 })).map(([one, other]) => ({ after: Math.min(one, other), revision: Math.max(one, other) }))
+  fc.assert(fc.property(fc.array(batch, { maxLength: 20 }), batches => {
+    let known = 0
+    const taken: number[] = []
+    for (const { after, revision } of batches) {
+      // A gap is asked for again.
+      if (after > known) continue
+      const news = dropKnown({ after, revision, changes: all.slice(after, revision) }, known)
+      assert.ok(news.revision >= known)
+      taken.push(...news.changes.map(change => change.revision))
+      known = news.revision
+    }
+    assert.equal(taken, all.slice(0, known).map(change => change.revision))
+  }), { seed: SEED })
+})
+
 test.run()
