--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -42,7 +42,7 @@
 const NEWS_ROUNDS = 3
 /** Members that are asked to probe one that does not answer. */
 const HELPER_COUNT = 2
-/** Neighbours that are told at once that this one leaves: they must stop sending callers here. */
+/** More than a member has neighbours: all are told at once that this one leaves, since they must stop sending callers here. */
 const LEAVE_COUNT = 32
 /** How often what is known of members is compared with one neighbour's, and how often one is told all of them at most. */
 const MEMBERS_PERIOD_MS = 1000
