--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -272,7 +272,7 @@
     this._roundMarks = [...this._roundMarks, this._options.link.facts.sequence].slice(-NEWS_ROUNDS)
   }
 
-  /** Links that are missing are opened first, so that a new neighbour is told as well. */
+  /** News goes over the links that are open; a new neighbour's is opened now, and is told from the next round on. */
   private _sendRecentTo (count: number): void {
     for (const address of this.listNeighbours()) if (!this._links.has(address)) void this._getLink(address)
     for (const link of this._draw(this._listNeighbourLinks(), count)) link.sendRecent(this._roundMarks[0] ?? 0)
