--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -15,6 +15,8 @@
 import type { JobNews, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
 import { hasPieces } from './preparationJob.ts'
 import type { CarriedPiece, JobRefusal, MadePiece, PieceResult, PreparationJob } from './preparationJob.ts'
+import { measurePlanLoad } from './planLoad.ts'
+import type { PlanLoad } from './planLoad.ts'
 import { createPlannedPiece, getPiece } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall, sumBytesByHall } from './resultHalls.ts'
@@ -246,6 +248,10 @@
     else upstream?.loseRoom(free.bytes, now)
   }
 
+  measureLoad (now: number): PlanLoad {
+    return measurePlanLoad(this._jobs.values(), this._upstreams.values(), this._pool.computeCapacities(now))
+  }
+
   describe (now: number): object {
     return {
       jobs: this._jobs.size,
--- a/src/services/preparation/node/planLog.ts
+++ b/src/services/preparation/node/planLog.ts
@@ -3,6 +3,7 @@
  */
 import type { ILogService } from '../../log/node/logger.ts'
 import type { PictureAge } from '../../upstream/common/upstreamRegistry.ts'
+import type { PlanLoad } from '../common/planLoad.ts'
 import type { JobEnd, PieceCallOutcome, PlannedCall } from '../common/plannedCall.ts'
 
 /** How a call ended, and on what it was sent. */
@@ -41,6 +42,13 @@
     })
   }
 
+  /** One line for each role of a plan. */
+  noteLoad (hall: string, { jobs, lateJobs, roles }: PlanLoad): void {
+    for (const { role, calls, runningCalls, openPieces, queueMs } of roles) {
+      this._log.info('plan_load', { hall, role, jobs, late_jobs: lateJobs, calls: Number(calls.toFixed(1)), running_calls: runningCalls, open_pieces: openPieces, queue_ms: Math.round(queueMs) })
+    }
+  }
+
   notePrepared ({ jobId, targetId, prefixSourceId, times }: JobEnd & { readonly kind: 'prepared' }): void {
     const { queuedMs, madeMs, betweenMs } = times
     this._log.info('preparation_done', { request: jobId, target: targetId, prefix_from: prefixSourceId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -11,6 +11,7 @@
   readonly planner: PreparationPlanner
   isDispatching = false
   isFreeing = false
+  loadLoggedAt = -Infinity
 
   constructor (readonly hall: string, registry: UpstreamRegistry, getTable: () => RelayTable | undefined) {
     this.planner = new PreparationPlanner(role => {
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -40,6 +40,8 @@
 
 /** How often deadlines and lifetimes are looked at while there are jobs. */
 const SWEEP_PERIOD_MS = 50
+/** How often a plan with jobs says how much waits for it. */
+const LOAD_LOG_PERIOD_MS = 1000
 /** What becomes known within this time is planned together: planning looks at all jobs. */
 const DISPATCH_DELAY_MS = 2
 /** Results are given back together with what becomes free within this time. */
@@ -241,10 +243,18 @@
       for (const shard of this._endingShards) if (shard.planner.jobCount === 0) this._endingShards.delete(shard)
       const busy = [...this._shards.values(), ...this._endingShards].filter(shard => shard.planner.jobCount > 0)
       for (const shard of busy) this._dispatch(shard)
+      for (const shard of busy) this._noteLoad(shard)
       if (busy.length > 0) this._scheduleSweep()
     })
   }
 
+  private _noteLoad (shard: PlanShard): void {
+    const now = this._options.clock.now()
+    if (now - shard.loadLoggedAt < LOAD_LOG_PERIOD_MS) return
+    shard.loadLoggedAt = now
+    this._planLog.noteLoad(shard.hall, shard.planner.measureLoad(now))
+  }
+
   private _dispatch (shard: PlanShard): void {
     for (const call of shard.planner.startCalls(this._options.clock.now())) void this._run(shard, call)
     this._deliver(shard)
--- a/src/services/preparation/test/preparationPlanner.test.ts
+++ b/src/services/preparation/test/preparationPlanner.test.ts
@@ -50,6 +50,17 @@
   assert.equal(news?.kind === 'prepared' && news.results.map(result => result.handle.split('.').slice(1).join('.')), ['0.0', '2.0', '2.1'])
 })
 
+test('the load of a plan tells calls, open pieces and late jobs apart', () => {
+  const planner = createPlanner({ upstreams: { a: 2, b: 1 } })
+  planner.addJob(createJob('x', [createStage('a', 4), createStage('b', 3, [0])]), 0)
+  planner.addJob(createJob('y', [createStage('a', 2)], { goalInMs: 50 }), 0)
+  planner.startCalls(0)
+  const { jobs, lateJobs, roles } = planner.measureLoad(0)
+  assert.equal([jobs, lateJobs], [2, 1])
+  assert.equal(roles.map(({ role, calls, runningCalls, openPieces }) => [role, calls, runningCalls, openPieces]), [['a', 2, 2, 6], ['b', 1, 0, 3]])
+  assert.ok(roles.every(({ queueMs }) => queueMs > 0))
+})
+
 test('a stage that is left out is neither made nor waited for', () => {
   const planner = createPlanner({ upstreams: { a: 1, b: 1 } })
   planner.addJob(createJob('x', [createStage('a', 0), createStage('b', 1)]), 0)
