Show by a test that a hall keeps late jobs while other halls have room

Cause: an owner gives a job to the plan of the hall that its prompt's hash names; only a refusal takes it to a second one. What waits there is not looked at. No logic is changed.

--- /dev/null
+++ b/src/services/preparation/test/busyHall.test.ts
@@ -0,0 +1,132 @@
+/**
+ * Each hall has a plan of its own, and a job went to the hall that its prompt's hash names, however much waited there: in
+ * one second of a day of 61 nodes one hall had 64 late jobs of 103 and 1.6 s of work for the role that was short, the
+ * next hall no late job and 0.25 s. Only a refusal took a job to a second hall, and a job that is merely late is not
+ * refused.
+ */
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { create } from '@bufbuild/protobuf'
+import { VirtualClock } from '../../../base/common/clock.ts'
+import { Emitter } from '../../../base/common/event.ts'
+import { RelaySchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { LogService } from '../../log/node/logger.ts'
+import { RelayTable } from '../../relay/common/relayTable.ts'
+import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import { listPlans } from '../common/coordinatorChoice.ts'
+import { PieceProtocol } from '../common/pieceProtocol.ts'
+import type { PieceCallOutcome, PlannedPiece } from '../common/plannedCall.ts'
+import { computeCallMs } from '../common/pieceUpstream.ts'
+import type { PreparationJob } from '../common/preparationJob.ts'
+import { PreparationClient } from '../node/preparationClient.ts'
+import { PreparationCoordinator } from '../node/preparationCoordinator.ts'
+import { createJob, createStage, WORK } from './fakes.ts'
+
+const test = suite('busyHall')
+
+const HALLS = ['x', 'y', 'z']
+const UPSTREAMS_PER_HALL = 2
+const GOAL_MS = 500
+const STEP_MS = 5
+
+/** Makes pieces in the time that the configuration says, and counts them by hall. */
+class TimedPieces extends PieceProtocol {
+  readonly countByHall = new Map<string, number>()
+
+  constructor (private readonly _clock: VirtualClock) {
+    super()
+  }
+
+  runPieces ({ hall }: UpstreamEntry, pieces: readonly PlannedPiece[]): Promise<PieceCallOutcome> {
+    this.countByHall.set(hall, (this.countByHall.get(hall) ?? 0) + pieces.length)
+    return new Promise(resolve => {
+      this._clock.schedule(computeCallMs(WORK, pieces.length), () => resolve({ kind: 'answered', pieces: pieces.map(piece => ({ kind: 'made', handle: `${piece.jobId}/${piece.index}` })) }))
+    })
+  }
+
+  freeResults (): Promise<boolean> {
+    return Promise.resolve(true)
+  }
+}
+
+interface JobTimes {
+  readonly inTime: number
+  readonly late: number
+  readonly refused: number
+}
+
+/** One node that plans for all halls, and jobs that come to it all at once. */
+async function runJobs (jobs: readonly PreparationJob[]): Promise<{ readonly times: JobTimes, readonly countByHall: ReadonlyMap<string, number> }> {
+  const clock = new VirtualClock()
+  const log = new LogService({ program: 'test', silent: true })
+  const registry = new UpstreamRegistry()
+  const pieces = new TimedPieces(clock)
+  const table = new RelayTable(create(RelaySchema, { roles: [{ name: 'a', pieceWork: WORK }] }))
+  const coordinator = new PreparationCoordinator({ clock, log, protocol: pieces, registry, getTable: () => table })
+  for (const hall of HALLS) {
+    for (let index = 0; index < UPSTREAMS_PER_HALL; index++) registry.update({ id: `a-${hall}-${index}`, role: 'a', address: '127.0.0.1:1', hall, slots: 1, isLeaving: false }, 'test')
+  }
+  const address = '127.0.0.1:1'
+  const client = new PreparationClient({
+    clock,
+    log,
+    protocol: pieces,
+    registry,
+    coordinator,
+    address,
+    hasMembers: () => true,
+    onDidKnowMembers: new Emitter<void>().event,
+    listCoordinators: () => [{ address, hall: 'x', incarnation: 1, weight: 100 }],
+    listPieceUpstreams: () => registry.list()
+  })
+  const times = { inTime: 0, late: 0, refused: 0 }
+  const ends = jobs.map(async job => {
+    const result = await client.prepare(job, new AbortController().signal)
+    if (result.isLeft()) times.refused++
+    else if (clock.now() <= job.goalInMs) times.inTime++
+    else times.late++
+    result.ifRight(inputs => { inputs.release() })
+  })
+  const all = Promise.all(ends).then(() => true)
+  for (let isOver = false; !isOver;) {
+    clock.advance(STEP_MS)
+    isOver = await Promise.race([all, new Promise<boolean>(resolve => { setImmediate(() => resolve(false)) })])
+  }
+  client.dispose()
+  coordinator.dispose()
+  return { times, countByHall: pieces.countByHall }
+}
+
+/** Keys of prompts whose first hall is this one. */
+function listKeys (hall: string, count: number): readonly string[] {
+  const upstreams = HALLS.flatMap(name => Array.from({ length: UPSTREAMS_PER_HALL }, () => ({ role: 'a', hall: name })))
+  const keys: string[] = []
+  for (let index = 0; keys.length < count; index++) if (listPlans(upstreams, `key-${index}`)[0] === hall) keys.push(`key-${index}`)
+  return keys
+}
+
+function createJobs (hall: string, count: number): readonly PreparationJob[] {
+  return listKeys(hall, count).map(key => createJob(key, [createStage('a', 1)], { goalInMs: GOAL_MS, request: { role: 'model', shared: [{ key, tokens: 100 }], inputTokens: 100 } }))
+}
+
+test('what would be late in its own hall is made in another that can make it in time', async () => {
+  // A hall makes about 24 pieces within the goal.
+  const { times } = await runJobs(createJobs('x', 60))
+  assert.equal(times, { inTime: 60, late: 0, refused: 0 })
+})
+
+test('what can be in time stays in its own hall, which knows its prompts', async () => {
+  const { times, countByHall } = await runJobs(createJobs('x', 12))
+  assert.is(times.inTime, 12)
+  assert.equal([...countByHall], [['x', 12]])
+})
+
+test('what would be late in every hall is made all the same, spread over all of them', async () => {
+  const { times, countByHall } = await runJobs(createJobs('x', 150))
+  assert.is(times.refused, 0)
+  assert.is(times.inTime + times.late, 150)
+  for (const hall of HALLS) assert.ok((countByHall.get(hall) ?? 0) >= 35, `${hall}: ${countByHall.get(hall)} of 150`)
+})
+
+test.run()
