Offer a job that would be late in its hall to the other halls

Cause: an owner gave a job to the plan that its prompt's hash names, and only a refusal took it on. Now a plan may decline what it would make late and says when it would be done; the owner asks the other halls' plans in their order, and what all decline goes where it would be done first. A job for which something was made stays in its hall. A single plan declines nothing.

--- a/src/load/lab/labRun.ts
+++ b/src/load/lab/labRun.ts
@@ -114,8 +114,8 @@
   }
 
   private _submit (request: LabRequest): void {
-    const refusal = this._planner.addJob(this._createJob(request), this._events.now, request.listCarried(this._events.now))
-    if (refusal !== undefined) this._refuse(request, refusal)
+    const refusal = this._planner.addJob(this._createJob(request), this._events.now, { carried: request.listCarried(this._events.now) })
+    if (refusal !== undefined && refusal.reason !== 'late') this._refuse(request, refusal)
     else this._events.schedule(this._events.now + 2, () => this._step())
   }
 
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -3,7 +3,7 @@
  * which would outlast their callers' patience.
  */
 import type { JobState } from './jobState.ts'
-import type { JobRefusal } from './preparationJob.ts'
+import type { AdmissionTerms, JobDecline, JobRefusal } from './preparationJob.ts'
 import type { PieceWorkSpec } from './pieceUpstream.ts'
 
 /** What a role can do. */
@@ -76,10 +76,11 @@
 }
 
 /** Refuses what nobody can make, and what would be too late even for the caller's patience. */
-export function decideAdmission (forecast: JobForecast, capacities: ReadonlyMap<string, RoleCapacity>, now: number): JobRefusal | undefined {
+export function decideAdmission (forecast: JobForecast, capacities: ReadonlyMap<string, RoleCapacity>, now: number, { isOffer }: AdmissionTerms = { isOffer: false }): JobRefusal | JobDecline | undefined {
   const { state } = forecast
   const missing = state.job.stages.some(stage => stage.pieceCount > 0 && (capacities.get(stage.role)?.calls ?? 0) <= 0)
   if (missing) return { reason: 'noUpstream', retryAfterMs: NO_UPSTREAM_RETRY_MS }
+  if (isOffer && forecast.isLate) return { reason: 'late', endInMs: Math.max(0, forecast.endAt - now) }
   const latestEndAt = now + state.job.deadlineInMs * ADMITTED_PATIENCE_SHARE
   if (!forecast.isLate || forecast.endAt <= latestEndAt) return undefined
   return { reason: 'overloaded', retryAfterMs: computeRetryAfter(forecast, latestEndAt) }
--- /dev/null
+++ b/src/services/preparation/common/planSearch.ts
@@ -0,0 +1,65 @@
+/**
+ * Which plan a job is given to. Plans are asked in the order of the job's prompt, since the first knows best where that
+ * was read, and the first that can make the job in time takes it. When none can, it goes where it would be done first.
+ *
+ * Load differs between halls for seconds: upstreams crash, and prompts are not drawn evenly. When a job went to its first
+ * plan whatever waited there, a test with three halls and 60 jobs for one of them had 24 in time, and now all.
+ */
+
+/** A plan, and how the job is put to it. */
+export interface PlanChoice {
+  /** The hall that the plan is for; empty for the plan of all halls. */
+  readonly hall: string
+  /** The plan may decline what would be late there. */
+  readonly isOffer: boolean
+}
+
+/** Further plans that are searched for a job which its plan gave up. */
+const MAX_REFUSALS = 1
+
+export class PlanSearch {
+  /** By hall, in how many milliseconds the job would be done there; Infinity where it can't. */
+  private readonly _endInMs = new Map<string, number>()
+  private _refusals = 0
+  private _asked: PlanChoice | undefined
+
+  get asked (): PlanChoice | undefined {
+    return this._asked
+  }
+
+  /** The next plan to ask. One that has made something for the job keeps it: its results lie in that hall. */
+  choose (plans: readonly string[], hasResults: boolean): PlanChoice {
+    const held = this._asked?.hall
+    if (held !== undefined && hasResults && plans.includes(held)) return this._ask(held, false)
+    const [only = ''] = plans
+    if (plans.length < 2) return this._ask(only, false)
+    const unasked = plans.find(hall => !this._endInMs.has(hall))
+    return unasked === undefined ? this._ask(this._findSoonest(plans), false) : this._ask(unasked, true)
+  }
+
+  /** The plan that was asked does not take the job, which would be done there in so many milliseconds. */
+  noteDeclined (endInMs: number): void {
+    if (this._asked !== undefined) this._endInMs.set(this._asked.hall, endInMs)
+  }
+
+  /** The plan that was asked has given the job up; false when the caller should be told so. */
+  noteRefused (plans: readonly string[]): boolean {
+    const held = this._asked?.hall
+    if (held === undefined || this._refusals >= MAX_REFUSALS || plans.every(hall => hall === held)) return false
+    this._refusals++
+    // What the others said is as old as the wait in this one.
+    this._endInMs.clear()
+    this._endInMs.set(held, Infinity)
+    return true
+  }
+
+  private _ask (hall: string, isOffer: boolean): PlanChoice {
+    this._asked = { hall, isOffer }
+    return this._asked
+  }
+
+  private _findSoonest (plans: readonly string[]): string {
+    const endInMs = (hall: string) => this._endInMs.get(hall) ?? Infinity
+    return plans.reduce((best, hall) => endInMs(hall) < endInMs(best) ? hall : best)
+  }
+}
--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -44,6 +44,8 @@
   | JobEnd
   /** These results lie at their makers; another coordinator can go on from them. */
   | { readonly kind: 'made', readonly jobId: string, readonly pieces: readonly MadePiece[] }
+  /** The job was only offered, and would be late. */
+  | { readonly kind: 'declined', readonly jobId: string, readonly endInMs: number }
   /** The coordinator is about to end; the job goes to the next one. */
   | { readonly kind: 'moved', readonly jobId: string }
 
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -60,12 +60,30 @@
   readonly ageMs: number
 }
 
+/** How a job is put to a plan. */
+export interface AdmissionTerms {
+  /** Another plan may be asked as well, so what would be late is declined. */
+  readonly isOffer: boolean
+}
+
+export interface NewJobOptions extends Partial<AdmissionTerms> {
+  /** What an earlier plan made for the job. */
+  readonly carried?: readonly CarriedPiece[]
+}
+
 /** Why a job ended without results. */
 export interface JobRefusal {
   readonly reason: 'overloaded' | 'tooLate' | 'noUpstream' | 'interrupted'
   readonly retryAfterMs: number
 }
 
+/** A plan that was offered a job could make it, but not in time. */
+export interface JobDecline {
+  readonly reason: 'late'
+  /** When it would be done there, in milliseconds from now. */
+  readonly endInMs: number
+}
+
 /** The stages that no other stage needs: the request itself takes their results. */
 export function listLastStages (stages: readonly JobStage[]): readonly number[] {
   const needed = new Set(stages.flatMap(stage => stage.pieceCount > 0 ? stage.after : []))
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -48,6 +48,8 @@
     job: JobSchema,
     /** The hall whose upstreams do it; empty for all. */
     hall: Schema.String.pipe(Schema.maxLength(256)),
+    /** What would be late may be declined. */
+    isOffer: Schema.optionalWith(Schema.Boolean, { default: () => false }),
     /** What an earlier coordinator made. */
     carried: Schema.Array(CarriedPieceSchema).pipe(Schema.maxItems(MAX_PIECES))
   }),
@@ -59,6 +61,8 @@
   Schema.Struct({ kind: Schema.Literal('reopen'), jobId: Id }),
   /** Results that lie at their makers, for the case that the coordinator is lost. */
   Schema.Struct({ kind: Schema.Literal('made'), jobId: Id, pieces: Schema.Array(MadePieceSchema) }),
+  /** A job that was offered would be late. */
+  Schema.Struct({ kind: Schema.Literal('declined'), jobId: Id, endInMs: Span }),
   /** The coordinator ends and leaves the job, with its results, to the next one. */
   Schema.Struct({ kind: Schema.Literal('moved'), jobId: Id }),
   /** The coordinator has all results. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -14,10 +14,10 @@
 import { PendingFrees } from './pendingFrees.ts'
 import type { JobNews, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
 import { hasPieces } from './preparationJob.ts'
-import type { CarriedPiece, JobRefusal, MadePiece, PieceResult, PreparationJob } from './preparationJob.ts'
+import type { AdmissionTerms, JobDecline, JobRefusal, NewJobOptions, PieceResult, PreparationJob } from './preparationJob.ts'
 import { measurePlanLoad } from './planLoad.ts'
 import type { PlanLoad } from './planLoad.ts'
-import { createPlannedPiece, getPiece } from './readyPiece.ts'
+import { createPlannedPiece, getPiece, listMadeNews } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall, sumBytesByHall } from './resultHalls.ts'
 import type { PrefixNote } from './prefixBook.ts'
@@ -97,12 +97,12 @@
   }
 
   /** Takes a job in, or says why not. What an earlier plan made for it is used, or given back. */
-  addJob (job: PreparationJob, now: number, carried: readonly CarriedPiece[] = []): JobRefusal | undefined {
+  addJob (job: PreparationJob, now: number, { carried = [], isOffer = false }: NewJobOptions = {}): JobRefusal | JobDecline | undefined {
     if (this._jobs.has(job.id)) return undefined
     const state = new JobState(job, now)
     this._results.restore(state, carried, now)
     this._chooseTarget(state, now)
-    const refusal = hasPieces(job) ? this._decideAdmission(state, now) : undefined
+    const refusal = hasPieces(job) ? this._decideAdmission(state, now, { isOffer }) : undefined
     if (refusal !== undefined) {
       this._results.freeAll(state)
       return refusal
@@ -114,10 +114,10 @@
     return undefined
   }
 
-  private _decideAdmission (state: JobState, now: number): JobRefusal | undefined {
+  private _decideAdmission (state: JobState, now: number, terms: AdmissionTerms): JobRefusal | JobDecline | undefined {
     const capacities = this._pool.computeCapacities(now)
     const forecast = this._order.forecast([...this._jobs.values(), state], capacities, now, state).find(other => other.state === state)
-    return forecast === undefined ? undefined : decideAdmission(forecast, capacities, now)
+    return forecast === undefined ? undefined : decideAdmission(forecast, capacities, now, terms)
   }
 
   /** Takes in what owners know of the prompts that upstreams have read. */
@@ -215,21 +215,10 @@
     } else {
       this._settleFailedCall(started, outcome, upstream, now)
     }
-    this._noteMade(started)
+    this._news.push(...listMadeNews(started.pieces.filter(({ state }) => this._holds(state))))
     for (const state of new Set(started.pieces.map(piece => piece.state))) this._advance(state, now)
   }
 
-  /** Owners know what lies where, so that their jobs survive this plan. */
-  private _noteMade ({ pieces }: StartedCall): void {
-    const byJob = new Map<string, MadePiece[]>()
-    for (const key of pieces) {
-      const { status, result } = getPiece(key)
-      const { id } = key.state.job
-      if (status === 'made' && result !== undefined && this._holds(key.state) && !key.state.isDone) byJob.set(id, [...byJob.get(id) ?? [], { stage: key.stage, index: key.index, result }])
-    }
-    for (const [jobId, made] of byJob) this._news.push({ kind: 'made', jobId, pieces: made })
-  }
-
   /** What the owners of jobs have to be told since the last time. */
   takeNews (): readonly JobNews[] {
     const news = this._news
--- a/src/services/preparation/common/readyPiece.ts
+++ b/src/services/preparation/common/readyPiece.ts
@@ -4,7 +4,8 @@
 import type { JobState } from './jobState.ts'
 import type { PieceState } from './pieceState.ts'
 import type { PieceUpstream } from './pieceUpstream.ts'
-import type { PlannedPiece } from './plannedCall.ts'
+import type { JobNews, PlannedPiece } from './plannedCall.ts'
+import type { MadePiece } from './preparationJob.ts'
 
 /** One piece of one job. */
 export interface PieceKey {
@@ -27,6 +28,17 @@
   return piece
 }
 
+/** What the owners of unfinished jobs are told, so that they know what lies where and their jobs survive this plan. */
+export function listMadeNews (pieces: readonly PieceKey[]): readonly JobNews[] {
+  const byJob = new Map<string, MadePiece[]>()
+  for (const key of pieces) {
+    const { status, result } = getPiece(key)
+    const { job, isDone } = key.state
+    if (status === 'made' && result !== undefined && !isDone) byJob.set(job.id, [...byJob.get(job.id) ?? [], { stage: key.stage, index: key.index, result }])
+  }
+  return [...byJob].map(([jobId, made]) => ({ kind: 'made', jobId, pieces: made }))
+}
+
 /** The pieces of a stage that were not started. */
 export function listWaiting (state: JobState, stage: number, bytes: number): readonly ReadyPiece[] {
   return (state.pieces[stage] ?? []).flatMap((piece, index) => piece.status === 'waiting' ? [{ state, stage, index, bytes }] : [])
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -98,7 +98,7 @@
     this._wasHeard = true
     checkPreparationMessage(frame).caseOf({
       Left: () => this.close(),
-      Right: message => { if (message.kind === 'prepared' || message.kind === 'refused' || message.kind === 'made' || message.kind === 'moved') this._onDidReceive.fire(message) }
+      Right: message => { if (message.kind === 'prepared' || message.kind === 'refused' || message.kind === 'declined' || message.kind === 'made' || message.kind === 'moved') this._onDidReceive.fire(message) }
     })
   }
 
--- a/src/services/preparation/node/openJob.ts
+++ b/src/services/preparation/node/openJob.ts
@@ -3,6 +3,7 @@
  */
 import type { CarriedPiece, MadePiece, PreparationJob } from '../common/preparationJob.ts'
 import type { JobEnd } from '../common/plannedCall.ts'
+import { PlanSearch } from '../common/planSearch.ts'
 import type { CoordinatorLink } from './coordinatorLink.ts'
 
 /** A job that its coordinator has not settled yet. */
@@ -10,8 +11,7 @@
   readonly startedAt: number
   readonly settle: (news: JobEnd) => void
   moves = 0
-  /** Plans that refused it. */
-  refusals = 0
+  readonly search = new PlanSearch()
   /** Undefined for this node's own coordinator. */
   link: CoordinatorLink | undefined
   private readonly _made = new Map<string, HeldPiece>()
@@ -25,6 +25,10 @@
     for (const piece of pieces) this._made.set(`${piece.stage}/${piece.index}`, { ...piece, madeAt: now })
   }
 
+  get hasResults (): boolean {
+    return this._made.size > 0
+  }
+
   forgetMade (): void {
     this._made.clear()
   }
--- a/src/services/preparation/node/planLog.ts
+++ b/src/services/preparation/node/planLog.ts
@@ -4,6 +4,7 @@
 import type { ILogService } from '../../log/node/logger.ts'
 import type { PictureAge } from '../../upstream/common/upstreamRegistry.ts'
 import type { PlanLoad } from '../common/planLoad.ts'
+import type { JobDecline } from '../common/preparationJob.ts'
 import type { JobEnd, PieceCallOutcome, PlannedCall } from '../common/plannedCall.ts'
 
 /** How a call ended, and on what it was sent. */
@@ -49,6 +50,10 @@
     }
   }
 
+  noteDeclined (hall: string, jobId: string, { endInMs }: JobDecline): void {
+    this._log.info('preparation_declined', { request: jobId, hall, end_in_ms: Math.round(endInMs) })
+  }
+
   notePrepared ({ jobId, targetId, prefixSourceId, times }: JobEnd & { readonly kind: 'prepared' }): void {
     const { queuedMs, madeMs, betweenMs } = times
     this._log.info('preparation_done', { request: jobId, target: targetId, prefix_from: prefixSourceId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -45,8 +45,6 @@
 /** A coordinator that could not be reached is left alone for so long. */
 const AVOID_MS = 1500
 const MAX_MOVES = 4
-/** Further plans that a refused job is offered to. */
-const MAX_REFUSALS = 1
 
 /** The owner's own doing; it tells its caller itself. */
 const GIVEN_UP: JobRefusal = { reason: 'interrupted', retryAfterMs: 0 }
@@ -107,12 +105,12 @@
   }
 
   private async _submit (open: OpenJob): Promise<void> {
-    const hall = this._choosePlan(open)
+    const { hall, isOffer } = open.search.choose(this._listPlans(open), open.hasResults)
     const address = this.findCoordinator(hall)
     if (address === this._options.address) {
       open.link = undefined
       this._pushPrefixes(hall)
-      return this._options.coordinator.submit({ job: this._updateTimes(open), hall, carried: this._listCarried(open) }, news => this._take(open, news))
+      return this._options.coordinator.submit({ job: this._updateTimes(open), hall, isOffer, carried: this._listCarried(open) }, news => this._take(open, news))
     }
     const link = await this._getLink(address)
     if (this._jobs.get(open.job.id) !== open) return
@@ -120,7 +118,7 @@
     open.link = link
     link.openJobs++
     if (link.mayTellPrefixes(hall)) link.send({ kind: 'prefixes', hall, notes: this._listPrefixes() })
-    link.send({ kind: 'job', job: this._updateTimes(open), hall, carried: this._listCarried(open) })
+    link.send({ kind: 'job', job: this._updateTimes(open), hall, isOffer, carried: this._listCarried(open) })
   }
 
   /** When this node begins to plan for a hall, it knows what its own prompts were sent to. */
@@ -138,28 +136,32 @@
   }
 
   /** Jobs with the same shared parts go to the same plan, which knows where these were read. */
-  private _choosePlan (open: OpenJob): string {
+  private _listPlans (open: OpenJob): readonly string[] {
     const longest = open.job.request.shared.at(-1)
-    const plans = listPlans(this._options.listPieceUpstreams(), longest?.key ?? open.job.id)
-    return plans[Math.min(open.refusals, plans.length - 1)] ?? ''
+    return listPlans(this._options.listPieceUpstreams(), longest?.key ?? open.job.id)
   }
 
-  /** A plan that has no room or no upstreams may have a neighbour that has. */
+  /** A plan that has no room or no upstreams, or would be late, may have a neighbour that is better off. */
   private _take (open: OpenJob, news: JobNews): void {
     if (this._jobs.get(open.job.id) !== open) return
     if (news.kind === 'made') return open.recordMade(news.pieces, this._options.clock.now())
     if (news.kind === 'moved') return this._leave(open)
     // Whoever refuses a job gives its results back.
     open.forgetMade()
-    const mayTryNext = news.kind === 'refused' && open.refusals < MAX_REFUSALS && news.refusal.reason !== 'tooLate'
-    if (!mayTryNext) return this._settle(open, news)
-    const before = this._choosePlan(open)
-    open.refusals++
-    if (this._choosePlan(open) === before) return this._settle(open, news)
+    if (news.kind === 'prepared') return this._settle(open, news)
+    if (news.kind === 'declined') open.search.noteDeclined(news.endInMs)
+    else if (!this._mayAskOthers(open, news.refusal)) return this._settle(open, news)
     if (open.link !== undefined) open.link.openJobs--
     void this._submit(open)
   }
 
+  private _mayAskOthers (open: OpenJob, { reason }: JobRefusal): boolean {
+    if (reason === 'tooLate') return false
+    if (reason !== 'noUpstream' || open.search.asked?.isOffer !== true) return open.search.noteRefused(this._listPlans(open))
+    open.search.noteDeclined(Infinity)
+    return true
+  }
+
   /** Times in a job count from when it is submitted. */
   private _updateTimes (open: OpenJob): PreparationJob {
     const elapsedMs = this._options.clock.now() - open.startedAt
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -29,6 +29,8 @@
   readonly job: PreparationJob
   /** The hall whose upstreams do it; empty for all. */
   readonly hall: string
+  /** What would be late may be declined: its owner asks another plan. */
+  readonly isOffer?: boolean
   /** What an earlier coordinator made. */
   readonly carried?: readonly CarriedPiece[]
   /** What the job came over; missing for this node's own jobs. */
@@ -94,12 +96,16 @@
   }
 
   /** Takes a job into the plan of a hall; the empty hall stands for all of them. */
-  submit ({ job, hall, carried = [], link }: SubmittedJob, listener: JobListener): void {
+  submit ({ job, hall, carried = [], isOffer, link }: SubmittedJob, listener: JobListener): void {
     if (this._isEnding) return listener({ kind: 'moved', jobId: job.id })
     const shard = this._getShard(hall)
     if (carried.length > 0) this._options.log.info('preparation_carried', { request: job.id, hall, pieces: carried.length })
     this._forgetReplaced(job.id, link)
-    const refusal = shard.planner.addJob(job, this._options.clock.now(), carried)
+    const refusal = shard.planner.addJob(job, this._options.clock.now(), { carried, isOffer })
+    if (refusal?.reason === 'late') {
+      this._planLog.noteDeclined(hall, job.id, refusal)
+      return listener({ kind: 'declined', jobId: job.id, endInMs: refusal.endInMs })
+    }
     if (refusal !== undefined) {
       this._noteRefused(job.id, refusal, shard)
       this._scheduleFrees(shard)
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -41,8 +41,8 @@
       send({ kind: 'pong' })
     } else if (message.kind === 'job') {
       jobs.add(message.job.id)
-      this._coordinator.submit({ job: message.job, hall: message.hall, carried: message.carried, link: connection }, news => {
-        if (news.kind === 'refused' || news.kind === 'moved') jobs.delete(news.jobId)
+      this._coordinator.submit({ job: message.job, hall: message.hall, carried: message.carried, isOffer: message.isOffer, link: connection }, news => {
+        if (news.kind === 'refused' || news.kind === 'declined' || news.kind === 'moved') jobs.delete(news.jobId)
         send(news)
       })
     } else if (message.kind === 'prefixes') {
--- a/src/services/preparation/test/planMoves.test.ts
+++ b/src/services/preparation/test/planMoves.test.ts
@@ -78,7 +78,7 @@
     for (const id of jobIds) {
       const job = this._jobs.get(id)
       const carried = this._carried.get(id) ?? []
-      if (job !== undefined) this.planner.addJob(job, this._now, carried.slice(0, Math.ceil(carried.length * heardShare)))
+      if (job !== undefined) this.planner.addJob(job, this._now, { carried: carried.slice(0, Math.ceil(carried.length * heardShare)) })
     }
   }
 
--- /dev/null
+++ b/src/services/preparation/test/planSearch.test.ts
@@ -0,0 +1,48 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { PlanSearch } from '../common/planSearch.ts'
+
+const PLANS = ['x', 'y', 'z']
+const test = suite('planSearch')
+
+test('the only plan may not decline', () => {
+  assert.equal(new PlanSearch().choose([''], false), { hall: '', isOffer: false })
+})
+
+test('plans are asked in their order, and the one that would be done first gets what all decline', () => {
+  const search = new PlanSearch()
+  for (const [hall, endInMs] of [['x', 900], ['y', 700], ['z', 800]] as const) {
+    assert.equal(search.choose(PLANS, false), { hall, isOffer: true })
+    search.noteDeclined(endInMs)
+  }
+  assert.equal(search.choose(PLANS, false), { hall: 'y', isOffer: false })
+})
+
+test('a job stays where something was made for it, unless that hall has no plan any more', () => {
+  const search = new PlanSearch()
+  search.choose(PLANS, false)
+  assert.equal(search.choose(PLANS, true), { hall: 'x', isOffer: false })
+  assert.equal(search.choose(['y', 'z'], true), { hall: 'y', isOffer: true })
+})
+
+test('a job that its plan gave up is offered to the others once more, and then its caller is told', () => {
+  const search = new PlanSearch()
+  search.choose(PLANS, false)
+  search.noteDeclined(900)
+  search.choose(PLANS, false)
+  assert.ok(search.noteRefused(PLANS))
+  assert.equal(search.choose(PLANS, false), { hall: 'x', isOffer: true })
+  search.noteDeclined(500)
+  assert.equal(search.choose(PLANS, false), { hall: 'z', isOffer: true })
+  search.noteDeclined(700)
+  assert.equal(search.choose(PLANS, false), { hall: 'x', isOffer: false })
+  assert.not(search.noteRefused(PLANS))
+})
+
+test('with one plan the caller is told at once', () => {
+  const search = new PlanSearch()
+  search.choose([''], false)
+  assert.not(search.noteRefused(['']))
+})
+
+test.run()
--- a/src/services/preparation/test/preparationPlanner.test.ts
+++ b/src/services/preparation/test/preparationPlanner.test.ts
@@ -174,7 +174,7 @@
   for (let index = 0; index < 40; index++) planner.addJob(createJob(`j${index}`, [createStage('a', 4)]), 0)
   const refusal = planner.addJob(createJob('x', [createStage('a', 4)], { deadlineInMs: 2000 }), 0)
   assert.is(refusal?.reason, 'overloaded')
-  assert.ok((refusal?.retryAfterMs ?? 0) >= 1000)
+  assert.ok(refusal?.reason === 'overloaded' && refusal.retryAfterMs >= 1000)
   assert.is(createPlanner({ upstreams: {} }).addJob(createJob('x', [createStage('a', 1)]), 0)?.reason, 'noUpstream')
 })
 
@@ -240,7 +240,7 @@
   const { job, carried } = createCarried(400)
   assert.is(carried.length, 2)
   const next = createPlanner({ upstreams: { a: 1, b: 1 } })
-  next.addJob(job, 150, carried)
+  next.addJob(job, 150, { carried })
   next.addJob(createJob('y', [createStage('a', 1, [], 400)]), 150)
   const calls = next.startCalls(150)
   assert.equal(calls.map(call => call.upstreamId), ['b-0'])
@@ -252,19 +252,19 @@
 test('what has expired or lies at an upstream that is gone is made again', () => {
   const { job, carried } = createCarried(10)
   const expired = createPlanner({ upstreams: { a: 1, b: 1 } })
-  expired.addJob(job, 5000, carried.map(piece => ({ ...piece, ageMs: 4000 })))
+  expired.addJob(job, 5000, { carried: carried.map(piece => ({ ...piece, ageMs: 4000 })) })
   assert.equal(expired.startCalls(5000).map(call => call.upstreamId), ['a-0'])
   const gone = createPlanner({ upstreams: { a: 1, b: 1 } })
   gone.dropUpstream('a-0')
   gone.setUpstream({ id: 'a-1', role: 'a', hall: 'h0', work: WORK })
-  gone.addJob(job, 150, carried)
+  gone.addJob(job, 150, { carried })
   assert.equal(gone.startCalls(150).map(call => call.upstreamId), ['a-1'])
 })
 
 test('a plan that refuses a job gives back what was made for it', () => {
   const { job, carried } = createCarried(10)
   const next = createPlanner({ upstreams: { a: 1 } })
-  assert.is(next.addJob(job, 150, carried)?.reason, 'noUpstream')
+  assert.is(next.addJob(job, 150, { carried })?.reason, 'noUpstream')
   assert.equal(next.takeFrees().flatMap(free => free.handles), ['a-0/1.0.0', 'a-0/1.0.1'])
 })
 
