Draw numbers in one place, and estimate reading in one

Now base/common/random.ts has drawBetween and drawCount, and targetPlanner.ts estimateReadingMs. Ruled out: the soak's relay beside src/load/relay.ts, which do different things to connections.

--- a/src/base/common/random.ts
+++ b/src/base/common/random.ts
@@ -24,3 +24,13 @@
     return unsafeUniformIntDistribution(0, RESOLUTION - 1, this._generator) / RESOLUTION
   }
 }
+
+/** A number between two others. */
+export function drawBetween (random: IRandom, low: number, high: number): number {
+  return low + random.next() * (high - low)
+}
+
+/** A whole number from one up to and including another. */
+export function drawCount (random: IRandom, least: number, most: number): number {
+  return least + Math.floor(random.next() * (most - least + 1))
+}
--- a/src/load/lab/labDeployment.ts
+++ b/src/load/lab/labDeployment.ts
@@ -2,7 +2,7 @@
  * Deployments and loads drawn from a seed: roles, upstreams, kinds of request, bursts, slow upstreams and lost planners.
  * The ranges are wide, so that a decision that only fits one deployment shows.
  */
-import { SeededRandom } from '../../base/common/random.ts'
+import { drawBetween, drawCount, SeededRandom } from '../../base/common/random.ts'
 import type { IRandom } from '../../base/common/random.ts'
 import { computePieceCost } from '../../services/preparation/common/pieceUpstream.ts'
 import type { PieceWorkSpec } from '../../services/preparation/common/pieceUpstream.ts'
@@ -76,14 +76,6 @@
 const SMALL_BYTES = 8000
 const MS_PER_S = 1000
 
-function drawBetween (random: IRandom, low: number, high: number): number {
-  return low + random.next() * (high - low)
-}
-
-function drawCount (random: IRandom, low: number, high: number): number {
-  return low + Math.floor(random.next() * (high - low + 1))
-}
-
 function createWork (random: IRandom, resultBytes: number): PieceWorkSpec {
   const callMs = Math.round(drawBetween(random, 150, 220))
   const maxPiecesPerCall = resultBytes === LARGE_BYTES ? drawCount(random, 6, 12) : drawCount(random, 18, 60)
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -140,7 +140,7 @@
   assign ({ jobId, shape, targetId, readTokens: tokens }: TargetRequest, now: number): void {
     this._withdraw(jobId)
     const target = this._getTarget(targetId)
-    const expectedMs = BASE_MS + (tokens + target.pendingTokens) * target.msPerToken
+    const expectedMs = estimateReadingMs(target, tokens)
     const assignment = { targetId, tokens, tokensAhead: target.pendingTokens, assignedAt: now, overdueAt: now + expectedMs * OVERDUE_FACTOR + OVERDUE_EXTRA_MS }
     this._assignments.set(jobId, assignment)
     target.pendingTokens += tokens
@@ -187,7 +187,7 @@
   private _estimateMs ({ waitByHall }: TargetQuestion, candidate: TargetCandidate, { readTokens, movedTokens }: ReadingPlan): number {
     const target = this._getTarget(candidate.id)
     const moveMs = movedTokens > 0 ? movedTokens * candidate.msPerMovedToken : 0
-    return BASE_MS + (target.pendingTokens + readTokens) * target.msPerToken + moveMs + (waitByHall.get(candidate.hall) ?? 0)
+    return estimateReadingMs(target, readTokens) + moveMs + (waitByHall.get(candidate.hall) ?? 0)
   }
 
   /** What the choice costs the fleet beyond the time of this request. */
@@ -225,6 +225,11 @@
   }
 }
 
+/** Until the first event of a request with so many tokens to read, behind what is pending. */
+function estimateReadingMs ({ pendingTokens, msPerToken }: TargetState, readTokens: number): number {
+  return BASE_MS + (pendingTokens + readTokens) * msPerToken
+}
+
 /** The same for every coordinator, by rendezvous. */
 function findFavourite (prefix: string, candidates: readonly TargetCandidate[]): string {
   let best = ''
