Give a constant of two tests a name that is no name of the platform's

Cause: the check of the adapter's boundary looks for the platform's names in any case, and found one in two new tests: 523 passed, 1 failed. The constant is named for what it says of a job. No assertion is changed; the check and the two tests pass. Ruled out: narrowing the check, which is right to know no exceptions.

--- a/src/services/preparation/test/busyHall.test.ts
+++ b/src/services/preparation/test/busyHall.test.ts
@@ -27,7 +27,7 @@
 
 const HALLS = ['x', 'y', 'z']
 const UPSTREAMS_PER_HALL = 2
-const GOAL_MS = 500
+const IN_TIME_MS = 500
 const STEP_MS = 5
 
 /** Makes pieces in the time that the configuration says, and counts them by hall. */
@@ -107,7 +107,7 @@
 }
 
 function createJobs (hall: string, count: number): readonly PreparationJob[] {
-  return listKeys(hall, count).map(key => createJob(key, [createStage('a', 1)], { goalInMs: GOAL_MS, request: { role: 'model', shared: [{ key, tokens: 100 }], inputTokens: 100 } }))
+  return listKeys(hall, count).map(key => createJob(key, [createStage('a', 1)], { goalInMs: IN_TIME_MS, request: { role: 'model', shared: [{ key, tokens: 100 }], inputTokens: 100 } }))
 }
 
 test('what would be late in its own hall is made in another that can make it in time', async () => {
--- a/src/services/preparation/test/lateWork.test.ts
+++ b/src/services/preparation/test/lateWork.test.ts
@@ -12,7 +12,7 @@
 
 const test = suite('lateWork')
 
-const GOAL_MS = 2500
+const IN_TIME_MS = 2500
 const PATIENCE_MS = 20_000
 /** A call of four pieces takes 140 ms. */
 const FULL_CALL_MS = 140
@@ -38,7 +38,7 @@
   const submit = () => {
     const id = `j${sentAt.size}`
     sentAt.set(id, events.now)
-    const job = createJob(id, [createStage('a', 1)], { rank: 2, goalInMs: GOAL_MS, deadlineInMs: PATIENCE_MS })
+    const job = createJob(id, [createStage('a', 1)], { rank: 2, goalInMs: IN_TIME_MS, deadlineInMs: PATIENCE_MS })
     if (planner.addJob(job, events.now) !== undefined) ended.refused++
   }
   const step = () => {
@@ -47,7 +47,7 @@
       if (news.kind === 'refused') ended.givenUp++
       if (news.kind !== 'prepared') continue
       const tookMs = events.now - (sentAt.get(news.jobId) ?? 0)
-      if (tookMs <= GOAL_MS) ended.inTime++
+      if (tookMs <= IN_TIME_MS) ended.inTime++
       else if (tookMs <= PATIENCE_MS) ended.late++
       planner.releaseJob(news.jobId)
     }
