Log with each lost attempt what its request has in common with other tries

Change: attempt_ended carries a digest of method, host, path, customer and body where the connection ended before the answer did. It is computed only then. The test of that line now expects the digest as well; it is as strict as before.

--- a/src/base/node/digest.ts
+++ b/src/base/node/digest.ts
@@ -8,6 +8,13 @@
   return createHash('sha256').update(text).digest('hex')
 }
 
+/** SHA-256 over parts, each with its length before it, so that no two lists of parts look alike; 64 hexadecimal digits. */
+export function hashParts (parts: readonly (string | Uint8Array)[]): string {
+  const hash = createHash('sha256')
+  for (const part of parts) hash.update(`${Buffer.byteLength(part)}:`).update(part)
+  return hash.digest('hex')
+}
+
 /** Random bytes as hexadecimal digits. */
 export function createRandomId (byteCount: number): string {
   return randomBytes(byteCount).toString('hex')
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -8,6 +8,7 @@
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { ResultName } from '../../result/common/resultCodes.ts'
+import { digestRequest } from '../../quarantine/node/requestDigest.ts'
 import type { PictureAge, UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { IPreparedInputs } from '../../preparation/common/preparationService.ts'
 import type { TargetReport } from '../../preparation/common/targetPlanner.ts'
@@ -75,6 +76,7 @@
   private _producedMs = 0
   private _lastUpstream = ''
   private _known: PictureAge
+  private _digest: string | undefined
   private readonly _tried = new Set<string>()
   private readonly _abort = new AbortController()
   private readonly _deadlineAt: number
@@ -363,11 +365,24 @@
       next: decision.kind,
       sends: this._sendCount,
       may_have_run: this._runCount,
-      left_ms: Math.round(this._getTimeLeft())
+      left_ms: Math.round(this._getTimeLeft()),
+      ...hasLostRun(outcome) ? { digest: this._getDigest() } : {}
     })
   }
 
+  /** What this try has in common with the other tries of the same request. */
+  private _getDigest (): string {
+    const { request, customer, body } = this._taken
+    this._digest ??= digestRequest({ ...request, customer, body })
+    return this._digest
+  }
+
   private _getTimeLeft (): number {
     return Math.max(0, this._deadlineAt - this._context.clock.now())
   }
 }
+
+/** The connection ended before the answer did. */
+function hasLostRun (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'lost' || outcome.kind === 'broken'
+}
--- a/src/services/relay/test/relayServer.test.ts
+++ b/src/services/relay/test/relayServer.test.ts
@@ -166,7 +166,7 @@
   await harness.call('a')
   const lines = harness.lines.filter(line => line.includes('request=a '))
   assert.is(lines.length, 2)
-  assert.match(lines[0] ?? '', /event=attempt_ended request=a upstream=u0 role=u outcome=lost reason="(?:read ECONNRESET|socket hang up)" next=refuse sends=1 may_have_run=1 left_ms=\d+$/)
+  assert.match(lines[0] ?? '', /event=attempt_ended request=a upstream=u0 role=u outcome=lost reason="(?:read ECONNRESET|socket hang up)" next=refuse sends=1 may_have_run=1 left_ms=\d+ digest=[0-9a-f]{32}$/)
   assert.match(lines[1] ?? '', /event=request_refused request=a code=304 result=outcomeUnknown reason="[^"]+" place=u not_run=false retry_after_ms=0 configuration="1\.7 for 20 ms"$/)
 }))
 
