Show by tests that one request ends upstreams for as long as its caller comes back with it

Cause: what is known of a request ends with its try, so no node can tell a try from a new request. Ruled out: a bound within a try (the relay test allows one upstream a try).

--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -8,7 +8,7 @@
 import type { MessageInitShape } from '@bufbuild/protobuf'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
-import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { Disposable, DisposableStore, toDisposable } from '../../../base/common/disposable.ts'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
 import { RelaySchema, RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -98,11 +98,17 @@
   readonly heads: string[] = []
   closedCount = 0
   address = ''
+  private readonly _running = this._register(new DisposableStore())
 
   constructor (private readonly _script: Script) {
     super()
   }
 
+  /** Ends as a process does: its connections close, and new ones are refused. */
+  end (): void {
+    this._running.dispose()
+  }
+
   listen (): Promise<string> {
     const server = createServer(socket => {
       let text = ''
@@ -115,9 +121,9 @@
         this._script(socket, text)
         text = ''
       })
-      this._register(toDisposable(() => socket.destroy()))
+      this._running.add(toDisposable(() => socket.destroy()))
     })
-    this._register(toDisposable(() => { server.close() }))
+    this._running.add(toDisposable(() => { server.close() }))
     return new Promise(resolve => {
       server.listen(0, '127.0.0.1', () => {
         this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
@@ -127,6 +133,12 @@
   }
 }
 
+/** All bytes that came, and how the connection ended. */
+export interface SeenAnswer {
+  readonly text: string
+  readonly end: 'closed' | 'reset'
+}
+
 export interface RelayHarnessOptions {
   readonly route?: MessageInitShape<typeof RouteSchema>
   readonly upstreams: readonly FakeUpstream[]
@@ -146,6 +158,7 @@
   readonly registry = this._register(new UpstreamRegistry())
   readonly server: RelayServer
   private _port = 0
+  private _upstreamCount = 0
 
   constructor (private readonly _options: RelayHarnessOptions) {
     super()
@@ -182,16 +195,30 @@
     this.server.onDidEnd(ended => this.ended.push(ended))
   }
 
+  /** A boot of an upstream announces itself; resolves with its id. */
+  async addUpstream (upstream: FakeUpstream): Promise<string> {
+    const id = `u${this._upstreamCount++}`
+    this._register(upstream)
+    this.registry.update({ id, role: 'u', address: await upstream.listen(), hall: '', slots: 4, isLeaving: false }, 'test')
+    return id
+  }
+
   async start (): Promise<void> {
-    for (const [index, upstream] of this._options.upstreams.entries()) {
-      this._register(upstream)
-      this.registry.update({ id: `u${index}`, role: 'u', address: await upstream.listen(), hall: '', slots: 4, isLeaving: false }, 'test')
-    }
+    for (const upstream of this._options.upstreams) await this.addUpstream(upstream)
     this._port = await this.server.listen('127.0.0.1', 0)
   }
 
   /** Sends one request on a connection of its own; resolves with all bytes that came and how the connection ended. */
-  call (id: string, headers = '', leaveAfterMs = 0): Promise<{ readonly text: string, readonly end: 'closed' | 'reset' }> {
+  call (id: string, headers = '', leaveAfterMs = 0): Promise<SeenAnswer> {
+    return this._exchange(`GET /x HTTP/1.1\r\nHost: h\r\nId: ${id}\r\n${headers}Connection: close\r\n\r\n`, leaveAfterMs)
+  }
+
+  /** Sends one request with a body, as `call` does. */
+  submit (id: string, body: string): Promise<SeenAnswer> {
+    return this._exchange(`POST /x HTTP/1.1\r\nHost: h\r\nId: ${id}\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
+  }
+
+  private _exchange (sent: string, leaveAfterMs = 0): Promise<SeenAnswer> {
     return new Promise(resolve => {
       const socket = connect(this._port, '127.0.0.1')
       let text = ''
@@ -199,7 +226,7 @@
       socket.on('data', data => { text += data.toString('latin1') })
       socket.on('error', () => { end = 'reset' })
       socket.on('close', () => resolve({ text, end }))
-      socket.write(`GET /x HTTP/1.1\r\nHost: h\r\nId: ${id}\r\n${headers}Connection: close\r\n\r\n`)
+      socket.write(sent)
       if (leaveAfterMs > 0) setTimeout(() => socket.destroy(), leaveAfterMs)
     })
   }
