Send a request nowhere once three upstreams have ended under it, whatever node its caller tries

Cause: every node took each try for a new request; nothing that a try had done was known to the next. Change: a run that goes down with its connection has its upstream probed (a refused connection is an end; what is accepted or was leaving is none). Each node tells all others of an end as a fact of its own, with the digests of the runs it had there that had produced nothing or only just begun to; what nodes saw adds up. Three ends one after the other that nothing else explains, and the request is refused as not run, before anything is prepared, under its own result. An answer anywhere takes everything back; a request that was at the ends of a convicted one is cleared; where two were at the same three ends, one more tells them apart. A suspect goes to an upstream without another suspect, and is sent to one more within a try at most. Digests are made only of lost runs, and of arrivals whose body has the length of a suspect's. The relay test's upstreams now answer with an event, as their stream route wants: without it no request beside was served.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -29,6 +29,7 @@
 import { PreparationClient } from '../services/preparation/node/preparationClient.ts'
 import { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
 import { PreparationServer } from '../services/preparation/node/preparationServer.ts'
+import { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
 import type { CallerProtocol, UpstreamProtocol } from '../services/relay/common/relayProtocol.ts'
 import { RelayPool } from '../services/relay/common/relayPool.ts'
 import { AffinityRouter } from '../services/relay/common/relayRouter.ts'
@@ -92,6 +93,7 @@
   private readonly _pause: PauseGuard
   private readonly _recent: DecayingCount
   private readonly _metrics: NodeMetrics
+  private readonly _quarantine: QuarantineService
   private readonly _relay: RelayServer
   private readonly _coordinator: PreparationCoordinator
   private readonly _preparation: PreparationClient
@@ -154,6 +156,7 @@
       listCoordinators: () => this._member.membership.listLive().map(member => ({ ...member, address: this._formatPreparationAddress(member.address) })),
       listPieceUpstreams: () => (this._table?.listPieceRoles() ?? []).flatMap(role => this._registry.listRole(role.name))
     }))
+    this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._member.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation }))
     const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS, scheduling: 'lifo' })
     this._register(toDisposable(() => agent.destroy()))
     this._relay = this._register(new RelayServer({
@@ -165,10 +168,11 @@
         agent,
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
-        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes() }),
+        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id) }),
         retry: new RetryBudget({ share: settings.retry_share * RETRY_SAFETY, maxSaved: () => settings.retry_spare * RETRY_SAFETY / this.countNodes() }),
         preparation: this._preparation,
-        releaseDelay: new ReleaseDelay()
+        releaseDelay: new ReleaseDelay(),
+        quarantine: this._quarantine
       },
       callerProtocol: options.callerProtocol,
       getTable,
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -133,7 +133,7 @@
     if (metrics !== undefined) await this._register(new MetricsServer(this._metrics.metrics)).listen(metrics.host, metrics.port)
     this._register(startInterval(PAUSE_CHECK_PERIOD_MS, () => this._checkPause()))
     this._register(startInterval(SWEEP_PERIOD_MS, () => this._scheduler.sweep()))
-    this._register(startInterval(FORGET_PERIOD_MS, () => this._facts.dropOldGates()))
+    this._register(startInterval(FORGET_PERIOD_MS, () => this._facts.dropOld()))
     this._register(startInterval(FACT_PERIOD_MS, () => this._announceIfDue()))
     log.info('listening', { address: settings.address, hall: settings.hall })
   }
--- a/src/services/facts/common/fact.ts
+++ b/src/services/facts/common/fact.ts
@@ -51,7 +51,29 @@
   readonly signal: string
 }
 
-export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact
+/** A run that its writer had at an upstream when that ended. */
+export interface RunAtEnd {
+  /** What the tries of one request have in common. */
+  readonly digest: string
+  readonly bodyBytes: number
+  /** How long before the end it was sent, in milliseconds. */
+  readonly sentBeforeMs: number
+}
+
+/** An upstream incarnation ended without having said so, with the writer's runs there; the fact is as old as the end. */
+export interface EndedFact {
+  readonly kind: 'ended'
+  readonly upstream: string
+  readonly runs: readonly RunAtEnd[]
+}
+
+/** Nothing is held against a request for ends before this. */
+export interface ClearedFact {
+  readonly kind: 'cleared'
+  readonly digest: string
+}
+
+export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact | EndedFact | ClearedFact
 
 export interface Fact {
   readonly subject: string
@@ -83,3 +105,12 @@
 export function formatLeavingSubject (upstream: string): string {
   return `leaving/${upstream}`
 }
+
+/** Each node writes its own: what several of them had at one upstream adds up. */
+export function formatEndedSubject (upstream: string, node: string): string {
+  return `ended/${upstream}/${node}`
+}
+
+export function formatClearedSubject (digest: string): string {
+  return `cleared/${digest}`
+}
--- a/src/services/facts/common/factStore.ts
+++ b/src/services/facts/common/factStore.ts
@@ -24,8 +24,11 @@
 /** A held fact whose value is of one kind. */
 export type HeldFactOf<K extends FactValue['kind']> = HeldFact & { readonly value: FactValue & { readonly kind: K } }
 
-/** Gates come and go; what was said of one so long ago is of no use, and must not come back from a peer either. */
-const MAX_GATE_FACT_AGE_MS = 600_000
+/** Gates come and go, and so do ends of upstreams; what was said so long ago is of no use, and must not come back from a peer either. */
+const MAX_FACT_AGE_MS = 600_000
+const AGEING_KINDS = ['gate', 'ended', 'cleared'] as const
+/** Room for a thousand ends, each seen by a few nodes, and what was taken back of them; more would crowd out members. */
+const MAX_EVIDENCE_FACTS = 4000
 /** Far above what a fleet of the target size has; a bound against a sender that has gone wrong. */
 const MAX_FACTS = 20_000
 
@@ -34,6 +37,7 @@
   /** Kept until a fact of the kind changes: members are looked at with every request, and rarely change. */
   private readonly _listsByKind = new Map<FactValue['kind'], readonly HeldFact[]>()
   private _sequence = 0
+  private _evidenceCount = 0
   private readonly _onDidChange = this._register(new Emitter<HeldFact>())
   readonly onDidChange = this._onDidChange.event
 
@@ -55,7 +59,11 @@
     const held = this._facts.get(fact.subject)
     if (held !== undefined && compareFacts(fact, held) <= 0) return false
     if (held === undefined && this._facts.size >= MAX_FACTS) return false
-    if (fact.value.kind === 'gate' && fact.ageMs > MAX_GATE_FACT_AGE_MS) return false
+    if (isAgeing(fact.value) && fact.ageMs > MAX_FACT_AGE_MS) return false
+    if (held === undefined && isEvidence(fact.value)) {
+      if (this._evidenceCount >= MAX_EVIDENCE_FACTS) return false
+      this._evidenceCount++
+    }
     const { subject, incarnation, counter, value } = fact
     const observedAt = this._clock.now() - fact.ageMs
     const next: HeldFact = { subject, incarnation, counter, value, observedAt, sequence: ++this._sequence, source }
@@ -76,13 +84,16 @@
     const held = this._facts.get(subject)
     if (held === undefined) return
     this._facts.delete(subject)
+    if (isEvidence(held.value)) this._evidenceCount--
     this._listsByKind.delete(held.value.kind)
   }
 
-  /** Forgets gates that were not heard of for a long time. */
-  dropOldGates (): void {
+  /** Forgets what is of no use after a long time. */
+  dropOld (): void {
     const now = this._clock.now()
-    for (const fact of this.listKind('gate')) if (now - fact.observedAt > MAX_GATE_FACT_AGE_MS) this.drop(fact.subject)
+    for (const kind of AGEING_KINDS) {
+      for (const fact of this.listKind(kind)) if (now - fact.observedAt > MAX_FACT_AGE_MS) this.drop(fact.subject)
+    }
   }
 
   list (): readonly HeldFact[] {
@@ -111,3 +122,11 @@
     return held.map(({ subject, incarnation, counter, value, observedAt }) => ({ subject, incarnation, counter, value, ageMs: Math.max(0, Math.round(now - observedAt)) }))
   }
 }
+
+function isAgeing ({ kind }: FactValue): boolean {
+  return AGEING_KINDS.some(ageing => ageing === kind)
+}
+
+function isEvidence ({ kind }: FactValue): boolean {
+  return kind === 'ended' || kind === 'cleared'
+}
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -38,7 +38,13 @@
     fencing: Count,
     prefixes: Schema.Array(Name)
   }),
-  Schema.Struct({ kind: Schema.Literal('leaving'), upstream: Name, signal: Name })
+  Schema.Struct({ kind: Schema.Literal('leaving'), upstream: Name, signal: Name }),
+  Schema.Struct({
+    kind: Schema.Literal('ended'),
+    upstream: Name,
+    runs: Schema.Array(Schema.Struct({ digest: Name, bodyBytes: Count, sentBeforeMs: Count }))
+  }),
+  Schema.Struct({ kind: Schema.Literal('cleared'), digest: Name })
 )
 
 const FactSchema = Schema.Struct({
--- a/src/services/facts/test/factStore.test.ts
+++ b/src/services/facts/test/factStore.test.ts
@@ -79,7 +79,7 @@
   const fact: Fact = { subject: 'gate/g', incarnation: 1, counter: 1, value, ageMs: 0 }
   store.merge(fact)
   clock.advance(600_001)
-  store.dropOldGates()
+  store.dropOld()
   assert.is(store.get('gate/g'), undefined)
   assert.not(store.merge({ ...fact, ageMs: 600_001 }))
   assert.ok(store.merge({ ...fact, ageMs: 1000 }))
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -162,7 +162,7 @@
   async join (sourceRead: Promise<unknown>): Promise<void> {
     const { clock, readyWaitMs, isSourceNewest = false } = this._options
     if (this._options.hasGates !== false) this._register(startInterval(GATE_PUSH_PERIOD_MS, () => this.pushToGates()))
-    this._register(startInterval(FORGET_PERIOD_MS, () => this.facts.dropOldGates()))
+    this._register(startInterval(FORGET_PERIOD_MS, () => this.facts.dropOld()))
     this._register(startInterval(ANNOUNCE_PERIOD_MS, () => this._announceConfiguration(COMPARED_COUNT)))
     const until = clock.now() + readyWaitMs
     const reading = Promise.race([sourceRead, waitFor(readyWaitMs).then(() => false)])
@@ -277,7 +277,7 @@
       this._options.log.info('upstream_leaving', { upstream: value.upstream, incarnation: fact.incarnation, signal: value.signal, source: fact.source })
     } else if (value.kind === 'member') {
       this._options.log.info('member_changed', { member: value.address, state: value.state, incarnation: fact.incarnation })
-    } else {
+    } else if (value.kind !== 'ended' && value.kind !== 'cleared') {
       return
     }
     this.pushToGates()
--- a/src/services/relay/common/attemptDecision.ts
+++ b/src/services/relay/common/attemptDecision.ts
@@ -28,6 +28,8 @@
   /** Upstreams that it was sent to, this one included. */
   readonly sendCount: number
   readonly maxAttempts: number
+  /** Upstreams that ended under this request, in this try and in earlier ones. */
+  readonly endedCount: number
   readonly timeLeftMs: number
   /** Less time than this is not worth a further attempt. */
   readonly minTimeMs: number
@@ -48,12 +50,14 @@
 
 /** Upstreams that turn a request away cost nothing but budget; beyond so many the fleet is taken for full. */
 const MAX_EXTRA_SENDS = 2
+/** A request under which so many upstreams ended is not sent to another within the try: one end may be chance. */
+const MAX_ENDED = 2
 
 export function decideAfterAttempt (inputs: AttemptInputs): AttemptDecision {
   const { outcome } = inputs
   if (outcome.kind === 'delivered' || outcome.kind === 'cancelled') return { kind: 'end' }
   if (outcome.kind === 'notRun') return decideAfterNotRun(inputs, outcome.reason)
-  const mayRunAgain = inputs.isRepeatable && inputs.runCount < inputs.maxAttempts && inputs.timeLeftMs >= inputs.minTimeMs
+  const mayRunAgain = inputs.isRepeatable && inputs.runCount < inputs.maxAttempts && inputs.endedCount < MAX_ENDED && inputs.timeLeftMs >= inputs.minTimeMs
   if (outcome.kind === 'broken') return mayRunAgain && inputs.isResumable ? { kind: 'retry', isResume: true } : { kind: 'cut' }
   if (mayRunAgain) return { kind: 'retry', isResume: false }
   return outcome.kind === 'failed' ? { kind: 'passOn' } : { kind: 'refuse', isNotRun: false }
@@ -66,3 +70,8 @@
   if (reason !== 'refused' && hasTime && mayStillRun) return { kind: 'retry', isResume: false }
   return { kind: 'refuse', isNotRun: inputs.runCount === 0 }
 }
+
+/** The connection ended before the answer did. */
+export function hasLostRun (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'lost' || outcome.kind === 'broken'
+}
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -2,6 +2,7 @@
  * The upstreams as this node uses them: what it has open there, how they do, and which one the router would take.
  */
 import type { IClock } from '../../../base/common/clock.ts'
+import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { AttemptOutcome } from './attemptDecision.ts'
@@ -17,6 +18,8 @@
   readonly createHealth: () => HealthTracker
   /** Nodes that use the same upstreams, this one included. */
   readonly countNodes: () => number
+  /** Whether a boot is known to have ended though it is still listed. */
+  readonly hasEnded: (upstream: string) => boolean
 }
 
 export interface PoolQuestion {
@@ -27,6 +30,19 @@
   readonly tried: ReadonlySet<string>
 }
 
+/** A request that may have ended upstreams wants a place where it does least harm. */
+export interface ApartQuestion extends Pick<PoolQuestion, 'role' | 'tried'> {
+  /** What the tries of the request have in common. */
+  readonly key: string
+}
+
+/** What comes to an upstream. */
+export interface PoolArrival {
+  readonly prompt: PromptShape | undefined
+  /** Upstreams have ended under it. */
+  readonly isSuspect: boolean
+}
+
 /** A request's stay at an upstream. */
 export interface PoolVisit {
   /** The first event, or the answer, has come. */
@@ -38,6 +54,7 @@
 class UpstreamUse {
   inFlight = 0
   pendingTokens = 0
+  suspects = 0
   load: UpstreamLoad | undefined
   loadAt = -Infinity
 
@@ -77,10 +94,25 @@
     return choice === undefined ? undefined : this._options.registry.get(choice.id)
   }
 
-  begin (upstream: UpstreamEntry, prompt: PromptShape | undefined): PoolVisit {
+  /**
+   * Where a suspect goes: to an upstream that has no other suspect, so that the next end tells which of them it was, and
+   * as little else as may be. Nodes rank upstreams alike for one request and differently for two.
+   */
+  chooseApart ({ role, tried, key }: ApartQuestion): UpstreamEntry | undefined {
+    const entries = this._options.registry.listRole(role)
+    const untried = entries.filter(entry => !tried.has(entry.id))
+    const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length).filter(entry => !this._options.hasEnded(entry.id))
+    const ranked = rankByRendezvous(key, usable.map(entry => entry.id))
+    const costs = ranked.map(id => ({ id, use: this._getUse(id) }))
+    const [best] = costs.sort((a, b) => a.use.suspects - b.use.suspects || a.use.inFlight - b.use.inFlight)
+    return best === undefined ? undefined : this._options.registry.get(best.id)
+  }
+
+  begin (upstream: UpstreamEntry, { prompt, isSuspect }: PoolArrival): PoolVisit {
     const use = this._getUse(upstream.id)
     let pending = prompt?.inputTokens ?? 0
     use.inFlight++
+    if (isSuspect) use.suspects++
     use.pendingTokens += pending
     const noteProduced = () => {
       use.pendingTokens -= pending
@@ -91,6 +123,7 @@
       end: outcome => {
         noteProduced()
         use.inFlight--
+        if (isSuspect) use.suspects--
         this._recordHealth(use, outcome)
       }
     }
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -36,6 +36,8 @@
 export interface AttemptResult {
   readonly outcome: AttemptOutcome
   readonly failure?: WholeAnswer
+  /** The upstream kept silent for too long, and this side closed the connection. */
+  readonly hasTimedOut?: boolean
 }
 
 /** Hosts are a millisecond apart; one that does not accept a connection within this is not there. */
@@ -77,8 +79,8 @@
           return true
         }
       })
-      if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start.kind, start.reason) }
-      return await this._readAnswer(start.response, start.exchange)
+      if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start.kind, start.reason), hasTimedOut: this._timedOut }
+      return { ...await this._readAnswer(start.response, start.exchange), hasTimedOut: this._timedOut }
     } finally {
       this._timer?.dispose()
       signal.removeEventListener('abort', onAbort)
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -7,6 +7,7 @@
 import type { ILogService } from '../../log/node/logger.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import type { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
+import type { IQuarantineService } from '../../quarantine/common/quarantine.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { RelayRefusal, UpstreamProtocol } from '../common/relayProtocol.ts'
@@ -26,6 +27,7 @@
   readonly retry: RetryPolicy
   readonly preparation: IPreparationService
   readonly releaseDelay: ReleaseDelay
+  readonly quarantine: IQuarantineService
   /** Sends a refusal in the callers' protocol, and logs it under the request's id. */
   readonly refuse: (answer: CallerAnswer, refusal: RelayRefusal, requestId: string) => void
 }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -8,13 +8,14 @@
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { ResultName } from '../../result/common/resultCodes.ts'
-import { digestRequest } from '../../quarantine/node/requestDigest.ts'
+import { NO_STANDING } from '../../quarantine/common/quarantineBook.ts'
 import type { PictureAge, UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { IPreparedInputs } from '../../preparation/common/preparationService.ts'
 import type { TargetReport } from '../../preparation/common/targetPlanner.ts'
 import { hasPieces } from '../../preparation/common/preparationJob.ts'
 import type { JobRefusal, PreparationJob } from '../../preparation/common/preparationJob.ts'
-import { decideAfterAttempt } from '../common/attemptDecision.ts'
+import { computeHeadTimeout, computePauseTimeout } from '../common/attemptTimes.ts'
+import { decideAfterAttempt, hasLostRun } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { PoolVisit } from '../common/relayPool.ts'
@@ -26,6 +27,7 @@
 import { RelayAttempt } from './relayAttempt.ts'
 import type { AttemptResult } from './relayAttempt.ts'
 import type { RelayContext } from './relayContext.ts'
+import { RequestSuspect } from './requestSuspect.ts'
 
 /** A request that was taken in. */
 export interface TakenRequest {
@@ -58,12 +60,9 @@
 const ANSWER_MARGIN_MS = 20
 /** A further attempt needs at least this much time. */
 const MIN_ATTEMPT_MS = 50
-/** A repeatable request is tried elsewhere when an upstream has not begun to answer after this part of the time left. */
-const REPEATABLE_HEAD_SHARE = 0.35
-/** A stream that may go on elsewhere is taken for broken after so many of its longest good pauses. */
-const RESUMABLE_PAUSES = 5
-const DEFAULT_PAUSE_MS = 200
 const RETRY_SOON_MS = 300
+/** A request that has been producing for so long is not what ended its upstream. */
+const MAX_BEGUN_MS = 1000
 
 export class RelayRun {
   private _sendCount = 0
@@ -76,7 +75,13 @@
   private _producedMs = 0
   private _lastUpstream = ''
   private _known: PictureAge
-  private _digest: string | undefined
+  /** When the attempt under way was sent, and when it first produced something. */
+  private _sentAt = 0
+  private _producedAt = Infinity
+  /** Upstreams that ended under this try. */
+  private _endedCount = 0
+  private _standing = NO_STANDING
+  private readonly _suspect: RequestSuspect
   private readonly _tried = new Set<string>()
   private readonly _abort = new AbortController()
   private readonly _deadlineAt: number
@@ -86,6 +91,7 @@
     const { route, request, arrivedAt } = _taken
     this._deadlineAt = arrivedAt + Math.min(route.timeoutMs, request.timeLeftMs ?? Infinity)
     this._lastEventId = request.lastEventId
+    this._suspect = new RequestSuspect({ ...request, customer: _taken.customer, body: _taken.body })
     this._role = pickTarget(route.targets, _context.random)
     this._known = _context.registry.computeAge(arrivedAt)
   }
@@ -118,9 +124,11 @@
   }
 
   private async _runAttempts (): Promise<RelayEnd['result']> {
-    const refused = await this._prepare()
+    const refused = this._refuseQuarantined() ?? await this._prepare()
     if (refused !== undefined) return refused
     for (;;) {
+      const quarantined = this._refuseQuarantined()
+      if (quarantined !== undefined) return quarantined
       if (this._inputs?.isReleased === true && this._inputs.handles.length > 0) {
         const failed = await this._prepareAgain()
         if (failed !== undefined) return failed
@@ -128,6 +136,7 @@
       const upstream = this._chooseUpstream()
       if (upstream === undefined) return this._refuseWithoutUpstream()
       const result = await this._tryUpstream(upstream)
+      await this._noteEnd(upstream, result)
       const decision = this._decide(result.outcome, upstream)
       this._noteOutcome(upstream, result.outcome, decision)
       if (decision.kind === 'retry' && this._mayRetry(result.outcome)) {
@@ -180,6 +189,7 @@
 
   private _chooseUpstream (): UpstreamEntry | undefined {
     const { request } = this._taken
+    if (this._standing.ends > 0) return this._context.pool.chooseApart({ role: this._role, tried: this._tried, key: this._suspect.getDigest() })
     const chosen = this._inputs === undefined ? undefined : this._context.pool.confirm(this._inputs.targetId, this._tried)
     return chosen ?? this._context.pool.choose({
       role: this._role,
@@ -196,10 +206,11 @@
     this._sendCount++
     this._lastUpstream = upstream.id
     this._tried.add(upstream.id)
-    const visit = context.pool.begin(upstream, request.prompt)
+    const visit = context.pool.begin(upstream, { prompt: request.prompt, isSuspect: this._standing.ends > 0 })
     const timeLeftMs = this._getTimeLeft()
-    const sentAt = context.clock.now()
-    this._known = context.registry.computeAge(sentAt)
+    this._sentAt = context.clock.now()
+    this._producedAt = Infinity
+    this._known = context.registry.computeAge(this._sentAt)
     let releasing: IDisposable | undefined
     this._isAtUpstream = true
     const result = await new RelayAttempt({
@@ -220,12 +231,12 @@
       body: taken.body,
       answer: taken.answer,
       isStream,
-      headTimeoutMs: this._computeHeadTimeout(timeLeftMs),
-      pauseTimeoutMs: this._computePauseTimeout(),
+      headTimeoutMs: computeHeadTimeout(route, this._runCount, timeLeftMs),
+      pauseTimeoutMs: computePauseTimeout(route),
       signal: this._abort.signal,
       onWillSend: () => { releasing = this._scheduleRelease() },
       onDidReadLoad: load => context.pool.recordLoad(upstream, load),
-      onDidProduce: () => this._noteProduced(visit, upstream, context.clock.now() - sentAt),
+      onDidProduce: () => this._noteProduced(visit, upstream),
       localAddress: context.localAddress
     }).run()
     this._isAtUpstream = false
@@ -257,27 +268,39 @@
     else if (outcome.kind === 'delivered') this._context.releaseDelay.noteTaken()
   }
 
-  private _noteProduced (visit: PoolVisit, upstream: UpstreamEntry, producedMs: number): void {
+  private _noteProduced (visit: PoolVisit, upstream: UpstreamEntry): void {
     visit.noteProduced()
-    this._reportTarget(upstream, { outcome: 'produced', producedMs })
+    this._producedAt = this._context.clock.now()
+    this._reportTarget(upstream, { outcome: 'produced', producedMs: this._producedAt - this._sentAt })
     if (this._producedMs === 0) this._producedMs = this._context.clock.now() - this._taken.arrivedAt - this._preparedMs
     this._inputs?.release()
   }
 
-  private _reportTarget (upstream: UpstreamEntry, report: TargetReport): void {
-    if (this._inputs?.targetId === upstream.id) this._inputs.report(report)
+  /**
+   * Tells the quarantine how the upstream fared, and waits until it knows whether that ended: neither a further attempt
+   * nor a caller that comes back at once may be sent on before.
+   */
+  private async _noteEnd (upstream: UpstreamEntry, { outcome, hasTimedOut = false }: AttemptResult): Promise<void> {
+    const { clock, quarantine } = this._context
+    const endedAt = clock.now()
+    if (outcome.kind === 'delivered') return quarantine.noteServed(this._suspect)
+    if (!hasLostRun(outcome) || hasTimedOut || endedAt - this._producedAt > MAX_BEGUN_MS) return
+    const { bodyBytes } = this._suspect
+    const run = { digest: this._suspect.getDigest(), bodyBytes, upstream: upstream.id, address: upstream.address, sentAt: this._sentAt, endedAt }
+    if (await quarantine.noteLost(run)) this._endedCount++
   }
 
-  private _computeHeadTimeout (timeLeftMs: number): number {
-    const { route } = this._taken
-    const mayGoElsewhere = isRepeatable(route) && this._runCount + 1 < route.maxAttempts
-    return mayGoElsewhere ? Math.max(route.goalMs, timeLeftMs * REPEATABLE_HEAD_SHARE) : timeLeftMs
+  /** A request that ends what runs it is sent nowhere, at whatever node its caller tries. */
+  private _refuseQuarantined (): ResultName | undefined {
+    const { quarantine } = this._context
+    this._standing = quarantine.judge(this._suspect)
+    if (!this._standing.isQuarantined) return undefined
+    quarantine.reportRefusal(this._taken.request.id, this._suspect, this._standing)
+    return this._refuse('requestQuarantined', `${this._standing.ends} upstreams ended under its tries`, this._runCount === 0)
   }
 
-  private _computePauseTimeout (): number {
-    const { route } = this._taken
-    if (!route.isResumable) return Infinity
-    return RESUMABLE_PAUSES * (route.maxPauseMs > 0 ? route.maxPauseMs : DEFAULT_PAUSE_MS)
+  private _reportTarget (upstream: UpstreamEntry, report: TargetReport): void {
+    if (this._inputs?.targetId === upstream.id) this._inputs.report(report)
   }
 
   private _decide (outcome: AttemptOutcome, upstream: UpstreamEntry): AttemptDecision {
@@ -290,6 +313,7 @@
       isResumable: route.isResumable,
       runCount: this._runCount,
       sendCount: this._sendCount,
+      endedCount: this._standing.ends + this._endedCount,
       maxAttempts: route.maxAttempts,
       timeLeftMs: this._getTimeLeft(),
       minTimeMs: MIN_ATTEMPT_MS
@@ -366,23 +390,11 @@
       sends: this._sendCount,
       may_have_run: this._runCount,
       left_ms: Math.round(this._getTimeLeft()),
-      ...hasLostRun(outcome) ? { digest: this._getDigest() } : {}
+      ...hasLostRun(outcome) ? { digest: this._suspect.getDigest() } : {}
     })
   }
 
-  /** What this try has in common with the other tries of the same request. */
-  private _getDigest (): string {
-    const { request, customer, body } = this._taken
-    this._digest ??= digestRequest({ ...request, customer, body })
-    return this._digest
-  }
-
   private _getTimeLeft (): number {
     return Math.max(0, this._deadlineAt - this._context.clock.now())
   }
 }
-
-/** The connection ended before the answer did. */
-function hasLostRun (outcome: AttemptOutcome): boolean {
-  return outcome.kind === 'lost' || outcome.kind === 'broken'
-}
--- a/src/services/relay/test/crashingRequest.test.ts
+++ b/src/services/relay/test/crashingRequest.test.ts
@@ -16,6 +16,7 @@
 /** What one request may end before it is no longer sent. */
 const MAX_CRASHES = 3
 const RUN_MS = 30
+const EVENT = 'id: 1\ndata: x\n\n'
 const CRASH_MS = 10
 
 /** Upstreams that a body ends, and new boots that take their place. */
@@ -32,7 +33,7 @@
     const upstream: FakeUpstream = new FakeUpstream((socket, head) => {
       const id = /^Id: (.+)\r$/m.exec(head)?.[1]
       if (head.endsWith(CRASHING)) setTimeout(() => this._endUpstream(upstream, boot), CRASH_MS)
-      else setTimeout(() => { if (!socket.destroyed) socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: 4\r\n\r\nbody`) }, RUN_MS)
+      else setTimeout(() => { if (!socket.destroyed) socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: ${EVENT.length}\r\n\r\n${EVENT}`) }, RUN_MS)
     })
     const boot = await this.harness.addUpstream(upstream)
   }
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -13,10 +13,12 @@
 import { SystemClock } from '../../../base/node/systemClock.ts'
 import { RelaySchema, RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { RouteSchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { FactStore } from '../../facts/common/factStore.ts'
 import { TrustingTracker } from '../../health/common/healthTracker.ts'
 import { LogService } from '../../log/node/logger.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
+import { QuarantineService } from '../../quarantine/node/quarantineService.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { RetryBudget } from '../../retry/common/retryPolicy.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
@@ -144,6 +146,8 @@
   readonly upstreams: readonly FakeUpstream[]
   readonly preparation?: IPreparationService
   readonly retries?: number
+  /** What it shares with other nodes. */
+  readonly facts?: FactStore
   readonly customers?: readonly { readonly name: string, readonly keySha256: string[] }[]
 }
 
@@ -166,12 +170,14 @@
     const agent = new Agent({ keepAlive: true })
     this._register(toDisposable(() => agent.destroy()))
     const log = new LogService({ program: 'test', silent: true })
+    const facts = this._register(_options.facts ?? new FactStore(clock))
     log.onDidLog(({ line }) => this.lines.push(line))
     const table = new RelayTable(create(RelaySchema, {
       routes: [{ name: 'r', host: 'h', pathPrefix: '/', kind: RouteKind.REPEATABLE, targets: [{ role: 'u', weight: 1 }], timeoutMs: 2000, goalMs: 500, maxAttempts: 2, ..._options.route }],
       roles: [{ name: 'u' }],
       customers: [..._options.customers ?? []]
     }))
+    const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1 }))
     this.server = this._register(new RelayServer({
       context: {
         clock,
@@ -181,10 +187,11 @@
         agent,
         upstreamProtocol: new FakeUpstreamProtocol(),
         registry: this.registry,
-        pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1 }),
+        pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1, hasEnded: id => quarantine.hasEnded(id) }),
         retry: new RetryBudget({ maxSaved: _options.retries ?? 10 }),
         preparation: _options.preparation ?? NO_PREPARATION,
-        releaseDelay: new ReleaseDelay()
+        releaseDelay: new ReleaseDelay(),
+        quarantine
       },
       callerProtocol: new FakeCallerProtocol(),
       getTable: () => table,
--- a/src/services/result/common/resultCodes.ts
+++ b/src/services/result/common/resultCodes.ts
@@ -30,6 +30,7 @@
   sessionLimit: 218,
   sessionOutdated: 219,
   routeUnknown: 220,
+  requestQuarantined: 221,
   deadlinePassed: 301,
   cancelled: 302,
   stageFailed: 303,
