Let operators list what is no longer sent, and send it again

Cause: a request that is held guilty wrongly, or whose upstreams were mended, could only be sent again after ten minutes. Change: the metrics port answers GET /quarantine and DELETE /quarantine/DIGEST; a clearing goes to all nodes.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -29,6 +29,7 @@
 import { PreparationClient } from '../services/preparation/node/preparationClient.ts'
 import { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
 import { PreparationServer } from '../services/preparation/node/preparationServer.ts'
+import { createQuarantineHandler } from '../services/quarantine/node/quarantineHandler.ts'
 import { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
 import type { CallerProtocol, UpstreamProtocol } from '../services/relay/common/relayProtocol.ts'
 import { RelayPool } from '../services/relay/common/relayPool.ts'
@@ -187,6 +188,8 @@
       getKnownAgeMs: () => this._registry.computeAge(clock.now()).ageMs,
       countJobs: () => this._coordinator.jobCount,
       getConfigurationVersion: () => this._member.configuration.number.version,
+      countQuarantined: () => this._quarantine.listQuarantined().length,
+      countQuarantineRefusals: () => this._quarantine.refusedCount,
       countPauses: () => this._pause.pauseCount,
       getBytesSent: () => this._member.traffic.sent
     })
@@ -229,7 +232,7 @@
     const port = this._options.settings.metrics_port
     if (port === undefined) return
     try {
-      await this._register(new MetricsServer(this._metrics.metrics)).listen(host, port)
+      await this._register(new MetricsServer(this._metrics.metrics, [createQuarantineHandler(this._quarantine, this._options.clock)])).listen(host, port)
     } catch (thrown) {
       this._options.log.warn('metrics_unavailable', { port, reason: String(thrown) })
     }
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -11,6 +11,8 @@
   readonly getKnownAgeMs: () => number
   readonly countJobs: () => number
   readonly getConfigurationVersion: () => number
+  readonly countQuarantined: () => number
+  readonly countQuarantineRefusals: () => number
   readonly countPauses: () => number
   readonly getBytesSent: () => number
 }
@@ -31,6 +33,8 @@
     this.metrics.createGauge('node_known_age_ms', 'Milliseconds since the source last confirmed what is known of upstreams', gauges.getKnownAgeMs)
     this.metrics.createGauge('node_jobs', 'Jobs that this node coordinates', gauges.countJobs)
     this.metrics.createGauge('node_configuration_version', 'Version of the configuration in force', gauges.getConfigurationVersion)
+    this.metrics.createGauge('node_quarantined_requests', 'Requests that are no longer sent, since upstreams ended under them', gauges.countQuarantined)
+    this.metrics.createGauge('node_quarantine_refusals_total', 'Tries of such requests that were refused', gauges.countQuarantineRefusals)
     this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
     this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
   }
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -13,6 +13,8 @@
     getKnownAgeMs: () => 250,
     countJobs: getZero,
     getConfigurationVersion: () => 41,
+    countQuarantined: getZero,
+    countQuarantineRefusals: () => 6,
     countPauses: getZero,
     getBytesSent: getZero
   })
@@ -27,6 +29,7 @@
   assert.match(text, /pepperwood_node_configuration_version 41/)
   assert.match(text, /pepperwood_node_known_age_ms 250/)
   assert.match(text, /pepperwood_node_requests_open 3/)
+  assert.match(text, /pepperwood_node_quarantine_refusals_total 6/)
 })
 
 test.run()
--- a/src/services/metrics/node/metricsServer.ts
+++ b/src/services/metrics/node/metricsServer.ts
@@ -2,7 +2,7 @@
  * A process's metrics, for collection over HTTP.
  */
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 
@@ -39,17 +39,21 @@
   }
 }
 
-/** Serves `/metrics`; any other path is not found. */
+/** Answers questions and orders of operators under one path; the path's rest is handed on. */
+export interface OperatorHandler {
+  readonly path: string
+  /** Undefined where there is nothing of that name, or the method means nothing. */
+  readonly answer: (method: string, rest: string) => object | undefined
+}
+
+/** Serves `/metrics` and what operators may ask; any other path is not found. */
 export class MetricsServer extends Disposable {
   private readonly _server: Server
 
-  constructor (private readonly _metrics: MetricsRegistry) {
+  constructor (private readonly _metrics: MetricsRegistry, private readonly _handlers: readonly OperatorHandler[] = []) {
     super()
     this._server = createServer((request, response) => {
-      if (request.url !== '/metrics') {
-        response.writeHead(404).end()
-        return
-      }
+      if (request.url !== '/metrics') return this._answerOperator(request, response)
       this._metrics.registry.metrics().then(
         text => response.writeHead(200, { 'content-type': this._metrics.registry.contentType }).end(text),
         () => response.writeHead(500).end()
@@ -58,6 +62,13 @@
     this._register(toDisposable(() => { this._server.close() }))
   }
 
+  private _answerOperator ({ method = 'GET', url = '/' }: IncomingMessage, response: ServerResponse): void {
+    const handler = this._handlers.find(({ path }) => url === path || url.startsWith(`${path}/`))
+    const answer = handler?.answer(method, url.slice(handler.path.length + 1))
+    if (answer === undefined) response.writeHead(404).end()
+    else response.writeHead(200, { 'content-type': 'application/json' }).end(`${JSON.stringify(answer)}\n`)
+  }
+
   listen (host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this._server.once('error', reject)
--- /dev/null
+++ b/src/services/quarantine/node/quarantineHandler.ts
@@ -0,0 +1,24 @@
+/**
+ * Lets operators see which requests are no longer sent, and send one again.
+ */
+import type { IClock } from '../../../base/common/clock.ts'
+import type { OperatorHandler } from '../../metrics/node/metricsServer.ts'
+import type { QuarantineService } from './quarantineService.ts'
+
+export const QUARANTINE_PATH = '/quarantine'
+
+/** GET lists them; DELETE with a digest takes back, at all nodes, what is held against that request. */
+export function createQuarantineHandler (quarantine: QuarantineService, clock: IClock): OperatorHandler {
+  return {
+    path: QUARANTINE_PATH,
+    answer: (method, rest) => {
+      if (method === 'GET' && rest === '') return listRequests(quarantine, clock.now())
+      if (method === 'DELETE' && quarantine.clear(rest, 'operator')) return { cleared: rest }
+      return undefined
+    }
+  }
+}
+
+function listRequests (quarantine: QuarantineService, now: number): readonly object[] {
+  return quarantine.listQuarantined().map(({ digest, ends, upstreams, lastEndedAt }) => ({ digest, ends, upstreams, last_end_age_ms: Math.round(now - lastEndedAt) }))
+}
