--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -121,7 +121,7 @@
     this._settings = options.settings
     const { clock, log, random, settings } = options
     this._startedAt = clock.now()
-    this._pause = new PauseGuard(clock)
+    this._pause = new PauseGuard({ clock, getTimeOfDay: Date.now })
     this._recent = new DecayingCount(clock, LOAD_MEMORY_MS)
     this._member = this._register(new FleetMember({
       ...options,
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -99,7 +99,7 @@
     this._facts = this._register(new FactStore(clock))
     this._configuration = this._register(new ConfigurationService(clock))
     this._decisions = new DecisionLog(clock)
-    this._pause = new PauseGuard(clock)
+    this._pause = new PauseGuard({ clock, getTimeOfDay: Date.now })
     this._recent = new DecayingCount(clock, RECENT_MS)
     this._sessions = new SessionService({
       clock,
--- a/src/services/pause/common/pauseGuard.ts
+++ b/src/services/pause/common/pauseGuard.ts
@@ -9,13 +9,24 @@
 
 const DEFAULT_MAX_GAP_MS = 750
 
+export interface PauseGuardOptions {
+  readonly clock: IClock
+  /** Milliseconds by the time of day, which counts what the clock of a suspended machine leaves out. */
+  readonly getTimeOfDay: () => number
+  readonly maxGapMs?: number
+}
+
 export class PauseGuard {
+  private readonly _clock: IClock
+  private readonly _maxGapMs: number
   private _lastSeenAt: number
   private _isStale = false
   private _pauses = 0
 
-  constructor (private readonly _clock: IClock, private readonly _maxGapMs = DEFAULT_MAX_GAP_MS) {
-    this._lastSeenAt = _clock.now()
+  constructor ({ clock, maxGapMs = DEFAULT_MAX_GAP_MS }: PauseGuardOptions) {
+    this._clock = clock
+    this._maxGapMs = maxGapMs
+    this._lastSeenAt = clock.now()
   }
 
   /** Called by a timer, and again before anything is sent, since the timer may not have run yet after a pause. */
