Notice that the machine was suspended, and let the clock follow once a peer confirms it

Cause: the steady clock leaves out the time of a suspension, so all that a node knew looked as young as before, and requests were held for callers whose time was over. Whether the machine was suspended or somebody set the time is told by peers: answers to probes carry their clock, and a gain of about the jump confirms it. Then the clock takes the time in, with all that is scheduled on it, so that ages, deadlines, leases and probes are right at one place. Timers that are not on the clock are late by the suspension, and gates and stewards of the other programs read anew but do not move their clocks: both listed as open.

--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -4,7 +4,7 @@
 import { toDisposable } from './disposable.ts'
 import type { IDisposable } from './disposable.ts'
 
-/** A monotonic clock. Wall time is never used for decisions. */
+/** A monotonic clock. Wall time is used to notice that the machine may have been suspended, and for no other decision. */
 export interface IClock {
   /** Milliseconds since some moment of this process. */
   now (): number
@@ -12,13 +12,19 @@
   schedule (delayMs: number, run: () => void): IDisposable
 }
 
+/** A clock that can be told of time that it left out. */
+export interface ISuspendableClock extends IClock {
+  /** The machine was suspended for so long: what was scheduled comes due by so much earlier. */
+  addSuspended (ms: number): void
+}
+
 interface Timer {
   readonly at: number
   readonly run: () => void
 }
 
 /** A clock that tests move by hand. */
-export class VirtualClock implements IClock {
+export class VirtualClock implements ISuspendableClock {
   private _now: number
   private readonly _timers = new Set<Timer>()
 
@@ -47,6 +53,10 @@
     this._now = until
   }
 
+  addSuspended (ms: number): void {
+    this.advance(ms)
+  }
+
   private _findNext (until: number): Timer | undefined {
     let next: Timer | undefined
     for (const timer of this._timers) if (timer.at <= until && (next === undefined || timer.at < next.at)) next = timer
--- a/src/base/node/systemClock.ts
+++ b/src/base/node/systemClock.ts
@@ -1,18 +1,55 @@
 /**
- * The process's monotonic clock. It goes on while the process is stopped, so a pause can be seen.
+ * The process's monotonic clock. It goes on while the process is stopped, so a pause can be seen; what it leaves out
+ * while the machine is suspended is added once it is known.
  */
 import { performance } from 'node:perf_hooks'
-import type { IClock } from '../common/clock.ts'
-import { toDisposable } from '../common/disposable.ts'
+import type { ISuspendableClock } from '../common/clock.ts'
 import type { IDisposable } from '../common/disposable.ts'
 
-export class SystemClock implements IClock {
+/** Something that comes due at a moment of the clock, by a timer of the operating system. */
+class SystemTimer implements IDisposable {
+  private _timeout: NodeJS.Timeout | undefined
+
+  constructor (private readonly _at: number, private readonly _run: () => void) {}
+
+  start (now: number): void {
+    clearTimeout(this._timeout)
+    this._timeout = setTimeout(this._run, Math.max(0, this._at - now))
+  }
+
+  dispose (): void {
+    clearTimeout(this._timeout)
+  }
+}
+
+export class SystemClock implements ISuspendableClock {
+  private readonly _timers = new Set<SystemTimer>()
+  private _suspendedMs = 0
+
   now (): number {
-    return performance.now()
+    return performance.now() + this._suspendedMs
   }
 
   schedule (delayMs: number, run: () => void): IDisposable {
-    const timer = setTimeout(run, delayMs)
-    return toDisposable(() => clearTimeout(timer))
+    const now = this.now()
+    const timer = new SystemTimer(now + delayMs, () => {
+      this._timers.delete(timer)
+      run()
+    })
+    this._timers.add(timer)
+    timer.start(now)
+    return {
+      dispose: () => {
+        this._timers.delete(timer)
+        timer.dispose()
+      }
+    }
+  }
+
+  addSuspended (ms: number): void {
+    this._suspendedMs += ms
+    // Timers of the operating system leave the time out as well.
+    const now = this.now()
+    for (const timer of this._timers) timer.start(now)
   }
 }
--- /dev/null
+++ b/src/base/test/systemClock.test.ts
@@ -0,0 +1,24 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { SystemClock } from '../node/systemClock.ts'
+import { waitUntil } from './polling.ts'
+
+const test = suite('systemClock')
+
+test('time that was left out makes the clock go on, and what is due comes at once', async () => {
+  const clock = new SystemClock()
+  const startedAt = clock.now()
+  const ran: string[] = []
+  clock.schedule(5000, () => ran.push('due'))
+  clock.schedule(60_000, () => ran.push('not due')).dispose()
+  const later = clock.schedule(60_000, () => ran.push('later'))
+  clock.addSuspended(5000)
+  assert.ok(clock.now() - startedAt >= 5000)
+  assert.ok(await waitUntil(() => ran.length > 0, 1000))
+  later.dispose()
+  clock.addSuspended(100_000)
+  await new Promise(resolve => { setTimeout(resolve, 20) })
+  assert.equal(ran, ['due'])
+})
+
+test.run()
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -5,7 +5,7 @@
  */
 import { Agent } from 'node:http'
 import { parseAddress } from '../base/common/address.ts'
-import type { IClock } from '../base/common/clock.ts'
+import type { ISuspendableClock } from '../base/common/clock.ts'
 import { DecayingCount } from '../base/common/decayingCount.ts'
 import { Disposable, toDisposable } from '../base/common/disposable.ts'
 import { Emitter } from '../base/common/event.ts'
@@ -22,7 +22,8 @@
 import type { AddressAnswer } from '../services/locate/common/nodeDirectory.ts'
 import type { Member } from '../services/membership/common/membershipTable.ts'
 import { FleetMember } from '../services/membership/node/fleetMember.ts'
-import { PAUSE_CHECK_PERIOD_MS, PauseGuard } from '../services/pause/common/pauseGuard.ts'
+import { PauseGuard } from '../services/pause/common/pauseGuard.ts'
+import { PauseRecovery } from '../services/pause/node/pauseRecovery.ts'
 import { MetricsServer } from '../services/metrics/node/metricsServer.ts'
 import type { PieceProtocol } from '../services/preparation/common/pieceProtocol.ts'
 import { ReleaseDelay } from '../services/preparation/common/releaseDelay.ts'
@@ -48,7 +49,7 @@
 
 export interface EntryNodeOptions {
   readonly settings: NodeSettings
-  readonly clock: IClock
+  readonly clock: ISuspendableClock
   readonly random: IRandom
   readonly log: ILogService
   /** Grows with each boot of the host. */
@@ -92,6 +93,7 @@
   private readonly _member: FleetMember
   private readonly _registry = this._register(new UpstreamRegistry())
   private readonly _pause: PauseGuard
+  private readonly _recovery: PauseRecovery
   private readonly _recent: DecayingCount
   private readonly _metrics: NodeMetrics
   private readonly _quarantine: QuarantineService
@@ -110,7 +112,6 @@
   private _reportedWord = ''
   private _reportedAt = -Infinity
   private _isDraining = false
-  private _isCatchingUp = false
   private readonly _startedAt: number
   private readonly _sharing: UpstreamSharing
   private _isMoving = false
@@ -134,6 +135,14 @@
       hasGates: false,
       weight: Math.round(settings.core_share * settings.core_speed * 100)
     }))
+    this._recovery = this._register(new PauseRecovery({
+      clock,
+      log,
+      guard: this._pause,
+      comparePeers: () => this._member.gossip.compareClocks(),
+      readAnew: () => this._readAnew()
+    }))
+    this._register(this._member.gossip.onDidCompareClocks(gainMs => this._recovery.noteGain(gainMs)))
     this.feed = this._register(new FeedService({
       own: settings,
       clock,
@@ -219,7 +228,7 @@
     await this._preparationServer.listen(address.host, settings.preparation_port)
     await this._relay.listen(callers.host, callers.port)
     await this._serveMetrics(address.host)
-    this._register(startInterval(PAUSE_CHECK_PERIOD_MS, () => this._checkPause()))
+    this._recovery.start()
     this._register(startInterval(REPORT_PERIOD_MS, () => this._report()))
     this._sharing.start()
     configurationSource.start()
@@ -294,15 +303,6 @@
     return undefined
   }
 
-  /** A process that was paused reads anew before it takes work. */
-  private _checkPause (): void {
-    const wasStale = this._pause.isStale
-    if (!wasStale || this._isCatchingUp) return
-    this._isCatchingUp = true
-    this._options.log.warn('paused', { pauses: this._pause.pauseCount })
-    void this._catchUp()
-  }
-
   /** Peers hand a new document on within this time, or this node reads it by itself. */
   private _readMissed (revision: number): void {
     this._options.clock.schedule(MISSED_DOCUMENT_MS, () => {
@@ -311,12 +311,11 @@
     })
   }
 
-  private async _catchUp (): Promise<void> {
+  /** What changed while this process stood still: configuration, upstreams, members. */
+  private async _readAnew (): Promise<void> {
     const { configurationSource } = this._options
     this._member.askPeers()
     await Promise.race([configurationSource.readNewest(), waitFor(READY_WAIT_MS)])
-    this._isCatchingUp = false
-    this._pause.markRefreshed()
   }
 
   private _apply (accepted: AcceptedConfiguration): void {
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -77,7 +77,8 @@
   Schema.Struct({ kind: Schema.Literal('membersHeld'), digest: Count }),
   /** Asks whether the receiver lives, or whether a third member does. */
   Schema.Struct({ kind: Schema.Literal('ping'), id: Count, target: Schema.optional(Name) }),
-  Schema.Struct({ kind: Schema.Literal('ack'), id: Count }),
+  /** With the time on the sender's clock, in milliseconds. */
+  Schema.Struct({ kind: Schema.Literal('ack'), id: Count, at: Schema.optional(Count) }),
   /** Asks for all facts, and for the configuration where it is higher than the sender's; the answer ends with `refreshed`. */
   Schema.Struct({ kind: Schema.Literal('refresh'), id: Count, number: ConfigurationNumberSchema, revision: Count }),
   Schema.Struct({ kind: Schema.Literal('refreshed'), id: Count }),
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -112,6 +112,7 @@
     this._fetchGuard = new FetchGuard(clock)
     this.membership = this._register(new MembershipTable({ ...options, facts: this.facts }))
     this.gossip = this._register(new GossipService({
+      clock,
       membership: this.membership,
       random,
       link: { ...this._createLinkOptions(), localAddress: options.localIp },
--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -2,12 +2,14 @@
  * Keeps links to the other stewards, spreads news over them and finds out who has died.
  */
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import type { IClock } from '../../../base/common/clock.ts'
 import type { IRandom } from '../../../base/common/random.ts'
 import { Emitter } from '../../../base/common/event.ts'
 import { startInterval } from '../../../base/node/interval.ts'
 import type { WireMessage } from '../../facts/common/wireMessage.ts'
 import { dialPeer, sumTraffic } from '../../facts/node/peerLink.ts'
 import type { DialOptions, LinkTraffic, PeerLink } from '../../facts/node/peerLink.ts'
+import { PeerClocks } from '../../pause/common/peerClocks.ts'
 import { DEFAULT_PROBE_TIMEOUT_MS } from '../common/probeTimeout.ts'
 import { NeighbourChoice } from '../common/neighbours.ts'
 import type { MembershipTable } from '../common/membershipTable.ts'
@@ -19,6 +21,7 @@
 }
 
 export interface GossipServiceOptions {
+  readonly clock: IClock
   readonly membership: MembershipTable
   readonly random: IRandom
   /** All that a link needs but the address. */
@@ -52,6 +55,8 @@
 const URGENT_COUNT = 3
 /** Urgent news that comes within this time goes out together: when a fleet starts, all of its members are news. */
 const URGENT_DELAY_MS = 20
+/** Members whose clocks are asked for; one answer is enough. */
+const COMPARED_CLOCKS = 3
 /** The first links get all that is known; later ones, in a fleet that is known already, what is new. */
 const FULL_NEWS_LINKS = 3
 
@@ -77,6 +82,10 @@
   private readonly _onDidReceive = this._register(new Emitter<PeerMessage>())
   /** Every message of a peer, whoever of the two opened the link. */
   readonly onDidReceive = this._onDidReceive.event
+  private readonly _peerClocks = new PeerClocks()
+  private readonly _onDidCompareClocks = this._register(new Emitter<number>())
+  /** By how much a member's clock has gained on this one's since the last time, in milliseconds. */
+  readonly onDidCompareClocks = this._onDidCompareClocks.event
 
   constructor (options: GossipServiceOptions) {
     super()
@@ -173,7 +182,7 @@
 
   /** Takes in an answer that came over a link which another process opened. */
   handleMessage (link: PeerLink, message: WireMessage): void {
-    if (message.kind === 'ack') this._waitingAcks.get(message.id)?.()
+    if (message.kind === 'ack') this._takeAck(link, message.id, message.at)
     else if (message.kind === 'ping') void this._answerPing(link, message.id, message.target)
     else if (message.kind === 'membersHeld') this._answerMembers(link, message.digest)
     else this._onDidReceive.fire({ link, message })
@@ -191,7 +200,17 @@
   }
 
   private async _answerPing (link: PeerLink, id: number, target: string | undefined): Promise<void> {
-    if (target === undefined || await this._ping(target)) link.send({ kind: 'ack', id })
+    if (target === undefined || await this._ping(target)) link.send({ kind: 'ack', id, at: Math.round(this._options.clock.now()) })
+  }
+
+  private _takeAck (link: PeerLink, id: number, at: number | undefined): void {
+    if (at !== undefined) this._onDidCompareClocks.fire(this._peerClocks.compare(link.peerAddress, at, this._options.clock.now()))
+    this._waitingAcks.get(id)?.()
+  }
+
+  /** Asks some linked members for their clocks. */
+  async compareClocks (): Promise<void> {
+    await Promise.all(this._draw(this.links, COMPARED_CLOCKS).map(link => this._pingOver(link)))
   }
 
   private async _probe (): Promise<void> {
@@ -242,6 +261,7 @@
   private _dropLink (address: string, link: PeerLink): void {
     if (this._links.get(address) !== link) return
     this._links.delete(address)
+    this._peerClocks.forget(address)
     this._closedTraffic = sumTraffic([this._closedTraffic, link.traffic])
     this._release(link)
   }
