Set no timer of the operating system beyond the longest that it knows

Cause: the clock of the commit before keeps when a timer comes due and sets it for the difference to now; for the longest delay rounding made that a fraction longer than Node.js takes, and 48 of 200 such timers came due at once. A stream without a bound on its pauses has such a timer, so most streams were cut after a millisecond. Unit tests had passed: none waits with the longest delay; systemClock.test.ts does now, and failed first.

--- a/src/base/node/systemClock.ts
+++ b/src/base/node/systemClock.ts
@@ -6,6 +6,9 @@
 import type { ISuspendableClock } from '../common/clock.ts'
 import type { IDisposable } from '../common/disposable.ts'
 
+/** Timers of the operating system that are set for longer come due at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1
+
 /** Something that comes due at a moment of the clock, by a timer of the operating system. */
 class SystemTimer implements IDisposable {
   private _timeout: NodeJS.Timeout | undefined
@@ -14,7 +17,7 @@
 
   start (now: number): void {
     clearTimeout(this._timeout)
-    this._timeout = setTimeout(this._run, Math.max(0, this._at - now))
+    this._timeout = setTimeout(this._run, Math.min(Math.max(0, this._at - now), MAX_DELAY_MS))
   }
 
   dispose (): void {
--- a/src/base/test/systemClock.test.ts
+++ b/src/base/test/systemClock.test.ts
@@ -21,4 +21,13 @@
   assert.equal(ran, ['due'])
 })
 
+test('the longest time that can be asked for does not come due at once', async () => {
+  const clock = new SystemClock()
+  let count = 0
+  const timers = Array.from({ length: 200 }, () => clock.schedule(2 ** 31 - 1, () => { count++ }))
+  await new Promise(resolve => { setTimeout(resolve, 20) })
+  for (const timer of timers) timer.dispose()
+  assert.is(count, 0)
+})
+
 test.run()
