--- a/src/services/relay/test/crashingRequest.test.ts
+++ b/src/services/relay/test/crashingRequest.test.ts
@@ -7,6 +7,7 @@
 import * as assert from 'uvu/assert'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { FakeUpstream, RelayHarness } from './fakes.ts'
+import type { RelayHarnessOptions } from './fakes.ts'
 
 const test = suite('crashingRequest')
 
@@ -22,7 +23,11 @@
 /** Upstreams that a body ends, and new boots that take their place. */
 class CrashingFleet {
   readonly crashes: string[] = []
-  readonly harness = new RelayHarness({ upstreams: [], route: { kind: RouteKind.STREAM, maxAttempts: 1, timeoutMs: 1000 } })
+  readonly harness: RelayHarness
+
+  constructor (route: RelayHarnessOptions['route']) {
+    this.harness = new RelayHarness({ upstreams: [], route: { timeoutMs: 1000, ...route } })
+  }
 
   async start (): Promise<void> {
     await this.harness.start()
@@ -48,8 +53,8 @@
   }
 }
 
-async function runFleet (run: (fleet: CrashingFleet) => Promise<void>): Promise<void> {
-  const fleet = new CrashingFleet()
+async function runFleet (route: RelayHarnessOptions['route'], run: (fleet: CrashingFleet) => Promise<void>): Promise<void> {
+  const fleet = new CrashingFleet(route)
   try {
     await fleet.start()
     await run(fleet)
@@ -58,7 +63,7 @@
   }
 }
 
-test('a request that ended three upstreams reaches no fourth, and those beside it are never refused for it', () => runFleet(async ({ harness, crashes }) => {
+test('a request that ended three upstreams reaches no fourth, and those beside it are never refused for it', () => runFleet({ kind: RouteKind.STREAM, maxAttempts: 1 }, async ({ harness, crashes }) => {
   const refused: string[] = []
   const beside: string[] = []
   for (let index = 0; index < TRIES; index++) {
@@ -73,4 +78,13 @@
   assert.ok(beside.slice(TRIES * 2).every(text => text.startsWith('HTTP/1.1 200')))
 }))
 
+test('a try that may go to many upstreams ends two of them, and the next one a third', () => runFleet({ kind: RouteKind.REPEATABLE, maxAttempts: 5 }, async ({ harness, crashes }) => {
+  const counts: number[] = []
+  for (let index = 0; index < 4; index++) {
+    await harness.submit(`try${index}`, CRASHING)
+    counts.push(crashes.length)
+  }
+  assert.equal(counts, [2, 3, 3, 3])
+}))
+
 test.run()
