Show by a test that one end is counted twice within a try

Cause, found by reading the change: the book holds the end of a try under way as soon as it is told, and the run counts it besides, so that one end and one plain failure end a try that three upstreams may have. Test, red: 500 in place of the third upstream's 200.

--- a/src/services/relay/test/crashingRequest.test.ts
+++ b/src/services/relay/test/crashingRequest.test.ts
@@ -87,4 +87,18 @@
   assert.equal(counts, [2, 3, 3, 3])
 }))
 
+test('one end is counted once: an upstream that fails after it leaves a further one to answer', async () => {
+  const ending = new FakeUpstream(() => ending.end())
+  const answers = ['500 Failed', '200 OK']
+  const others = [0, 1].map(() => new FakeUpstream(socket => { socket.write(`HTTP/1.1 ${answers.shift()}\r\nId: a\r\nContent-Length: 4\r\n\r\nbody`) }))
+  const harness = new RelayHarness({ upstreams: [ending, ...others], route: { kind: RouteKind.REPEATABLE, maxAttempts: 3 } })
+  try {
+    await harness.start()
+    assert.match((await harness.submit('a', 'text')).text, /^HTTP\/1\.1 200 /)
+    assert.is(ending.heads.length, 1)
+  } finally {
+    harness.dispose()
+  }
+})
+
 test.run()
