Give each listener of a test a port of its own

Cause: findFreePort asked the system for any port and gave it back at once, so the next call could get the same one, and so could an outgoing connection.

--- a/src/base/test/polling.test.ts
+++ b/src/base/test/polling.test.ts
@@ -26,6 +26,11 @@
   assert.is(new Set(ports).size, DRAW_COUNT)
 })
 
+test('ports that are looked for at the same time are different, too', async () => {
+  const ports = await Promise.all(Array.from({ length: DRAW_COUNT }, findFreePort))
+  assert.is(new Set(ports).size, DRAW_COUNT)
+})
+
 test('a port that is given is none that the system gives to others before its listener starts', async () => {
   const ports = await drawPorts()
   assert.equal(ports.filter(port => port < 1024 || port >= FIRST_CHOSEN_PORT), [])
