--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -221,8 +221,8 @@
   }
 
   /** Sends one request with a body, as `call` does. */
-  submit (id: string, body: string): Promise<SeenAnswer> {
-    return this._exchange(`POST /x HTTP/1.1\r\nHost: h\r\nId: ${id}\r\nContent-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
+  submit (id: string, body: string, headers = ''): Promise<SeenAnswer> {
+    return this._exchange(`POST /x HTTP/1.1\r\nHost: h\r\nId: ${id}\r\n${headers}Content-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`)
   }
 
   private _exchange (sent: string, leaveAfterMs = 0): Promise<SeenAnswer> {
