Count the upstreams that preparation ends against the request

Cause: a plan bounded the failures of a piece for each job only and told nobody that a call was cut off; with each try the caller's request was a new job, and pieces of other requests went into the same calls again.

Change: the owners of all pieces in a call that was cut off are told, and count the upstream, if it ended, against the request as they do for one that they sent themselves; a quarantined request ends its preparation at once. Pieces whose call was cut off are called without pieces of other jobs, and of one job one call at a time, so that an end speaks against one request only. A call that timed out, or was answered with something else, ended nothing and changes nothing. RelayRun was split: RequestInputs holds what is prepared.

Ruled out: telling by the plan alone, since it sees no digest and the next try may be planned elsewhere; asking for the digest with each job, which costs every request what only one under which an upstream ended needs.

--- a/src/services/preparation/common/batchChoice.ts
+++ b/src/services/preparation/common/batchChoice.ts
@@ -5,7 +5,7 @@
 import type { JobState } from './jobState.ts'
 import type { PieceUpstream } from './pieceUpstream.ts'
 import type { PieceUpstreams } from './pieceUpstreams.ts'
-import { computeBatchSize, listWaiting, takeBatch } from './readyPiece.ts'
+import { computeBatchSize, listStartableBeside, listWaiting, takeBatch } from './readyPiece.ts'
 import type { ReadyPiece } from './readyPiece.ts'
 
 /** Starts a call; the pieces that are left could have started too. */
@@ -50,8 +50,7 @@
       const fitting = rest.filter(piece => this._pool.isNear(upstream, piece.state.getHall(piece.stage), now))
       const size = computeBatchSize(upstream, rest.length, idle.length - index)
       const chosen = takeBatch([...fitting, ...rest.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
-      const taken = new Set(chosen)
-      rest = rest.filter(piece => !taken.has(piece))
+      rest = listStartableBeside(chosen, rest)
       if (chosen.length > 0) onDidChoose(upstream, chosen, rest.length)
     })
   }
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -39,6 +39,7 @@
   /** What the request is expected to take at the target until its first event. */
   requestMs = 0
   readonly clock: JobClock
+  private _hasCuts = false
   private readonly _stages: readonly StagePieces[]
   private readonly _readyAt = new Map<number, number>()
 
@@ -125,6 +126,17 @@
     return this._stages.some(stage => stage.count('running') > 0)
   }
 
+  /** A call with the piece was cut off. */
+  noteCut (piece: PieceState): void {
+    piece.cuts++
+    this._hasCuts = true
+  }
+
+  /** A piece whose earlier calls were cut off is being made. */
+  get isMakingCut (): boolean {
+    return this._hasCuts && this.pieces.some(stage => stage.some(piece => piece.cuts > 0 && piece.status === 'running'))
+  }
+
   /** Pieces that wait or run. */
   countOpen (stage: number): number {
     return this._stages[stage]?.openCount ?? 0
--- a/src/services/preparation/common/pieceState.ts
+++ b/src/services/preparation/common/pieceState.ts
@@ -2,8 +2,14 @@
  * The pieces of one stage of a job. How many are in each state is kept as they change: the order and the forecast of all
  * jobs ask for it at every arrival and every call.
  */
+import { MAX_ENDS } from '../../quarantine/common/crashEvidence.ts'
 import type { PieceResult } from './preparationJob.ts'
 
+/** A piece that failed so often does not fail by chance, and each further try holds up its job. */
+const MAX_FAILURES = 4
+/** As many as a request may end before it is no longer sent. */
+const MAX_CUTS = MAX_ENDS
+
 export type PieceStatus = 'waiting' | 'running' | 'made' | 'freed'
 
 type StatusCounts = Record<PieceStatus, number>
@@ -12,10 +18,16 @@
   result: PieceResult | undefined
   madeAt = 0
   failures = 0
+  /** Calls with it that were cut off. */
+  cuts = 0
   private _status: PieceStatus = 'waiting'
 
   constructor (private readonly _counts: StatusCounts) {}
 
+  get hasFailedForGood (): boolean {
+    return this.failures > MAX_FAILURES || this.cuts >= MAX_CUTS
+  }
+
   get status (): PieceStatus {
     return this._status
   }
--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -37,18 +37,34 @@
 export type PieceCallOutcome =
   | { readonly kind: 'answered', readonly pieces: readonly PieceOutcome[] }
   | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' }
-  | { readonly kind: 'lost', readonly reason: string }
+  /** `isThere`: the upstream answered something else, or kept its connection open until the time was over. */
+  | { readonly kind: 'lost', readonly reason: string, readonly isThere?: boolean }
+
+/** Whether the upstream may have ended under the call. */
+export function isCutOff (outcome: PieceCallOutcome): boolean {
+  return outcome.kind === 'lost' && outcome.isThere !== true
+}
 
 /** What the owner of a job is told. */
 export type JobNews =
   | JobEnd
   /** These results lie at their makers; another coordinator can go on from them. */
   | { readonly kind: 'made', readonly jobId: string, readonly pieces: readonly MadePiece[] }
+  | LostCall
   /** The job was only offered, and would be late. */
   | { readonly kind: 'declined', readonly jobId: string, readonly endInMs: number }
   /** The coordinator is about to end; the job goes to the next one. */
   | { readonly kind: 'moved', readonly jobId: string }
 
+/** A call with pieces of the job was cut off: its upstream may have ended, and they may be why. */
+export interface LostCall {
+  readonly kind: 'lost'
+  readonly jobId: string
+  readonly upstreamId: string
+  /** From when the call was sent to its end, in milliseconds. */
+  readonly sentBeforeMs: number
+}
+
 /** How a job ends. */
 export type JobEnd =
   | { readonly kind: 'prepared', readonly jobId: string, readonly results: readonly PieceResult[], readonly targetId: string, readonly prefixSourceId: string, readonly hall: string, readonly times: JobTimes }
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -34,6 +34,8 @@
   readonly goalInMs: number
   /** Milliseconds until nobody wants the results any more, from now. */
   readonly deadlineInMs: number
+  /** Upstreams have ended under the request or its pieces, so these go into no call with those of others. */
+  readonly isSuspect?: boolean
 }
 
 /** Whether results have to be made; otherwise only an upstream is asked for. */
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -32,7 +32,8 @@
   request: Schema.Struct({ role: Id, shared: SharedSchema, inputTokens: Count }),
   rank: Count,
   goalInMs: Span,
-  deadlineInMs: Span
+  deadlineInMs: Span,
+  isSuspect: Schema.optional(Schema.Boolean)
 })
 
 const ResultSchema = Schema.Struct({ handle: Id, upstreamId: Id })
@@ -61,6 +62,8 @@
   Schema.Struct({ kind: Schema.Literal('reopen'), jobId: Id }),
   /** Results that lie at their makers, for the case that the coordinator is lost. */
   Schema.Struct({ kind: Schema.Literal('made'), jobId: Id, pieces: Schema.Array(MadePieceSchema) }),
+  /** A call with pieces of the job was cut off. */
+  Schema.Struct({ kind: Schema.Literal('lost'), jobId: Id, upstreamId: Id, sentBeforeMs: Span }),
   /** A job that was offered would be late. */
   Schema.Struct({ kind: Schema.Literal('declined'), jobId: Id, endInMs: Span }),
   /** The coordinator ends and leaves the job, with its results, to the next one. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -12,12 +12,13 @@
 import type { PieceUpstreamOptions, PieceWorkSpec } from './pieceUpstream.ts'
 import { PieceUpstreams } from './pieceUpstreams.ts'
 import { PendingFrees } from './pendingFrees.ts'
+import { isCutOff } from './plannedCall.ts'
 import type { JobNews, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
 import { hasPieces } from './preparationJob.ts'
 import type { AdmissionTerms, JobDecline, JobRefusal, NewJobOptions, PieceResult, PreparationJob } from './preparationJob.ts'
 import { measurePlanLoad } from './planLoad.ts'
 import type { PlanLoad } from './planLoad.ts'
-import { createPlannedPiece, getPiece, listMadeNews } from './readyPiece.ts'
+import { createPlannedPiece, getPiece, listLostNews, listMadeNews } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall, sumBytesByHall } from './resultHalls.ts'
 import type { PrefixNote } from './prefixBook.ts'
@@ -34,7 +35,6 @@
 const TIMEOUT_FACTOR = 3
 const TIMEOUT_EXTRA_MS = 500
 const FULL_PAUSE_MS = 60
-const MAX_PIECE_FAILURES = 4
 /** A result this close to the end of its lifetime is not relied on. */
 const LIFETIME_MARGIN_MS = 400
 const INTERRUPTED_RETRY_MS = 300
@@ -314,14 +314,16 @@
     for (const { state, stage, index } of started.pieces) {
       const piece = getPiece({ state, stage, index })
       if (outcome.kind === 'lost') piece.failures++
+      if (isCutOff(outcome)) state.noteCut(piece)
       state.reopen(stage, piece)
     }
+    if (isCutOff(outcome)) this._news.push(...listLostNews(started.pieces, { upstreamId: started.call.upstreamId, sentBeforeMs: now - started.startedAt }))
   }
 
   /** Hands over what is done, gives back what was used, and gives up what fails again and again. */
   private _advance (state: JobState, now: number): void {
     if (!this._holds(state) || state.isHandedOver) return
-    if (state.pieces.some(stage => stage.some(piece => piece.failures > MAX_PIECE_FAILURES))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
+    if (state.pieces.some(stage => stage.some(piece => piece.hasFailedForGood))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
     for (const stage of state.listUsedUpStages()) this._results.freeStage(state, stage)
     if (!state.isDone || state.isDetached) return
     state.isHandedOver = true
--- a/src/services/preparation/common/preparationService.ts
+++ b/src/services/preparation/common/preparationService.ts
@@ -25,7 +25,20 @@
   prepareAgain (): Promise<Either<JobRefusal, IPreparedInputs>>
 }
 
+/** An upstream that may have ended while it made pieces of a job. */
+export interface LostPieces {
+  readonly upstreamId: string
+  /** Both on this process's clock, in milliseconds. */
+  readonly sentAt: number
+  readonly endedAt: number
+}
+
+export type LostPiecesListener = (lost: LostPieces) => void
+
 export interface IPreparationService {
-  /** Makes the results that a request needs; an abort gives everything back. */
-  prepare (job: PreparationJob, signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>>
+  /**
+   * Makes the results that a request needs; an abort gives everything back. Of each upstream that was lost over it, the
+   * listener is told before the result is there.
+   */
+  prepare (job: PreparationJob, signal: AbortSignal, onDidLose?: LostPiecesListener): Promise<Either<JobRefusal, IPreparedInputs>>
 }
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -19,6 +19,12 @@
   readonly clock: IClock
 }
 
+const NEWS_KINDS: ReadonlySet<string> = new Set<JobNews['kind']>(['prepared', 'refused', 'declined', 'made', 'lost', 'moved'])
+
+function isNews (message: PreparationMessage): message is PreparationMessage & JobNews {
+  return NEWS_KINDS.has(message.kind)
+}
+
 const DIAL_TIMEOUT_MS = 250
 const PING_PERIOD_MS = 150
 /** A link that is silent for so long is given up; its jobs may go elsewhere, which is always allowed. */
@@ -98,7 +104,7 @@
     this._wasHeard = true
     checkPreparationMessage(frame).caseOf({
       Left: () => this.close(),
-      Right: message => { if (message.kind === 'prepared' || message.kind === 'refused' || message.kind === 'declined' || message.kind === 'made' || message.kind === 'moved') this._onDidReceive.fire(message) }
+      Right: message => { if (isNews(message)) this._onDidReceive.fire(message) }
     })
   }
 
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -13,7 +13,7 @@
 import type { CarriedPiece, JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
 import { chooseCoordinator, listPlans } from '../common/coordinatorChoice.ts'
 import type { CoordinatorCandidate, PlannedUpstream } from '../common/coordinatorChoice.ts'
-import type { IPreparationService, IPreparedInputs } from '../common/preparationService.ts'
+import type { IPreparationService, IPreparedInputs, LostPiecesListener } from '../common/preparationService.ts'
 import { MAX_PREFIX_NOTES } from '../common/preparationMessage.ts'
 import { PrefixBook } from '../common/prefixBook.ts'
 import type { PrefixNote } from '../common/prefixBook.ts'
@@ -42,6 +42,14 @@
   readonly listPieceUpstreams: () => readonly PlannedUpstream[]
 }
 
+/** How a job is kept. */
+interface JobTerms {
+  /** On the process's clock, in milliseconds. */
+  readonly startedAt: number
+  readonly signal: AbortSignal
+  readonly onDidLose: LostPiecesListener | undefined
+}
+
 /** A coordinator that could not be reached is left alone for so long. */
 const AVOID_MS = 1500
 const MAX_MOVES = 4
@@ -80,24 +88,25 @@
     return this._options.listCoordinators().some(({ address }) => address !== this._options.address)
   }
 
-  prepare (job: PreparationJob, signal: AbortSignal): Promise<Either<JobRefusal, IPreparedInputs>> {
-    return this._open(job, this._options.clock.now(), signal, open => {
+  prepare (job: PreparationJob, signal: AbortSignal, onDidLose?: LostPiecesListener): Promise<Either<JobRefusal, IPreparedInputs>> {
+    return this._open(job, { startedAt: this._options.clock.now(), signal, onDidLose }, open => {
       if (this._options.hasMembers()) void this._submit(open)
     })
   }
 
   /** Keeps a job until it is settled or its owner gives it up. */
-  private _open (job: PreparationJob, startedAt: number, signal: AbortSignal, onDidOpen: (open: OpenJob) => void): Promise<Either<JobRefusal, IPreparedInputs>> {
+  private _open (job: PreparationJob, { startedAt, signal, onDidLose }: JobTerms, onDidOpen: (open: OpenJob) => void): Promise<Either<JobRefusal, IPreparedInputs>> {
     return new Promise(resolve => {
       if (signal.aborted) return resolve(Left(GIVEN_UP))
       const onAbort = () => {
         this._giveBack(open)
         resolve(Left(GIVEN_UP))
       }
-      const open = new OpenJob(job, startedAt, (settled, news) => {
+      const settle = (settled: OpenJob, news: JobEnd) => {
         signal.removeEventListener('abort', onAbort)
         resolve(this._createOutcome(settled, news, signal))
-      })
+      }
+      const open = new OpenJob(job, { startedAt, settle, onDidLose })
       signal.addEventListener('abort', onAbort, { once: true })
       this._jobs.set(job.id, open)
       onDidOpen(open)
@@ -145,6 +154,7 @@
   private _take (open: OpenJob, news: JobNews): void {
     if (this._jobs.get(open.job.id) !== open) return
     if (news.kind === 'made') return open.recordMade(news.pieces, this._options.clock.now())
+    if (news.kind === 'lost') return open.noteLost(news, this._options.clock.now())
     if (news.kind === 'moved') return this._leave(open)
     // Whoever refuses a job gives its results back.
     open.forgetMade()
@@ -166,7 +176,12 @@
   private _updateTimes (open: OpenJob): PreparationJob {
     const elapsedMs = this._options.clock.now() - open.startedAt
     const { job } = open
-    return { ...job, goalInMs: Math.max(0, job.goalInMs - elapsedMs), deadlineInMs: Math.max(0, job.deadlineInMs - elapsedMs) }
+    return {
+      ...job,
+      goalInMs: Math.max(0, job.goalInMs - elapsedMs),
+      deadlineInMs: Math.max(0, job.deadlineInMs - elapsedMs),
+      isSuspect: open.isSuspect || job.isSuspect === true
+    }
   }
 
   /** The coordinator ends, and says so: the next one takes the job, and every later one. */
@@ -257,7 +272,7 @@
       prepareAgain: () => {
         if (!isReported) this._report(open, { outcome: 'unused', producedMs: 0 })
         isReported = true
-        if (isReleased) return this.prepare(this._updateTimes(open), signal)
+        if (isReleased) return this.prepare(this._updateTimes(open), signal, open.onDidLose)
         isReleased = true
         return this._prepareAgain(open, results, signal)
       }
@@ -269,9 +284,9 @@
     if (signal.aborted) this._giveBack(open, results)
     if (link?.isClosed === true) {
       this._freeDirectly(results)
-      return this.prepare(this._updateTimes(open), signal)
+      return this.prepare(this._updateTimes(open), signal, open.onDidLose)
     }
-    return this._open(job, open.startedAt, signal, again => {
+    return this._open(job, { startedAt: open.startedAt, signal, onDidLose: open.onDidLose }, again => {
       again.link = link
       if (link !== undefined) {
         link.openJobs++
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -296,7 +296,7 @@
   private _deliver (shard: PlanShard): void {
     for (const news of shard.planner.takeNews()) {
       const listener = this._listeners.get(news.jobId)
-      if (news.kind !== 'made') this._listeners.delete(news.jobId)
+      if (news.kind !== 'made' && news.kind !== 'lost') this._listeners.delete(news.jobId)
       if (news.kind === 'refused') this._noteRefused(news.jobId, news.refusal, shard)
       else if (news.kind === 'prepared') this._planLog.notePrepared(news)
       listener?.(news)
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -13,6 +13,8 @@
   readonly role: string
   readonly priority: number
   readonly deadlineInMs: number
+  /** Upstreams have ended under it. */
+  readonly isSuspect: boolean
 }
 
 /** Shared parts this long are worth asking which upstream keeps them: reading them takes longer than the question. */
@@ -23,7 +25,7 @@
  * take the request: its prompt has long parts that others share, and the planner knows where these are kept.
  */
 export function createPreparationJob (inputs: PreparationNeedInputs): PreparationJob | undefined {
-  const { request, route, role, priority, deadlineInMs } = inputs
+  const { request, route, role, priority, deadlineInMs, isSuspect } = inputs
   if (route.stages.length === 0) return undefined
   const need = request.preparation
   const counts = route.stages.map((_, index) => need?.pieceCounts[index] ?? 0)
@@ -41,5 +43,5 @@
     shared,
     inputTokens: prompt?.inputTokens ?? 0
   }
-  return { id: request.id, key: need?.key ?? '', stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs }
+  return { id: request.id, key: need?.key ?? '', stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs, isSuspect }
 }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -2,7 +2,6 @@
  * One request at the relay: prepares what it needs, sends it to upstreams one after another until one delivers, and
  * ends it with an answer or an honest refusal.
  */
-import type { Either } from 'purify-ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -10,10 +9,8 @@
 import type { ResultName } from '../../result/common/resultCodes.ts'
 import { NO_STANDING } from '../../quarantine/common/quarantineBook.ts'
 import type { PictureAge, UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
-import type { IPreparedInputs } from '../../preparation/common/preparationService.ts'
-import type { TargetReport } from '../../preparation/common/targetPlanner.ts'
-import { hasPieces } from '../../preparation/common/preparationJob.ts'
-import type { JobRefusal, PreparationJob } from '../../preparation/common/preparationJob.ts'
+import type { LostPieces } from '../../preparation/common/preparationService.ts'
+import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { computeHeadTimeout, computePauseTimeout } from '../common/attemptTimes.ts'
 import { decideAfterAttempt, hasLostRun } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
@@ -27,6 +24,7 @@
 import { RelayAttempt } from './relayAttempt.ts'
 import type { AttemptResult } from './relayAttempt.ts'
 import type { RelayContext } from './relayContext.ts'
+import { RequestInputs } from './requestInputs.ts'
 import { RequestSuspect } from './requestSuspect.ts'
 
 /** A request that was taken in. */
@@ -54,8 +52,6 @@
   readonly known: PictureAge
 }
 
-/** A planner in another hall answers within a few milliseconds. */
-const MAX_TARGET_WAIT_MS = 60
 /** Less than this is left for an answer's way back to the caller. */
 const ANSWER_MARGIN_MS = 20
 /** A further attempt needs at least this much time. */
@@ -67,9 +63,7 @@
 export class RelayRun {
   private _sendCount = 0
   private _runCount = 0
-  private _inputs: IPreparedInputs | undefined
   private _lastEventId: string | undefined
-  private _preparedMs = 0
   private _isAtUpstream = false
   private _isGivenUp = false
   private _producedMs = 0
@@ -82,8 +76,12 @@
   private _endedCount = 0
   private _standing = NO_STANDING
   private readonly _suspect: RequestSuspect
+  private readonly _inputs: RequestInputs
+  /** Settles when it is known of all upstreams that were lost over its pieces whether they ended. */
+  private _lossesNoted: Promise<unknown> = Promise.resolve()
   private readonly _tried = new Set<string>()
   private readonly _abort = new AbortController()
+  private readonly _preparing = new AbortController()
   private readonly _deadlineAt: number
   private readonly _role: string
 
@@ -92,6 +90,11 @@
     this._deadlineAt = arrivedAt + Math.min(route.timeoutMs, request.timeLeftMs ?? Infinity)
     this._lastEventId = request.lastEventId
     this._suspect = new RequestSuspect({ ...request, customer: _taken.customer, body: _taken.body })
+    this._inputs = new RequestInputs({
+      context: _context,
+      signals: [this._abort.signal, this._preparing.signal],
+      onDidLose: lost => { this._lossesNoted = Promise.all([this._lossesNoted, this._noteLostPieces(lost)]) }
+    })
     this._role = pickTarget(route.targets, _context.random)
     this._known = _context.registry.computeAge(arrivedAt)
   }
@@ -107,8 +110,7 @@
     } finally {
       timer.dispose()
       left.dispose()
-      this._inputs?.release()
-      this._inputs?.report({ outcome: 'unused', producedMs: 0 })
+      this._inputs.end()
     }
   }
 
@@ -120,7 +122,7 @@
   }
 
   private _end (result: RelayEnd['result']): RelayEnd {
-    return { result, attempts: this._sendCount, preparedMs: Math.round(this._preparedMs), producedMs: Math.round(this._producedMs), lastUpstream: this._lastUpstream, known: this._known }
+    return { result, attempts: this._sendCount, preparedMs: Math.round(this._inputs.preparedMs), producedMs: Math.round(this._producedMs), lastUpstream: this._lastUpstream, known: this._known }
   }
 
   private async _runAttempts (): Promise<RelayEnd['result']> {
@@ -129,7 +131,7 @@
     for (;;) {
       const quarantined = this._refuseQuarantined()
       if (quarantined !== undefined) return quarantined
-      if (this._inputs?.isReleased === true && this._inputs.handles.length > 0) {
+      if (this._inputs.isUsedUp) {
         const failed = await this._prepareAgain()
         if (failed !== undefined) return failed
       }
@@ -154,46 +156,41 @@
   }
 
   private async _prepare (): Promise<ResultName | undefined> {
-    const { preparation, clock } = this._context
     const { request, route } = this._taken
-    const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, deadlineInMs: this._getTimeLeft() })
-    if (job === undefined) return undefined
-    const startedAt = clock.now()
-    const result = await (hasPieces(job) ? preparation.prepare(job, this._abort.signal) : this._askTarget(job))
-    this._preparedMs = clock.now() - startedAt
-    return result.caseOf({
-      Left: refusal => hasPieces(job) ? this._refusePreparation(refusal) : undefined,
-      Right: inputs => { this._inputs = inputs; return undefined }
-    })
+    const isSuspect = this._standing.ends > 0
+    const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, deadlineInMs: this._getTimeLeft(), isSuspect })
+    return job === undefined ? undefined : await this._takePreparation(await this._inputs.prepare(job))
   }
 
-  /** The request can run anywhere, so it does not wait for a planner that is lost. */
-  private async _askTarget (job: PreparationJob): Promise<Either<JobRefusal, IPreparedInputs>> {
-    const asking = new AbortController()
-    const timer = this._context.clock.schedule(MAX_TARGET_WAIT_MS, () => asking.abort())
-    try {
-      return await this._context.preparation.prepare(job, AbortSignal.any([asking.signal, this._abort.signal]))
-    } finally {
-      timer.dispose()
-    }
+  private async _prepareAgain (): Promise<ResultName | undefined> {
+    if (!this._inputs.isPrepared) return this._refuse('upstreamRefused', 'the upstream wants inputs that the route does not have', this._runCount === 0)
+    return await this._takePreparation(await this._inputs.prepareAgain())
   }
 
-  private async _prepareAgain (): Promise<ResultName | undefined> {
-    const inputs = this._inputs
-    if (inputs === undefined) return this._refuse('upstreamRefused', 'the upstream wants inputs that the route does not have', this._runCount === 0)
-    return (await inputs.prepareAgain()).caseOf({
-      Left: refusal => this._refusePreparation(refusal),
-      Right: next => { this._inputs = next; return undefined }
-    })
+  private async _takePreparation (refusal: JobRefusal | undefined): Promise<ResultName | undefined> {
+    if (refusal === undefined) return undefined
+    await this._lossesNoted
+    return this._refuseQuarantined() ?? this._refusePreparation(refusal)
+  }
+
+  /** Ends preparation as soon as the request is known to end what makes its pieces. */
+  private async _noteLostPieces ({ upstreamId, sentAt, endedAt }: LostPieces): Promise<void> {
+    const { registry, log } = this._context
+    const upstream = registry.get(upstreamId)
+    if (upstream === undefined) return
+    const isEnded = await this._noteLost(upstream, sentAt, endedAt)
+    log.info('pieces_lost', { request: this._taken.request.id, upstream: upstreamId, digest: this._suspect.getDigest(), ended: isEnded, ends: this._standing.ends })
+    if (this._standing.isQuarantined) this._preparing.abort()
   }
 
   private _chooseUpstream (): UpstreamEntry | undefined {
     if (this._standing.ends > 0) return this._context.pool.chooseApart({ role: this._role, tried: this._tried, key: this._suspect.getDigest() })
-    const chosen = this._inputs === undefined ? undefined : this._context.pool.confirm(this._inputs.targetId, this._tried)
+    const { targetId } = this._inputs
+    const chosen = targetId === undefined ? undefined : this._context.pool.confirm(targetId, this._tried)
     return chosen ?? this._context.pool.choose({
       role: this._role,
       prompt: this._taken.request.prompt,
-      hall: this._inputs?.hall || this._context.hall,
+      hall: this._inputs.hall || this._context.hall,
       tried: this._tried
     })
   }
@@ -222,8 +219,8 @@
         customer: taken.customer,
         timeLeftMs,
         priority: taken.priority,
-        inputs: this._inputs?.handles ?? [],
-        prefixSource: this._findPrefixSource(upstream),
+        inputs: this._inputs.handles,
+        prefixSource: this._inputs.findPrefixSource(upstream),
         lastEventId: this._lastEventId,
         bodyBytes: taken.body.length
       },
@@ -233,7 +230,7 @@
       headTimeoutMs: computeHeadTimeout(route, this._runCount, timeLeftMs),
       pauseTimeoutMs: computePauseTimeout(route),
       signal: this._abort.signal,
-      onWillSend: () => { releasing = this._scheduleRelease() },
+      onWillSend: () => { releasing = this._inputs.scheduleRelease() },
       onDidReadLoad: load => context.pool.recordLoad(upstream, load),
       onDidProduce: () => this._noteProduced(visit, upstream),
       localAddress: context.localAddress
@@ -242,37 +239,17 @@
     visit.end(result.outcome)
     // What was not taken is still there for another upstream.
     if (result.outcome.kind === 'notRun') releasing?.dispose()
-    this._noteInputs(result.outcome)
-    if (result.outcome.kind === 'lost' || result.outcome.kind === 'failed') this._reportTarget(upstream, { outcome: 'failed', producedMs: 0 })
+    this._inputs.noteOutcome(result.outcome)
+    if (result.outcome.kind === 'lost' || result.outcome.kind === 'failed') this._inputs.report(upstream, { outcome: 'failed', producedMs: 0 })
     return result
   }
 
-  /** The copy was planned for the upstream that was chosen together with it. */
-  private _findPrefixSource (upstream: UpstreamEntry): string | undefined {
-    const inputs = this._inputs
-    if (inputs === undefined || inputs.targetId !== upstream.id || inputs.prefixSourceId === '') return undefined
-    return this._context.registry.get(inputs.prefixSourceId)?.address
-  }
-
-  /** Gives the results back once the upstream must have fetched them. */
-  private _scheduleRelease (): IDisposable | undefined {
-    const inputs = this._inputs
-    if (inputs === undefined) return undefined
-    return this._context.clock.schedule(this._context.releaseDelay.compute(inputs.bytes), () => inputs.release())
-  }
-
-  private _noteInputs (outcome: AttemptOutcome): void {
-    if (this._inputs === undefined) return
-    if (outcome.kind === 'notRun' && outcome.reason === 'inputMissing') this._context.releaseDelay.noteMissing()
-    else if (outcome.kind === 'delivered') this._context.releaseDelay.noteTaken()
-  }
-
   private _noteProduced (visit: PoolVisit, upstream: UpstreamEntry): void {
     visit.noteProduced()
     this._producedAt = this._context.clock.now()
-    this._reportTarget(upstream, { outcome: 'produced', producedMs: this._producedAt - this._sentAt })
-    if (this._producedMs === 0) this._producedMs = this._context.clock.now() - this._taken.arrivedAt - this._preparedMs
-    this._inputs?.release()
+    this._inputs.report(upstream, { outcome: 'produced', producedMs: this._producedAt - this._sentAt })
+    if (this._producedMs === 0) this._producedMs = this._context.clock.now() - this._taken.arrivedAt - this._inputs.preparedMs
+    this._inputs.release()
   }
 
   /**
@@ -284,9 +261,14 @@
     const endedAt = clock.now()
     if (outcome.kind === 'delivered') return quarantine.noteServed(this._suspect)
     if (!hasLostRun(outcome) || hasTimedOut || endedAt - this._producedAt > MAX_BEGUN_MS) return
-    const run = { digest: this._suspect.getDigest(), bodyBytes: this._suspect.bodyBytes, upstream: upstream.id, address: upstream.address, sentAt: this._sentAt, endedAt }
-    if (await quarantine.noteLost(run)) this._endedCount++
+    if (await this._noteLost(upstream, this._sentAt, endedAt)) this._endedCount++
+  }
+
+  private async _noteLost (upstream: UpstreamEntry, sentAt: number, endedAt: number): Promise<boolean> {
+    const { quarantine } = this._context
+    const isEnded = await quarantine.noteLost({ digest: this._suspect.getDigest(), bodyBytes: this._suspect.bodyBytes, upstream: upstream.id, address: upstream.address, sentAt, endedAt })
     this._standing = quarantine.judge(this._suspect)
+    return isEnded
   }
 
   /** A request that ends what runs it is sent nowhere, at whatever node its caller tries. */
@@ -298,10 +280,6 @@
     return this._refuse('requestQuarantined', `${this._standing.ends} upstreams ended under its tries`, this._runCount === 0)
   }
 
-  private _reportTarget (upstream: UpstreamEntry, report: TargetReport): void {
-    if (this._inputs?.targetId === upstream.id) this._inputs.report(report)
-  }
-
   private _decide (outcome: AttemptOutcome, upstream: UpstreamEntry): AttemptDecision {
     const { route } = this._taken
     if (outcome.kind !== 'notRun') this._runCount++
