Show by tests what nodes of other versions and nodes that join make of new facts

- A message of a kind that a coordinator or owner does not know ends the link between them; a fact of an unknown kind ends the link between members.
While versions are mixed, each end of an upstream would cost the fleet links.
- Facts go out in the order in which they were learned, so a node that joins hears of ends before it hears that an answer took them back.

--- a/src/services/facts/test/factStore.test.ts
+++ b/src/services/facts/test/factStore.test.ts
@@ -34,6 +34,15 @@
   }), { seed: SEED, numRuns: 2000 })
 })
 
+test('what was taken back goes before the ends that it takes back, to a node that may judge in between', () => {
+  const store = new FactStore(new VirtualClock())
+  const runs = [{ digest: 'g', bodyBytes: 1, sentBeforeMs: 1 }]
+  for (const upstream of ['u', 'v']) store.merge({ subject: `ended/${upstream}/n`, incarnation: 1, counter: 1, value: { kind: 'ended', upstream, runs }, ageMs: 0 })
+  store.merge({ subject: 'cleared/g', incarnation: 1, counter: 1, value: { kind: 'cleared', digest: 'g' }, ageMs: 0 })
+  store.merge(createLeaving(1))
+  assert.equal(store.listSince(0, '').map(fact => fact.subject), ['cleared/g', 'ended/u/n', 'ended/v/n', 'leaving/u'])
+})
+
 test('links that send what is new since their last time bring a partitioned pair back together', () => {
   const step = fc.oneof(
     fc.record({ kind: fc.constant('write' as const), store: fc.nat({ max: 1 }), counter: fc.nat({ max: 50 }), subject: fc.nat({ max: 3 }) }),
--- a/src/services/preparation/test/cutCalls.test.ts
+++ b/src/services/preparation/test/cutCalls.test.ts
@@ -78,4 +78,11 @@
   assert.ok(checkPreparationMessage({ ...news, sentBeforeMs: -1 }).isLeft())
 })
 
+test('a message of a kind that only newer senders know is told apart from a broken one', () => {
+  const findName = (frame: unknown) => checkPreparationMessage(frame).swap().map(error => error.resultName).extract()
+  assert.is(findName({ kind: 'novel', jobId: 'x' }), 'messageUnknown')
+  assert.is(findName({ kind: 'release' }), 'frameInvalid')
+  assert.is(findName(7), 'frameInvalid')
+})
+
 test.run()
