Skip what only newer nodes say, and tell what was taken back first

Cause: links took each message of an unknown kind (between owners and coordinators) and each fact of an unknown kind (between members) for a broken frame; facts went out in the order in which they were learned.

Change: one check of messages for both links (rpc/common/messageCheck.ts, in place of two that differed in just this) tells unknown kinds apart; links skip them, and unknown facts are left out of their frame. What was taken back of ends goes before the ends.

Ruled out: a version in the first message of a link, which would have every sender know what each receiver understands.

Nodes of versions before this one still end links over what is new to them.

--- a/src/services/facts/common/factStore.ts
+++ b/src/services/facts/common/factStore.ts
@@ -107,13 +107,19 @@
     return kept as readonly HeldFactOf<K>[]
   }
 
-  /** What was learned after a sequence number, but not from the given source, ready to send. */
+  /**
+   * What was learned after a sequence number, but not from the given source, ready to send. What was taken back goes
+   * first: a node that joins would hold requests guilty, between two facts, that were served since.
+   */
   listSince (sequence: number, exceptSource: string): readonly Fact[] {
     const news: HeldFact[] = []
+    const takenBack: HeldFact[] = []
     for (const held of this._facts.values()) {
-      if (held.sequence > sequence && (exceptSource === '' || held.source !== exceptSource)) news.push(held)
+      if (held.sequence <= sequence || (exceptSource !== '' && held.source === exceptSource)) continue
+      if (held.value.kind === 'cleared') takenBack.push(held)
+      else news.push(held)
     }
-    return this.createFacts(news)
+    return this.createFacts([...takenBack, ...news])
   }
 
   /** Held facts as they are sent. */
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -1,10 +1,10 @@
 /**
  * The messages between the system's own processes, and the check that each gets on arrival.
  */
-import { Either as EffectEither, ParseResult, Schema } from 'effect'
-import { Left, Right } from 'purify-ts'
+import { Schema } from 'effect'
 import type { Either } from 'purify-ts'
-import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import type { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import { createMessageCheck, listKinds, readKind } from '../../rpc/common/messageCheck.ts'
 
 const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative())
 const Name = Schema.String.pipe(Schema.maxLength(256))
@@ -100,24 +100,22 @@
 
 export type WireMessage = typeof WireMessageSchema.Type
 
-const KNOWN_KINDS: ReadonlySet<string> = new Set(WireMessageSchema.members.map(member => member.fields.kind.literals[0]))
-const decode = Schema.decodeUnknownEither(WireMessageSchema)
+const checkKnown = createMessageCheck(WireMessageSchema, listKinds(WireMessageSchema.members))
+const FACT_KINDS = listKinds(FactValueSchema.members)
 
-/** Checks a decoded frame; a message of an unknown kind is told apart, so that newer senders can be tolerated. */
+/** Checks a decoded frame. Facts of kinds that only newer senders know are left out: they say nothing about the others. */
 export function checkMessage (frame: unknown): Either<PepperwoodError, WireMessage> {
-  const kind = (frame as { readonly kind?: unknown } | null | undefined)?.kind
-  if (typeof kind !== 'string') {
-    return Left(new PepperwoodError({ name: 'frameInvalid', message: 'expected a message with a kind', place: 'kind' }))
-  }
-  if (!KNOWN_KINDS.has(kind)) {
-    return Left(new PepperwoodError({ name: 'messageUnknown', message: 'unknown kind of message', place: 'kind', value: kind }))
-  }
-  const result = decode(frame)
-  if (EffectEither.isRight(result)) return Right(result.right)
-  const issue = ParseResult.ArrayFormatter.formatErrorSync(result.left).at(-1)
-  return Left(new PepperwoodError({
-    name: 'frameInvalid',
-    message: issue?.message ?? 'wrong fields',
-    place: [kind, ...(issue?.path ?? [])].join('.')
-  }))
+  return checkKnown(dropUnknownFacts(frame))
+}
+
+function dropUnknownFacts (frame: unknown): unknown {
+  const facts = readKind(frame) === 'facts' ? (frame as { readonly facts?: unknown }).facts : undefined
+  if (!Array.isArray(facts) || facts.every(isKnown)) return frame
+  return { kind: 'facts', facts: facts.filter(isKnown) }
+}
+
+/** A fact without a kind is left to the check. */
+function isKnown (fact: unknown): boolean {
+  const kind = readKind((fact as { readonly value?: unknown } | null | undefined)?.value)
+  return kind === undefined || FACT_KINDS.has(kind)
 }
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -1,10 +1,8 @@
 /**
  * The messages between the owners of jobs and their coordinator, and the check that each gets on arrival.
  */
-import { Either as EffectEither, ParseResult, Schema } from 'effect'
-import { Left, Right } from 'purify-ts'
-import type { Either } from 'purify-ts'
-import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import { Schema } from 'effect'
+import { createMessageCheck, listKinds } from '../../rpc/common/messageCheck.ts'
 
 const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative())
 const Span = Schema.Number.pipe(Schema.nonNegative())
@@ -99,11 +97,4 @@
 
 export type PreparationMessage = typeof PreparationMessageSchema.Type
 
-const decode = Schema.decodeUnknownEither(PreparationMessageSchema)
-
-export function checkPreparationMessage (frame: unknown): Either<PepperwoodError, PreparationMessage> {
-  const result = decode(frame)
-  if (EffectEither.isRight(result)) return Right(result.right)
-  const issue = ParseResult.ArrayFormatter.formatErrorSync(result.left).at(-1)
-  return Left(new PepperwoodError({ name: 'frameInvalid', message: issue?.message ?? 'wrong fields', place: (issue?.path ?? []).join('.') }))
-}
+export const checkPreparationMessage = createMessageCheck(PreparationMessageSchema, listKinds(PreparationMessageSchema.members))
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -103,7 +103,8 @@
     this._heardAt = this._clock.now()
     this._wasHeard = true
     checkPreparationMessage(frame).caseOf({
-      Left: () => this.close(),
+      // What a newer coordinator says beside the rest is skipped.
+      Left: error => { if (error.resultName !== 'messageUnknown') this.close() },
       Right: message => { if (isNews(message)) this._onDidReceive.fire(message) }
     })
   }
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -27,7 +27,8 @@
       checkPreparationMessage(frame).caseOf({
         Left: error => {
           this._log.warn('frame_refused', { code: error.resultName, place: error.place })
-          connection.dispose()
+          // What a newer owner says beside the rest is skipped.
+          if (error.resultName !== 'messageUnknown') connection.dispose()
         },
         Right: message => this._take(connection, jobs, message)
       })
