Show by a test that a cleared request is announced as quarantined

Each fact is judged by itself, and twice, only to write quarantine_began: a frame that holds three ends and then what was taken back announces a request that nobody holds guilty.

--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -43,6 +43,11 @@
     return isEnded
   }
 
+  /** What is done once all facts of a frame are taken in. */
+  settle (): Promise<void> {
+    return new Promise(resolve => { setImmediate(resolve) })
+  }
+
   /** All facts of one node go to the other over the wire, doubled and the newest first. */
   share (from: number): void {
     const facts = [...this.getNode(from).facts.listSince(0, '')].reverse()
@@ -73,9 +78,21 @@
     assert.equal([...standing.upstreams].sort(), ['u1', 'u2', 'u3'])
     assert.ok(service.hasEnded('u2'))
   }
+  await fleet.settle()
   assert.is(fleet.lines.filter(line => line.includes('event=quarantine_began digest=g ends=3')).length, 2)
 }))
 
+test('a request that facts which come together hold guilty and clear again is not announced', () => runFleet(async fleet => {
+  for (const upstream of ['u1', 'u2', 'u3']) await fleet.loseRun(0, upstream)
+  const { facts, service } = fleet.getNode(0)
+  const ends = facts.listSince(0, '')
+  service.noteServed(SUSPECT)
+  for (const fact of [...ends, ...facts.listSince(facts.sequence - 1, '')]) fleet.getNode(1).facts.merge(fact, 'peer')
+  await fleet.settle()
+  assert.not(fleet.getNode(1).service.judge(SUSPECT).isQuarantined)
+  assert.is(fleet.lines.filter(line => line.includes('event=quarantine_began')).length, 1)
+}))
+
 test('an answer takes back, at all nodes, what was held against a request, and so does an operator', () => runFleet(async fleet => {
   for (const upstream of ['u1', 'u2', 'u3']) await fleet.loseRun(0, upstream)
   fleet.share(0)
