Judge for the log once for all facts of a frame

Cause: the verdict on all evidence was computed before and after each fact, only to write quarantine_began, and one between two facts of a frame was written although the next fact took it back.

Change: it is computed once when a frame's facts are taken in, and compared with what the log last told; a request that is held guilty again after it was cleared is announced again.

Ruled out: leaving the line out, which is the only one that tells from when on a node refuses.

--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -54,6 +54,9 @@
   private readonly _lost = new Map<string, LostUpstream>()
   private readonly _endedAt = new Map<string, number>()
   private readonly _toldAt: number[] = []
+  /** Requests whose quarantine the log tells of. */
+  private _announced: ReadonlySet<string> = new Set()
+  private _isReportDue = false
   private _refusedCount = 0
 
   constructor (options: QuarantineServiceOptions) {
@@ -157,20 +160,31 @@
   }
 
   private _takeFact ({ value, observedAt }: HeldFact): void {
-    if (value.kind === 'cleared') this._book.clear(value.digest, observedAt)
-    if (value.kind !== 'ended') return
+    if (value.kind !== 'ended' && value.kind !== 'cleared') return
+    this._scheduleReport()
+    if (value.kind === 'cleared') return this._book.clear(value.digest, observedAt)
     this._endedAt.set(value.upstream, observedAt)
-    const guilty = this._listGuilty()
     for (const { digest, bodyBytes, sentBeforeMs } of value.runs) {
       this._book.add({ digest, bodyBytes, upstream: value.upstream, sentAt: observedAt - sentBeforeMs, endedAt: observedAt })
     }
-    for (const request of this._book.listQuarantined()) {
-      if (!guilty.has(request.digest)) this._options.log.warn('quarantine_began', { digest: request.digest, ends: request.ends, upstreams: request.upstreams.join() })
-    }
   }
 
-  private _listGuilty (): ReadonlySet<string> {
-    return new Set(this._book.listQuarantined().map(request => request.digest))
+  /** Facts come by the frame; each verdict looks at all evidence, and one between two facts may not last. */
+  private _scheduleReport (): void {
+    if (this._isReportDue) return
+    this._isReportDue = true
+    queueMicrotask(() => {
+      this._isReportDue = false
+      if (!this._isDisposed) this._reportQuarantined()
+    })
+  }
+
+  private _reportQuarantined (): void {
+    const requests = this._book.listQuarantined()
+    for (const { digest, ends, upstreams } of requests) {
+      if (!this._announced.has(digest)) this._options.log.warn('quarantine_began', { digest, ends, upstreams: upstreams.join() })
+    }
+    this._announced = new Set(requests.map(request => request.digest))
   }
 
   private _expire (): void {
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -103,6 +103,8 @@
   for (const { service } of fleet.nodes) assert.is(service.judge(SUSPECT).ends, 0)
   for (const upstream of ['u4', 'u5', 'u6']) await fleet.loseRun(0, upstream)
   assert.ok(fleet.getNode(0).service.judge(SUSPECT).isQuarantined)
+  await fleet.settle()
+  assert.is(fleet.lines.filter(line => line.includes('event=quarantine_began')).length, 2, 'at one node, and there again')
   assert.ok(fleet.getNode(0).service.clear('g', 'operator'))
   assert.not(fleet.getNode(0).service.clear('other', 'operator'))
   fleet.share(0)
