--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -21,6 +21,7 @@
 import type { JobEnd, JobNews } from '../common/plannedCall.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 import { CoordinatorLink } from './coordinatorLink.ts'
+import type { CoordinatorLinkOptions } from './coordinatorLink.ts'
 import { OpenJob } from './openJob.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
 
@@ -40,6 +41,8 @@
   readonly listCoordinators: () => readonly CoordinatorCandidate[]
   /** All upstreams that make pieces. */
   readonly listPieceUpstreams: () => readonly PlannedUpstream[]
+  /** How a coordinator of another node is reached; undefined when it cannot be in time. */
+  readonly openLink?: (options: CoordinatorLinkOptions) => Promise<CoordinatorLink | undefined>
 }
 
 /** How a job is kept. */
@@ -215,7 +218,8 @@
   }
 
   private async _openLink (address: string): Promise<CoordinatorLink | undefined> {
-    const link = await CoordinatorLink.open({ address, localAddress: this._options.localAddress, clock: this._options.clock })
+    const { localAddress, clock, openLink = options => CoordinatorLink.open(options) } = this._options
+    const link = await openLink({ address, localAddress, clock })
     if (link === undefined) {
       this._lose(address, { mayAskAgain: false })
       return undefined
