Convict a request that was answered since an end only by six, and last

Cause: the verdict begins with the request that has the most ends. One that many callers send is beside the ends of several guilty ones, and each answer takes back only what came before it.

Change: what was cleared by an answer is remembered with the request, at all nodes, and such a request is looked at after all others and needs six ends in place of three. An operator's word changes nothing of that.

Ruled out: never to convict what was answered once, since upstreams get other software.

Trace: one was at three ends in a row within its try, by calls of its own beside a guilty call at the same upstream; the popular one was not answered yet when it was at four ends.

--- a/src/services/facts/common/fact.ts
+++ b/src/services/facts/common/fact.ts
@@ -71,6 +71,8 @@
 export interface ClearedFact {
   readonly kind: 'cleared'
   readonly digest: string
+  /** An upstream has answered it; otherwise an operator says so. */
+  readonly isServed?: boolean
 }
 
 export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact | EndedFact | ClearedFact
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -44,7 +44,7 @@
     upstream: Name,
     runs: Schema.Array(Schema.Struct({ digest: Name, bodyBytes: Count, sentBeforeMs: Count }))
   }),
-  Schema.Struct({ kind: Schema.Literal('cleared'), digest: Name })
+  Schema.Struct({ kind: Schema.Literal('cleared'), digest: Name, isServed: Schema.optional(Schema.Boolean) })
 )
 
 const FactSchema = Schema.Struct({
--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -19,6 +19,11 @@
 
 /** Upstreams that a request may end before it is no longer sent. One more costs all that runs there. */
 export const MAX_ENDS = 3
+/**
+ * Ends that convict a request which was answered since an earlier one. Either it was beside what others did, or its
+ * upstreams' software has changed; the second is rare, and costs three more upstreams.
+ */
+const MAX_ENDS_ONCE_SERVED = 2 * MAX_ENDS
 /** Times of other nodes come in whole milliseconds, and later by the way that they took. */
 const CLOCK_SLACK_MS = 5
 /** So many ends convict a request even where another was at all of them too. */
@@ -46,6 +51,12 @@
   readonly explained: ReadonlySet<string>
 }
 
+/** Requests that may be convicted next, and by how many ends. */
+interface Candidates {
+  readonly mayBe: (digest: string) => boolean
+  readonly minEnds: number
+}
+
 type Evidence = ReadonlyMap<string, readonly EndedRun[]>
 
 /** The runs that no guilty request explains. */
@@ -53,25 +64,31 @@
   return runs.filter(run => !explained.has(run.upstream))
 }
 
-/** Convicts one request after the other, the one with the most ends first, since each conviction clears others. */
-export function decideGuilt (evidence: Evidence, _served: ReadonlySet<string> = new Set()): Verdict {
+/**
+ * Convicts one request after the other, the one with the most ends first, since each conviction clears others. Those
+ * that were answered since an end under them come last: a popular one may be beside more ends than any guilty one.
+ */
+export function decideGuilt (evidence: Evidence, served: ReadonlySet<string> = new Set()): Verdict {
   const guilty = new Set<string>()
   const explained = new Set<string>()
   for (;;) {
-    const next = findGuiltiest(evidence, guilty, explained)
+    const isSuspect = (digest: string) => !guilty.has(digest) && !served.has(digest)
+    const isServed = (digest: string) => !guilty.has(digest) && served.has(digest)
+    const verdict = { guilty, explained }
+    const next = findGuiltiest(evidence, verdict, { mayBe: isSuspect, minEnds: MAX_ENDS }) ?? findGuiltiest(evidence, verdict, { mayBe: isServed, minEnds: MAX_ENDS_ONCE_SERVED })
     if (next === undefined) return { guilty, explained }
     guilty.add(next)
     for (const run of evidence.get(next) ?? []) explained.add(run.upstream)
   }
 }
 
-function findGuiltiest (evidence: Evidence, guilty: ReadonlySet<string>, explained: ReadonlySet<string>): string | undefined {
+function findGuiltiest (evidence: Evidence, { guilty, explained }: Verdict, { mayBe, minEnds }: Candidates): string | undefined {
   let best: { readonly digest: string, readonly ends: number } | undefined
   for (const [digest, all] of evidence) {
-    if (guilty.has(digest)) continue
+    if (!mayBe(digest)) continue
     const runs = listUnexplained(all, explained)
     const ends = countSeparateEnds(runs)
-    if (ends < MAX_ENDS || (best !== undefined && ends <= best.ends)) continue
+    if (ends < minEnds || (best !== undefined && ends <= best.ends)) continue
     if (ends >= MAX_SHARED_ENDS || !hasCompanion(digest, runs, evidence, guilty)) best = { digest, ends }
   }
   return best?.digest
--- a/src/services/quarantine/common/quarantineBook.ts
+++ b/src/services/quarantine/common/quarantineBook.ts
@@ -34,6 +34,8 @@
 export class QuarantineBook {
   private readonly _runs = new Map<string, readonly EndedRun[]>()
   private readonly _clearedAt = new Map<string, number>()
+  /** Requests that an upstream has answered since an end under them; forgotten when it is forgotten that they were cleared. */
+  private readonly _served = new Set<string>()
   private _bodySizes: ReadonlySet<number> | undefined
   private _verdict: Verdict | undefined
 
@@ -58,8 +60,9 @@
   }
 
   /** Takes back what was held against a request until a moment, also what is told only later. */
-  clear (digest: string, at: number): void {
+  clear (digest: string, at: number, { isServed = false } = {}): void {
     this._clearedAt.set(digest, at)
+    if (isServed) this._served.add(digest)
     const runs = this._runs.get(digest)
     if (runs !== undefined) this._keep(digest, runs.filter(run => run.endedAt > at))
   }
@@ -85,7 +88,13 @@
   /** Forgets requests under which nothing has ended for long. */
   expire (now: number): void {
     for (const [digest, runs] of [...this._runs]) if (runs.every(run => now - run.endedAt > KEEP_EVIDENCE_MS)) this._keep(digest, [])
-    for (const [digest, at] of [...this._clearedAt]) if (now - at > KEEP_EVIDENCE_MS) this._clearedAt.delete(digest)
+    for (const [digest, at] of [...this._clearedAt]) if (now - at > KEEP_EVIDENCE_MS) this._forgetCleared(digest)
+  }
+
+  private _forgetCleared (digest: string): void {
+    this._clearedAt.delete(digest)
+    this._served.delete(digest)
+    this._forgetVerdict()
   }
 
   private _keep (digest: string, runs: readonly EndedRun[]): void {
@@ -108,7 +117,7 @@
   }
 
   private _getVerdict (): Verdict {
-    this._verdict ??= decideGuilt(this._runs)
+    this._verdict ??= decideGuilt(this._runs, this._served)
     return this._verdict
   }
 }
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -113,7 +113,7 @@
     const subject = formatClearedSubject(digest)
     const held = facts.get(subject)
     log.info('evidence_cleared', { digest, reason })
-    return facts.merge({ subject, incarnation: 1, counter: (held?.counter ?? 0) + 1, value: { kind: 'cleared', digest }, ageMs: 0 })
+    return facts.merge({ subject, incarnation: 1, counter: (held?.counter ?? 0) + 1, value: { kind: 'cleared', digest, isServed: reason === 'served' }, ageMs: 0 })
   }
 
   private _getLost (run: LostRun): LostUpstream {
@@ -162,7 +162,7 @@
   private _takeFact ({ value, observedAt }: HeldFact): void {
     if (value.kind !== 'ended' && value.kind !== 'cleared') return
     this._scheduleReport()
-    if (value.kind === 'cleared') return this._book.clear(value.digest, observedAt)
+    if (value.kind === 'cleared') return this._book.clear(value.digest, observedAt, { isServed: value.isServed })
     this._endedAt.set(value.upstream, observedAt)
     for (const { digest, bodyBytes, sentBeforeMs } of value.runs) {
       this._book.add({ digest, bodyBytes, upstream: value.upstream, sentAt: observedAt - sentBeforeMs, endedAt: observedAt })
