Show by a test that a suspect call runs beside others at one upstream

Pieces of a call that was cut off go into calls of their own, but upstreams run several calls at once: a suspect beside another one is lost with it again, and neither can be told from the other.

--- a/src/services/preparation/test/cutCalls.test.ts
+++ b/src/services/preparation/test/cutCalls.test.ts
@@ -51,6 +51,23 @@
   assert.is(planner.startCalls(LATER_MS + 101).length, 1)
 })
 
+test('a call that may end its upstream runs beside no other, and best where none runs', () => {
+  const planner = createPlanner({ upstreams: { a: 2 }, work: { concurrentCalls: 2, maxPiecesPerCall: 1 } })
+  planner.addJob(createJob('w', [createStage('a', 1)]), 0)
+  const [running] = planner.startCalls(0)
+  for (const id of ['x', 'y']) planner.addJob(createJob(id, [createStage('a', 1)], { isSuspect: true }), 1)
+  planner.addJob(createJob('z', [createStage('a', 1)]), 1)
+  const calls = planner.startCalls(1)
+  const suspect = calls.find(call => call.pieces.some(piece => piece.jobId === 'x'))
+  assert.ok(running && suspect)
+  assert.is.not(suspect.upstreamId, running.upstreamId)
+  assert.is(calls.filter(call => call.upstreamId === suspect.upstreamId).length, 1)
+  planner.addJob(createJob('v', [createStage('a', 1)]), 2)
+  assert.not(planner.startCalls(2).some(call => call.upstreamId === suspect.upstreamId))
+  planner.settleCall(suspect.id, createAll(suspect), 3)
+  assert.ok(planner.startCalls(3).some(call => call.upstreamId === suspect.upstreamId))
+})
+
 test('a piece is given up with the third call that was cut off', () => {
   const planner = createPlanner({ upstreams: { a: 4 } })
   planner.addJob(createJob('x', [createStage('a', 1)]), 0)
