Run a call that may end its upstream beside no other

Cause: pieces of calls that were cut off went into calls of their own, but beside other calls at the same upstream, which takes several at once.

Change: while a suspect call runs, no other starts at its upstream; it goes to one where nothing runs, if there is one, and otherwise to one that is free for a call. Others are served elsewhere meanwhile; suspects are rare.

Ruled out: waiting until an upstream is empty, which under load may be never.

--- a/src/services/preparation/common/batchChoice.ts
+++ b/src/services/preparation/common/batchChoice.ts
@@ -45,11 +45,15 @@
   /** Spreads the ready pieces of a role over its idle upstreams; each call starts before the next is chosen. */
   spread (ready: readonly ReadyPiece[], idle: readonly PieceUpstream[], now: number, onDidChoose: BatchStart): void {
     let rest: readonly ReadyPiece[] = ready
+    const hasEmpty = idle.some(upstream => upstream.runningCalls === 0)
     idle.forEach((upstream, index) => {
       if (rest.length === 0 || !this._pool.isWorthwhile(upstream, rest.length, now)) return
-      const fitting = rest.filter(piece => this._pool.isNear(upstream, piece.state.getHall(piece.stage), now))
+      // What a suspect might end is best an upstream where nothing else runs.
+      const mayTakeSuspects = upstream.runningCalls === 0 || !hasEmpty
+      const allowed = mayTakeSuspects ? rest : rest.filter(piece => !piece.isSuspect)
+      const fitting = allowed.filter(piece => this._pool.isNear(upstream, piece.state.getHall(piece.stage), now))
       const size = computeBatchSize(upstream, rest.length, idle.length - index)
-      const chosen = takeBatch([...fitting, ...rest.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
+      const chosen = takeBatch([...fitting, ...allowed.filter(piece => !fitting.includes(piece) && this._isImpatient(piece, now))], upstream, size, now)
       rest = listStartableBeside(chosen, rest)
       if (chosen.length > 0) onDidChoose(upstream, chosen, rest.length)
     })
--- a/src/services/preparation/common/pieceUpstream.ts
+++ b/src/services/preparation/common/pieceUpstream.ts
@@ -37,6 +37,8 @@
   work: PieceWorkSpec
   isLeaving = false
   runningCalls = 0
+  /** A call runs that may be what ends upstreams: whatever ran beside it would be lost, and be suspected as well. */
+  hasSuspectCall = false
   private _slowness = 1
   private _measuredAt = 0
   private _usedBytes = 0
@@ -59,7 +61,7 @@
 
   /** Whether a call may start now. */
   canStart (now: number): boolean {
-    return !this.isLeaving && this.runningCalls < this.work.concurrentCalls && now >= this._avoidUntil
+    return !this.isLeaving && !this.hasSuspectCall && this.runningCalls < this.work.concurrentCalls && now >= this._avoidUntil
   }
 
   /** Whether it can be counted on for work to come. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -27,7 +27,7 @@
 
 interface StartedCall {
   readonly call: PlannedCall
-  readonly pieces: readonly PieceKey[]
+  readonly pieces: readonly ReadyPiece[]
   readonly startedAt: number
 }
 
@@ -205,7 +205,10 @@
     if (started === undefined) return
     this._calls.delete(callId)
     const upstream = this._upstreams.get(started.call.upstreamId)
-    if (upstream !== undefined) upstream.runningCalls--
+    if (upstream !== undefined) {
+      upstream.runningCalls--
+      if (started.pieces.some(piece => piece.isSuspect)) upstream.hasSuspectCall = false
+    }
     for (const piece of started.pieces) piece.state.clock.recordEnd(now)
     if (outcome.kind === 'answered') {
       upstream?.recordCall(now - started.startedAt, started.call.expectedMs, now)
@@ -269,6 +272,7 @@
       timeoutMs: expectedMs * TIMEOUT_FACTOR * Math.max(1, upstream.getSlowness(now)) + TIMEOUT_EXTRA_MS
     }
     upstream.runningCalls++
+    upstream.hasSuspectCall = chosen.some(piece => piece.isSuspect)
     for (const piece of chosen) {
       getPiece(piece).status = 'running'
       piece.state.clock.recordStart(now)
