Show by a test that a restarted node is not told what it had said before

Trace: the node itself, before its restart, had told the others that the request was answered; they leave out what came from its address, so it heard of the ends and not of what took them back.

Where else it lies: every fact that a node had told before it was restarted, such as upstreams that leave, comes back only by members that heard of it from somebody else.

--- a/src/services/facts/test/peerLink.test.ts
+++ b/src/services/facts/test/peerLink.test.ts
@@ -19,9 +19,8 @@
   return { subject: `leaving/${name}`, incarnation: 1, counter: 1, value: { kind: 'leaving', upstream: name, signal: 's' }, ageMs: 0 }
 }
 
-function createSide (socket: Socket, address: string) {
+function createSide (socket: Socket, address: string, facts = new FactStore(new VirtualClock())) {
   const clock = new VirtualClock()
-  const facts = new FactStore(clock)
   const configuration = new ConfigurationService(clock)
   const link = new PeerLink({
     connection: new FrameConnection(socket),
@@ -37,10 +36,10 @@
 
 type Side = ReturnType<typeof createSide>
 
-async function openPair (): Promise<{ readonly a: Side, readonly b: Side, readonly close: () => void }> {
+async function openPair (known = new FactStore(new VirtualClock())): Promise<{ readonly a: Side, readonly b: Side, readonly close: () => void }> {
   return await new Promise(resolve => {
     const server = createServer(socket => {
-      const [a, b] = [createSide(near, 'a'), createSide(socket, 'b')]
+      const [a, b] = [createSide(near, 'a', known), createSide(socket, 'b')]
       resolve({ a, b, close: () => { a.link.dispose(); b.link.dispose(); server.close() } })
     })
     let near: Socket
@@ -76,6 +75,25 @@
   close()
 })
 
+test('a side that started anew is told what it had said itself before', async () => {
+  const before = await openPair()
+  before.b.facts.merge(createFact('u'))
+  before.b.link.sendNews()
+  await settle(before.b, before.a)
+  before.close()
+  const { a, b, close } = await openPair(before.a.facts)
+  try {
+    a.facts.merge(createFact('v'))
+    await settle(b, a)
+    b.link.askAll(1)
+    await settle(b, a)
+    await settle(a, b)
+    assert.equal(b.facts.list().map(fact => fact.subject).sort(), ['leaving/u', 'leaving/v'])
+  } finally {
+    close()
+  }
+})
+
 test('a fact does not go back to where it came from', async () => {
   const { a, b, close } = await openPair()
   await settle(b, a)
