Tell a node what it had said before the link opened

Cause: a link leaves out what came from the other side, by its address, so that facts do not go back and forth. A node that starts anew has the address of the one before, and knows nothing of what that said.

Change: only what came from the other side since the link opened is left out.

Ruled out: names of boots in the first message of a link, which nodes of other versions do not send.

--- a/src/services/facts/common/factStore.ts
+++ b/src/services/facts/common/factStore.ts
@@ -108,14 +108,16 @@
   }
 
   /**
-   * What was learned after a sequence number, but not from the given source, ready to send. What was taken back goes
-   * first: a node that joins would hold requests guilty, between two facts, that were served since.
+   * What was learned after a sequence number, ready to send, but not what a source said after another one: it knows that,
+   * while what it said before may be lost to it by a restart. What was taken back goes first: a node that joins would
+   * hold requests guilty, between two facts, that were served since.
    */
-  listSince (sequence: number, exceptSource: string): readonly Fact[] {
+  listSince (sequence: number, exceptSource: string, saidAfter = 0): readonly Fact[] {
     const news: HeldFact[] = []
     const takenBack: HeldFact[] = []
     for (const held of this._facts.values()) {
-      if (held.sequence <= sequence || (exceptSource !== '' && held.source === exceptSource)) continue
+      const isKnownThere = exceptSource !== '' && held.source === exceptSource && held.sequence > saidAfter
+      if (held.sequence <= sequence || isKnownThere) continue
       if (held.value.kind === 'cleared') takenBack.push(held)
       else news.push(held)
     }
--- a/src/services/facts/node/peerLink.ts
+++ b/src/services/facts/node/peerLink.ts
@@ -45,6 +45,8 @@
 export class PeerLink extends Disposable {
   private readonly _options: PeerLinkOptions
   private _peer: Extract<WireMessage, { readonly kind: 'hello' }> | undefined
+  /** What was known here when the link opened. */
+  private readonly _openedSequence: number
   /** Everything up to here was sent. */
   private _syncedSequence = 0
   /** The newest that was sent; between the two there may be gaps. */
@@ -58,6 +60,7 @@
   constructor (options: PeerLinkOptions) {
     super()
     this._options = options
+    this._openedSequence = options.facts.sequence
     this._register(options.connection)
     this._register(options.connection.onDidReceive(frame => this._receive(frame)))
     this._register(options.connection.onDidClose(fault => {
@@ -113,7 +116,7 @@
     const { facts } = this._options
     this._sentSequence = facts.sequence
     if (facts.sequence === sequence) return
-    this.sendFacts(facts.listSince(sequence, this.peerAddress))
+    this.sendFacts(facts.listSince(sequence, this.peerAddress, this._openedSequence))
   }
 
   /** Sends facts whether they were sent before or not. */
