Send nothing new to the upstreams of an evacuated hall

Cause: the operator's key for a hall was read with the whole store and dropped, in every place that decides where work goes.

The source now tells evacuations with the upstreams, from its list and its watch, so feeders hand them on like all changes. The registry lists no upstream of an evacuated hall for its role; requests, further sends, resumed streams, pieces and suspects all choose from that list, a planned target is confirmed against it, and the planner starts no call there. A plan of the hall hands its jobs on at once, with what was made for them. Results that lie there are not given back: nothing at all is sent, and they go with their lifetime. Peers tell each other as facts, ordered by the store's revision, so that a node that is cut off from the store knows too; a peer's word is checked against this node's own source after 2.5 s.

Ruled out: upstreams marked as leaving, which is for good here.

--- a/src/entryNode/nodeSettings.ts
+++ b/src/entryNode/nodeSettings.ts
@@ -12,6 +12,8 @@
   name: Schema.NonEmptyString,
   hall: Schema.NonEmptyString,
   region: Schema.String,
+  /** The halls that there are, and their regions. */
+  hall_regions: Schema.optional(Schema.Record({ key: Schema.NonEmptyString, value: Schema.String })),
   /** Where the other nodes reach this one. */
   address: AddressText,
   /** Where callers send their requests. */
--- a/src/entryNode/upstreamSharing.ts
+++ b/src/entryNode/upstreamSharing.ts
@@ -5,11 +5,12 @@
 import type { IClock } from '../base/common/clock.ts'
 import { Disposable } from '../base/common/disposable.ts'
 import { startInterval } from '../base/node/interval.ts'
-import { formatLeavingSubject } from '../services/facts/common/fact.ts'
-import type { FactStore, HeldFact } from '../services/facts/common/factStore.ts'
+import { formatEvacuationSubject, formatLeavingSubject } from '../services/facts/common/fact.ts'
+import { isFactOf } from '../services/facts/common/factStore.ts'
+import type { FactStore, HeldFact, HeldFactOf } from '../services/facts/common/factStore.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import type { UpstreamChange, UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
-import type { UpstreamNews, UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
+import type { Evacuation, UpstreamNews, UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 
 export interface UpstreamSharingOptions {
   readonly clock: IClock
@@ -29,9 +30,13 @@
 /** Boots are never heard of again so long after their end. */
 const FORGET_LEAVING_MS = 600_000
 const DROP_PERIOD_MS = 60_000
+/** A source that was away lists what operators have said again within this time. */
+const CONFIRM_EVACUATION_MS = 2500
 
 export class UpstreamSharing extends Disposable {
   private readonly _options: UpstreamSharingOptions
+  /** Halls that are evacuated by this node's own source. */
+  private readonly _toldHalls = new Set<string>()
 
   constructor (options: UpstreamSharingOptions) {
     super()
@@ -51,6 +56,8 @@
     const { log, registry } = this._options
     if (news.kind === 'updated') return registry.update(news.entry, 'source')
     if (news.kind === 'removed') return registry.drop(news.id, 'removed')
+    if (news.kind === 'evacuated' || news.kind === 'readmitted') return this._shareEvacuation(news.evacuation, news.kind === 'evacuated')
+    this._takeListedEvacuations(news.evacuations, news.revision)
     const listed = new Set(news.entries.map(entry => entry.id))
     const knownCount = registry.size
     for (const entry of news.entries) registry.update(entry, LIST_SIGNAL)
@@ -58,6 +65,32 @@
     for (const entry of registry.list()) if (!listed.has(entry.id)) registry.drop(entry.id, 'not listed')
   }
 
+  /** Before the upstreams, so that none of an evacuated hall is used for a moment. */
+  private _takeListedEvacuations (evacuations: readonly Evacuation[], revision: number): void {
+    const listed = new Set(evacuations.map(({ hall }) => hall))
+    for (const evacuation of evacuations) this._shareEvacuation(evacuation, true)
+    for (const hall of this._options.registry.listEvacuated()) if (!listed.has(hall)) this._shareEvacuation({ hall, revision }, false)
+  }
+
+  /** What is known of a hall is the fact with the source's latest revision, whichever node heard of it. */
+  private _shareEvacuation ({ hall, revision }: Evacuation, isEvacuated: boolean): void {
+    if (isEvacuated) this._toldHalls.add(hall)
+    else this._toldHalls.delete(hall)
+    this._options.facts.merge({ subject: formatEvacuationSubject(hall), incarnation: 1, counter: revision, value: { kind: 'evacuation', hall, isEvacuated }, ageMs: 0 })
+  }
+
+  /** Operators speak to the source alone, so a peer's word holds only until this node's own source has had time to say it. */
+  private _takeEvacuation ({ counter, source: peer, value: { hall, isEvacuated } }: HeldFactOf<'evacuation'>): void {
+    const { clock, registry, source, log } = this._options
+    if (!registry.setEvacuated(hall, isEvacuated)) return
+    const { revision, ageMs } = registry.computeAge(clock.now())
+    log.info(isEvacuated ? 'hall_evacuated' : 'hall_readmitted', { hall, revision: counter, source: peer === '' ? 'own' : peer, known_revision: revision, known_age_ms: Math.round(ageMs) })
+    if (peer === '' || !isEvacuated) return
+    clock.schedule(CONFIRM_EVACUATION_MS, () => {
+      if (!this._isDisposed && registry.isEvacuated(hall) && !this._toldHalls.has(hall)) source.listAgain()
+    })
+  }
+
   private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
     // A list of all upstreams is one line: a starting fleet would write thousands.
     if (kind === 'changed' || (kind === 'added' && signal === LIST_SIGNAL)) return
@@ -75,6 +108,7 @@
 
   private _takeFact (fact: HeldFact): void {
     const { clock, registry, source } = this._options
+    if (isFactOf(fact, 'evacuation')) return this._takeEvacuation(fact)
     if (fact.value.kind !== 'leaving' || fact.source === '') return
     if (fact.counter === LEAVING_COUNTER) return registry.markLeaving(fact.value.upstream, PEER_SIGNAL)
     const { upstream } = fact.value
--- a/src/services/facts/common/fact.ts
+++ b/src/services/facts/common/fact.ts
@@ -75,7 +75,14 @@
   readonly isServed?: boolean
 }
 
-export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact | EndedFact | ClearedFact
+/** What an operator said last of a hall. The counter is the source's revision of that word, whoever tells of it. */
+export interface EvacuationFact {
+  readonly kind: 'evacuation'
+  readonly hall: string
+  readonly isEvacuated: boolean
+}
+
+export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact | EndedFact | ClearedFact | EvacuationFact
 
 export interface Fact {
   readonly subject: string
@@ -113,6 +120,10 @@
   return `ended/${upstream}/${node}`
 }
 
+export function formatEvacuationSubject (hall: string): string {
+  return `evacuation/${hall}`
+}
+
 export function formatClearedSubject (digest: string): string {
   return `cleared/${digest}`
 }
--- a/src/services/facts/common/factStore.ts
+++ b/src/services/facts/common/factStore.ts
@@ -24,6 +24,10 @@
 /** A held fact whose value is of one kind. */
 export type HeldFactOf<K extends FactValue['kind']> = HeldFact & { readonly value: FactValue & { readonly kind: K } }
 
+export function isFactOf<K extends FactValue['kind']> (fact: HeldFact, kind: K): fact is HeldFactOf<K> {
+  return fact.value.kind === kind
+}
+
 /** Gates come and go, and so do ends of upstreams; what was said so long ago is of no use, and must not come back from a peer either. */
 const MAX_FACT_AGE_MS = 600_000
 const AGEING_KINDS = ['gate', 'ended', 'cleared'] as const
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -44,7 +44,8 @@
     upstream: Name,
     runs: Schema.Array(Schema.Struct({ digest: Name, bodyBytes: Count, sentBeforeMs: Count }))
   }),
-  Schema.Struct({ kind: Schema.Literal('cleared'), digest: Name, isServed: Schema.optional(Schema.Boolean) })
+  Schema.Struct({ kind: Schema.Literal('cleared'), digest: Name, isServed: Schema.optional(Schema.Boolean) }),
+  Schema.Struct({ kind: Schema.Literal('evacuation'), hall: Name, isEvacuated: Schema.Boolean })
 )
 
 const FactSchema = Schema.Struct({
--- a/src/services/preparation/common/pieceUpstream.ts
+++ b/src/services/preparation/common/pieceUpstream.ts
@@ -35,7 +35,8 @@
   readonly role: string
   readonly hall: string
   work: PieceWorkSpec
-  isLeaving = false
+  /** Whether new calls may go there; results that lie there can be fetched all the same. */
+  takesWork = true
   runningCalls = 0
   /** A call runs that may be what ends upstreams: whatever ran beside it would be lost, and be suspected as well. */
   hasSuspectCall = false
@@ -61,12 +62,12 @@
 
   /** Whether a call may start now. */
   canStart (now: number): boolean {
-    return !this.isLeaving && !this.hasSuspectCall && this.runningCalls < this.work.concurrentCalls && now >= this._avoidUntil
+    return this.takesWork && !this.hasSuspectCall && this.runningCalls < this.work.concurrentCalls && now >= this._avoidUntil
   }
 
   /** Whether it can be counted on for work to come. */
   isUsable (now: number): boolean {
-    return !this.isLeaving && now >= this._avoidUntil
+    return this.takesWork && now >= this._avoidUntil
   }
 
   get avoidUntil (): number {
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -82,10 +82,10 @@
     else held.work = options.work
   }
 
-  /** No new call goes there; results that lie there can still be fetched. */
-  markLeaving (upstreamId: string): void {
+  /** Whether new calls may go there; results that lie there can still be fetched. */
+  setTakesWork (upstreamId: string, takesWork: boolean): void {
     const upstream = this._upstreams.get(upstreamId)
-    if (upstream !== undefined) upstream.isLeaving = true
+    if (upstream !== undefined) upstream.takesWork = takesWork
   }
 
   /** The upstream is gone, and with it its results. */
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -323,7 +323,7 @@
     for (const { upstreamId, handle } of results) byUpstream.set(upstreamId, [...byUpstream.get(upstreamId) ?? [], handle])
     for (const [upstreamId, handles] of byUpstream) {
       const upstream = this._options.registry.get(upstreamId)
-      if (upstream !== undefined) void this._options.protocol.freeResults(upstream, handles)
+      if (upstream !== undefined && !this._options.registry.isEvacuated(upstream.hall)) void this._options.protocol.freeResults(upstream, handles)
     }
   }
 }
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -70,6 +70,7 @@
     this._options = options
     this._planLog = new PlanLog(options.log)
     this._register(options.registry.onDidChange(change => this._takeChange(change)))
+    this._register(options.registry.onDidEvacuate(hall => this._endPlanOf(hall)))
     this._register(toDisposable(() => {
       this._listeners.clear()
       this._sweep?.dispose()
@@ -131,6 +132,12 @@
     for (const shard of [...this._shards.values()]) if (shard.planner.jobCount > 0 && isElsewhere(shard.hall)) this._endShard(shard)
   }
 
+  /** Nothing can be made in an evacuated hall: its jobs go to the plans of others at once. */
+  private _endPlanOf (hall: string): void {
+    const shard = this._shards.get(hall)
+    if (shard !== undefined) this._endShard(shard)
+  }
+
   /** Jobs that still come for the hall start a new plan. */
   private _endShard (shard: PlanShard): void {
     this._options.log.info('plan_ending', { hall: shard.hall, jobs: shard.planner.jobCount })
@@ -320,8 +327,11 @@
   }
 
   private async _free (shard: PlanShard, free: PlannedFree): Promise<void> {
-    const upstream = this._options.registry.get(free.upstreamId)
-    const isDone = upstream !== undefined && await this._options.protocol.freeResults(upstream, free.handles)
+    const { registry, protocol } = this._options
+    const upstream = registry.get(free.upstreamId)
+    // An evacuated hall is sent nothing at all; what lies there goes when its lifetime ends.
+    const mayFree = upstream !== undefined && !registry.isEvacuated(upstream.hall)
+    const isDone = mayFree && await protocol.freeResults(upstream, free.handles)
     if (this._isDisposed) return
     shard.planner.settleFree(free, isDone, this._options.clock.now())
     if (shard.planner.jobCount > 0) this._scheduleDispatch(shard)
@@ -344,6 +354,6 @@
       hall: entry.hall,
       work: { concurrentCalls, maxPiecesPerCall, callMs, pieceMs, resultRoomBytes, resultLifetimeMs }
     })
-    if (entry.isLeaving) shard.planner.markLeaving(entry.id)
+    shard.planner.setTakesWork(entry.id, this._options.registry.mayUse(entry))
   }
 }
--- a/src/services/preparation/test/busyHall.test.ts
+++ b/src/services/preparation/test/busyHall.test.ts
@@ -56,8 +56,14 @@
   readonly refused: number
 }
 
+/** A hall that is emptied while its jobs are being made. */
+interface HallEvacuation {
+  readonly hall: string
+  readonly atMs: number
+}
+
 /** One node that plans for all halls, and jobs that come to it all at once. */
-async function runJobs (jobs: readonly PreparationJob[]): Promise<{ readonly times: JobTimes, readonly countByHall: ReadonlyMap<string, number> }> {
+async function runJobs (jobs: readonly PreparationJob[], evacuations: readonly HallEvacuation[] = []): Promise<{ readonly times: JobTimes, readonly countByHall: ReadonlyMap<string, number> }> {
   const clock = new VirtualClock()
   const log = new LogService({ program: 'test', silent: true })
   const registry = new UpstreamRegistry()
@@ -78,8 +84,9 @@
     hasMembers: () => true,
     onDidKnowMembers: new Emitter<void>().event,
     listCoordinators: () => [{ address, hall: 'x', incarnation: 1, weight: 100 }],
-    listPieceUpstreams: () => registry.list()
+    listPieceUpstreams: () => registry.listRole('a')
   })
+  for (const { hall, atMs } of evacuations) clock.schedule(atMs, () => { registry.setEvacuated(hall, true) })
   const times = { inTime: 0, late: 0, refused: 0 }
   const ends = jobs.map(async job => {
     const result = await client.prepare(job, new AbortController().signal)
@@ -122,6 +129,18 @@
   assert.equal([...countByHall], [['x', 12]])
 })
 
+test('the jobs of a hall that is evacuated are made in others, and nothing is begun there any more', async () => {
+  // One call of four pieces at each of two upstreams has begun by then.
+  const { times, countByHall } = await runJobs(createJobs('x', 24), [{ hall: 'x', atMs: 50 }])
+  assert.equal(times, { inTime: 24, late: 0, refused: 0 })
+  assert.is(countByHall.get('x'), 8)
+})
+
+test('when all halls are evacuated, jobs are refused at once', async () => {
+  const { times } = await runJobs(createJobs('x', 6), HALLS.map(hall => ({ hall, atMs: 0 })))
+  assert.equal(times, { inTime: 0, late: 0, refused: 6 })
+})
+
 test('what would be late in every hall is made all the same, spread over all of them', async () => {
   const { times, countByHall } = await runJobs(createJobs('x', 150))
   assert.is(times.refused, 0)
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -78,7 +78,7 @@
   /** An upstream that was chosen elsewhere, if nothing known here speaks against it. */
   confirm (id: string, tried: ReadonlySet<string>): UpstreamEntry | undefined {
     const entry = this._options.registry.get(id)
-    if (entry === undefined || entry.isLeaving || tried.has(id)) return undefined
+    if (entry === undefined || !this._options.registry.mayUse(entry) || tried.has(id)) return undefined
     return this._getUse(id).health.getState(this._options.clock.now()) === 'ejected' ? undefined : entry
   }
 
--- a/src/services/upstream/common/upstreamRegistry.ts
+++ b/src/services/upstream/common/upstreamRegistry.ts
@@ -1,7 +1,8 @@
 /**
  * The upstreams that announced themselves: one entry for each boot, since an address may be given to another upstream.
  * A boot that was marked as leaving, or whose address answers as another, never comes back into use, whoever speaks of
- * it later. One that is only missing from a list may: the list may have been wrong.
+ * it later. One that is only missing from a list may: the list may have been wrong. Upstreams of a hall that is evacuated
+ * are known, but take no work until the hall is taken back.
  */
 import { Disposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
@@ -40,10 +41,14 @@
   private readonly _entries = new Map<string, UpstreamEntry>()
   private readonly _byRole = new Map<string, readonly UpstreamEntry[]>()
   private readonly _gone = new Set<string>()
+  private readonly _evacuatedHalls = new Set<string>()
   private _confirmedRevision = 0
   private _confirmedAt = -Infinity
   private readonly _onDidChange = this._register(new Emitter<UpstreamChange>())
   readonly onDidChange = this._onDidChange.event
+  private readonly _onDidEvacuate = this._register(new Emitter<string>())
+  /** A hall's upstreams take no new work from now on; fired after each of them was told to have changed. */
+  readonly onDidEvacuate = this._onDidEvacuate.event
 
   get size (): number {
     return this._entries.size
@@ -61,12 +66,36 @@
   listRole (role: string): readonly UpstreamEntry[] {
     let listed = this._byRole.get(role)
     if (listed === undefined) {
-      listed = this.list().filter(entry => entry.role === role && !entry.isLeaving)
+      listed = this.list().filter(entry => entry.role === role && this.mayUse(entry))
       this._byRole.set(role, listed)
     }
     return listed
   }
 
+  /** Whether anything new may be sent to the upstream. */
+  mayUse ({ hall, isLeaving }: UpstreamEntry): boolean {
+    return !isLeaving && !this._evacuatedHalls.has(hall)
+  }
+
+  isEvacuated (hall: string): boolean {
+    return this._evacuatedHalls.has(hall)
+  }
+
+  listEvacuated (): readonly string[] {
+    return [...this._evacuatedHalls]
+  }
+
+  /** False where the hall was known to be so. */
+  setEvacuated (hall: string, isEvacuated: boolean): boolean {
+    if (this._evacuatedHalls.has(hall) === isEvacuated) return false
+    if (isEvacuated) this._evacuatedHalls.add(hall)
+    else this._evacuatedHalls.delete(hall)
+    this._byRole.clear()
+    for (const entry of this.list()) if (entry.hall === hall) this._fire('changed', entry, isEvacuated ? 'evacuated' : 'readmitted')
+    if (isEvacuated) this._onDidEvacuate.fire(hall)
+    return true
+  }
+
   /** Takes in what an upstream said of itself; a boot that left stays so. */
   update (entry: UpstreamEntry, signal: string): void {
     if (this._gone.has(entry.id)) return
--- a/src/services/upstream/common/upstreamSource.ts
+++ b/src/services/upstream/common/upstreamSource.ts
@@ -5,12 +5,21 @@
 import { Emitter } from '../../../base/common/event.ts'
 import type { UpstreamEntry } from './upstreamRegistry.ts'
 
+/** What an operator said last of a hall: that its upstreams get nothing new, or that they take work again. */
+export interface Evacuation {
+  readonly hall: string
+  /** The source's revision of that word: of two, the later one counts. */
+  readonly revision: number
+}
+
 /** News of a source. */
 export type UpstreamNews =
-  /** Every upstream that the source lists; one that is missing is gone. */
-  | { readonly kind: 'listed', readonly entries: readonly UpstreamEntry[] }
+  /** Every upstream and every evacuation that the source lists; what is missing is gone. */
+  | { readonly kind: 'listed', readonly entries: readonly UpstreamEntry[], readonly evacuations: readonly Evacuation[], readonly revision: number }
   | { readonly kind: 'updated', readonly entry: UpstreamEntry }
   | { readonly kind: 'removed', readonly id: string }
+  | { readonly kind: 'evacuated', readonly evacuation: Evacuation }
+  | { readonly kind: 'readmitted', readonly evacuation: Evacuation }
 
 export abstract class UpstreamSource extends Disposable {
   private readonly _onDidRead = this._register(new Emitter<UpstreamNews>())
