Follow a store that was restored from a copy by era and revision

Cause: revisions were compared alone, and a restored store gives them out again. What it said after the copy was taken for known (dropKnown, Math.max, ChangeHistory, the published revision of a configuration), and a watch waited for a revision that the store had again with another history.

Era and revision are joined into one position, which only grows, where the store's answers are read; all that compares, keeps and sends revisions works on positions as it is. A feeder that tells of an earlier era is not relied on, one that tells of a later one makes its readers list.

Ruled out: era and revision side by side in each message and comparison, which touches every place that one number serves.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -15,6 +15,7 @@
 import { formatNumber } from '../services/configuration/common/configurationNumber.ts'
 import type { AcceptedConfiguration } from '../services/configuration/common/configurationService.ts'
 import { formatGateSubject } from '../services/facts/common/fact.ts'
+import { formatPosition } from '../services/feed/common/sourcePosition.ts'
 import { FeedService } from '../services/feed/node/feedService.ts'
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
@@ -374,7 +375,7 @@
     this._recent.add(1)
     this._metrics.record(ended)
     const { id, route, customer, elapsedMs, end } = ended
-    this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, produced_ms: end.producedMs, upstream: end.lastUpstream, known_revision: end.known.revision, known_age_ms: Math.round(end.known.ageMs), took_ms: Math.round(elapsedMs) })
+    this._options.log.info('request_ended', { request: id, route, customer, result: end.result, attempts: end.attempts, prepared_ms: end.preparedMs, produced_ms: end.producedMs, upstream: end.lastUpstream, known_revision: formatPosition(end.known.revision), known_age_ms: Math.round(end.known.ageMs), took_ms: Math.round(elapsedMs) })
   }
 
   /** Members become known one after the other. */
--- a/src/entryNode/upstreamSharing.ts
+++ b/src/entryNode/upstreamSharing.ts
@@ -8,6 +8,7 @@
 import { formatEvacuationSubject, formatLeavingSubject } from '../services/facts/common/fact.ts'
 import { isFactOf } from '../services/facts/common/factStore.ts'
 import type { FactStore, HeldFact, HeldFactOf } from '../services/facts/common/factStore.ts'
+import { formatPosition } from '../services/feed/common/sourcePosition.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import type { UpstreamChange, UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { Evacuation, UpstreamNews, UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
@@ -84,7 +85,7 @@
     const { clock, registry, source, log } = this._options
     if (!registry.setEvacuated(hall, isEvacuated)) return
     const { revision, ageMs } = registry.computeAge(clock.now())
-    log.info(isEvacuated ? 'hall_evacuated' : 'hall_readmitted', { hall, revision: counter, source: peer === '' ? 'own' : peer, known_revision: revision, known_age_ms: Math.round(ageMs) })
+    log.info(isEvacuated ? 'hall_evacuated' : 'hall_readmitted', { hall, revision: formatPosition(counter), source: peer === '' ? 'own' : peer, known_revision: formatPosition(revision), known_age_ms: Math.round(ageMs) })
     if (peer === '' || !isEvacuated) return
     clock.schedule(CONFIRM_EVACUATION_MS, () => {
       if (!this._isDisposed && registry.isEvacuated(hall) && !this._toldHalls.has(hall)) source.listAgain()
@@ -95,7 +96,7 @@
     // A list of all upstreams is one line: a starting fleet would write thousands.
     if (kind === 'changed' || (kind === 'added' && signal === LIST_SIGNAL)) return
     const { revision, ageMs } = this._options.registry.computeAge(this._options.clock.now())
-    this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal, known_revision: revision, known_age_ms: Math.round(ageMs) })
+    this._options.log.info(`upstream_${kind}`, { upstream: entry.id, role: entry.role, address: entry.address, signal, known_revision: formatPosition(revision), known_age_ms: Math.round(ageMs) })
     if (kind === 'added' || signal === PEER_SIGNAL) return
     this._options.facts.merge({
       subject: formatLeavingSubject(entry.id),
--- a/src/services/feed/common/changeFeed.ts
+++ b/src/services/feed/common/changeFeed.ts
@@ -22,6 +22,9 @@
   /** Changes in the order of revisions; empty ones confirm that there are none. */
   readonly onDidReceive: Event<FedChanges>
 
+  /** A feeder told of a later era of the source than this node knows: fired with the position that it told. */
+  readonly onDidOutgrow: Event<number>
+
   /** The revision up to which this node has taken all changes; undefined while it has no list. */
   setRevision (revision: number | undefined): void
 
--- a/src/services/feed/common/feedBelief.ts
+++ b/src/services/feed/common/feedBelief.ts
@@ -1,6 +1,7 @@
 /**
  * Whether a host may rely on what its feeders tell in place of asking the source itself. Pure: time is passed in.
  */
+import { readEra } from './sourcePosition.ts'
 
 /**
  * A feeder tells its readers something with each answer of the source, which it asks every second. News has to be acted
@@ -77,6 +78,8 @@
 
   private _noteBehind (state: FeederState, now: number): void {
     if (this._revision === undefined || state.revision >= this._revision) state.behindSince = undefined
+    // What it tells is of a source that is gone.
+    else if (readEra(state.revision) < readEra(this._revision)) state.behindSince = -Infinity
     else state.behindSince ??= now
   }
 }
--- a/src/services/feed/common/sourceChanges.ts
+++ b/src/services/feed/common/sourceChanges.ts
@@ -1,5 +1,5 @@
 /**
- * What a source of keyed values says of them, in its own revisions.
+ * What a source of keyed values says of them, by its revisions. All of these are positions, which grow over eras too.
  */
 
 /** A value of the source. */
--- a/src/services/feed/node/feedService.ts
+++ b/src/services/feed/node/feedService.ts
@@ -17,6 +17,7 @@
 import { chooseFeeders, listFeeders } from '../common/feederChoice.ts'
 import type { FeedMember } from '../common/feederChoice.ts'
 import type { SourceChanges } from '../common/sourceChanges.ts'
+import { formatPosition, readEra } from '../common/sourcePosition.ts'
 import { FeedSender } from './feedSender.ts'
 
 /** The links that a feed goes over. */
@@ -66,6 +67,8 @@
   private readonly _onDidReceive = this._register(new Emitter<FedChanges>())
   readonly onDidChange = this._onDidChange.event
   readonly onDidReceive = this._onDidReceive.event
+  private readonly _onDidOutgrow = this._register(new Emitter<number>())
+  readonly onDidOutgrow = this._onDidOutgrow.event
 
   constructor (options: FeedServiceOptions) {
     super()
@@ -105,6 +108,7 @@
     this._noteAnswered(feeder)
     if (message.kind === 'feedChanges') return this._takeChanges(feeder, message)
     if (message.kind === 'feedConfirmed') return this._takeChanges(feeder, { ...message, after: message.revision, changes: [] })
+    if (message.kind === 'feedGap' && this._isOutgrownBy(message.after)) this._onDidOutgrow.fire(message.after)
     // After a gap as after a loss it is asked again in a second, when this node has heard more.
     this._belief.noteLost(feeder)
     this._decide()
@@ -115,12 +119,17 @@
     if (!this._feeders.includes(source) || this._revision === undefined) return
     const now = this._options.clock.now()
     const { after, revision, changes, heardForMs, ageMs } = told
+    if (this._isOutgrownBy(revision)) return this._onDidOutgrow.fire(revision)
     if (after > this._revision) return this._ask(source)
     this._belief.noteHeard(source, revision, now - ageMs, now)
     this._onDidReceive.fire({ after, revision, changes, source, heardSince: now - heardForMs, confirmedAt: now - ageMs })
     this._decide()
   }
 
+  private _isOutgrownBy (position: number): boolean {
+    return this._revision !== undefined && readEra(position) > readEra(this._revision)
+  }
+
   private _refresh (): void {
     if (!this._options.hasMembers()) return
     const members = this._options.listMembers()
@@ -178,7 +187,7 @@
     if (isFed === this._isFed) return
     this._isFed = isFed
     const doubts = this._feeders.map(address => `${address}:${this._belief.findDoubt(address, now) ?? 'trusted'}`)
-    this._options.log.info(isFed ? 'feed_taken' : 'feed_doubted', { feeders: doubts.join(','), revision: this._revision ?? 0 })
+    this._options.log.info(isFed ? 'feed_taken' : 'feed_doubted', { feeders: doubts.join(','), revision: formatPosition(this._revision ?? 0) })
     if (isFed) this._sender.end()
     this._onDidChange.fire()
   }
--- a/src/services/preparation/node/planLog.ts
+++ b/src/services/preparation/node/planLog.ts
@@ -1,6 +1,7 @@
 /**
  * What a coordinator writes of its calls and jobs: late and refused requests are explained from these lines.
  */
+import { formatPosition } from '../../feed/common/sourcePosition.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { PictureAge } from '../../upstream/common/upstreamRegistry.ts'
 import type { PlanLoad } from '../common/planLoad.ts'
@@ -38,7 +39,7 @@
       late: countFailed('late'),
       expected_ms: Math.round(expectedMs),
       took_ms: Math.round(tookMs),
-      known_revision: known.revision,
+      known_revision: formatPosition(known.revision),
       known_age_ms: Math.round(known.ageMs)
     })
   }
