--- /dev/null
+++ b/src/base/common/slidingCount.ts
@@ -0,0 +1,30 @@
+/**
+ * How often something happened within the last while, by key.
+ */
+export class SlidingCount {
+  private readonly _times = new Map<string, readonly number[]>()
+
+  constructor (private readonly _windowMs: number) {}
+
+  add (key: string, now: number): void {
+    this._times.set(key, [...this._listRecent(key, now), now])
+  }
+
+  count (key: string, now: number): number {
+    return this._listRecent(key, now).length
+  }
+
+  /** When the next one leaves the window; `now` where there is none. */
+  computeNextEnd (key: string, now: number): number {
+    const [oldest] = this._listRecent(key, now)
+    return oldest === undefined ? now : oldest + this._windowMs
+  }
+
+  drop (key: string): void {
+    this._times.delete(key)
+  }
+
+  private _listRecent (key: string, now: number): readonly number[] {
+    return (this._times.get(key) ?? []).filter(at => now - at < this._windowMs)
+  }
+}
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -42,6 +42,7 @@
 import type { EndedRequest } from '../services/relay/node/relayServer.ts'
 import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import { RetryBudget } from '../services/retry/common/retryPolicy.ts'
+import { ColdAllowance } from '../services/upstream/common/coldAllowance.ts'
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
@@ -153,7 +154,14 @@
       hasMembers: () => this._member.hasJoined
     }))
     const getTable = () => this._table
-    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: options.pieceProtocol, registry: this._registry, getTable }))
+    const cold = new ColdAllowance({
+      clock,
+      own: settings.address,
+      getBound: role => this._computeColdBound(role),
+      listKnown: () => this._member.membership.listMembers().filter(({ state }) => state !== 'left').map(({ address }) => address),
+      countLive: () => this.countNodes()
+    })
+    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: options.pieceProtocol, registry: this._registry, getTable, cold }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log))
     this._preparation = this._register(new PreparationClient({
       clock,
@@ -179,7 +187,7 @@
         agent,
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
-        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id) }),
+        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id), cold }),
         retry: new RetryBudget({ share: settings.retry_share * RETRY_SAFETY, maxSaved: () => settings.retry_spare * RETRY_SAFETY / this.countNodes() }),
         preparation: this._preparation,
         releaseDelay: new ReleaseDelay(),
@@ -362,6 +370,13 @@
     return this._member.facts.listKind('gate').map(({ value, observedAt }) => ({ ...value, ageMs: now - observedAt }))
   }
 
+  /** What all nodes together may send a cold upstream in a second. */
+  private _computeColdBound (role: string): number {
+    const { cold_share: share, cold_spare: spare = 0 } = this._settings
+    const bearsPerS = this._table?.getRole(role)?.coldRequestsPerS ?? 0
+    return share === undefined || bearsPerS <= 0 ? Infinity : bearsPerS * share + spare
+  }
+
   /** Nodes taken for alive, this one included. */
   countNodes (): number {
     return Math.max(1, this._member.membership.listLive().length)
--- a/src/entryNode/nodeSettings.ts
+++ b/src/entryNode/nodeSettings.ts
@@ -39,6 +39,10 @@
   keep_s: PositiveSeconds,
   /** Retries of all nodes together against first attempts, at any upstream role. */
   retry_share: NonNegative,
+  /** All nodes together send a cold upstream this many times what the configuration says that it bears in a second, at most. */
+  cold_share: Schema.optional(NonNegative),
+  /** Requests in a second that they may send it beyond that. */
+  cold_spare: Schema.optional(NonNegative),
   /** Retries of all nodes together that need no first attempts, in one window. */
   retry_spare: NonNegative
 })
--- a/src/entryNode/upstreamSharing.ts
+++ b/src/entryNode/upstreamSharing.ts
@@ -33,11 +33,15 @@
 const DROP_PERIOD_MS = 60_000
 /** A source that was away lists what operators have said again within this time. */
 const CONFIRM_EVACUATION_MS = 2500
+/** Upstreams that come back cold are warm again within some seconds. */
+const READMIT_WAIT_MS = 4000
 
 export class UpstreamSharing extends Disposable {
   private readonly _options: UpstreamSharingOptions
   /** Halls that are evacuated by this node's own source. */
   private readonly _toldHalls = new Set<string>()
+  /** Halls that peers say are taken back, with the source's revision of that. */
+  private readonly _readmissions = new Map<string, number>()
 
   constructor (options: UpstreamSharingOptions) {
     super()
@@ -45,7 +49,7 @@
     this._register(options.registry.onDidChange(change => this._noteChange(change)))
     this._register(options.facts.onDidChange(fact => this._takeFact(fact)))
     this._register(options.source.onDidRead(news => this._takeNews(news)))
-    this._register(options.source.onDidConfirm(revision => options.registry.confirm(revision, options.clock.now())))
+    this._register(options.source.onDidConfirm(revision => this._confirm(revision)))
   }
 
   start (): void {
@@ -82,16 +86,45 @@
 
   /** Operators speak to the source alone, so a peer's word holds only until this node's own source has had time to say it. */
   private _takeEvacuation ({ counter, source: peer, value: { hall, isEvacuated } }: HeldFactOf<'evacuation'>): void {
-    const { clock, registry, source, log } = this._options
-    if (!registry.setEvacuated(hall, isEvacuated)) return
-    const { revision, ageMs } = registry.computeAge(clock.now())
-    log.info(isEvacuated ? 'hall_evacuated' : 'hall_readmitted', { hall, revision: formatPosition(counter), source: peer === '' ? 'own' : peer, known_revision: formatPosition(revision), known_age_ms: Math.round(ageMs) })
+    const { clock, registry, source } = this._options
+    this._readmissions.delete(hall)
+    if (!isEvacuated && peer !== '' && registry.computeAge(clock.now()).revision < counter) return this._delayReadmission(hall, counter, peer)
+    this._setEvacuated(hall, isEvacuated, counter, peer)
     if (peer === '' || !isEvacuated) return
     clock.schedule(CONFIRM_EVACUATION_MS, () => {
       if (!this._isDisposed && registry.isEvacuated(hall) && !this._toldHalls.has(hall)) source.listAgain()
     })
   }
 
+  /**
+   * Peers tell each other sooner than the source tells a node, and what the source said before that is still to come: that
+   * the hall's upstreams are cold. A node that does not hear the source gives them the time to become warm.
+   */
+  private _delayReadmission (hall: string, revision: number, peer: string): void {
+    this._readmissions.set(hall, revision)
+    this._options.clock.schedule(READMIT_WAIT_MS, () => {
+      if (!this._isDisposed && this._readmissions.get(hall) === revision) this._applyReadmission(hall, revision, peer)
+    })
+  }
+
+  private _applyReadmission (hall: string, revision: number, peer: string): void {
+    this._readmissions.delete(hall)
+    this._setEvacuated(hall, false, revision, peer)
+  }
+
+  private _confirm (revision: number): void {
+    const { clock, registry } = this._options
+    registry.confirm(revision, clock.now())
+    for (const [hall, since] of this._readmissions) if (since <= revision) this._applyReadmission(hall, since, '')
+  }
+
+  private _setEvacuated (hall: string, isEvacuated: boolean, revision: number, peer: string): void {
+    const { clock, registry, log } = this._options
+    if (!registry.setEvacuated(hall, isEvacuated)) return
+    const known = registry.computeAge(clock.now())
+    log.info(isEvacuated ? 'hall_evacuated' : 'hall_readmitted', { hall, revision: formatPosition(revision), source: peer === '' ? 'own' : peer, known_revision: formatPosition(known.revision), known_age_ms: Math.round(known.ageMs) })
+  }
+
   private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
     // A list of all upstreams is one line: a starting fleet would write thousands.
     if (kind === 'changed' || (kind === 'added' && signal === LIST_SIGNAL)) return
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -3,6 +3,7 @@
  * upstream has to read, which prompts it read before, and where the results lie.
  */
 import { hashText } from '../../../base/common/rendezvous.ts'
+import { SlidingCount } from '../../../base/common/slidingCount.ts'
 import { EjectingTracker } from '../../health/common/healthTracker.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
 import { PrefixBook } from './prefixBook.ts'
@@ -14,6 +15,8 @@
   readonly hall: string
   /** How long it takes to have a token from another upstream; infinite where that cannot be done. */
   readonly msPerMovedToken: number
+  /** What the plan may send it in a second; Infinity unless it is cold. */
+  readonly maxPerS?: number
 }
 
 export interface TargetQuestion {
@@ -82,6 +85,8 @@
 /** A request that hears nothing for so many times what was expected, and some more, is overdue. */
 const OVERDUE_FACTOR = 3
 const OVERDUE_EXTRA_MS = 600
+/** Requests that are granted in this time may arrive together: a connection that is slow to open holds some of them up. */
+const GRANT_WINDOW_MS = 1400
 /** So many overdue requests, and none that heard anything since, tell of an upstream that is gone before its entry is. */
 const MIN_OVERDUE = 2
 
@@ -107,10 +112,12 @@
   private readonly _targets = new Map<string, TargetState>()
   private readonly _assignments = new Map<string, Assignment>()
   private readonly _prefixes = new PrefixBook()
+  private readonly _granted = new SlidingCount(GRANT_WINDOW_MS)
 
   /** The best target; undefined when there is none. */
   choose (question: TargetQuestion, now: number): TargetChoice | undefined {
-    const { shape, candidates } = question
+    const { shape } = question
+    const candidates = question.candidates.filter(({ id, maxPerS = Infinity }) => maxPerS === Infinity || this._granted.count(id, now) < maxPerS)
     const healthy = candidates.filter(candidate => this._isUsable(this._getTarget(candidate.id), now))
     const usable = healthy.length * 2 >= candidates.length ? healthy : candidates
     const favourite = findFavourite(shape.shared.at(-1)?.key ?? '', usable)
@@ -143,6 +150,7 @@
     const expectedMs = estimateReadingMs(target, tokens)
     const assignment = { targetId, tokens, tokensAhead: target.pendingTokens, assignedAt: now, overdueAt: now + expectedMs * OVERDUE_FACTOR + OVERDUE_EXTRA_MS }
     this._assignments.set(jobId, assignment)
+    this._granted.add(targetId, now)
     target.pendingTokens += tokens
     target.waiting.add(assignment)
     this._prefixes.add(shape.shared, targetId, now)
@@ -164,6 +172,7 @@
 
   drop (targetId: string): void {
     this._targets.delete(targetId)
+    this._granted.drop(targetId)
     this._prefixes.drop(targetId)
   }
 
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -3,9 +3,17 @@
  */
 import type { GenerationWork } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
+import type { ColdAllowance } from '../../upstream/common/coldAllowance.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
 
+export interface PlanShardOptions {
+  readonly registry: UpstreamRegistry
+  readonly getTable: () => RelayTable | undefined
+  /** What cold upstreams bear; without it nothing bounds what they get. */
+  readonly cold?: ColdAllowance
+}
+
 /** One plan: all upstreams, or those of one hall. */
 export class PlanShard {
   readonly planner: PreparationPlanner
@@ -13,10 +21,10 @@
   isFreeing = false
   loadLoggedAt = -Infinity
 
-  constructor (readonly hall: string, registry: UpstreamRegistry, getTable: () => RelayTable | undefined) {
+  constructor (readonly hall: string, { registry, getTable, cold }: PlanShardOptions) {
     this.planner = new PreparationPlanner(role => {
       const msPerMovedToken = computeMoveMs(getTable()?.getRole(role)?.generationWork)
-      return registry.listRole(role).filter(entry => this.holds(entry)).map(({ id, hall }) => ({ id, hall, msPerMovedToken }))
+      return registry.listRole(role).filter(entry => this.holds(entry)).map(entry => ({ id: entry.id, hall: entry.hall, msPerMovedToken, maxPerS: cold?.computePlanned(entry) }))
     })
   }
 
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -7,6 +7,7 @@
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
+import type { ColdAllowance } from '../../upstream/common/coldAllowance.ts'
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobNews, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
@@ -22,6 +23,7 @@
   readonly protocol: PieceProtocol
   readonly registry: UpstreamRegistry
   readonly getTable: () => RelayTable | undefined
+  readonly cold?: ColdAllowance
 }
 
 /** A job as it comes to a coordinator. */
@@ -227,7 +229,7 @@
   private _getShard (hall: string): PlanShard {
     let shard = this._shards.get(hall)
     if (shard === undefined) {
-      shard = new PlanShard(hall, this._options.registry, this._options.getTable)
+      shard = new PlanShard(hall, this._options)
       this._shards.set(hall, shard)
       this._refreshShard(shard)
     }
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -3,7 +3,9 @@
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
+import { SlidingCount } from '../../../base/common/slidingCount.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
+import type { ColdAllowance } from '../../upstream/common/coldAllowance.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { AttemptOutcome } from './attemptDecision.ts'
 import { listSharedPrefixes } from './relayRequest.ts'
@@ -20,6 +22,8 @@
   readonly countNodes: () => number
   /** Whether a boot is known to have ended though it is still listed. */
   readonly hasEnded: (upstream: string) => boolean
+  /** What cold upstreams bear; without it nothing bounds what they get. */
+  readonly cold?: ColdAllowance
 }
 
 export interface PoolQuestion {
@@ -63,16 +67,20 @@
 
 /** A report of load is believed for so long. */
 const MAX_LOAD_AGE_MS = 1000
+/** What was chosen in this time may arrive within a second: a connection that is slow to open holds some of it up. */
+const COLD_WINDOW_MS = 1400
 /** No more than this part of a role is left out for its health. */
 const MAX_EJECTED_SHARE = 0.5
 
 export class RelayPool {
   private readonly _options: RelayPoolOptions
   private readonly _uses = new Map<string, UpstreamUse>()
+  /** What this node chose for itself. */
+  private readonly _chosen = new SlidingCount(COLD_WINDOW_MS)
 
   constructor (options: RelayPoolOptions) {
     this._options = options
-    options.registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._uses.delete(entry.id) })
+    options.registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._forget(entry.id) })
   }
 
   /** An upstream that was chosen elsewhere, if nothing known here speaks against it. */
@@ -83,7 +91,7 @@
   }
 
   choose (question: PoolQuestion): UpstreamEntry | undefined {
-    const entries = this._options.registry.listRole(question.role)
+    const entries = this._listOpen(question.role)
     const untried = entries.filter(entry => !question.tried.has(entry.id))
     const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length)
     const shared = question.prompt === undefined ? undefined : listSharedPrefixes(question.prompt).at(-1)
@@ -91,7 +99,7 @@
       { sharedPrefix: shared?.key ?? '', sharedTokens: shared?.tokens ?? 0, hall: question.hall, nodeCount: this._options.countNodes() },
       usable.map(entry => this._createCandidate(entry))
     )
-    return choice === undefined ? undefined : this._options.registry.get(choice.id)
+    return this._take(choice?.id)
   }
 
   /**
@@ -99,13 +107,13 @@
    * as little else as may be. Nodes rank upstreams alike for one request and differently for two.
    */
   chooseApart ({ role, tried, key }: ApartQuestion): UpstreamEntry | undefined {
-    const entries = this._options.registry.listRole(role)
+    const entries = this._listOpen(role)
     const untried = entries.filter(entry => !tried.has(entry.id))
     const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length).filter(entry => !this._options.hasEnded(entry.id))
     const ranked = rankByRendezvous(key, usable.map(entry => entry.id))
     const costs = ranked.map(id => ({ id, use: this._getUse(id) }))
     const [best] = costs.sort((a, b) => a.use.suspects - b.use.suspects || a.use.inFlight - b.use.inFlight)
-    return best === undefined ? undefined : this._options.registry.get(best.id)
+    return this._take(best?.id)
   }
 
   begin (upstream: UpstreamEntry, { prompt, isSuspect }: PoolArrival): PoolVisit {
@@ -140,6 +148,29 @@
     return [...this._uses].map(([id, use]) => ({ id, inFlight: use.inFlight, pendingTokens: use.pendingTokens, health: use.health.getState(now), load: use.load }))
   }
 
+  /** Upstreams that take work from this node now: cold ones are left out where others may have used up what they bear. */
+  private _listOpen (role: string): readonly UpstreamEntry[] {
+    const { registry, cold, clock } = this._options
+    const entries = registry.listRole(role)
+    if (cold === undefined) return entries
+    const now = clock.now()
+    return entries.filter(entry => {
+      const maxPerS = cold.computeDirect(entry)
+      return maxPerS === Infinity || this._chosen.count(entry.id, now) < maxPerS
+    })
+  }
+
+  private _take (id: string | undefined): UpstreamEntry | undefined {
+    if (id === undefined) return undefined
+    this._chosen.add(id, this._options.clock.now())
+    return this._options.registry.get(id)
+  }
+
+  private _forget (id: string): void {
+    this._uses.delete(id)
+    this._chosen.drop(id)
+  }
+
   /** A refusal for want of room says nothing of health; a failed connection does. */
   private _recordHealth (use: UpstreamUse, outcome: AttemptOutcome): void {
     const now = this._options.clock.now()
--- a/src/services/upstream/common/upstreamRegistry.ts
+++ b/src/services/upstream/common/upstreamRegistry.ts
@@ -17,6 +17,8 @@
   /** Calls that it works on at once. */
   readonly slots: number
   readonly isLeaving: boolean
+  /** Until then it bears few requests, on the process's clock. */
+  readonly coldUntil?: number
 }
 
 /** What changed of an entry. */
