Serve requests of routes and customers with homes in these alone

Regions of halls come from the settings; a request whose route or customer has homes chooses among upstreams of halls there, its job goes to plans of these halls (a plan of all halls would use others too), and where a host's routes have homes, address answers name nodes there or in the caller's region. Where route and customer both have homes, both bind; where nothing is left, the request is refused at once. A home that no hall lies in keeps binding and is logged (home_unknown).

Cold: a hall that is taken back counts as cold for as long as an upstream after a start, and an older word of being warm shortens nothing.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -19,8 +19,9 @@
 import { FeedService } from '../services/feed/node/feedService.ts'
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
+import { HallRegions } from '../services/locate/common/hallRegions.ts'
 import { listNodeAddresses } from '../services/locate/common/nodeDirectory.ts'
-import type { AddressAnswer } from '../services/locate/common/nodeDirectory.ts'
+import type { AddressAnswer, CallerPlace } from '../services/locate/common/nodeDirectory.ts'
 import type { Member } from '../services/membership/common/membershipTable.ts'
 import { FleetMember } from '../services/membership/node/fleetMember.ts'
 import { PauseGuard } from '../services/pause/common/pauseGuard.ts'
@@ -94,6 +95,7 @@
   private readonly _options: EntryNodeOptions
   private readonly _member: FleetMember
   private readonly _registry = this._register(new UpstreamRegistry())
+  private readonly _regions: HallRegions
   private readonly _pause: PauseGuard
   private readonly _recovery: PauseRecovery
   private readonly _recent: DecayingCount
@@ -124,6 +126,7 @@
     this._settings = options.settings
     const { clock, log, random, settings } = options
     this._startedAt = clock.now()
+    this._regions = new HallRegions(settings.hall_regions)
     this._pause = new PauseGuard({ clock, getTimeOfDay: Date.now })
     this._recent = new DecayingCount(clock, LOAD_MEMORY_MS)
     this._member = this._register(new FleetMember({
@@ -184,6 +187,7 @@
         random,
         log,
         hall: settings.hall,
+        regions: this._regions,
         agent,
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
@@ -213,7 +217,7 @@
     })
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
-    this._sharing = this._register(new UpstreamSharing({ clock, log, facts: this._member.facts, registry: this._registry, source: options.upstreamSource }))
+    this._sharing = this._register(new UpstreamSharing({ clock, log, facts: this._member.facts, registry: this._registry, source: options.upstreamSource, getColdMs: role => this._table?.getRole(role)?.coldMs ?? 0 }))
     this._register(this._member.facts.onDidChange(fact => { if (fact.value.kind === 'member') this._scheduleMove() }))
     this._register(this._member.onDidJoin(() => this._scheduleMove()))
     this._register(options.configurationSource)
@@ -256,13 +260,16 @@
     }
   }
 
-  /** Which addresses callers should use, and for how long. */
-  locate (hall: string): AddressAnswer {
+  /** Which addresses callers should use, and for how long: where their host's routes have homes, in these or near them. */
+  locate ({ host, hall, region }: CallerPlace): AddressAnswer {
+    const homes = this._table?.listHomes(host) ?? []
     return listNodeAddresses({
       gates: this._listGates(),
       members: this._member.membership.listMembers(),
       hall,
       own: this.isReady ? this._settings.callers_address : undefined,
+      ownHall: this._settings.hall,
+      isHome: homes.length === 0 ? undefined : other => [region, ...homes].includes(this._regions.findRegion(other) ?? ''),
       maxKeepMs: this._settings.keep_s * 1000
     })
   }
@@ -331,10 +338,18 @@
     const { relay } = accepted.configuration
     if (relay === undefined) return
     this._table = new RelayTable(relay)
+    this._checkHomes(this._table)
     this._relay.applyLimits(relay.limits)
     this._coordinator.refresh()
   }
 
+  /** A home that no hall lies in keeps binding: its requests are refused, and operators see why. */
+  private _checkHomes (table: RelayTable): void {
+    for (const { of, regions } of table.listAllHomes()) {
+      for (const region of this._regions.listUnknown(regions)) this._options.log.warn('home_unknown', { of, region })
+    }
+  }
+
   /** Says whether callers may use this node, when that has changed or was not said for long. */
   private _report (): void {
     const { settings, incarnation, clock } = this._options
--- a/src/entryNode/upstreamSharing.ts
+++ b/src/entryNode/upstreamSharing.ts
@@ -19,6 +19,8 @@
   readonly facts: FactStore
   readonly registry: UpstreamRegistry
   readonly source: UpstreamSource
+  /** How long upstreams of a role may be cold when their hall is taken back. */
+  readonly getColdMs?: (role: string) => number
 }
 
 /** Order of what is said of one boot: gone outweighs leaving. */
@@ -120,11 +122,21 @@
 
   private _setEvacuated (hall: string, isEvacuated: boolean, revision: number, peer: string): void {
     const { clock, registry, log } = this._options
+    if (!isEvacuated && registry.isEvacuated(hall)) this._markCold(hall)
     if (!registry.setEvacuated(hall, isEvacuated)) return
     const known = registry.computeAge(clock.now())
     log.info(isEvacuated ? 'hall_evacuated' : 'hall_readmitted', { hall, revision: formatPosition(revision), source: peer === '' ? 'own' : peer, known_revision: formatPosition(known.revision), known_age_ms: Math.round(known.ageMs) })
   }
 
+  /** Upstreams may have become cold while their hall was empty, and their word of it may have been lost with a store. */
+  private _markCold (hall: string): void {
+    const { clock, registry, getColdMs = () => 0 } = this._options
+    for (const entry of registry.list()) {
+      const coldUntil = clock.now() + getColdMs(entry.role)
+      if (entry.hall === hall && coldUntil > (entry.coldUntil ?? 0)) registry.update({ ...entry, coldUntil }, 'readmitted')
+    }
+  }
+
   private _noteChange ({ kind, entry, signal }: UpstreamChange): void {
     // A list of all upstreams is one line: a starting fleet would write thousands.
     if (kind === 'changed' || (kind === 'added' && signal === LIST_SIGNAL)) return
--- a/src/services/locate/common/nodeDirectory.ts
+++ b/src/services/locate/common/nodeDirectory.ts
@@ -12,7 +12,17 @@
   readonly hall: string
   /** The answering node's own address, if it takes requests. */
   readonly own: string | undefined
+  readonly ownHall?: string
   readonly maxKeepMs: number
+  /** Whether callers should be led to nodes in a hall; left out where all halls will do. */
+  readonly isHome?: (hall: string) => boolean
+}
+
+/** Where a caller is, and which host's routes it wants. */
+export interface CallerPlace {
+  readonly host: string
+  readonly hall: string
+  readonly region: string
 }
 
 export interface AddressAnswer {
@@ -26,12 +36,14 @@
 
 /** Nodes that said last that they take requests, and that answer probes; the answering node's own view of itself goes first. */
 export function listNodeAddresses (inputs: NodeDirectoryInputs): AddressAnswer {
-  const { gates, members, own, maxKeepMs } = inputs
+  const { gates, members, own, ownHall = '', maxKeepMs, isHome = () => true } = inputs
   const alive = new Set(members.filter(member => member.state === 'alive').map(member => getHost(member.address)))
   const usable = gates
     .filter(gate => gate.address !== own && gate.ready && !gate.draining && alive.has(getHost(gate.address)))
-    .map(gate => gate.address)
-  const addresses = own === undefined ? usable : [own, ...usable]
+  const named = [...own === undefined ? [] : [{ address: own, hall: ownHall }], ...usable]
+  const homely = named.filter(({ hall }) => isHome(hall))
+  // A caller that can be served nowhere near is still better off than one without an address.
+  const addresses = (homely.length > 0 ? homely : named).map(({ address }) => address)
   return { addresses: addresses.slice(0, MAX_ADDRESSES), keepMs: Math.min(KEEP_MS, maxKeepMs) }
 }
 
--- a/src/services/locate/test/nodeDirectory.test.ts
+++ b/src/services/locate/test/nodeDirectory.test.ts
@@ -35,6 +35,15 @@
   })
 }
 
+test('where a host\'s routes have homes, nodes elsewhere are not named, the answering one neither', () => {
+  const homely = gates.map((gate, index) => ({ ...gate, hall: `h${index + 1}` }))
+  const place = { ...inputs, gates: homely, ownHall: 'h1' }
+  assert.equal(listNodeAddresses({ ...place, isHome: hall => hall === 'h2' }).addresses, ['10.0.0.2:80'])
+  assert.equal(listNodeAddresses({ ...place, isHome: hall => hall !== 'h2' }).addresses, ['10.0.0.1:80', '10.0.0.3:80'])
+  // Better far than nowhere.
+  assert.is(listNodeAddresses({ ...place, isHome: () => false }).addresses.length, 3)
+})
+
 test('a node that is quiet but answers probes is named, and no answer is kept longer than allowed', () => {
   const answer = listNodeAddresses({ ...inputs, gates: gates.map(gate => ({ ...gate, ageMs: 9000 })), maxKeepMs: 500 })
   assert.is(answer.addresses.length, 3)
--- a/src/services/preparation/common/coordinatorChoice.ts
+++ b/src/services/preparation/common/coordinatorChoice.ts
@@ -35,6 +35,12 @@
   return rankByRendezvous(key, halls)
 }
 
+/** Plans for a job that only some halls may serve: those of these halls alone, since a plan of all would use others too. */
+export function listHomePlans (upstreams: readonly PlannedUpstream[], key: string, homeHalls: readonly string[]): readonly string[] {
+  const halls = new Set(upstreams.map(upstream => upstream.hall))
+  return rankByRendezvous(key, homeHalls.filter(hall => halls.has(hall)))
+}
+
 /**
  * The strongest host, and of these the node that has run for longest: one that comes back after a restart does not take
  * the jobs away from the one that replaced it, since two coordinators do not see each other's results in the upstreams'
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -36,6 +36,8 @@
   readonly deadlineInMs: number
   /** Upstreams have ended under the request or its pieces, so these go into no call with those of others. */
   readonly isSuspect?: boolean
+  /** The only halls that its pieces and the request itself may go to; undefined for all. */
+  readonly homeHalls?: readonly string[] | undefined
 }
 
 /** Whether results have to be made; otherwise only an upstream is asked for. */
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -31,7 +31,8 @@
   rank: Count,
   goalInMs: Span,
   deadlineInMs: Span,
-  isSuspect: Schema.optional(Schema.Boolean)
+  isSuspect: Schema.optional(Schema.Boolean),
+  homeHalls: Schema.optional(Schema.Array(Schema.String.pipe(Schema.maxLength(256))))
 })
 
 const ResultSchema = Schema.Struct({ handle: Id, upstreamId: Id })
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -11,7 +11,7 @@
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { listLastStages } from '../common/preparationJob.ts'
 import type { CarriedPiece, JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
-import { chooseCoordinator, listPlans } from '../common/coordinatorChoice.ts'
+import { chooseCoordinator, listHomePlans, listPlans } from '../common/coordinatorChoice.ts'
 import type { CoordinatorCandidate, PlannedUpstream } from '../common/coordinatorChoice.ts'
 import type { IPreparationService, IPreparedInputs, LostPiecesListener } from '../common/preparationService.ts'
 import { MAX_PREFIX_NOTES } from '../common/preparationMessage.ts'
@@ -149,8 +149,10 @@
 
   /** Jobs with the same shared parts go to the same plan, which knows where these were read. */
   private _listPlans (open: OpenJob): readonly string[] {
-    const longest = open.job.request.shared.at(-1)
-    return listPlans(this._options.listPieceUpstreams(), longest?.key ?? open.job.id)
+    const { job } = open
+    const upstreams = this._options.listPieceUpstreams()
+    const key = job.request.shared.at(-1)?.key ?? job.id
+    return job.homeHalls === undefined ? listPlans(upstreams, key) : listHomePlans(upstreams, key, job.homeHalls)
   }
 
   /** A plan that has no room or no upstreams, or would be late, may have a neighbour that is better off. */
--- a/src/services/preparation/test/coordinatorChoice.test.ts
+++ b/src/services/preparation/test/coordinatorChoice.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { chooseCoordinator, listPlans } from '../common/coordinatorChoice.ts'
+import { chooseCoordinator, listHomePlans, listPlans } from '../common/coordinatorChoice.ts'
 
 const test = suite('coordinatorChoice')
 
@@ -37,4 +37,10 @@
   assert.equal(listPlans([...createUpstreams(3), { role: 't', hall: 'x' }], 'p'), [''])
 })
 
+test('a job with homes is planned in these alone, also where one plan serves all other jobs', () => {
+  assert.equal(listHomePlans(createUpstreams(1), 'p', ['y']), ['y'])
+  assert.equal([...listHomePlans(createUpstreams(1), 'p', ['y', 'z', 'elsewhere'])].sort(), ['y', 'z'])
+  assert.equal(listHomePlans(createUpstreams(1), 'p', []), [])
+})
+
 test.run()
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -12,6 +12,8 @@
   /** The role of the upstreams that the request goes to. */
   readonly role: string
   readonly priority: number
+  /** The only halls that may serve it; undefined for all. */
+  readonly homeHalls?: readonly string[] | undefined
   readonly deadlineInMs: number
   /** Upstreams have ended under it. */
   readonly isSuspect: boolean
@@ -25,7 +27,7 @@
  * take the request: its prompt has long parts that others share, and the planner knows where these are kept.
  */
 export function createPreparationJob (inputs: PreparationNeedInputs): PreparationJob | undefined {
-  const { request, route, role, priority, deadlineInMs, isSuspect } = inputs
+  const { request, route, role, priority, homeHalls, deadlineInMs, isSuspect } = inputs
   if (route.stages.length === 0) return undefined
   const need = request.preparation
   const counts = route.stages.map((_, index) => need?.pieceCounts[index] ?? 0)
@@ -43,5 +45,5 @@
     shared,
     inputTokens: prompt?.inputTokens ?? 0
   }
-  return { id: request.id, key: need?.key ?? '', stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs, isSuspect }
+  return { id: request.id, key: need?.key ?? '', stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs, isSuspect, homeHalls }
 }
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -32,10 +32,12 @@
   readonly hall: string
   /** Upstreams that the request was sent to already. */
   readonly tried: ReadonlySet<string>
+  /** The only halls that may serve the request; undefined for all. */
+  readonly homeHalls?: readonly string[]
 }
 
 /** A request that may have ended upstreams wants a place where it does least harm. */
-export interface ApartQuestion extends Pick<PoolQuestion, 'role' | 'tried'> {
+export interface ApartQuestion extends Pick<PoolQuestion, 'role' | 'tried' | 'homeHalls'> {
   /** What the tries of the request have in common. */
   readonly key: string
 }
@@ -84,14 +86,14 @@
   }
 
   /** An upstream that was chosen elsewhere, if nothing known here speaks against it. */
-  confirm (id: string, tried: ReadonlySet<string>): UpstreamEntry | undefined {
+  confirm (id: string, tried: ReadonlySet<string>, homeHalls?: readonly string[]): UpstreamEntry | undefined {
     const entry = this._options.registry.get(id)
-    if (entry === undefined || !this._options.registry.mayUse(entry) || tried.has(id)) return undefined
+    if (entry === undefined || !this._options.registry.mayUse(entry) || tried.has(id) || homeHalls?.includes(entry.hall) === false) return undefined
     return this._getUse(id).health.getState(this._options.clock.now()) === 'ejected' ? undefined : entry
   }
 
   choose (question: PoolQuestion): UpstreamEntry | undefined {
-    const entries = this._listOpen(question.role)
+    const entries = this._listOpen(question.role, question.homeHalls)
     const untried = entries.filter(entry => !question.tried.has(entry.id))
     const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length)
     const shared = question.prompt === undefined ? undefined : listSharedPrefixes(question.prompt).at(-1)
@@ -106,8 +108,8 @@
    * Where a suspect goes: to an upstream that has no other suspect, so that the next end tells which of them it was, and
    * as little else as may be. Nodes rank upstreams alike for one request and differently for two.
    */
-  chooseApart ({ role, tried, key }: ApartQuestion): UpstreamEntry | undefined {
-    const entries = this._listOpen(role)
+  chooseApart ({ role, tried, key, homeHalls }: ApartQuestion): UpstreamEntry | undefined {
+    const entries = this._listOpen(role, homeHalls)
     const untried = entries.filter(entry => !tried.has(entry.id))
     const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length).filter(entry => !this._options.hasEnded(entry.id))
     const ranked = rankByRendezvous(key, usable.map(entry => entry.id))
@@ -149,9 +151,10 @@
   }
 
   /** Upstreams that take work from this node now: cold ones are left out where others may have used up what they bear. */
-  private _listOpen (role: string): readonly UpstreamEntry[] {
+  private _listOpen (role: string, homeHalls: readonly string[] | undefined): readonly UpstreamEntry[] {
     const { registry, cold, clock } = this._options
-    const entries = registry.listRole(role)
+    const listed = registry.listRole(role)
+    const entries = homeHalls === undefined ? listed : listed.filter(({ hall }) => homeHalls.includes(hall))
     if (cold === undefined) return entries
     const now = clock.now()
     return entries.filter(entry => {
--- a/src/services/relay/common/relayTable.ts
+++ b/src/services/relay/common/relayTable.ts
@@ -30,6 +30,18 @@
     return this._routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix))
   }
 
+  /** Regions that are home to any route of a host; empty where none of them has homes. */
+  listHomes (host: string): readonly string[] {
+    return [...new Set((this._routesByHost.get(host) ?? []).flatMap(route => route.homeRegions))]
+  }
+
+  /** Home regions of routes and customers, each with what it is of. */
+  listAllHomes (): readonly { readonly of: string, readonly regions: readonly string[] }[] {
+    const routes = [...this._routesByHost.values()].flat().map(route => ({ of: `route ${route.name}`, regions: route.homeRegions }))
+    const customers = [...new Set(this._customersByKey.values())].map(customer => ({ of: `customer ${customer.name}`, regions: customer.homeRegions }))
+    return [...routes, ...customers].filter(({ regions }) => regions.length > 0)
+  }
+
   /** The customer that holds the key with this digest. */
   findCustomer (keyDigest: string): RelayCustomer | undefined {
     return this._customersByKey.get(keyDigest)
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -5,6 +5,7 @@
 import type { IClock } from '../../../base/common/clock.ts'
 import type { IRandom } from '../../../base/common/random.ts'
 import type { ILogService } from '../../log/node/logger.ts'
+import type { HallRegions } from '../../locate/common/hallRegions.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import type { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
 import type { IQuarantineService } from '../../quarantine/common/quarantine.ts'
@@ -19,6 +20,8 @@
   readonly random: IRandom
   readonly log: ILogService
   readonly hall: string
+  /** Without it no request is bound to regions. */
+  readonly regions?: HallRegions
   readonly localAddress?: string
   readonly agent: Agent
   readonly upstreamProtocol: UpstreamProtocol
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -34,6 +34,8 @@
   readonly customer: string | undefined
   /** 0 goes first. */
   readonly priority: number
+  /** The only halls whose upstreams may get it; undefined for all. */
+  readonly homeHalls?: readonly string[] | undefined
   readonly body: Buffer
   readonly answer: CallerAnswer
   /** On the process's clock. */
@@ -158,7 +160,7 @@
   private async _prepare (): Promise<ResultName | undefined> {
     const { request, route } = this._taken
     const isSuspect = this._standing.ends > 0
-    const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, deadlineInMs: this._getTimeLeft(), isSuspect })
+    const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, homeHalls: this._taken.homeHalls, deadlineInMs: this._getTimeLeft(), isSuspect })
     return job === undefined ? undefined : await this._takePreparation(await this._inputs.prepare(job))
   }
 
@@ -184,14 +186,16 @@
   }
 
   private _chooseUpstream (): UpstreamEntry | undefined {
-    if (this._standing.ends > 0) return this._context.pool.chooseApart({ role: this._role, tried: this._tried, key: this._suspect.getDigest() })
+    const { homeHalls } = this._taken
+    if (this._standing.ends > 0) return this._context.pool.chooseApart({ role: this._role, tried: this._tried, key: this._suspect.getDigest(), homeHalls })
     const { targetId } = this._inputs
-    const chosen = targetId === undefined ? undefined : this._context.pool.confirm(targetId, this._tried)
+    const chosen = targetId === undefined ? undefined : this._context.pool.confirm(targetId, this._tried, homeHalls)
     return chosen ?? this._context.pool.choose({
       role: this._role,
       prompt: this._taken.request.prompt,
       hall: this._inputs.hall || this._context.hall,
-      tried: this._tried
+      tried: this._tried,
+      homeHalls
     })
   }
 
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -174,10 +174,11 @@
     if (table === undefined) return Left(createRefusal('gateNotReady', 'no configuration is known yet', true))
     const route = table.findRoute(request.host, getPath(request.target))
     if (route === undefined) return Left(createRefusal('routeUnknown', 'no route has this host and path', false, request.host))
-    if (route.isPublic || !table.needsKeys) return Right({ request, route, customer: undefined, priority: route.priority })
+    const { regions } = this._context
+    if (route.isPublic || !table.needsKeys) return Right({ request, route, customer: undefined, priority: route.priority, homeHalls: regions?.listHomeHalls(route.homeRegions) })
     const customer = request.key === undefined ? undefined : table.findCustomer(this._digestKey(request.key))
     if (customer === undefined) return Left(createRefusal('keyWrong', 'no customer has this key', false))
-    return Right({ request, route, customer: customer.name, priority: customer.priority * PRIORITY_STEP + route.priority })
+    return Right({ request, route, customer: customer.name, priority: customer.priority * PRIORITY_STEP + route.priority, homeHalls: regions?.listHomeHalls(route.homeRegions, customer.homeRegions) })
   }
 
   /** Keys come back with every request, so their digests are kept for a while. */
@@ -224,7 +225,7 @@
   }
 }
 
-type AdmittedRequest = Pick<TakenRequest, 'request' | 'route' | 'customer' | 'priority'>
+type AdmittedRequest = Pick<TakenRequest, 'request' | 'route' | 'customer' | 'priority' | 'homeHalls'>
 
 /** A customer's priority goes before that of any route. */
 const PRIORITY_STEP = 10
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -15,6 +15,7 @@
 import type { RouteSchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { FactStore } from '../../facts/common/factStore.ts'
 import { TrustingTracker } from '../../health/common/healthTracker.ts'
+import { HallRegions } from '../../locate/common/hallRegions.ts'
 import { LogService } from '../../log/node/logger.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
@@ -148,7 +149,10 @@
   readonly retries?: number
   /** What it shares with other nodes. */
   readonly facts?: FactStore
-  readonly customers?: readonly { readonly name: string, readonly keySha256: string[] }[]
+  readonly customers?: readonly { readonly name: string, readonly keySha256: string[], readonly homeRegions?: string[] }[]
+  /** The hall of each upstream, in order; all are in one without it. */
+  readonly halls?: readonly string[]
+  readonly hallRegions?: Readonly<Record<string, string>>
 }
 
 const NO_PREPARATION: IPreparationService = {
@@ -184,6 +188,7 @@
         random: new SeededRandom(1),
         log,
         hall: '',
+        regions: new HallRegions(_options.hallRegions),
         agent,
         upstreamProtocol: new FakeUpstreamProtocol(),
         registry: this.registry,
@@ -204,9 +209,10 @@
 
   /** A boot of an upstream announces itself; resolves with its id. */
   async addUpstream (upstream: FakeUpstream): Promise<string> {
+    const hall = this._options.halls?.[this._upstreamCount] ?? ''
     const id = `u${this._upstreamCount++}`
     this._register(upstream)
-    this.registry.update({ id, role: 'u', address: await upstream.listen(), hall: '', slots: 4, isLeaving: false }, 'test')
+    this.registry.update({ id, role: 'u', address: await upstream.listen(), hall, slots: 4, isLeaving: false }, 'test')
     return id
   }
 
