--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -37,6 +37,7 @@
   /** How often one member gets everything that it was not sent yet. */
   readonly comparePeriodMs?: number
   readonly seedPeriodMs?: number
+  readonly dial?: (options: DialOptions) => Promise<PeerLink>
 }
 
 /** Members that get news in each round. */
@@ -332,7 +333,8 @@
 
   private async _dial (address: string): Promise<PeerLink | undefined> {
     try {
-      const link = await dialPeer({ ...this._options.link, address })
+      const { dial = dialPeer, link: linkOptions } = this._options
+      const link = await dial({ ...linkOptions, address })
       if (this._isDisposed) {
         link.dispose()
         return undefined
