Tell the plan of a target that accepts no connection

A target that could not be reached was reported as unused once the request had gone elsewhere, and what tells of a dark upstream before its entry goes, waiting requests that are overdue, was gone with it.

darkUpstream.test.ts passes.

--- a/src/services/relay/common/attemptDecision.ts
+++ b/src/services/relay/common/attemptDecision.ts
@@ -71,6 +71,11 @@
   return { kind: 'refuse', isNotRun: inputs.runCount === 0 }
 }
 
+/** Whether the upstream is to blame: one that accepts no connection may be gone long before its entry is. */
+export function hasFailedUpstream (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'lost' || outcome.kind === 'failed' || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')
+}
+
 /** The connection ended before the answer did. */
 export function hasLostRun (outcome: AttemptOutcome): boolean {
   return outcome.kind === 'lost' || outcome.kind === 'broken'
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -12,7 +12,7 @@
 import type { LostPieces } from '../../preparation/common/preparationService.ts'
 import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { computeHeadTimeout, computePauseTimeout } from '../common/attemptTimes.ts'
-import { decideAfterAttempt, hasLostRun } from '../common/attemptDecision.ts'
+import { decideAfterAttempt, hasFailedUpstream, hasLostRun } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { PoolVisit } from '../common/relayPool.ts'
@@ -244,7 +244,7 @@
     // What was not taken is still there for another upstream.
     if (result.outcome.kind === 'notRun') releasing?.dispose()
     this._inputs.noteOutcome(result.outcome)
-    if (result.outcome.kind === 'lost' || result.outcome.kind === 'failed') this._inputs.report(upstream, { outcome: 'failed', producedMs: 0 })
+    if (hasFailedUpstream(result.outcome)) this._inputs.report(upstream, { outcome: 'failed', producedMs: 0 })
     return result
   }
 
