Revert the brief dials to seeds

Hypothesis: hosts that know each other sooner after a loss of power serve sooner.

Conclusion: reverted.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -73,7 +73,7 @@
 /** How long a starting node waits for the source and its peers before it goes on with what it has. */
 const READY_WAIT_MS = 3000
 /** Until nodes know each other, each coordinates its own jobs; after a loss of power they start in any order. */
-const SEED_PERIOD_MS = 100
+const SEED_PERIOD_MS = 200
 const LOAD_MEMORY_MS = 5000
 /** The part of the fleet's retries that is handed out; the rest covers what nodes see differently. */
 const RETRY_SAFETY = 0.8
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -16,7 +16,7 @@
 import { FactStore } from '../../facts/common/factStore.ts'
 import type { HeldFact } from '../../facts/common/factStore.ts'
 import { PeerLink, sumTraffic } from '../../facts/node/peerLink.ts'
-import type { DialOptions, LinkTraffic } from '../../facts/node/peerLink.ts'
+import type { LinkTraffic } from '../../facts/node/peerLink.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import { FrameServer } from '../../rpc/node/frameServer.ts'
 import { MembershipTable } from '../common/membershipTable.ts'
@@ -41,8 +41,6 @@
   readonly probePeriodMs?: number
   /** How often members that are to be met first are tried again. */
   readonly seedPeriodMs?: number
-  /** How links are opened. */
-  readonly dial?: (options: DialOptions) => Promise<PeerLink>
   /** False where no gate is ever linked, which saves a timer. */
   readonly hasGates?: boolean
   /** How long a starting process waits for the configuration's source and its peers. */
@@ -122,8 +120,7 @@
       listAccepted: () => this._listPeerLinks(),
       probePeriodMs: options.probePeriodMs,
       probeTimeoutMs: () => computeProbeTimeout(this.membership.listLive().map(member => member.weight)),
-      seedPeriodMs: options.seedPeriodMs,
-      dial: options.dial
+      seedPeriodMs: options.seedPeriodMs
     }))
     this._register(this.configuration.onDidAccept(accepted => this._handleAccepted(accepted)))
     this._register(this.facts.onDidChange(fact => this._handleFact(fact)))
--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -37,19 +37,12 @@
   /** How often one member gets everything that it was not sent yet. */
   readonly comparePeriodMs?: number
   readonly seedPeriodMs?: number
-  readonly dial?: (options: DialOptions) => Promise<PeerLink>
 }
 
 /** Members that get news in each round. */
 const SPREAD_COUNT = 2
 /** Rounds for which a fact is news: each steward passes it on about SPREAD_COUNT times as often, whatever the number of members. */
 const NEWS_ROUNDS = 3
-/**
- * Hosts that lost power together come back in any order, and what was sent to one before it has power is lost. So a
- * member that knows nobody dials its seeds briefly, and again, before it takes them for far or gone.
- */
-const BRIEF_DIAL_MS = 100
-const BRIEF_ROUNDS = 10
 /** Members that are asked to probe one that does not answer. */
 const HELPER_COUNT = 2
 /** More than a member has neighbours: all are told at once that this one leaves, since they must stop sending callers here. */
@@ -79,7 +72,6 @@
   private _closedTraffic: LinkTraffic = { sent: 0, received: 0 }
   private _urgentTimer: NodeJS.Timeout | undefined
   private _urgentCount = 0
-  private _lonelyRounds = 0
   private _isCheckingLinks = false
   private readonly _neighbourChoice: NeighbourChoice
   /** Links that someone else needs, besides those to neighbours. */
@@ -124,15 +116,10 @@
   async meetSeeds (): Promise<number> {
     const own = this._options.link.hello.address
     const seeds = this._options.listSeeds().filter(address => address !== own)
-    const timeoutMs = this._isAlone && this._lonelyRounds++ < BRIEF_ROUNDS ? BRIEF_DIAL_MS : undefined
-    const links = await Promise.all(seeds.map(address => this._getLink(address, timeoutMs)))
+    const links = await Promise.all(seeds.map(address => this._getLink(address)))
     return links.filter(link => link !== undefined).length
   }
 
-  private get _isAlone (): boolean {
-    return this._options.membership.listPeerAddresses().length === 0
-  }
-
   /** Members that this one links to, probes, and tells news. */
   listNeighbours (): readonly string[] {
     return this._neighbourChoice.choose(this._options.membership.listPeerAddresses())
@@ -145,7 +132,7 @@
 
   /** A member that knows no other meets its seeds. */
   private _meetFirst (): void {
-    if (this._isAlone) void this.meetSeeds()
+    if (this._options.membership.listPeerAddresses().length === 0) void this.meetSeeds()
   }
 
   /**
@@ -335,18 +322,17 @@
     for (const link of this._draw(this._listNeighbourLinks(), 1)) link.sendNews()
   }
 
-  private _getLink (address: string, timeoutMs?: number): Promise<PeerLink | undefined> {
+  private _getLink (address: string): Promise<PeerLink | undefined> {
     const link = this._links.get(address)
     if (link !== undefined && !link.isClosed) return Promise.resolve(link)
-    const dialing = this._dialing.get(address) ?? this._dial(address, timeoutMs)
+    const dialing = this._dialing.get(address) ?? this._dial(address)
     this._dialing.set(address, dialing)
     return dialing
   }
 
-  private async _dial (address: string, timeoutMs?: number): Promise<PeerLink | undefined> {
+  private async _dial (address: string): Promise<PeerLink | undefined> {
     try {
-      const { dial = dialPeer, link: linkOptions } = this._options
-      const link = await dial({ ...linkOptions, address, timeoutMs })
+      const link = await dialPeer({ ...this._options.link, address })
       if (this._isDisposed) {
         link.dispose()
         return undefined
