--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -207,6 +207,8 @@
       countOpen: () => this._relay.openCount,
       countMembers: () => this.countNodes(),
       countUpstreams: () => this._registry.size,
+      countColdUpstreams: () => this._registry.list().filter(({ coldUntil = 0 }) => coldUntil > clock.now()).length,
+      countEvacuatedHalls: () => this._registry.listEvacuated().length,
       getKnownAgeMs: () => this._registry.computeAge(clock.now()).ageMs,
       countJobs: () => this._coordinator.jobCount,
       getConfigurationVersion: () => this._member.configuration.number.version,
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -8,6 +8,8 @@
   readonly countOpen: () => number
   readonly countMembers: () => number
   readonly countUpstreams: () => number
+  readonly countColdUpstreams: () => number
+  readonly countEvacuatedHalls: () => number
   readonly getKnownAgeMs: () => number
   readonly countJobs: () => number
   readonly getConfigurationVersion: () => number
@@ -30,6 +32,8 @@
     this.metrics.createGauge('node_requests_open', 'Requests in progress', gauges.countOpen)
     this.metrics.createGauge('node_members', 'Nodes taken for alive', gauges.countMembers)
     this.metrics.createGauge('node_upstreams', 'Upstreams known', gauges.countUpstreams)
+    this.metrics.createGauge('node_cold_upstreams', 'Upstreams that bear little for a while', gauges.countColdUpstreams)
+    this.metrics.createGauge('node_evacuated_halls', 'Halls whose upstreams get nothing new', gauges.countEvacuatedHalls)
     this.metrics.createGauge('node_known_age_ms', 'Milliseconds since the source last confirmed what is known of upstreams', gauges.getKnownAgeMs)
     this.metrics.createGauge('node_jobs', 'Jobs that this node coordinates', gauges.countJobs)
     this.metrics.createGauge('node_configuration_version', 'Version of the configuration in force', gauges.getConfigurationVersion)
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -10,6 +10,8 @@
     countOpen: () => 3,
     countMembers: getZero,
     countUpstreams: getZero,
+    countColdUpstreams: () => 4,
+    countEvacuatedHalls: () => 1,
     getKnownAgeMs: () => 250,
     countJobs: getZero,
     getConfigurationVersion: () => 41,
@@ -28,6 +30,8 @@
   assert.match(text, /pepperwood_node_prepared_ms_count 1/)
   assert.match(text, /pepperwood_node_configuration_version 41/)
   assert.match(text, /pepperwood_node_known_age_ms 250/)
+  assert.match(text, /pepperwood_node_cold_upstreams 4/)
+  assert.match(text, /pepperwood_node_evacuated_halls 1/)
   assert.match(text, /pepperwood_node_requests_open 3/)
   assert.match(text, /pepperwood_node_quarantine_refusals_total 6/)
 })
--- a/src/services/preparation/common/jobOrder.ts
+++ b/src/services/preparation/common/jobOrder.ts
@@ -20,6 +20,7 @@
  * of their worth in place of 0.554 in the mean of one run each, since urgent late requests were refused or left.
  */
 const MAX_LATE_MS = 3000
+const HOPEFUL_LATE_MS = 400
 
 /**
  * Rates vary from one second to the next. A new job counts as in time only with this part of its goal to spare; without,
@@ -36,7 +37,7 @@
     const wanted = [...jobs].filter(state => state.isWanted)
     const lowestRank = findLowestRank(wanted)
     return wanted
-      .map(state => ({ state, score: this._scoreOnTime(state, now) + (state.isLate ? computeLateMs(state, lowestRank) : 0) }))
+      .map(state => ({ state, score: this._scoreOnTime(state, now) + (state.isLate ? this._computeLateMs(state, lowestRank, now) : 0) }))
       .sort((a, b) => a.score - b.score)
       .map(({ state }) => state)
   }
@@ -46,7 +47,7 @@
     const wanted = [...jobs].filter(state => state.isWanted)
     const lowestRank = findLowestRank(wanted)
     const entries = wanted
-      .map(state => ({ state, remainingMs: this._estimateLeast(state) + (state === newJob ? ADMISSION_MARGIN * state.job.goalInMs : 0), lateMs: computeLateMs(state, lowestRank), score: this._scoreOnTime(state, now) }))
+      .map(state => ({ state, remainingMs: this._estimateLeast(state) + (state === newJob ? ADMISSION_MARGIN * state.job.goalInMs : 0), lateMs: this._computeLateMs(state, lowestRank, now), score: this._scoreOnTime(state, now) }))
       .sort((a, b) => a.score - b.score)
     return forecastJobs(entries, capacities, now)
   }
@@ -59,6 +60,15 @@
     })
   }
 
+  /**
+   * How much later the goal of a job counts that is forecast to miss it. While it could still be met, only a little: the
+   * forecast may be wrong, and a job that is put behind all others for it is late for certain.
+   */
+  private _computeLateMs (state: JobState, lowestRank: number, now: number): number {
+    const lateMs = computeLateMs(state, lowestRank)
+    return now + this._estimateLeast(state) <= state.goalAt ? Math.min(HOPEFUL_LATE_MS, lateMs) : lateMs
+  }
+
   /** Lower goes first among jobs that can be in time. */
   private _scoreOnTime (state: JobState, now: number): number {
     return state.goalAt - this.estimateRemaining(state, now) + state.job.rank * RANK_MS
