--- /dev/null
+++ b/src/entryNode/callerDirectory.ts
@@ -0,0 +1,42 @@
+/**
+ * Which nodes callers are told to use, by where they are and by the homes of the routes that they want.
+ */
+import type { RelayTable } from '../services/relay/common/relayTable.ts'
+import type { FactStore } from '../services/facts/common/factStore.ts'
+import type { IClock } from '../base/common/clock.ts'
+import type { HallRegions } from '../services/locate/common/hallRegions.ts'
+import { listNodeAddresses } from '../services/locate/common/nodeDirectory.ts'
+import type { AddressAnswer, CallerPlace } from '../services/locate/common/nodeDirectory.ts'
+import type { MembershipTable } from '../services/membership/common/membershipTable.ts'
+
+export interface CallerDirectoryOptions {
+  readonly clock: IClock
+  readonly facts: FactStore
+  readonly membership: MembershipTable
+  readonly regions: HallRegions
+  readonly hall: string
+  readonly getTable: () => RelayTable | undefined
+  /** Where callers reach this node; undefined while they should not. */
+  readonly getOwnAddress: () => string | undefined
+  readonly getMaxKeepMs: () => number
+}
+
+export class CallerDirectory {
+  constructor (private readonly _options: CallerDirectoryOptions) {}
+
+  /** Which addresses callers should use, and for how long: where their host's routes have homes, in these or near them. */
+  locate ({ host, hall, region }: CallerPlace): AddressAnswer {
+    const { clock, facts, membership, regions, hall: ownHall, getTable, getOwnAddress, getMaxKeepMs } = this._options
+    const homes = getTable()?.listHomes(host) ?? []
+    const now = clock.now()
+    return listNodeAddresses({
+      gates: facts.listKind('gate').map(({ value, observedAt }) => ({ ...value, ageMs: now - observedAt })),
+      members: membership.listMembers(),
+      hall,
+      own: getOwnAddress(),
+      ownHall,
+      isHome: homes.length === 0 ? undefined : other => [region, ...homes].includes(regions.findRegion(other) ?? ''),
+      maxKeepMs: getMaxKeepMs()
+    })
+  }
+}
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -20,7 +20,6 @@
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { HallRegions } from '../services/locate/common/hallRegions.ts'
-import { listNodeAddresses } from '../services/locate/common/nodeDirectory.ts'
 import type { AddressAnswer, CallerPlace } from '../services/locate/common/nodeDirectory.ts'
 import type { Member } from '../services/membership/common/membershipTable.ts'
 import { FleetMember } from '../services/membership/node/fleetMember.ts'
@@ -46,8 +45,10 @@
 import { ColdAllowance } from '../services/upstream/common/coldAllowance.ts'
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
+import { CallerDirectory } from './callerDirectory.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
 import type { NodeSettings } from './nodeSettings.ts'
+import { PlannedStop } from './plannedStop.ts'
 import { UpstreamSharing } from './upstreamSharing.ts'
 
 export interface EntryNodeOptions {
@@ -77,15 +78,6 @@
 const LOAD_MEMORY_MS = 5000
 /** The part of the fleet's retries that is handed out; the rest covers what nodes see differently. */
 const RETRY_SAFETY = 0.8
-/** Requests of callers that come with old answers are taken for this part of the grace time, so that they can end. */
-const TAKE_SHARE = 0.3
-/** Callers still come with old answers for about this part of the grace time, and are told to go elsewhere. */
-const LINGER_SHARE = 0.45
-/** What was not sent this long before the end would not be answered any more. */
-const LAST_SEND_MS = 1200
-/** The end is kept this far from the moment when the process would be ended by force. */
-const STOP_MARGIN_MS = 400
-const STOP_POLL_MS = 50
 /** A document reaches 195 nodes in three steps of some 50 ms each; it has to be in force within 2 s. */
 const MISSED_DOCUMENT_MS = 600
 /** Changes of members within this time move jobs once. */
@@ -96,6 +88,7 @@
   private readonly _member: FleetMember
   private readonly _registry = this._register(new UpstreamRegistry())
   private readonly _regions: HallRegions
+  private readonly _directory: CallerDirectory
   private readonly _pause: PauseGuard
   private readonly _recovery: PauseRecovery
   private readonly _recent: DecayingCount
@@ -157,6 +150,16 @@
       hasMembers: () => this._member.hasJoined
     }))
     const getTable = () => this._table
+    this._directory = new CallerDirectory({
+      clock,
+      facts: this._member.facts,
+      membership: this._member.membership,
+      regions: this._regions,
+      hall: settings.hall,
+      getTable,
+      getOwnAddress: () => this.isReady ? this._settings.callers_address : undefined,
+      getMaxKeepMs: () => this._settings.keep_s * 1000
+    })
     const cold = new ColdAllowance({
       clock,
       own: settings.address,
@@ -262,18 +265,9 @@
     }
   }
 
-  /** Which addresses callers should use, and for how long: where their host's routes have homes, in these or near them. */
-  locate ({ host, hall, region }: CallerPlace): AddressAnswer {
-    const homes = this._table?.listHomes(host) ?? []
-    return listNodeAddresses({
-      gates: this._listGates(),
-      members: this._member.membership.listMembers(),
-      hall,
-      own: this.isReady ? this._settings.callers_address : undefined,
-      ownHall: this._settings.hall,
-      isHome: homes.length === 0 ? undefined : other => [region, ...homes].includes(this._regions.findRegion(other) ?? ''),
-      maxKeepMs: this._settings.keep_s * 1000
-    })
+  /** Which addresses callers should use, and for how long. */
+  locate (place: CallerPlace): AddressAnswer {
+    return this._directory.locate(place)
   }
 
   /** Takes in settings that may change while the process runs; the others need a new start. */
@@ -286,25 +280,16 @@
   async stop (): Promise<void> {
     if (this._isDraining) return
     const { clock, log } = this._options
-    const stoppedAt = clock.now()
     const graceMs = this._settings.stop_grace_s * 1000
+    const ending = new PlannedStop({ clock, relay: this._relay, graceMs })
     this._isDraining = true
     log.info('stopping', { open: this._relay.openCount, grace_ms: graceMs })
     this._report()
     this._relay.drain()
     await this._member.leave()
     if (this._preparation.hasOtherCoordinator()) this._coordinator.moveJobs()
-    const waitUntil = async (at: number, isDone = () => false): Promise<void> => { while (clock.now() < at && !isDone()) await waitFor(STOP_POLL_MS) }
-    const isIdle = () => this._relay.openCount === 0
-    await waitUntil(stoppedAt + graceMs * TAKE_SHARE)
-    this._relay.refuseNew()
-    await waitUntil(stoppedAt + graceMs * LINGER_SHARE)
-    this._relay.close()
-    const endAt = stoppedAt + graceMs - STOP_MARGIN_MS
-    await waitUntil(endAt - LAST_SEND_MS, isIdle)
-    this._relay.giveUpWaiting()
-    await waitUntil(endAt, isIdle)
-    log.info('stopped', { open: this._relay.openCount, took_ms: Math.round(clock.now() - stoppedAt) })
+    await ending.run()
+    log.info('stopped', { open: this._relay.openCount, took_ms: Math.round(ending.tookMs) })
     this._onDidStop.fire()
     this.dispose()
   }
@@ -382,11 +367,6 @@
     this._member.gossip.spreadNow(this._isDraining)
   }
 
-  private _listGates () {
-    const now = this._options.clock.now()
-    return this._member.facts.listKind('gate').map(({ value, observedAt }) => ({ ...value, ageMs: now - observedAt }))
-  }
-
   /** What all nodes together may send a cold upstream in a second. */
   private _computeColdBound (role: string): number {
     const { cold_share: share, cold_spare: spare = 0 } = this._settings
