--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -42,10 +42,7 @@
 const ADMITTED_PATIENCE_SHARE = 0.75
 const MIN_RETRY_MS = 100
 const NO_UPSTREAM_RETRY_MS = 500
-/**
- * Late jobs get at least this part of a role, however much keeps coming that can be in time. At 0.1 a day without faults
- * refused 16 in 1,000 requests, with 0.3 it refused 4, one run each.
- */
+/** Late jobs get at least this part of a role, however much keeps coming that can be in time: with less they are refused. */
 const MIN_LATE_SHARE = 0.3
 
 /**
--- a/src/services/preparation/common/jobOrder.ts
+++ b/src/services/preparation/common/jobOrder.ts
@@ -10,22 +10,18 @@
 
 /**
  * A late job counts as one whose goal lies this far on the way to its deadline: behind new jobs that can be in time for
- * as long as its caller's patience allows, and early enough that it is still made. At a fixed 3 s after the goal, late
- * jobs of patient callers soon went before new ones and made these late as well: on 40 drawn deployments in virtual time
- * the least urgent kind earned 0.581 of its worth, with this 0.632, and the others no less.
+ * as long as its caller's patience allows, and early enough that it is still made. With a fixed time after the goal, late
+ * jobs of patient callers soon go before new ones and make these late as well.
  */
 const LATE_GOAL_SHARE = 0.65
-/**
- * At most so much later where lower ranks wait, so that it goes before these. At 6000 five days with faults earned 0.536
- * of their worth in place of 0.554 in the mean of one run each, since urgent late requests were refused or left.
- */
+/** At most so much later where lower ranks wait, so that it goes before these and is not refused or left. */
 const MAX_LATE_MS = 3000
+/** A job that could still meet its goal goes behind those that surely can, but not behind all that will come. */
 const HOPEFUL_LATE_MS = 400
 
 /**
  * Rates vary from one second to the next. A new job counts as in time only with this part of its goal to spare; without,
- * jobs at the limit slipped behind after they had been taken, and were refused when their callers had waited in vain.
- * 40 drawn deployments earned 0.683 in virtual time without it, 0.695 with it.
+ * jobs at the limit slip behind after they were taken, and are refused when their callers have waited in vain.
  */
 const ADMISSION_MARGIN = 0.1
 
@@ -76,8 +72,7 @@
 
   /**
    * As little as a job can still need: its own pieces alone in its calls. Lateness is judged by this: by usual calls,
-   * urgent jobs that could make it were put behind, and five days with faults earned 0.50 of their worth in place of
-   * 0.54 in the mean of one run each.
+   * urgent jobs that can make it would be put behind.
    */
   private _estimateLeast (state: JobState): number {
     return state.requestMs + state.estimateStages((role, pieceCount) => {
