Check homes and rates of cold upstreams, and end a circle of imports

relayRules took its report type from configurationRules, which imports it; the type has a file of its own now.

--- a/src/services/configuration/common/configurationRules.ts
+++ b/src/services/configuration/common/configurationRules.ts
@@ -7,15 +7,13 @@
 import { MAX_EPOCH, MAX_VERSION } from '../../order/common/fencing.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { listRelayProblems } from './relayRules.ts'
+import type { Report } from './ruleReport.ts'
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/
 const MAX_DEADLINE_MS = 3_600_000
 const MAX_STAGES = 16
 
-/** Takes in a broken rule: the place, the value found there and what was expected. */
-export type Report = (path: string, value: string, message: string) => void
-
 function checkNames (path: string, items: readonly { readonly name: string }[], report: Report): void {
   const seen = new Set<string>()
   items.forEach((item, index) => {
--- a/src/services/configuration/common/relayRules.ts
+++ b/src/services/configuration/common/relayRules.ts
@@ -3,7 +3,7 @@
  */
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { PieceWork, PreparationStage, Relay, RelayCustomer, Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
-import type { Report } from './configurationRules.ts'
+import type { Report } from './ruleReport.ts'
 
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/
 
@@ -13,6 +13,8 @@
   relay.roles.forEach((role, index) => {
     const path = `relay.roles[${index}]`
     if (role.name === '') report(`${path}.name`, '', 'expected a name')
+    if (!(role.coldRequestsPerS >= 0)) report(`${path}.coldRequestsPerS`, String(role.coldRequestsPerS), 'expected 0 or more requests a second')
+    if (!(role.coldMs >= 0)) report(`${path}.coldMs`, String(role.coldMs), 'expected 0 or more milliseconds')
     if (role.pieceWork !== undefined) checkPieceWork(`${path}.pieceWork`, role.pieceWork, report)
   })
   relay.routes.forEach((route, index) => checkRoute(`relay.routes[${index}]`, route, name => roles.has(name), report))
@@ -37,9 +39,14 @@
     if (!(target.weight >= 0)) report(`${path}.targets[${index}].weight`, String(target.weight), 'expected a weight of 0 or more')
   })
   if (route.targets.length > 0 && !route.targets.some(target => target.weight > 0)) report(`${path}.targets`, '', 'expected a target with a weight above 0')
+  checkHomes(`${path}.homeRegions`, route.homeRegions, report)
   checkStages(`${path}.stages`, route.stages, report)
 }
 
+function checkHomes (path: string, regions: readonly string[], report: Report): void {
+  regions.forEach((region, index) => { if (region === '') report(`${path}[${index}]`, '', 'expected a region') })
+}
+
 /** Stages may name later ones, but none may need its own result. */
 function checkStages (path: string, stages: readonly PreparationStage[], report: Report): void {
   stages.forEach((stage, index) => {
@@ -67,6 +74,7 @@
 
 function checkCustomer (path: string, customer: RelayCustomer, report: Report): void {
   if (customer.name === '') report(`${path}.name`, '', 'expected a name')
+  checkHomes(`${path}.homeRegions`, customer.homeRegions, report)
   customer.keySha256.forEach((digest, index) => {
     if (!DIGEST_PATTERN.test(digest)) report(`${path}.keySha256[${index}]`, digest, 'expected 64 lower-case hexadecimal digits')
   })
