Keep an upstream cold for as long as was ever known

What a node expects of a hall that is taken back was kept in the registry, and the next entry of the upstream, read without it, took its place. The registry now keeps the later of both times for a boot. evacuation.test.ts passes (11).

--- a/src/services/upstream/common/upstreamRegistry.ts
+++ b/src/services/upstream/common/upstreamRegistry.ts
@@ -98,11 +98,11 @@
     return true
   }
 
-  /** Takes in what an upstream said of itself; a boot that left stays so. */
+  /** Takes in what an upstream said of itself; a boot that left stays so, and one that is cold for as long as was ever known. */
   update (entry: UpstreamEntry, signal: string): void {
     if (this._gone.has(entry.id)) return
     const held = this._entries.get(entry.id)
-    const next = held?.isLeaving === true ? { ...entry, isLeaving: true } : entry
+    const next = { ...entry, isLeaving: entry.isLeaving || held?.isLeaving === true, coldUntil: Math.max(entry.coldUntil ?? 0, held?.coldUntil ?? 0) }
     this._set(next)
     if (held === undefined) this._fire('added', next, signal)
     if (next.isLeaving && held?.isLeaving !== true) this._fire('leaving', next, signal)
