--- a/src/services/preparation/common/jobOrder.ts
+++ b/src/services/preparation/common/jobOrder.ts
@@ -16,8 +16,6 @@
 const LATE_GOAL_SHARE = 0.65
 /** At most so much later where lower ranks wait, so that it goes before these and is not refused or left. */
 const MAX_LATE_MS = 3000
-/** A job that could still meet its goal goes behind those that surely can, but not behind all that will come. */
-const HOPEFUL_LATE_MS = 400
 
 /**
  * Rates vary from one second to the next. A new job counts as in time only with this part of its goal to spare; without,
@@ -33,7 +31,7 @@
     const wanted = [...jobs].filter(state => state.isWanted)
     const lowestRank = findLowestRank(wanted)
     return wanted
-      .map(state => ({ state, score: this._scoreOnTime(state, now) + (state.isLate ? this._computeLateMs(state, lowestRank, now) : 0) }))
+      .map(state => ({ state, score: this._scoreOnTime(state, now) + (state.isLate ? computeLateMs(state, lowestRank) : 0) }))
       .sort((a, b) => a.score - b.score)
       .map(({ state }) => state)
   }
@@ -43,7 +41,7 @@
     const wanted = [...jobs].filter(state => state.isWanted)
     const lowestRank = findLowestRank(wanted)
     const entries = wanted
-      .map(state => ({ state, remainingMs: this._estimateLeast(state) + (state === newJob ? ADMISSION_MARGIN * state.job.goalInMs : 0), lateMs: this._computeLateMs(state, lowestRank, now), score: this._scoreOnTime(state, now) }))
+      .map(state => ({ state, remainingMs: this._estimateLeast(state) + (state === newJob ? ADMISSION_MARGIN * state.job.goalInMs : 0), lateMs: computeLateMs(state, lowestRank), score: this._scoreOnTime(state, now) }))
       .sort((a, b) => a.score - b.score)
     return forecastJobs(entries, capacities, now)
   }
@@ -56,15 +54,6 @@
     })
   }
 
-  /**
-   * How much later the goal of a job counts that is forecast to miss it. While it could still be met, only a little: the
-   * forecast may be wrong, and a job that is put behind all others for it is late for certain.
-   */
-  private _computeLateMs (state: JobState, lowestRank: number, now: number): number {
-    const lateMs = computeLateMs(state, lowestRank)
-    return now + this._estimateLeast(state) <= state.goalAt ? Math.min(HOPEFUL_LATE_MS, lateMs) : lateMs
-  }
-
   /** Lower goes first among jobs that can be in time. */
   private _scoreOnTime (state: JobState, now: number): number {
     return state.goalAt - this.estimateRemaining(state, now) + state.job.rank * RANK_MS
