--- a/src/base/common/slidingCount.ts
+++ b/src/base/common/slidingCount.ts
@@ -14,12 +14,6 @@
     return this._listRecent(key, now).length
   }
 
-  /** When the next one leaves the window; `now` where there is none. */
-  computeNextEnd (key: string, now: number): number {
-    const [oldest] = this._listRecent(key, now)
-    return oldest === undefined ? now : oldest + this._windowMs
-  }
-
   drop (key: string): void {
     this._times.delete(key)
   }
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -6,6 +6,7 @@
 import { SlidingCount } from '../../../base/common/slidingCount.ts'
 import { EjectingTracker } from '../../health/common/healthTracker.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
+import { COLD_WINDOW_MS } from '../../upstream/common/coldAllowance.ts'
 import { PrefixBook } from './prefixBook.ts'
 import type { PrefixKeeper, PrefixNote } from './prefixBook.ts'
 import type { RequestShape } from './preparationJob.ts'
@@ -85,8 +86,6 @@
 /** A request that hears nothing for so many times what was expected, and some more, is overdue. */
 const OVERDUE_FACTOR = 3
 const OVERDUE_EXTRA_MS = 600
-/** Requests that are granted in this time may arrive together: a connection that is slow to open holds some of them up. */
-const GRANT_WINDOW_MS = 1400
 /** So many overdue requests, and none that heard anything since, tell of an upstream that is gone before its entry is. */
 const MIN_OVERDUE = 2
 
@@ -112,7 +111,7 @@
   private readonly _targets = new Map<string, TargetState>()
   private readonly _assignments = new Map<string, Assignment>()
   private readonly _prefixes = new PrefixBook()
-  private readonly _granted = new SlidingCount(GRANT_WINDOW_MS)
+  private readonly _granted = new SlidingCount(COLD_WINDOW_MS)
 
   /** The best target; undefined when there is none. */
   choose (question: TargetQuestion, now: number): TargetChoice | undefined {
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -5,6 +5,7 @@
 import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
 import { SlidingCount } from '../../../base/common/slidingCount.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
+import { COLD_WINDOW_MS } from '../../upstream/common/coldAllowance.ts'
 import type { ColdAllowance } from '../../upstream/common/coldAllowance.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { AttemptOutcome } from './attemptDecision.ts'
@@ -69,8 +70,6 @@
 
 /** A report of load is believed for so long. */
 const MAX_LOAD_AGE_MS = 1000
-/** What was chosen in this time may arrive within a second: a connection that is slow to open holds some of it up. */
-const COLD_WINDOW_MS = 1400
 /** No more than this part of a role is left out for its health. */
 const MAX_EJECTED_SHARE = 0.5
 
--- a/src/services/retry/common/windowedRetries.ts
+++ b/src/services/retry/common/windowedRetries.ts
@@ -3,6 +3,7 @@
  * lost together is tried again together, when it still helps.
  */
 import type { IClock } from '../../../base/common/clock.ts'
+import { SlidingCount } from '../../../base/common/slidingCount.ts'
 import { RetryPolicy } from './retryPolicy.ts'
 
 export interface WindowedRetriesOptions {
@@ -17,43 +18,37 @@
 /** First attempts are counted in so many parts of a window; one that is not wholly within the window does not count. */
 const PARTS = 20
 
-/** What this node did for one role. */
-class RoleWindow {
-  /** First attempts by number of the part of a window. */
-  readonly firsts = new Map<number, number>()
-  retries: readonly number[] = []
-}
-
 export class WindowedRetries extends RetryPolicy {
   private readonly _options: WindowedRetriesOptions
-  private readonly _roles = new Map<string, RoleWindow>()
+  /** First attempts of each role, by number of the part of a window. */
+  private readonly _firsts = new Map<string, Map<number, number>>()
+  private readonly _retries: SlidingCount
 
   constructor (options: WindowedRetriesOptions) {
     super()
     this._options = options
+    this._retries = new SlidingCount(options.windowMs)
   }
 
   recordFirstAttempt (role: string): void {
-    const { firsts } = this._getRole(role)
+    const firsts = this._getFirsts(role)
     const part = this._computePart()
     firsts.set(part, (firsts.get(part) ?? 0) + 1)
     for (const old of firsts.keys()) if (old <= part - PARTS) firsts.delete(old)
   }
 
   takeRetry (role: string): boolean {
-    const { clock, windowMs, share, getSpare } = this._options
-    const window = this._getRole(role)
+    const { clock, share, getSpare } = this._options
     const now = clock.now()
-    window.retries = window.retries.filter(at => now - at < windowMs)
-    if (window.retries.length + 1 > getSpare() + share * this._countFirsts(window)) return false
-    window.retries = [...window.retries, now]
+    if (this._retries.count(role, now) + 1 > getSpare() + share * this._countFirsts(role)) return false
+    this._retries.add(role, now)
     return true
   }
 
-  private _countFirsts ({ firsts }: RoleWindow): number {
+  private _countFirsts (role: string): number {
     const oldest = this._computePart() - PARTS
     let count = 0
-    for (const [part, firstsOfPart] of firsts) if (part > oldest) count += firstsOfPart
+    for (const [part, firstsOfPart] of this._getFirsts(role)) if (part > oldest) count += firstsOfPart
     return count
   }
 
@@ -62,12 +57,12 @@
     return Math.floor(clock.now() * PARTS / windowMs)
   }
 
-  private _getRole (role: string): RoleWindow {
-    let window = this._roles.get(role)
-    if (window === undefined) {
-      window = new RoleWindow()
-      this._roles.set(role, window)
+  private _getFirsts (role: string): Map<number, number> {
+    let firsts = this._firsts.get(role)
+    if (firsts === undefined) {
+      firsts = new Map()
+      this._firsts.set(role, firsts)
     }
-    return window
+    return firsts
   }
 }
--- a/src/services/upstream/common/coldAllowance.ts
+++ b/src/services/upstream/common/coldAllowance.ts
@@ -18,6 +18,8 @@
   readonly countLive: () => number
 }
 
+/** What is sent within this time may arrive within a second: a connection that is slow to open holds some of it up. */
+export const COLD_WINDOW_MS = 1400
 /**
  * The share of a plan that the whole fleet can reach. Plans overlap while their planner changes, and where nodes take it
  * for lost one after the other: three of them keep the bound.
