Log the rate limits that upstreams state

What callers saw: nothing yet; the users' report shows an upstream that stated a limit of one request a second and got 14 in 4 s. Cause of this change: no log or metric could tell whether a node knew of a limit, so the hypotheses (nobody reads it; each node keeps it for itself; it is a matter of what was on its way) could not be told apart from within the nodes. Answers' heads are now read for it, at requests and at calls for pieces; each change of belief is a line, a value that is no rate is a line and a count. No decision uses it yet. Checked: types, lint.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -33,6 +33,7 @@
 import { PreparationServer } from '../services/preparation/node/preparationServer.ts'
 import { createQuarantineHandler } from '../services/quarantine/node/quarantineHandler.ts'
 import { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
+import { RateLimitService } from '../services/quota/node/rateLimitService.ts'
 import type { CallerProtocol, UpstreamProtocol } from '../services/relay/common/relayProtocol.ts'
 import { RelayPool } from '../services/relay/common/relayPool.ts'
 import { AffinityRouter } from '../services/relay/common/relayRouter.ts'
@@ -94,6 +95,7 @@
   private readonly _recent: DecayingCount
   private readonly _metrics: NodeMetrics
   private readonly _quarantine: QuarantineService
+  private readonly _limits: RateLimitService
   private readonly _relay: RelayServer
   private readonly _coordinator: PreparationCoordinator
   private readonly _preparation: PreparationClient
@@ -182,6 +184,8 @@
       listPieceUpstreams: () => (this._table?.listPieceRoles() ?? []).flatMap(role => this._registry.listRole(role.name))
     }))
     this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._member.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation }))
+    this._limits = this._register(new RateLimitService({ clock, log, registry: this._registry }))
+    this._register(options.pieceProtocol.onDidReadRate(stated => this._limits.note(stated)))
     const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS, scheduling: 'lifo' })
     this._register(toDisposable(() => agent.destroy()))
     this._relay = this._register(new RelayServer({
@@ -195,6 +199,7 @@
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
         pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id), cold }),
+        limits: this._limits,
         retry: new WindowedRetries({ clock, windowMs: settings.retry_window_s * 1000, share: settings.retry_share * RETRY_SAFETY, getSpare: () => settings.retry_spare * RETRY_SAFETY / this.countNodes() }),
         preparation: this._preparation,
         releaseDelay: new ReleaseDelay(),
@@ -217,6 +222,8 @@
       getConfigurationVersion: () => this._member.configuration.number.version,
       countQuarantined: () => this._quarantine.listQuarantined().length,
       countQuarantineRefusals: () => this._quarantine.refusedCount,
+      countLimitedUpstreams: () => this._limits.listLimits().length,
+      countInvalidRates: () => this._limits.invalidCount,
       countPauses: () => this._pause.pauseCount,
       getBytesSent: () => this._member.traffic.sent
     })
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -17,6 +17,8 @@
     getConfigurationVersion: () => 41,
     countQuarantined: getZero,
     countQuarantineRefusals: () => 6,
+    countLimitedUpstreams: () => 2,
+    countInvalidRates: getZero,
     countPauses: getZero,
     getBytesSent: getZero
   })
--- a/src/services/relay/common/relayProtocol.ts
+++ b/src/services/relay/common/relayProtocol.ts
@@ -4,6 +4,7 @@
  */
 import type { Either } from 'purify-ts'
 import type { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import type { RateStatement } from '../../quota/common/rateStatement.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { HeaderField, RelayRequest } from './relayRequest.ts'
 
@@ -81,7 +82,9 @@
   /** The request's headers, host and framing included. */
   abstract createHeaders (call: RelayCall): readonly HeaderField[]
   abstract readHead (head: AnswerHead, call: RelayCall): AnswerVerdict
-  /** Whether the upstream says that it is leaving or that the connection ends. */
+  /** What the upstream says of the rate that it accepts. */
+  abstract readRate (head: AnswerHead): RateStatement
+  /** The load that the upstream reports; undefined where it reports none. */
   abstract readLoad (head: AnswerHead): UpstreamLoad | undefined
 }
 
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -9,6 +9,7 @@
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import type { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
 import type { IQuarantineService } from '../../quarantine/common/quarantine.ts'
+import type { RateLimitService } from '../../quota/node/rateLimitService.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { RelayRefusal, UpstreamProtocol } from '../common/relayProtocol.ts'
@@ -28,6 +29,7 @@
   readonly registry: UpstreamRegistry
   readonly pool: RelayPool
   readonly retry: RetryPolicy
+  readonly limits: RateLimitService
   readonly preparation: IPreparationService
   readonly releaseDelay: ReleaseDelay
   readonly quarantine: IQuarantineService
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -19,6 +19,8 @@
 import { LogService } from '../../log/node/logger.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
+import { RateLimitService } from '../../quota/node/rateLimitService.ts'
+import type { RateStatement } from '../../quota/common/rateStatement.ts'
 import { QuarantineService } from '../../quarantine/node/quarantineService.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { RetryBudget } from '../../retry/common/retryPolicy.ts'
@@ -78,6 +80,11 @@
     return { kind: 'answer', isSuccess: status === 200, headers: [{ name: 'Id', value: request.id }] }
   }
 
+  readRate ({ headers: { limit } }: AnswerHead): RateStatement {
+    if (typeof limit !== 'string') return { kind: 'unlimited' }
+    return Number.isFinite(Number(limit)) ? { kind: 'limited', perS: Number(limit) } : { kind: 'invalid', name: 'limit', value: limit }
+  }
+
   readLoad (): undefined {
     return undefined
   }
@@ -193,6 +200,7 @@
         upstreamProtocol: new FakeUpstreamProtocol(),
         registry: this.registry,
         pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1, hasEnded: id => quarantine.hasEnded(id) }),
+        limits: this._register(new RateLimitService({ clock, log, registry: this.registry })),
         retry: new RetryBudget({ maxSaved: _options.retries ?? 10 }),
         preparation: _options.preparation ?? NO_PREPARATION,
         releaseDelay: new ReleaseDelay(),
