--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -28,12 +28,13 @@
 import { MetricsServer } from '../services/metrics/node/metricsServer.ts'
 import type { PieceProtocol } from '../services/preparation/common/pieceProtocol.ts'
 import { ReleaseDelay } from '../services/preparation/common/releaseDelay.ts'
+import { CoordinatorLinks } from '../services/preparation/node/coordinatorLinks.ts'
 import { PreparationClient } from '../services/preparation/node/preparationClient.ts'
 import { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
 import { PreparationServer } from '../services/preparation/node/preparationServer.ts'
 import { createQuarantineHandler } from '../services/quarantine/node/quarantineHandler.ts'
 import { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
-import { RateLimitService } from '../services/quota/node/rateLimitService.ts'
+import { LimitedPieces } from '../services/quota/node/limitedPieces.ts'
 import type { CallerProtocol, UpstreamProtocol } from '../services/relay/common/relayProtocol.ts'
 import { RelayPool } from '../services/relay/common/relayPool.ts'
 import { AffinityRouter } from '../services/relay/common/relayRouter.ts'
@@ -43,11 +44,11 @@
 import type { EndedRequest } from '../services/relay/node/relayServer.ts'
 import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import { WindowedRetries } from '../services/retry/common/windowedRetries.ts'
-import { ColdAllowance } from '../services/upstream/common/coldAllowance.ts'
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 import { CallerDirectory } from './callerDirectory.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
+import { NodeQuota } from './nodeQuota.ts'
 import type { NodeSettings } from './nodeSettings.ts'
 import { PlannedStop } from './plannedStop.ts'
 import { UpstreamSharing } from './upstreamSharing.ts'
@@ -95,7 +96,7 @@
   private readonly _recent: DecayingCount
   private readonly _metrics: NodeMetrics
   private readonly _quarantine: QuarantineService
-  private readonly _limits: RateLimitService
+  private readonly _quota: NodeQuota
   private readonly _relay: RelayServer
   private readonly _coordinator: PreparationCoordinator
   private readonly _preparation: PreparationClient
@@ -162,30 +163,41 @@
       getOwnAddress: () => this.isReady ? this._settings.callers_address : undefined,
       getMaxKeepMs: () => this._settings.keep_s * 1000
     })
-    const cold = new ColdAllowance({
+    const links = this._register(new CoordinatorLinks({ clock, log }))
+    const listCoordinators = () => this._member.membership.listLive().map(member => ({ ...member, address: this._formatPreparationAddress(member.address) }))
+    this._quota = this._register(new NodeQuota({
       clock,
-      own: settings.address,
-      getBound: role => this._computeColdBound(role),
-      listKnown: () => this._member.membership.listMembers().filter(({ state }) => state !== 'left').map(({ address }) => address),
+      log,
+      facts: this._member.facts,
+      registry: this._registry,
+      links,
+      node: settings.address,
+      incarnation: options.incarnation,
+      coordinatorAddress: this._formatPreparationAddress(settings.address),
+      listCoordinators,
+      mayOwn: () => this._member.hasJoined && !this._isDraining && !this._pause.isStale,
+      getColdBound: role => this._computeColdBound(role),
+      countKnown: () => this._member.membership.listMembers().filter(({ state }) => state !== 'left').length,
       countLive: () => this.countNodes()
-    })
-    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: options.pieceProtocol, registry: this._registry, getTable, cold }))
-    this._preparationServer = this._register(new PreparationServer(this._coordinator, log))
+    }))
+    const protocol = new LimitedPieces(options.pieceProtocol, this._quota.service)
+    this._register(protocol.onDidReadRate(stated => this._quota.stated.note(stated)))
+    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol, registry: this._registry, getTable, limits: this._quota.limits }))
+    this._preparationServer = this._register(new PreparationServer(this._coordinator, log, upstream => this._quota.answer(upstream)))
     this._preparation = this._register(new PreparationClient({
       clock,
       log,
-      protocol: options.pieceProtocol,
+      protocol,
+      links,
       registry: this._registry,
       coordinator: this._coordinator,
       hasMembers: () => this._member.hasJoined,
       onDidKnowMembers: this._member.onDidJoin,
       address: this._formatPreparationAddress(settings.address),
-      listCoordinators: () => this._member.membership.listLive().map(member => ({ ...member, address: this._formatPreparationAddress(member.address) })),
+      listCoordinators,
       listPieceUpstreams: () => (this._table?.listPieceRoles() ?? []).flatMap(role => this._registry.listRole(role.name))
     }))
     this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._member.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation }))
-    this._limits = this._register(new RateLimitService({ clock, log, registry: this._registry }))
-    this._register(options.pieceProtocol.onDidReadRate(stated => this._limits.note(stated)))
     const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS, scheduling: 'lifo' })
     this._register(toDisposable(() => agent.destroy()))
     this._relay = this._register(new RelayServer({
@@ -198,8 +210,9 @@
         agent,
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
-        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id), cold }),
-        limits: this._limits,
+        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id), quota: this._quota.service }),
+        limits: this._quota.stated,
+        quota: this._quota.service,
         retry: new WindowedRetries({ clock, windowMs: settings.retry_window_s * 1000, share: settings.retry_share * RETRY_SAFETY, getSpare: () => settings.retry_spare * RETRY_SAFETY / this.countNodes() }),
         preparation: this._preparation,
         releaseDelay: new ReleaseDelay(),
@@ -222,8 +235,8 @@
       getConfigurationVersion: () => this._member.configuration.number.version,
       countQuarantined: () => this._quarantine.listQuarantined().length,
       countQuarantineRefusals: () => this._quarantine.refusedCount,
-      countLimitedUpstreams: () => this._limits.listLimits().length,
-      countInvalidRates: () => this._limits.invalidCount,
+      countLimitedUpstreams: () => this._quota.stated.listLimits().length,
+      countInvalidRates: () => this._quota.stated.invalidCount,
       countPauses: () => this._pause.pauseCount,
       getBytesSent: () => this._member.traffic.sent
     })
@@ -324,6 +337,7 @@
   /** What changed while this process stood still: configuration, upstreams, members. */
   private async _readAnew (): Promise<void> {
     const { configurationSource } = this._options
+    this._quota.forgetOwned()
     this._member.askPeers()
     await Promise.race([configurationSource.readNewest(), waitFor(READY_WAIT_MS)])
   }
--- /dev/null
+++ b/src/entryNode/nodeQuota.ts
@@ -0,0 +1,88 @@
+/**
+ * The parts of a node that keep what limited upstreams get within what they accept.
+ */
+import type { IClock } from '../base/common/clock.ts'
+import { Disposable } from '../base/common/disposable.ts'
+import { startInterval } from '../base/node/interval.ts'
+import type { FactStore } from '../services/facts/common/factStore.ts'
+import type { ILogService } from '../services/log/node/logger.ts'
+import { chooseCoordinator } from '../services/preparation/common/coordinatorChoice.ts'
+import type { CoordinatorCandidate } from '../services/preparation/common/coordinatorChoice.ts'
+import type { CoordinatorLinks } from '../services/preparation/node/coordinatorLinks.ts'
+import { AllLimits, ColdLimits, StatedLimits } from '../services/quota/common/limitSource.ts'
+import { QuotaOwner } from '../services/quota/common/quotaOwner.ts'
+import type { QuotaGrant } from '../services/quota/common/quotaOwner.ts'
+import { QuotaService } from '../services/quota/node/quotaService.ts'
+import { RateLimitService } from '../services/quota/node/rateLimitService.ts'
+import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
+
+export interface NodeQuotaOptions {
+  readonly clock: IClock
+  readonly log: ILogService
+  readonly facts: FactStore
+  readonly registry: UpstreamRegistry
+  readonly links: CoordinatorLinks
+  /** This node, by its address, and its boot. */
+  readonly node: string
+  readonly incarnation: number
+  /** Where the coordinator of this node is reached. */
+  readonly coordinatorAddress: string
+  /** The coordinators of all live nodes, this one's included. */
+  readonly listCoordinators: () => readonly CoordinatorCandidate[]
+  /** Whether this node may take itself for the owner of anything. */
+  readonly mayOwn: () => boolean
+  /** What one cold upstream of a role may get in a second from all nodes together; Infinity where nothing bounds it. */
+  readonly getColdBound: (role: string) => number
+  /** All nodes that are known to this one, those included that cannot be reached. */
+  readonly countKnown: () => number
+  readonly countLive: () => number
+}
+
+/** How often it is looked at which halls this node owns the quotas of. */
+const OWNER_PERIOD_MS = 100
+const NOT_KNOWN: QuotaGrant = { isGranted: false, retryInMs: 200 }
+
+export class NodeQuota extends Disposable {
+  private readonly _options: NodeQuotaOptions
+  private readonly _owner: QuotaOwner
+  readonly stated: RateLimitService
+  readonly limits: AllLimits
+  readonly service: QuotaService
+
+  constructor (options: NodeQuotaOptions) {
+    super()
+    this._options = options
+    const { clock, registry, getColdBound: getBound, countKnown, countLive } = options
+    this.stated = this._register(new RateLimitService(options))
+    this.limits = new AllLimits([
+      new StatedLimits(upstream => this.stated.findLimit(upstream)),
+      new ColdLimits({ clock, getBound, countKnown, countLive })
+    ])
+    this._owner = new QuotaOwner({ clock, limits: this.limits, isOwner: hall => options.mayOwn() && this._findOwner(hall) === undefined })
+    this.service = this._register(new QuotaService({ ...options, limits: this.limits, owner: this._owner, findOwner: hall => this._findOwner(hall), countNodes: countLive }))
+    this._register(startInterval(OWNER_PERIOD_MS, () => this._owner.refresh(new Set(registry.list().map(({ hall }) => hall)))))
+  }
+
+  /** Requests that were not given out here since the start. */
+  get deniedCount (): number {
+    return this._owner.deniedCount
+  }
+
+  /** Whether another node may send one request to an upstream. */
+  answer (upstreamId: string): QuotaGrant {
+    const entry = this._options.registry.get(upstreamId)
+    return entry === undefined ? NOT_KNOWN : this._owner.acquire(entry)
+  }
+
+  /** What this node knew of the owners is from before a pause. */
+  forgetOwned (): void {
+    this._owner.forgetOwned()
+  }
+
+  /** Where the owner of a hall's quotas is reached; undefined where that is this node. */
+  private _findOwner (hall: string): string | undefined {
+    const { listCoordinators, coordinatorAddress } = this._options
+    const address = chooseCoordinator(listCoordinators(), hall) ?? coordinatorAddress
+    return address === coordinatorAddress ? undefined : address
+  }
+}
--- a/src/services/facts/common/fact.ts
+++ b/src/services/facts/common/fact.ts
@@ -82,7 +82,15 @@
   readonly isEvacuated: boolean
 }
 
-export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact | EndedFact | ClearedFact | EvacuationFact
+/** What an upstream stated last of the rate that it accepts, as its writer heard it; the fact is as old as the answer. */
+export interface LimitFact {
+  readonly kind: 'limit'
+  readonly upstream: string
+  /** Requests per second; missing where it accepts any number. */
+  readonly perS?: number | undefined
+}
+
+export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact | EndedFact | ClearedFact | EvacuationFact | LimitFact
 
 export interface Fact {
   readonly subject: string
@@ -124,6 +132,11 @@
   return `evacuation/${hall}`
 }
 
+/** Each node writes its own: the latest answer that any of them heard stands. */
+export function formatLimitSubject (upstream: string, node: string): string {
+  return `limit/${upstream}/${node}`
+}
+
 export function formatClearedSubject (digest: string): string {
   return `cleared/${digest}`
 }
--- a/src/services/facts/common/factStore.ts
+++ b/src/services/facts/common/factStore.ts
@@ -30,7 +30,7 @@
 
 /** Gates come and go, and so do ends of upstreams; what was said so long ago is of no use, and must not come back from a peer either. */
 const MAX_FACT_AGE_MS = 600_000
-const AGEING_KINDS = ['gate', 'ended', 'cleared'] as const
+const AGEING_KINDS = ['gate', 'ended', 'cleared', 'limit'] as const
 /** Room for a thousand ends, each seen by a few nodes, and what was taken back of them; more would crowd out members. */
 const MAX_EVIDENCE_FACTS = 4000
 /** Far above what a fleet of the target size has; a bound against a sender that has gone wrong. */
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -45,7 +45,8 @@
     runs: Schema.Array(Schema.Struct({ digest: Name, bodyBytes: Count, sentBeforeMs: Count }))
   }),
   Schema.Struct({ kind: Schema.Literal('cleared'), digest: Name, isServed: Schema.optional(Schema.Boolean) }),
-  Schema.Struct({ kind: Schema.Literal('evacuation'), hall: Name, isEvacuated: Schema.Boolean })
+  Schema.Struct({ kind: Schema.Literal('evacuation'), hall: Name, isEvacuated: Schema.Boolean }),
+  Schema.Struct({ kind: Schema.Literal('limit'), upstream: Name, perS: Schema.optional(Schema.Number.pipe(Schema.finite(), Schema.nonNegative())) })
 )
 
 const FactSchema = Schema.Struct({
--- a/src/services/membership/node/fleetMember.ts
+++ b/src/services/membership/node/fleetMember.ts
@@ -278,7 +278,7 @@
       this._options.log.info('upstream_leaving', { upstream: value.upstream, incarnation: fact.incarnation, signal: value.signal, source: fact.source })
     } else if (value.kind === 'member') {
       this._options.log.info('member_changed', { member: value.address, state: value.state, incarnation: fact.incarnation })
-    } else if (value.kind !== 'ended' && value.kind !== 'cleared' && value.kind !== 'evacuation') {
+    } else if (value.kind !== 'ended' && value.kind !== 'cleared' && value.kind !== 'evacuation' && value.kind !== 'limit') {
       return
     }
     this.pushToGates()
--- /dev/null
+++ b/src/services/preparation/common/jobTargets.ts
@@ -0,0 +1,64 @@
+/**
+ * Which upstream takes the request of each job, and how long jobs wait for one that accepts it.
+ */
+import type { HallLoads } from './hallLoads.ts'
+import type { JobForecast } from './jobForecast.ts'
+import type { JobState } from './jobState.ts'
+import { hasPieces } from './preparationJob.ts'
+import type { PieceUpstream } from './pieceUpstream.ts'
+import { sumBytesByHall } from './resultHalls.ts'
+import { TargetPlanner } from './targetPlanner.ts'
+import type { TargetCandidate } from './targetPlanner.ts'
+
+export interface JobTargetsOptions {
+  /** Upstreams that requests themselves go to, by role. */
+  readonly listTargets: (role: string) => readonly TargetCandidate[]
+  readonly halls: HallLoads
+  readonly upstreams: ReadonlyMap<string, PieceUpstream>
+}
+
+const NO_WAIT: ReadonlyMap<string, number> = new Map()
+
+export class JobTargets {
+  readonly planner = new TargetPlanner()
+  private readonly _options: JobTargetsOptions
+
+  constructor (options: JobTargetsOptions) {
+    this._options = options
+  }
+
+  /** Chosen when a job comes, so that large results are made near the target, and again when they are there. */
+  choose (state: JobState, now: number): void {
+    const { halls, upstreams } = this._options
+    const { id, request } = state.job
+    const choice = this.planner.choose({
+      shape: request,
+      candidates: this._list(state),
+      bytesByHall: sumBytesByHall(state, id => upstreams.get(id)?.hall),
+      waitByHall: state.isHandedOver ? NO_WAIT : halls.computeWaits(state, 'target', now)
+    }, now)
+    state.requestMs = choice?.costMs ?? 0
+    state.targetId = choice?.id ?? ''
+    state.prefixSourceId = choice?.prefixSourceId ?? ''
+    state.targetHall = choice?.hall ?? ''
+    if (choice !== undefined && state.isHandedOver) this.planner.assign({ jobId: id, shape: request, targetId: choice.id, readTokens: choice.readTokens }, now)
+  }
+
+  /** A request whose upstreams all accept few waits for them as well, behind those that came before it. */
+  addWait (forecast: JobForecast, jobs: Iterable<JobState>, now: number): JobForecast {
+    const { state } = forecast
+    const { role } = state.job.request
+    const ahead = [...jobs].filter(other => !other.isHandedOver && other.job.request.role === role).length
+    const endAt = Math.max(forecast.endAt, now + this.planner.estimateWaitMs(this._list(state), ahead, now) + state.requestMs)
+    return { ...forecast, endAt, isLate: endAt > state.goalAt }
+  }
+
+  /** What was made is of use once one of the limited upstreams accepts the request. */
+  isBlocked (state: JobState, now: number): boolean {
+    return hasPieces(state.job) && this.planner.estimateWaitMs(this._list(state), 0, now) > 0
+  }
+
+  private _list ({ job }: JobState): readonly TargetCandidate[] {
+    return this._options.listTargets(job.request.role)
+  }
+}
--- a/src/services/preparation/common/pieceUpstream.ts
+++ b/src/services/preparation/common/pieceUpstream.ts
@@ -47,6 +47,7 @@
   private _strayed: readonly HeldRoom[] = []
   private _avoidUntil = 0
   private _avoidMs = FIRST_AVOID_MS
+  private _limitedUntil = 0
 
   constructor (options: PieceUpstreamOptions) {
     this.id = options.id
@@ -62,7 +63,7 @@
 
   /** Whether a call may start now. */
   canStart (now: number): boolean {
-    return this.takesWork && !this.hasSuspectCall && this.runningCalls < this.work.concurrentCalls && now >= this._avoidUntil
+    return this.takesWork && !this.hasSuspectCall && this.runningCalls < this.work.concurrentCalls && now >= Math.max(this._avoidUntil, this._limitedUntil)
   }
 
   /** Whether it can be counted on for work to come. */
@@ -100,6 +101,11 @@
     if (free > 0) this._strayed = [...this._strayed, { bytes: free, until: now + FIRST_AVOID_MS }]
   }
 
+  /** It accepts no call for a while, and is as good as before after that. */
+  noteLimited (now: number, forMs: number): void {
+    this._limitedUntil = Math.max(this._limitedUntil, now + forMs)
+  }
+
   recordCall (tookMs: number, expectedMs: number, now: number): void {
     const held = this.getSlowness(now)
     this._slowness = held + SLOWNESS_SMOOTHING * (tookMs / Math.max(1, expectedMs) - held)
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -91,6 +91,10 @@
     hall: Schema.String.pipe(Schema.maxLength(256)),
     notes: Schema.Array(Schema.Struct({ shared: SharedSchema, targetId: Id, ageMs: Span })).pipe(Schema.maxItems(MAX_PREFIX_NOTES))
   }),
+  /** Asks for one request at a limited upstream of a hall whose coordinator the receiver is. */
+  Schema.Struct({ kind: Schema.Literal('quotaWanted'), id: Count, upstreamId: Id }),
+  /** Whether it may go; otherwise when it makes sense to ask again. */
+  Schema.Struct({ kind: Schema.Literal('quotaAnswered'), id: Count, isGranted: Schema.Boolean, retryInMs: Span }),
   /** Asks whether the other side lives. */
   Schema.Struct({ kind: Schema.Literal('ping') }),
   Schema.Struct({ kind: Schema.Literal('pong') })
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -6,6 +6,7 @@
 import { computeRetryAfter, decideAdmission } from './jobForecast.ts'
 import { JobOrder } from './jobOrder.ts'
 import { JobState } from './jobState.ts'
+import { JobTargets } from './jobTargets.ts'
 import { HallLoads } from './hallLoads.ts'
 import { HeldResults } from './heldResults.ts'
 import { computeCallMs, PieceUpstream } from './pieceUpstream.ts'
@@ -20,9 +21,8 @@
 import type { PlanLoad } from './planLoad.ts'
 import { createPlannedPiece, getPiece, listLostNews, listMadeNews } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
-import { findMainHall, sumBytesByHall } from './resultHalls.ts'
+import { findMainHall } from './resultHalls.ts'
 import type { PrefixNote } from './prefixBook.ts'
-import { TargetPlanner } from './targetPlanner.ts'
 import type { TargetCandidate, TargetReport } from './targetPlanner.ts'
 
 interface StartedCall {
@@ -40,7 +40,6 @@
 const INTERRUPTED_RETRY_MS = 300
 /** How often it is looked at what can still be done in time. */
 const FORECAST_PERIOD_MS = 50
-const NO_WAIT: ReadonlyMap<string, number> = new Map()
 
 export class PreparationPlanner {
   private readonly _upstreams = new Map<string, PieceUpstream>()
@@ -54,16 +53,16 @@
   private readonly _calls = new Map<number, StartedCall>()
   private readonly _frees = new PendingFrees()
   private readonly _results = new HeldResults(this._upstreams, this._frees)
-  private readonly _targets = new TargetPlanner()
-  /** Upstreams that requests themselves go to, by role. */
-  private readonly _listTargets: (role: string) => readonly TargetCandidate[]
+  private readonly _targets: JobTargets
+  private readonly _blocked = new Set<JobState>()
   private _news: JobNews[] = []
   private _nextCallId = 1
   private _forecastAt = -Infinity
   private _isEnding = false
 
+  /** The targets are the upstreams that requests themselves go to. */
   constructor (listTargets: (role: string) => readonly TargetCandidate[]) {
-    this._listTargets = listTargets
+    this._targets = new JobTargets({ listTargets, halls: this._halls, upstreams: this._upstreams })
   }
 
   get jobCount (): number {
@@ -90,7 +89,7 @@
 
   /** The upstream is gone, and with it its results. */
   dropUpstream (upstreamId: string): void {
-    this._targets.drop(upstreamId)
+    this._targets.planner.drop(upstreamId)
     if (!this._upstreams.delete(upstreamId)) return
     this._frees.drop(upstreamId)
     for (const state of this._jobs.values()) this._results.reopenLost(state, result => result.upstreamId === upstreamId)
@@ -101,7 +100,7 @@
     if (this._jobs.has(job.id)) return undefined
     const state = new JobState(job, now)
     this._results.restore(state, carried, now)
-    this._chooseTarget(state, now)
+    this._targets.choose(state, now)
     const refusal = hasPieces(job) ? this._decideAdmission(state, now, { isOffer }) : undefined
     if (refusal !== undefined) {
       this._results.freeAll(state)
@@ -117,17 +116,17 @@
   private _decideAdmission (state: JobState, now: number, terms: AdmissionTerms): JobRefusal | JobDecline | undefined {
     const capacities = this._pool.computeCapacities(now)
     const forecast = this._order.forecast([...this._jobs.values(), state], capacities, now, state).find(other => other.state === state)
-    return forecast === undefined ? undefined : decideAdmission(forecast, capacities, now, terms)
+    return forecast === undefined ? undefined : decideAdmission(this._targets.addWait(forecast, this._jobs.values(), now), capacities, now, terms)
   }
 
   /** Takes in what owners know of the prompts that upstreams have read. */
   addPrefixes (notes: readonly PrefixNote[], now: number): void {
-    this._targets.addPrefixes(notes, now)
+    this._targets.planner.addPrefixes(notes, now)
   }
 
   /** Takes in how a request fared at its target. */
   reportTarget (jobId: string, report: TargetReport, now: number): void {
-    this._targets.settle(jobId, report, now)
+    this._targets.planner.settle(jobId, report, now)
   }
 
   /** The owner needs the results no more: they are given back, and what was not made is not made. */
@@ -314,6 +313,7 @@
     if (outcome.kind === 'lost') upstream?.loseRoom(bytes, now)
     else upstream?.releaseRoom(bytes)
     if (outcome.kind === 'notRun' && outcome.reason === 'full') upstream?.avoidBriefly(now, FULL_PAUSE_MS)
+    else if (outcome.kind === 'notRun' && outcome.reason === 'limited') upstream?.noteLimited(now, outcome.retryInMs)
     else upstream?.avoid(now)
     for (const { state, stage, index } of started.pieces) {
       const piece = getPiece({ state, stage, index })
@@ -330,26 +330,21 @@
     if (state.pieces.some(stage => stage.some(piece => piece.hasFailedForGood))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
     for (const stage of state.listUsedUpStages()) this._results.freeStage(state, stage)
     if (!state.isDone || state.isDetached) return
+    if (this._targets.isBlocked(state, now)) {
+      this._blocked.add(state)
+      return
+    }
     state.isHandedOver = true
     const results = state.listFinalResults()
-    this._chooseTarget(state, now)
+    this._targets.choose(state, now)
     this._news.push({ kind: 'prepared', jobId: state.job.id, results, targetId: state.targetId, prefixSourceId: state.prefixSourceId, hall: findMainHall(results, id => this._upstreams.get(id)?.hall), times: state.clock.measure(now) })
   }
 
-  /** Chosen when a job comes, so that large results are made near the target, and again when they are there. */
-  private _chooseTarget (state: JobState, now: number): void {
-    const { id, request } = state.job
-    const choice = this._targets.choose({
-      shape: request,
-      candidates: this._listTargets(request.role),
-      bytesByHall: sumBytesByHall(state, id => this._upstreams.get(id)?.hall),
-      waitByHall: state.isHandedOver ? NO_WAIT : this._halls.computeWaits(state, 'target', now)
-    }, now)
-    state.requestMs = choice?.costMs ?? 0
-    state.targetId = choice?.id ?? ''
-    state.prefixSourceId = choice?.prefixSourceId ?? ''
-    state.targetHall = choice?.hall ?? ''
-    if (choice !== undefined && state.isHandedOver) this._targets.assign({ jobId: id, shape: request, targetId: choice.id, readTokens: choice.readTokens }, now)
+  /** Jobs whose results are there and whose request no upstream accepted, in the order in which they should go. */
+  private _advanceBlocked (now: number): void {
+    const blocked = this._order.rank(this._blocked, now)
+    this._blocked.clear()
+    for (const state of blocked) this._advance(state, now)
   }
 
   private _expire (now: number): void {
@@ -360,6 +355,7 @@
       if (now >= state.deadlineAt) this._refuse(state, { reason: 'tooLate', retryAfterMs: 0 })
       else if (!state.isHandedOver) this._reopenExpired(state, now)
     }
+    this._advanceBlocked(now)
     this._refuseHopeless(now)
   }
 
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -3,10 +3,10 @@
  * upstream has to read, which prompts it read before, and where the results lie.
  */
 import { hashText } from '../../../base/common/rendezvous.ts'
-import { SlidingCount } from '../../../base/common/slidingCount.ts'
 import { EjectingTracker } from '../../health/common/healthTracker.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
-import { COLD_WINDOW_MS } from '../../upstream/common/coldAllowance.ts'
+import { TokenBucket } from '../../quota/common/tokenBucket.ts'
+import type { RateLimit } from '../../quota/common/tokenBucket.ts'
 import { PrefixBook } from './prefixBook.ts'
 import type { PrefixKeeper, PrefixNote } from './prefixBook.ts'
 import type { RequestShape } from './preparationJob.ts'
@@ -16,8 +16,8 @@
   readonly hall: string
   /** How long it takes to have a token from another upstream; infinite where that cannot be done. */
   readonly msPerMovedToken: number
-  /** What the plan may send it in a second; Infinity unless it is cold. */
-  readonly maxPerS?: number
+  /** What it accepts from all nodes together; undefined for any number. */
+  readonly limit?: RateLimit
 }
 
 export interface TargetQuestion {
@@ -65,6 +65,7 @@
 /** Before anything was measured. */
 const FIRST_MS_PER_TOKEN = 1 / 60
 const SMOOTHING = 0.15
+const MS_PER_S = 1000
 const MIN_MS_PER_TOKEN = 1 / 1000
 const MAX_MS_PER_TOKEN = 1
 /** A first event takes this long also when nothing has to be read. */
@@ -111,12 +112,12 @@
   private readonly _targets = new Map<string, TargetState>()
   private readonly _assignments = new Map<string, Assignment>()
   private readonly _prefixes = new PrefixBook()
-  private readonly _granted = new SlidingCount(COLD_WINDOW_MS)
+  private readonly _buckets = new Map<string, TokenBucket>()
 
   /** The best target; undefined when there is none. */
   choose (question: TargetQuestion, now: number): TargetChoice | undefined {
     const { shape } = question
-    const candidates = question.candidates.filter(({ id, maxPerS = Infinity }) => maxPerS === Infinity || this._granted.count(id, now) < maxPerS)
+    const candidates = question.candidates.filter(candidate => this._getWaitMs(candidate, now) === 0)
     const healthy = candidates.filter(candidate => this._isUsable(this._getTarget(candidate.id), now))
     const usable = healthy.length * 2 >= candidates.length ? healthy : candidates
     const favourite = findFavourite(shape.shared.at(-1)?.key ?? '', usable)
@@ -134,6 +135,30 @@
     return best
   }
 
+  /** How long until one of the candidates accepts a request behind so many others; 0 while there is one without a limit. */
+  estimateWaitMs (candidates: readonly TargetCandidate[], ahead: number, now: number): number {
+    let perMs = 0
+    let soonestMs = Infinity
+    for (const candidate of candidates) {
+      if (candidate.limit === undefined) return 0
+      perMs += candidate.limit.perS / MS_PER_S
+      soonestMs = Math.min(soonestMs, this._getWaitMs(candidate, now))
+    }
+    return candidates.length === 0 ? 0 : soonestMs + (perMs > 0 ? ahead / perMs : 0)
+  }
+
+  private _getWaitMs ({ id, limit }: TargetCandidate, now: number): number {
+    if (limit === undefined) {
+      this._buckets.delete(id)
+      return 0
+    }
+    const held = this._buckets.get(id)
+    const bucket = held ?? new TokenBucket(limit, now)
+    if (held === undefined) this._buckets.set(id, bucket)
+    else held.setLimit(limit, now)
+    return bucket.getWaitMs(now)
+  }
+
   /** Shared parts that another upstream keeps are taken from there: that is several times as fast as reading them again. */
   private _planReading (shape: RequestShape, { id, msPerMovedToken }: TargetCandidate, keeper: PrefixKeeper | undefined, now: number): ReadingPlan {
     const keptTokens = this._prefixes.countKept(shape.shared, id, now)
@@ -149,7 +174,7 @@
     const expectedMs = estimateReadingMs(target, tokens)
     const assignment = { targetId, tokens, tokensAhead: target.pendingTokens, assignedAt: now, overdueAt: now + expectedMs * OVERDUE_FACTOR + OVERDUE_EXTRA_MS }
     this._assignments.set(jobId, assignment)
-    this._granted.add(targetId, now)
+    this._buckets.get(targetId)?.take(now)
     target.pendingTokens += tokens
     target.waiting.add(assignment)
     this._prefixes.add(shape.shared, targetId, now)
@@ -171,7 +196,7 @@
 
   drop (targetId: string): void {
     this._targets.delete(targetId)
-    this._granted.drop(targetId)
+    this._buckets.delete(targetId)
     this._prefixes.drop(targetId)
   }
 
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -19,6 +19,8 @@
   readonly clock: IClock
 }
 
+export type QuotaAnswer = PreparationMessage & { readonly kind: 'quotaAnswered' }
+
 const NEWS_KINDS: ReadonlySet<string> = new Set<JobNews['kind']>(['prepared', 'refused', 'declined', 'made', 'lost', 'moved'])
 
 function isNews (message: PreparationMessage): message is PreparationMessage & JobNews {
@@ -32,8 +34,10 @@
 
 export class CoordinatorLink extends Disposable {
   private readonly _onDidReceive = this._register(new Emitter<JobNews>())
+  private readonly _onDidAnswerQuota = this._register(new Emitter<QuotaAnswer>())
   private readonly _onDidClose = this._register(new Emitter<void>())
   readonly onDidReceive = this._onDidReceive.event
+  readonly onDidAnswerQuota = this._onDidAnswerQuota.event
   readonly onDidClose = this._onDidClose.event
   private readonly _connection: FrameConnection
   private _heardAt: number
@@ -41,8 +45,9 @@
   private _wasHeard = false
   private _wentSilent = false
   private readonly _toldHalls = new Set<string>()
-  /** Jobs that wait for news; without any, nothing is asked. */
+  /** Jobs that wait for news; without any, and without questions, the other side is not asked whether it lives. */
   openJobs = 0
+  private _openQuestions = 0
 
   private constructor (readonly address: string, socket: Socket, private readonly _clock: IClock) {
     super()
@@ -94,6 +99,12 @@
     this._connection.send(message)
   }
 
+  /** Asks for one request at an upstream. Without an answer it is found out whether the other side lives. */
+  askQuota (id: number, upstreamId: string): void {
+    this._openQuestions++
+    this.send({ kind: 'quotaWanted', id, upstreamId })
+  }
+
   close (): void {
     this._connection.dispose()
     this._close()
@@ -105,13 +116,21 @@
     checkPreparationMessage(frame).caseOf({
       // What a newer coordinator says beside the rest is skipped.
       Left: error => { if (error.resultName !== 'messageUnknown') this.close() },
-      Right: message => { if (isNews(message)) this._onDidReceive.fire(message) }
+      Right: message => {
+        if (isNews(message)) this._onDidReceive.fire(message)
+        else if (message.kind === 'quotaAnswered') this._takeAnswer(message)
+      }
     })
   }
 
+  private _takeAnswer (answer: QuotaAnswer): void {
+    this._openQuestions--
+    this._onDidAnswerQuota.fire(answer)
+  }
+
   private _ping (): void {
     const silentMs = this._clock.now() - this._heardAt
-    if (this.openJobs === 0) this._heardAt = this._clock.now()
+    if (this.openJobs + this._openQuestions === 0) this._heardAt = this._clock.now()
     else if (silentMs > SILENCE_MS) this._giveUp()
     else if (silentMs > PING_PERIOD_MS) this.send({ kind: 'ping' })
   }
--- /dev/null
+++ b/src/services/preparation/node/coordinatorLinks.ts
@@ -0,0 +1,66 @@
+/**
+ * A node's links to the coordinators of other nodes, one to each, opened when something is to be said.
+ */
+import type { IClock } from '../../../base/common/clock.ts'
+import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { Emitter } from '../../../base/common/event.ts'
+import type { ILogService } from '../../log/node/logger.ts'
+import { CoordinatorLink } from './coordinatorLink.ts'
+import type { CoordinatorLinkOptions } from './coordinatorLink.ts'
+
+export interface CoordinatorLinksOptions {
+  readonly clock: IClock
+  readonly log: ILogService
+  readonly localAddress?: string
+  /** How a coordinator of another node is reached; undefined when it cannot be in time. */
+  readonly openLink?: (options: CoordinatorLinkOptions) => Promise<CoordinatorLink | undefined>
+}
+
+/** A coordinator that could not be reached, or whose link broke. */
+export interface LostCoordinator {
+  readonly address: string
+  /** Undefined where none could be opened. */
+  readonly link: CoordinatorLink | undefined
+}
+
+export class CoordinatorLinks extends Disposable {
+  private readonly _options: CoordinatorLinksOptions
+  private readonly _links = new Map<string, Promise<CoordinatorLink | undefined>>()
+  private readonly _onDidOpen = this._register(new Emitter<CoordinatorLink>())
+  private readonly _onDidLose = this._register(new Emitter<LostCoordinator>())
+  readonly onDidOpen = this._onDidOpen.event
+  readonly onDidLose = this._onDidLose.event
+
+  constructor (options: CoordinatorLinksOptions) {
+    super()
+    this._options = options
+    this._register(toDisposable(() => { for (const link of this._links.values()) void link.then(open => open?.close()) }))
+  }
+
+  /** A link to the coordinator at the address; undefined when it cannot be reached in time. */
+  connect (address: string): Promise<CoordinatorLink | undefined> {
+    const held = this._links.get(address)
+    if (held !== undefined) return held
+    const opening = this._open(address)
+    this._links.set(address, opening)
+    return opening
+  }
+
+  private async _open (address: string): Promise<CoordinatorLink | undefined> {
+    const { localAddress, clock, log, openLink = options => CoordinatorLink.open(options) } = this._options
+    const link = await openLink({ address, localAddress, clock })
+    if (link === undefined) {
+      this._lose({ address, link })
+      return undefined
+    }
+    log.info('coordinator_linked', { coordinator: address })
+    link.onDidClose(() => this._lose({ address, link }))
+    this._onDidOpen.fire(link)
+    return link
+  }
+
+  private _lose (lost: LostCoordinator): void {
+    this._links.delete(lost.address)
+    if (!this._isDisposed) this._onDidLose.fire(lost)
+  }
+}
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -2,16 +2,16 @@
  * One plan of a coordinator, and the jobs that it holds for their owners.
  */
 import type { GenerationWork } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { LimitSource } from '../../quota/common/limitSource.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
-import type { ColdAllowance } from '../../upstream/common/coldAllowance.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
 
 export interface PlanShardOptions {
   readonly registry: UpstreamRegistry
   readonly getTable: () => RelayTable | undefined
-  /** What cold upstreams bear; without it nothing bounds what they get. */
-  readonly cold?: ColdAllowance
+  /** What upstreams accept; any number without it. */
+  readonly limits?: LimitSource
 }
 
 /** One plan: all upstreams, or those of one hall. */
@@ -21,10 +21,10 @@
   isFreeing = false
   loadLoggedAt = -Infinity
 
-  constructor (readonly hall: string, { registry, getTable, cold }: PlanShardOptions) {
+  constructor (readonly hall: string, { registry, getTable, limits }: PlanShardOptions) {
     this.planner = new PreparationPlanner(role => {
       const msPerMovedToken = computeMoveMs(getTable()?.getRole(role)?.generationWork)
-      return registry.listRole(role).filter(entry => this.holds(entry)).map(entry => ({ id: entry.id, hall: entry.hall, msPerMovedToken, maxPerS: cold?.computePlanned(entry) }))
+      return registry.listRole(role).filter(entry => this.holds(entry)).map(entry => ({ id: entry.id, hall: entry.hall, msPerMovedToken, limit: limits?.find(entry) }))
     })
   }
 
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -6,7 +6,7 @@
 import type { Either } from 'purify-ts'
 import type { IClock } from '../../../base/common/clock.ts'
 import type { Event } from '../../../base/common/event.ts'
-import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { Disposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { listLastStages } from '../common/preparationJob.ts'
@@ -20,8 +20,9 @@
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobEnd, JobNews } from '../common/plannedCall.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
-import { CoordinatorLink } from './coordinatorLink.ts'
-import type { CoordinatorLinkOptions } from './coordinatorLink.ts'
+import type { CoordinatorLink, CoordinatorLinkOptions } from './coordinatorLink.ts'
+import { CoordinatorLinks } from './coordinatorLinks.ts'
+import type { LostCoordinator } from './coordinatorLinks.ts'
 import { OpenJob } from './openJob.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
 
@@ -43,6 +44,8 @@
   readonly listPieceUpstreams: () => readonly PlannedUpstream[]
   /** How a coordinator of another node is reached; undefined when it cannot be in time. */
   readonly openLink?: (options: CoordinatorLinkOptions) => Promise<CoordinatorLink | undefined>
+  /** Links that others use as well; the client has its own without them. */
+  readonly links?: CoordinatorLinks
 }
 
 /** How a job is kept. */
@@ -63,7 +66,7 @@
 export class PreparationClient extends Disposable implements IPreparationService {
   private readonly _options: PreparationClientOptions
   private readonly _jobs = new Map<string, OpenJob>()
-  private readonly _links = new Map<string, Promise<CoordinatorLink | undefined>>()
+  private readonly _links: CoordinatorLinks
   private readonly _prefixes = new PrefixBook()
   private readonly _avoidUntil = new Map<string, number>()
 
@@ -71,7 +74,10 @@
     super()
     this._options = options
     this._register(options.onDidKnowMembers(() => { for (const open of [...this._jobs.values()]) void this._submit(open) }))
-    this._register(toDisposable(() => { for (const link of this._links.values()) void link.then(open => open?.close()) }))
+    const { clock, log, localAddress, openLink } = options
+    this._links = options.links ?? this._register(new CoordinatorLinks({ clock, log, localAddress, openLink }))
+    this._register(this._links.onDidOpen(link => this._follow(link)))
+    this._register(this._links.onDidLose(lost => this._lose(lost)))
   }
 
   /** The address of the coordinator that keeps a plan. */
@@ -124,7 +130,7 @@
       this._pushPrefixes(hall)
       return this._options.coordinator.submit({ job: this._updateTimes(open), hall, isOffer, carried: this._listCarried(open) }, news => this._take(open, news))
     }
-    const link = await this._getLink(address)
+    const link = await this._links.connect(address)
     if (this._jobs.get(open.job.id) !== open) return
     if (link === undefined || link.isClosed) return this._move(open)
     open.link = link
@@ -211,42 +217,22 @@
     open.settle(news)
   }
 
-  private _getLink (address: string): Promise<CoordinatorLink | undefined> {
-    const held = this._links.get(address)
-    if (held !== undefined) return held
-    const opening = this._openLink(address)
-    this._links.set(address, opening)
-    return opening
-  }
-
-  private async _openLink (address: string): Promise<CoordinatorLink | undefined> {
-    const { localAddress, clock, openLink = options => CoordinatorLink.open(options) } = this._options
-    const link = await openLink({ address, localAddress, clock })
-    if (link === undefined) {
-      this._lose(address, { mayAskAgain: false })
-      return undefined
-    }
-    this._options.log.info('coordinator_linked', { coordinator: address })
+  private _follow (link: CoordinatorLink): void {
     link.onDidReceive(news => {
       const open = this._jobs.get(news.jobId)
       if (open?.link === link) this._take(open, news)
     })
-    link.onDidClose(() => {
-      this._lose(address, { mayAskAgain: link.wentSilent })
-      for (const open of [...this._jobs.values()]) if (open.link === link) this._move(open)
-    })
-    return link
   }
 
   /**
    * A coordinator is asked over a new connection before it is left alone: when connections go silent, nodes that went on
    * to the next coordinator, and found it silent too, each planned alone in the same upstreams.
    */
-  private _lose (address: string, { mayAskAgain }: { readonly mayAskAgain: boolean }): void {
-    this._links.delete(address)
-    if (this._isDisposed) return
+  private _lose ({ address, link }: LostCoordinator): void {
+    const mayAskAgain = link?.wentSilent === true
     if (!mayAskAgain) this._avoidUntil.set(address, this._options.clock.now() + AVOID_MS)
     this._options.log.warn('coordinator_lost', { coordinator: address, jobs: this._jobs.size, asked_again: mayAskAgain })
+    if (link !== undefined) for (const open of [...this._jobs.values()]) if (open.link === link) this._move(open)
   }
 
   private _createOutcome (open: OpenJob, news: JobEnd, signal: AbortSignal): Either<JobRefusal, IPreparedInputs> {
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -6,8 +6,8 @@
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
+import type { LimitSource } from '../../quota/common/limitSource.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
-import type { ColdAllowance } from '../../upstream/common/coldAllowance.ts'
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobNews, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
@@ -23,7 +23,7 @@
   readonly protocol: PieceProtocol
   readonly registry: UpstreamRegistry
   readonly getTable: () => RelayTable | undefined
-  readonly cold?: ColdAllowance
+  readonly limits?: LimitSource
 }
 
 /** A job as it comes to a coordinator. */
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -5,14 +5,23 @@
 import type { FrameConnection } from '../../../base/node/frameConnection.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import { FrameServer } from '../../rpc/node/frameServer.ts'
+import type { QuotaGrant } from '../../quota/common/quotaOwner.ts'
 import { checkPreparationMessage } from '../common/preparationMessage.ts'
 import type { PreparationMessage } from '../common/preparationMessage.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
 
+/** Whether a node may send one request to an upstream, by the boot's id. */
+export type QuotaAnswerer = (upstreamId: string) => QuotaGrant
+
+/** An answer holds a finite time. */
+const MAX_RETRY_MS = 10_000
+const NO_QUOTA: QuotaGrant = { isGranted: false, retryInMs: MAX_RETRY_MS }
+
 export class PreparationServer extends Disposable {
   private readonly _server = this._register(new FrameServer(connection => this._accept(connection)))
 
-  constructor (private readonly _coordinator: PreparationCoordinator, private readonly _log: ILogService) {
+  /** Without a quota, requests at limited upstreams are not given out here. */
+  constructor (private readonly _coordinator: PreparationCoordinator, private readonly _log: ILogService, private readonly _answerQuota?: QuotaAnswerer) {
     super()
   }
 
@@ -40,6 +49,9 @@
     const send = (reply: PreparationMessage) => connection.send(reply)
     if (message.kind === 'ping') {
       send({ kind: 'pong' })
+    } else if (message.kind === 'quotaWanted') {
+      const { isGranted, retryInMs } = this._answerQuota?.(message.upstreamId) ?? NO_QUOTA
+      send({ kind: 'quotaAnswered', id: message.id, isGranted, retryInMs: Math.min(MAX_RETRY_MS, retryInMs) })
     } else if (message.kind === 'job') {
       jobs.add(message.job.id)
       this._coordinator.submit({ job: message.job, hall: message.hall, carried: message.carried, isOffer: message.isOffer, link: connection }, news => {
--- a/src/services/quota/common/rateLimitBook.ts
+++ b/src/services/quota/common/rateLimitBook.ts
@@ -16,14 +16,17 @@
 export class RateLimitBook {
   private readonly _heard = new Map<string, HeardRate>()
 
-  /** Takes a statement in if it is the latest of its boot; tells whether that changed the limit. */
+  /** Takes a statement in; false where a later one of the boot is known. */
   note (heard: HeardRate): boolean {
     const held = this._heard.get(heard.upstream)
     if (held !== undefined && heard.heardAt < held.heardAt) return false
-    if (held === undefined && heard.perS === undefined) return false
     this._heard.set(heard.upstream, heard)
     if (this._heard.size > MAX_REMEMBERED) for (const oldest of [...this._heard.keys()].slice(0, 1)) this._heard.delete(oldest)
-    return held?.perS !== heard.perS
+    return true
+  }
+
+  get (upstream: string): HeardRate | undefined {
+    return this._heard.get(upstream)
   }
 
   /** Requests per second; undefined where no limit is known. */
--- /dev/null
+++ b/src/services/quota/node/limitedPieces.ts
@@ -0,0 +1,24 @@
+/**
+ * Calls to upstreams that make pieces, as far as these accept them.
+ */
+import { PieceProtocol } from '../../preparation/common/pieceProtocol.ts'
+import type { PieceCallOutcome, PlannedPiece } from '../../preparation/common/plannedCall.ts'
+import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import type { IQuotaService } from '../common/quota.ts'
+
+export class LimitedPieces extends PieceProtocol {
+  constructor (private readonly _pieces: PieceProtocol, private readonly _quota: IQuotaService) {
+    super()
+    _pieces.onDidReadRate(stated => this._onDidReadRate.fire(stated))
+  }
+
+  async runPieces (upstream: UpstreamEntry, pieces: readonly PlannedPiece[], timeoutMs: number): Promise<PieceCallOutcome> {
+    if (await this._quota.acquire(upstream)) return await this._pieces.runPieces(upstream, pieces, timeoutMs)
+    return { kind: 'notRun', reason: 'limited', retryInMs: this._quota.getWaitMs(upstream) }
+  }
+
+  /** What is not given back goes when its lifetime ends. */
+  async freeResults (upstream: UpstreamEntry, handles: readonly string[]): Promise<boolean> {
+    return await this._quota.acquire(upstream) && await this._pieces.freeResults(upstream, handles)
+  }
+}
--- a/src/services/quota/node/rateLimitService.ts
+++ b/src/services/quota/node/rateLimitService.ts
@@ -1,17 +1,25 @@
 /**
- * Knows the rate limits that upstreams state in their answers.
+ * Knows the rate limits that upstreams state in their answers, to whichever node. A node that hears of a change tells
+ * all others.
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
+import { formatLimitSubject } from '../../facts/common/fact.ts'
+import { isFactOf } from '../../facts/common/factStore.ts'
+import type { FactStore, HeldFactOf } from '../../facts/common/factStore.ts'
 import type { ILogService } from '../../log/node/logger.ts'
-import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { RateLimitBook } from '../common/rateLimitBook.ts'
+import type { HeardRate } from '../common/rateLimitBook.ts'
 import type { UpstreamRateStatement } from '../common/rateStatement.ts'
 
 export interface RateLimitServiceOptions {
   readonly clock: IClock
   readonly log: ILogService
-  readonly registry: UpstreamRegistry
+  readonly facts: FactStore
+  /** This node, by its address. */
+  readonly node: string
+  /** Grows with each boot of the host. */
+  readonly incarnation: number
 }
 
 /** An upstream's limit as this node knows it, for the dump. */
@@ -21,15 +29,21 @@
   readonly ageMs: number
 }
 
+/** A limit that goes on is told again, or nodes that join later would not hear of it. */
+const REPEAT_MS = 60_000
+/** An upstream that keeps changing its limit is told of this often at most. */
+const MIN_PERIOD_MS = 100
+
 export class RateLimitService extends Disposable {
   private readonly _options: RateLimitServiceOptions
   private readonly _book = new RateLimitBook()
+  private _factCounter = 0
   private _invalidCount = 0
 
   constructor (options: RateLimitServiceOptions) {
     super()
     this._options = options
-    this._register(options.registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._book.forget(entry.id) }))
+    this._register(options.facts.onDidChange(fact => { if (isFactOf(fact, 'limit') && fact.source !== '') this._takeFact(fact) }))
   }
 
   /** Statements since the start whose value was no rate. */
@@ -41,9 +55,19 @@
   note ({ upstream, statement }: UpstreamRateStatement): void {
     if (statement.kind === 'invalid') return this._noteInvalid(upstream, statement.name, statement.value)
     const perS = statement.kind === 'limited' ? statement.perS : undefined
-    const before = this._book.findLimit(upstream)
-    if (!this._book.note({ upstream, perS, heardAt: this._options.clock.now() })) return
-    this._options.log.info('rate_limit_changed', { upstream, per_s: perS ?? 'none', before: before ?? 'none', source: 'own', age_ms: 0 })
+    const heardAt = this._options.clock.now()
+    const held = this._book.get(upstream)
+    const ageMs = heardAt - (held?.heardAt ?? -Infinity)
+    const isKnown = held?.perS === perS && (perS === undefined || ageMs < REPEAT_MS)
+    if (isKnown || ageMs < MIN_PERIOD_MS) return
+    this._apply({ upstream, perS, heardAt }, '')
+    const { facts, node, incarnation } = this._options
+    facts.merge({ subject: formatLimitSubject(upstream, node), incarnation, counter: ++this._factCounter, value: { kind: 'limit', upstream, perS }, ageMs: 0 })
+  }
+
+  /** Requests per second; undefined where the upstream accepts any number. */
+  findLimit (upstream: string): number | undefined {
+    return this._book.findLimit(upstream)
   }
 
   /** The limits in force. */
@@ -52,6 +76,18 @@
     return this._book.listLimits().map(({ upstream, perS = 0, heardAt }) => ({ upstream, perS, ageMs: Math.round(now - heardAt) }))
   }
 
+  private _takeFact ({ value: { upstream, perS }, observedAt, source }: HeldFactOf<'limit'>): void {
+    this._apply({ upstream, perS, heardAt: observedAt }, source)
+  }
+
+  private _apply (heard: HeardRate, source: string): void {
+    const { clock, log } = this._options
+    const { upstream, perS, heardAt } = heard
+    const before = this._book.findLimit(upstream)
+    if (!this._book.note(heard) || before === perS) return
+    log.info('rate_limit_changed', { upstream, per_s: perS ?? 'none', before: before ?? 'none', source: source === '' ? 'own' : source, age_ms: Math.round(clock.now() - heardAt) })
+  }
+
   private _noteInvalid (upstream: string, name: string, value: string): void {
     this._invalidCount++
     this._options.log.warn('rate_limit_invalid', { upstream, name, value })
--- /dev/null
+++ b/src/services/quota/test/quotaService.test.ts
@@ -0,0 +1,107 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FaultRelay } from '../../../base/test/faultRelay.ts'
+import { SystemClock } from '../../../base/node/systemClock.ts'
+import { LogService } from '../../log/node/logger.ts'
+import { CoordinatorLinks } from '../../preparation/node/coordinatorLinks.ts'
+import { PreparationCoordinator } from '../../preparation/node/preparationCoordinator.ts'
+import { PreparationServer } from '../../preparation/node/preparationServer.ts'
+import { PieceProtocol } from '../../preparation/common/pieceProtocol.ts'
+import type { PieceCallOutcome } from '../../preparation/common/plannedCall.ts'
+import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import { StatedLimits } from '../common/limitSource.ts'
+import { QuotaOwner } from '../common/quotaOwner.ts'
+import { LimitedPieces } from '../node/limitedPieces.ts'
+import { QuotaService } from '../node/quotaService.ts'
+
+const test = suite('quotaService')
+
+const UPSTREAM: UpstreamEntry = { id: 'u', role: 'r', address: '127.0.0.1:9', hall: 'x', slots: 8, isLeaving: false }
+const NODES = 7
+const MAX_ANSWER_MS = 400
+const MAX_SILENCE_MS = 2000
+
+class CountingPieces extends PieceProtocol {
+  callCount = 0
+
+  runPieces (): Promise<PieceCallOutcome> {
+    this.callCount++
+    return Promise.resolve({ kind: 'answered', pieces: [] })
+  }
+
+  freeResults (): Promise<boolean> {
+    this.callCount++
+    return Promise.resolve(true)
+  }
+}
+
+/** A node that owns the quota, and others that ask it through a relay. */
+async function runFleet (getLimit: () => number | undefined, run: (nodes: readonly QuotaService[], relay: FaultRelay) => Promise<void>): Promise<void> {
+  const clock = new SystemClock()
+  const log = new LogService({ program: 'test', silent: true })
+  const registry = new UpstreamRegistry()
+  registry.update(UPSTREAM, 'test')
+  const limits = new StatedLimits(getLimit)
+  const owner = new QuotaOwner({ clock, limits, isOwner: () => true, settleMs: 0 })
+  const coordinator = new PreparationCoordinator({ clock, log, protocol: new CountingPieces(), registry, getTable: () => undefined })
+  const server = new PreparationServer(coordinator, log, upstream => owner.acquire(registry.get(upstream) ?? UPSTREAM))
+  const port = await server.listen('127.0.0.1', 0)
+  const relay = new FaultRelay()
+  const address = `127.0.0.1:${await relay.listen(() => ({ host: '127.0.0.1', port }))}`
+  const parts = Array.from({ length: NODES }, () => {
+    const links = new CoordinatorLinks({ clock, log })
+    const own = new QuotaOwner({ clock, limits, isOwner: () => false })
+    return { links, service: new QuotaService({ clock, log, registry, limits, owner: own, links, findOwner: () => address, countNodes: () => NODES }) }
+  })
+  try {
+    await run(parts.map(({ service }) => service), relay)
+  } finally {
+    for (const { links, service } of parts) for (const part of [service, links]) part.dispose()
+    for (const part of [server, coordinator, relay, registry]) part.dispose()
+  }
+}
+
+test('nodes that ask one owner get the limit together, and no more', () => runFleet(() => 2, async nodes => {
+  const granted = await Promise.all(nodes.map(node => node.acquire(UPSTREAM)))
+  assert.is(granted.filter(isGranted => isGranted).length, 1)
+  assert.ok(nodes.every((node, index) => (node.getWaitMs(UPSTREAM) === 0) === granted[index]))
+}))
+
+test('an owner that cannot be heard grants nothing, and does not keep a request waiting', () => runFleet(() => 20, async ([node], relay) => {
+  assert.ok(node !== undefined && await node.acquire(UPSTREAM))
+  relay.stopForwarding()
+  const startedAt = performance.now()
+  assert.not(await node.acquire(UPSTREAM))
+  assert.ok(performance.now() - startedAt < MAX_ANSWER_MS)
+  // It is asked over a new connection as soon as the silence shows.
+  while (!await node.acquire(UPSTREAM)) {
+    assert.ok(performance.now() - startedAt < MAX_SILENCE_MS)
+    await new Promise(resolve => { setTimeout(resolve, 50) })
+  }
+}))
+
+test('an upstream without a limit is used without asking anyone', () => runFleet(() => undefined, async ([node], relay) => {
+  relay.cut()
+  assert.ok(node !== undefined && await node.acquire(UPSTREAM))
+}))
+
+test('calls for pieces and what gives them back count as well', () => runFleet(() => 1, async ([node]) => {
+  assert.ok(node !== undefined)
+  const pieces = new CountingPieces()
+  const limited = new LimitedPieces(pieces, node)
+  assert.is((await limited.runPieces(UPSTREAM, [], 100)).kind, 'answered')
+  const second = await limited.runPieces(UPSTREAM, [], 100)
+  assert.ok(second.kind === 'notRun' && second.reason === 'limited' && second.retryInMs > 0)
+  assert.not(await limited.freeResults(UPSTREAM, ['h']))
+  assert.is(pieces.callCount, 1)
+}))
+
+test('callers whom nobody accepts return one after the other', () => runFleet(() => 2, ([node]) => {
+  const times = Array.from({ length: 3 }, () => node?.scheduleReturn('r', [UPSTREAM]) ?? 0)
+  const [first = 0, second = 0, third = 0] = times
+  assert.ok(second - first > 3000 && third > second, times.join(' '))
+  return Promise.resolve()
+}))
+
+test.run()
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -3,10 +3,8 @@
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
-import { SlidingCount } from '../../../base/common/slidingCount.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
-import { COLD_WINDOW_MS } from '../../upstream/common/coldAllowance.ts'
-import type { ColdAllowance } from '../../upstream/common/coldAllowance.ts'
+import type { IQuotaService } from '../../quota/common/quota.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { AttemptOutcome } from './attemptDecision.ts'
 import { listSharedPrefixes } from './relayRequest.ts'
@@ -23,8 +21,8 @@
   readonly countNodes: () => number
   /** Whether a boot is known to have ended though it is still listed. */
   readonly hasEnded: (upstream: string) => boolean
-  /** What cold upstreams bear; without it nothing bounds what they get. */
-  readonly cold?: ColdAllowance
+  /** What limited upstreams accept; any number without it. */
+  readonly quota?: Pick<IQuotaService, 'getWaitMs'>
 }
 
 export interface PoolQuestion {
@@ -35,10 +33,12 @@
   readonly tried: ReadonlySet<string>
   /** The only halls that may serve the request; undefined for all. */
   readonly homeHalls?: readonly string[]
+  /** Upstreams that do not accept the request now. */
+  readonly denied?: ReadonlySet<string>
 }
 
 /** A request that may have ended upstreams wants a place where it does least harm. */
-export interface ApartQuestion extends Pick<PoolQuestion, 'role' | 'tried' | 'homeHalls'> {
+export interface ApartQuestion extends Pick<PoolQuestion, 'role' | 'tried' | 'homeHalls' | 'denied'> {
   /** What the tries of the request have in common. */
   readonly key: string
 }
@@ -76,12 +76,10 @@
 export class RelayPool {
   private readonly _options: RelayPoolOptions
   private readonly _uses = new Map<string, UpstreamUse>()
-  /** What this node chose for itself. */
-  private readonly _chosen = new SlidingCount(COLD_WINDOW_MS)
 
   constructor (options: RelayPoolOptions) {
     this._options = options
-    options.registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._forget(entry.id) })
+    options.registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._uses.delete(entry.id) })
   }
 
   /** An upstream that was chosen elsewhere, if nothing known here speaks against it. */
@@ -92,7 +90,7 @@
   }
 
   choose (question: PoolQuestion): UpstreamEntry | undefined {
-    const entries = this._listOpen(question.role, question.homeHalls)
+    const entries = this._listOpen(question)
     const untried = entries.filter(entry => !question.tried.has(entry.id))
     const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length)
     const shared = question.prompt === undefined ? undefined : listSharedPrefixes(question.prompt).at(-1)
@@ -100,21 +98,27 @@
       { sharedPrefix: shared?.key ?? '', sharedTokens: shared?.tokens ?? 0, hall: question.hall, nodeCount: this._options.countNodes() },
       usable.map(entry => this._createCandidate(entry))
     )
-    return this._take(choice?.id)
+    return choice === undefined ? undefined : this._options.registry.get(choice.id)
+  }
+
+  /** All upstreams that the request might go to, whatever they accept now. */
+  listUsable (role: string, homeHalls?: readonly string[]): readonly UpstreamEntry[] {
+    const listed = this._options.registry.listRole(role)
+    return homeHalls === undefined ? listed : listed.filter(({ hall }) => homeHalls.includes(hall))
   }
 
   /**
    * Where a suspect goes: to an upstream that has no other suspect, so that the next end tells which of them it was, and
    * as little else as may be. Nodes rank upstreams alike for one request and differently for two.
    */
-  chooseApart ({ role, tried, key, homeHalls }: ApartQuestion): UpstreamEntry | undefined {
-    const entries = this._listOpen(role, homeHalls)
+  chooseApart ({ tried, key, ...question }: ApartQuestion): UpstreamEntry | undefined {
+    const entries = this._listOpen(question)
     const untried = entries.filter(entry => !tried.has(entry.id))
     const usable = this._listHealthy(untried.length > 0 ? untried : entries, entries.length).filter(entry => !this._options.hasEnded(entry.id))
     const ranked = rankByRendezvous(key, usable.map(entry => entry.id))
     const costs = ranked.map(id => ({ id, use: this._getUse(id) }))
     const [best] = costs.sort((a, b) => a.use.suspects - b.use.suspects || a.use.inFlight - b.use.inFlight)
-    return this._take(best?.id)
+    return best === undefined ? undefined : this._options.registry.get(best.id)
   }
 
   begin (upstream: UpstreamEntry, { prompt, isSuspect }: PoolArrival): PoolVisit {
@@ -149,28 +153,10 @@
     return [...this._uses].map(([id, use]) => ({ id, inFlight: use.inFlight, pendingTokens: use.pendingTokens, health: use.health.getState(now), load: use.load }))
   }
 
-  /** Upstreams that take work from this node now: cold ones are left out where others may have used up what they bear. */
-  private _listOpen (role: string, homeHalls: readonly string[] | undefined): readonly UpstreamEntry[] {
-    const { registry, cold, clock } = this._options
-    const listed = registry.listRole(role)
-    const entries = homeHalls === undefined ? listed : listed.filter(({ hall }) => homeHalls.includes(hall))
-    if (cold === undefined) return entries
-    const now = clock.now()
-    return entries.filter(entry => {
-      const maxPerS = cold.computeDirect(entry)
-      return maxPerS === Infinity || this._chosen.count(entry.id, now) < maxPerS
-    })
-  }
-
-  private _take (id: string | undefined): UpstreamEntry | undefined {
-    if (id === undefined) return undefined
-    this._chosen.add(id, this._options.clock.now())
-    return this._options.registry.get(id)
-  }
-
-  private _forget (id: string): void {
-    this._uses.delete(id)
-    this._chosen.drop(id)
+  /** Upstreams that accept work now, as far as is known without asking. */
+  private _listOpen ({ role, homeHalls, denied }: Pick<PoolQuestion, 'role' | 'homeHalls' | 'denied'>): readonly UpstreamEntry[] {
+    const { quota } = this._options
+    return this.listUsable(role, homeHalls).filter(entry => denied?.has(entry.id) !== true && (quota === undefined || quota.getWaitMs(entry) === 0))
   }
 
   /** A refusal for want of room says nothing of health; a failed connection does. */
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -9,6 +9,7 @@
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import type { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
 import type { IQuarantineService } from '../../quarantine/common/quarantine.ts'
+import type { IQuotaService } from '../../quota/common/quota.ts'
 import type { RateLimitService } from '../../quota/node/rateLimitService.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
@@ -29,7 +30,9 @@
   readonly registry: UpstreamRegistry
   readonly pool: RelayPool
   readonly retry: RetryPolicy
+  /** What upstreams say of the rate that they accept goes there. */
   readonly limits: RateLimitService
+  readonly quota: IQuotaService
   readonly preparation: IPreparationService
   readonly releaseDelay: ReleaseDelay
   readonly quarantine: IQuarantineService
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -26,6 +26,7 @@
 import type { RelayContext } from './relayContext.ts'
 import { RequestInputs } from './requestInputs.ts'
 import { RequestSuspect } from './requestSuspect.ts'
+import { UpstreamChoice } from './upstreamChoice.ts'
 
 /** A request that was taken in. */
 export interface TakenRequest {
@@ -86,6 +87,7 @@
   private readonly _preparing = new AbortController()
   private readonly _deadlineAt: number
   private readonly _role: string
+  private readonly _choice: UpstreamChoice
 
   constructor (private readonly _context: RelayContext, private readonly _taken: TakenRequest) {
     const { route, request, arrivedAt } = _taken
@@ -98,6 +100,7 @@
       onDidLose: lost => { this._lossesNoted = Promise.all([this._lossesNoted, this._noteLostPieces(lost)]) }
     })
     this._role = pickTarget(route.targets, _context.random)
+    this._choice = new UpstreamChoice({ context: _context, taken: _taken, role: this._role, inputs: this._inputs, tried: this._tried, signal: this._abort.signal })
     this._known = _context.registry.computeAge(arrivedAt)
   }
 
@@ -137,7 +140,7 @@
         const failed = await this._prepareAgain()
         if (failed !== undefined) return failed
       }
-      const upstream = this._chooseUpstream()
+      const upstream = await this._choice.acquire({ suspectKey: this._standing.ends > 0 ? this._suspect.getDigest() : undefined, timeLeftMs: this._getTimeLeft() - MIN_ATTEMPT_MS })
       if (upstream === undefined) return this._refuseWithoutUpstream()
       const result = await this._tryUpstream(upstream)
       await this._noteEnd(upstream, result)
@@ -185,20 +188,6 @@
     if (this._standing.isQuarantined) this._preparing.abort()
   }
 
-  private _chooseUpstream (): UpstreamEntry | undefined {
-    const { homeHalls } = this._taken
-    if (this._standing.ends > 0) return this._context.pool.chooseApart({ role: this._role, tried: this._tried, key: this._suspect.getDigest(), homeHalls })
-    const { targetId } = this._inputs
-    const chosen = targetId === undefined ? undefined : this._context.pool.confirm(targetId, this._tried, homeHalls)
-    return chosen ?? this._context.pool.choose({
-      role: this._role,
-      prompt: this._taken.request.prompt,
-      hall: this._inputs.hall || this._context.hall,
-      tried: this._tried,
-      homeHalls
-    })
-  }
-
   private async _tryUpstream (upstream: UpstreamEntry): Promise<AttemptResult> {
     const { context, taken } = { context: this._context, taken: this._taken }
     const { request, route } = taken
@@ -338,6 +327,10 @@
   }
 
   private _refuseWithoutUpstream (): ResultName {
+    const { quota } = this._context
+    if (this._abort.signal.aborted) return this._refuseLate()
+    const usable = this._choice.listUsable()
+    if (usable.some(entry => quota.isLimited(entry))) return this._refuse('overloaded', `no upstream of ${this._role} accepts more now`, this._runCount === 0, quota.scheduleReturn(this._role, usable))
     return this._refuse('upstreamNoneLeft', `no upstream of ${this._role} takes work`, this._runCount === 0, RETRY_SOON_MS)
   }
 
--- a/src/services/relay/test/coldUpstreams.test.ts
+++ b/src/services/relay/test/coldUpstreams.test.ts
@@ -1,20 +1,15 @@
-/**
- * An upstream that is cold bears only so many requests a second, from all nodes together, and collapses above that.
- *
- * When a hall comes back, all of its upstreams are cold and empty, and all nodes prefer the empty ones at the same moment;
- * a prompt that many callers share leads all nodes to the same one. 200 nodes with two requests each sent
- * all 400 to one cold upstream within a second, where 18 are allowed.
- */
+// Cold upstreams collapse under more than a few requests a second, and 200 nodes sent one of them 400.
 import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { VirtualClock } from '../../../base/common/clock.ts'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { TargetPlanner } from '../../preparation/common/targetPlanner.ts'
+import { ColdLimits } from '../../quota/common/limitSource.ts'
+import { QuotaOwner } from '../../quota/common/quotaOwner.ts'
 import { TrustingTracker } from '../../health/common/healthTracker.ts'
 import { RelayPool } from '../common/relayPool.ts'
 import { AffinityRouter } from '../common/relayRouter.ts'
-import { ColdAllowance } from '../../upstream/common/coldAllowance.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 
 const test = suite('coldUpstreams')
@@ -35,20 +30,33 @@
   return registry
 }
 
-/** What one node makes of the bound; it reaches so many of all nodes. */
-function createAllowance (clock: VirtualClock, nodeCount: number, node = 0, liveCount = nodeCount): ColdAllowance {
-  const known = Array.from({ length: nodeCount }, (_item, index) => `n${index}`)
-  return new ColdAllowance({ clock, own: `n${node}`, getBound: () => BOUND, listKnown: () => known, countLive: () => liveCount })
+/** What is sent within this time may arrive within a second. */
+const WINDOW_MS = 1400
+const STEP_MS = 10
+
+/** Limits as they are known to the owner of a quota that reaches so many of all nodes. */
+function createLimits (clock: VirtualClock, nodeCount: number, liveCount = nodeCount): ColdLimits {
+  return new ColdLimits({ clock, getBound: () => BOUND, countKnown: () => nodeCount, countLive: () => liveCount })
+}
+
+function createOwner (clock: VirtualClock, limits: ColdLimits): QuotaOwner {
+  return new QuotaOwner({ clock, limits, isOwner: () => true, settleMs: 0 })
 }
 
 test('nodes that choose for themselves keep the bound together, and serve every request', () => {
   const clock = new VirtualClock()
+  const owner = createOwner(clock, createLimits(clock, 200))
   const counts = new Map<string, number>()
   let refused = 0
   for (let node = 0; node < 200; node++) {
-    const pool = new RelayPool({ clock, registry: createRegistry(), router: new AffinityRouter({ random: new SeededRandom(node) }), createHealth: () => new TrustingTracker(), countNodes: () => 200, hasEnded: () => false, cold: createAllowance(clock, 200, node) })
+    const pool = new RelayPool({ clock, registry: createRegistry(), router: new AffinityRouter({ random: new SeededRandom(node) }), createHealth: () => new TrustingTracker(), countNodes: () => 200, hasEnded: () => false })
     for (let count = 0; count < 2; count++) {
-      const upstream = pool.choose({ role: 'model', prompt: PROMPT, hall: 'x', tried: new Set() })
+      const denied = new Set<string>()
+      let upstream = pool.choose({ role: 'model', prompt: PROMPT, hall: 'x', tried: new Set(), denied })
+      while (upstream !== undefined && !owner.acquire(upstream).isGranted) {
+        denied.add(upstream.id)
+        upstream = pool.choose({ role: 'model', prompt: PROMPT, hall: 'x', tried: new Set(), denied })
+      }
       if (upstream === undefined) refused++
       else counts.set(upstream.id, (counts.get(upstream.id) ?? 0) + 1)
     }
@@ -57,51 +65,48 @@
   for (const [id, count] of counts) if (id !== 'u0') assert.ok(count <= BOUND, `${count} at ${id}`)
 })
 
-/** As many as a plan grants one upstream at one moment. */
-function countGrants (cold: ColdAllowance, registry: UpstreamRegistry, id: string): number {
-  const planner = new TargetPlanner()
-  const entry = registry.get(id)
-  if (entry === undefined) return 0
-  const candidates = [{ id, hall: entry.hall, msPerMovedToken: Infinity, maxPerS: cold.computePlanned(entry) }]
-  const shape = { role: 'model', shared: [], inputTokens: 1000 }
-  for (let count = 0; count <= BOUND; count++) {
-    if (planner.choose({ shape, candidates, bytesByHall: new Map(), waitByHall: new Map() }, 0) === undefined) return count
-    planner.assign({ jobId: `j${count}`, shape, targetId: id, readTokens: 1000 }, 0)
+/** The most that an owner gives out within the window, from any moment on. */
+function countGrants (sizes: { readonly nodeCount: number, readonly liveCount?: number }, id: string): number {
+  const clock = new VirtualClock()
+  const entry = createRegistry().get(id)
+  if (entry === undefined) return Infinity
+  const owner = createOwner(clock, createLimits(clock, sizes.nodeCount, sizes.liveCount))
+  const grantedAt: number[] = []
+  for (let at = 0; at < 2 * WINDOW_MS; at += STEP_MS) {
+    for (let tries = 0; tries <= BOUND; tries++) if (owner.acquire(entry).isGranted) grantedAt.push(at)
+    clock.advance(STEP_MS)
   }
-  return Infinity
+  return Math.max(0, ...grantedAt.map((from, index) => grantedAt.slice(index).filter(at => at - from < WINDOW_MS).length))
 }
 
-test('parts of a fleet that cannot reach each other keep the bound together, also while two planners overlap in each', () => {
+test('parts of a fleet that cannot reach each other keep the bound together, also while two owners overlap in each', () => {
   const parts = fc.array(fc.integer({ min: 1, max: 120 }), { minLength: 1, maxLength: 12 })
   fc.assert(fc.property(parts, fc.integer({ min: 1, max: COLD_COUNT }), (sizes, index) => {
-    const clock = new VirtualClock()
-    const registry = createRegistry()
-    const entry = registry.get(`u${index}`)
     const nodeCount = sizes.reduce((sum, size) => sum + size, 0)
-    const planned = sizes.reduce((sum, size) => sum + 2 * countGrants(createAllowance(clock, nodeCount, 0, size), registry, `u${index}`), 0)
-    let direct = 0
-    assert.ok(entry !== undefined)
-    for (let node = 0; node < nodeCount; node++) direct += createAllowance(clock, nodeCount, node).computeDirect(entry)
-    assert.ok(planned + direct <= BOUND, `${planned} planned, ${direct} direct`)
+    const granted = sizes.reduce((sum, liveCount) => sum + 2 * countGrants({ nodeCount, liveCount }, `u${index}`), 0)
+    assert.ok(granted <= BOUND, `${granted} granted`)
   }), { seed: SEED, numRuns: 40 })
 })
 
 test('a cold upstream is asked for something, and is no longer bounded once it is warm', () => {
   const clock = new VirtualClock()
-  const registry = createRegistry()
-  assert.ok(countGrants(createAllowance(clock, 89), registry, 'u1') >= 2)
-  assert.ok(countGrants(createAllowance(clock, 89), registry, 'u0') > BOUND)
+  const limits = createLimits(clock, 89)
+  const [cold, warm] = ['u1', 'u0'].map(id => createRegistry().get(id))
+  assert.ok(cold && warm)
+  assert.ok(countGrants({ nodeCount: 89 }, 'u1') >= 5)
+  assert.is(limits.find(warm), undefined)
   clock.advance(COLD_MS)
-  assert.ok(countGrants(createAllowance(clock, 89), registry, 'u1') > BOUND)
+  assert.is(limits.find(cold), undefined)
 })
 
-test('a plan grants a cold upstream something again when the last grants have arrived', () => {
+test('a plan grants a limited upstream something again at its rate', () => {
   const planner = new TargetPlanner()
   const shape = { role: 'model', shared: [], inputTokens: 1000 }
-  const question = { shape, candidates: [{ id: 'u', hall: 'x', msPerMovedToken: Infinity, maxPerS: 1 }], bytesByHall: new Map(), waitByHall: new Map() }
+  const question = { shape, candidates: [{ id: 'u', hall: 'x', msPerMovedToken: Infinity, limit: { perS: 0.5, burst: 1 } }], bytesByHall: new Map(), waitByHall: new Map() }
+  assert.is(planner.choose(question, 0)?.id, 'u')
   planner.assign({ jobId: 'j', shape, targetId: 'u', readTokens: 1000 }, 0)
-  assert.is(planner.choose(question, 1000), undefined)
-  assert.is(planner.choose(question, 1500)?.id, 'u')
+  assert.is(planner.choose(question, 1900), undefined)
+  assert.is(planner.choose(question, 2000)?.id, 'u')
 })
 
 test.run()
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -19,6 +19,10 @@
 import { LogService } from '../../log/node/logger.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
+import { CoordinatorLinks } from '../../preparation/node/coordinatorLinks.ts'
+import { StatedLimits } from '../../quota/common/limitSource.ts'
+import { QuotaOwner } from '../../quota/common/quotaOwner.ts'
+import { QuotaService } from '../../quota/node/quotaService.ts'
 import { RateLimitService } from '../../quota/node/rateLimitService.ts'
 import type { RateStatement } from '../../quota/common/rateStatement.ts'
 import { QuarantineService } from '../../quarantine/node/quarantineService.ts'
@@ -189,6 +193,11 @@
       customers: [..._options.customers ?? []]
     }))
     const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1 }))
+    const limits = this._register(new RateLimitService({ clock, log, facts, node: 'n', incarnation: 1 }))
+    const stated = new StatedLimits(upstream => limits.findLimit(upstream))
+    const links = this._register(new CoordinatorLinks({ clock, log }))
+    const owner = new QuotaOwner({ clock, limits: stated, isOwner: () => true, settleMs: 0 })
+    const quota = this._register(new QuotaService({ clock, log, registry: this.registry, limits: stated, owner, links, findOwner: () => undefined, countNodes: () => 1 }))
     this.server = this._register(new RelayServer({
       context: {
         clock,
@@ -199,8 +208,9 @@
         agent,
         upstreamProtocol: new FakeUpstreamProtocol(),
         registry: this.registry,
-        pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1, hasEnded: id => quarantine.hasEnded(id) }),
-        limits: this._register(new RateLimitService({ clock, log, registry: this.registry })),
+        pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1, hasEnded: id => quarantine.hasEnded(id), quota }),
+        limits,
+        quota,
         retry: new RetryBudget({ maxSaved: _options.retries ?? 10 }),
         preparation: _options.preparation ?? NO_PREPARATION,
         releaseDelay: new ReleaseDelay(),
