--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -34,6 +34,7 @@
 import { PreparationServer } from '../services/preparation/node/preparationServer.ts'
 import { createQuarantineHandler } from '../services/quarantine/node/quarantineHandler.ts'
 import { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
+import { createLimitsHandler } from '../services/quota/node/limitsHandler.ts'
 import { LimitedPieces } from '../services/quota/node/limitedPieces.ts'
 import type { CallerProtocol, UpstreamProtocol } from '../services/relay/common/relayProtocol.ts'
 import { RelayPool } from '../services/relay/common/relayPool.ts'
@@ -236,6 +237,7 @@
       countQuarantined: () => this._quarantine.listQuarantined().length,
       countQuarantineRefusals: () => this._quarantine.refusedCount,
       countLimitedUpstreams: () => this._quota.stated.listLimits().length,
+      countQuotaDenials: () => this._quota.deniedCount,
       countInvalidRates: () => this._quota.stated.invalidCount,
       countPauses: () => this._pause.pauseCount,
       getBytesSent: () => this._member.traffic.sent
@@ -279,7 +281,7 @@
     const port = this._options.settings.metrics_port
     if (port === undefined) return
     try {
-      await this._register(new MetricsServer(this._metrics.metrics, [createQuarantineHandler(this._quarantine, this._options.clock)])).listen(host, port)
+      await this._register(new MetricsServer(this._metrics.metrics, [createQuarantineHandler(this._quarantine, this._options.clock), createLimitsHandler(this._quota.stated)])).listen(host, port)
     } catch (thrown) {
       this._options.log.warn('metrics_unavailable', { port, reason: String(thrown) })
     }
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -19,6 +19,7 @@
     countQuarantineRefusals: () => 6,
     countLimitedUpstreams: () => 2,
     countInvalidRates: getZero,
+    countQuotaDenials: getZero,
     countPauses: getZero,
     getBytesSent: getZero
   })
