Let requests wait for limited upstreams in order, and leave other forecasts alone

Every admission was forecast anew as late or not, also where nothing was limited: a job whose forecast behind the late ones ended before its goal counted as in time. And a request whose results were just made could pass those that waited, some of which then waited until nobody wanted them. Change: a forecast is touched only where all targets of the role are limited; waiting requests go in the order of their jobs, and one that cannot be accepted in time is refused as soon as that is known.

--- a/src/services/preparation/common/jobTargets.ts
+++ b/src/services/preparation/common/jobTargets.ts
@@ -47,15 +47,22 @@
   /** A request whose upstreams all accept few waits for them as well, behind those that came before it. */
   addWait (forecast: JobForecast, jobs: Iterable<JobState>, now: number): JobForecast {
     const { state } = forecast
+    const candidates = this._list(state)
+    if (candidates.some(({ limit }) => limit === undefined)) return forecast
     const { role } = state.job.request
     const ahead = [...jobs].filter(other => !other.isHandedOver && other.job.request.role === role).length
-    const endAt = Math.max(forecast.endAt, now + this.planner.estimateWaitMs(this._list(state), ahead, now) + state.requestMs)
-    return { ...forecast, endAt, isLate: endAt > state.goalAt }
+    const endAt = Math.max(forecast.endAt, now + this.planner.estimateWaitMs(candidates, ahead, now) + state.requestMs)
+    return { ...forecast, endAt, isLate: forecast.isLate || endAt > state.goalAt }
   }
 
-  /** What was made is of use once one of the limited upstreams accepts the request. */
-  isBlocked (state: JobState, now: number): boolean {
-    return hasPieces(state.job) && this.planner.estimateWaitMs(this._list(state), 0, now) > 0
+  /** Whether the request has to wait until one of its upstreams accepts it, behind others that wait. */
+  isBlocked (state: JobState, othersWaiting: number, now: number): boolean {
+    return hasPieces(state.job) && this.estimateWaitMs(state, othersWaiting, now) > 0
+  }
+
+  /** Until an upstream accepts the request, behind so many others, in milliseconds. */
+  estimateWaitMs (state: JobState, ahead: number, now: number): number {
+    return this.planner.estimateWaitMs(this._list(state), ahead, now)
   }
 
   private _list ({ job }: JobState): readonly TargetCandidate[] {
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -134,6 +134,7 @@
     const state = this._jobs.get(jobId)
     if (state === undefined) return
     this._jobs.delete(jobId)
+    this._blocked.delete(state)
     this._results.freeAll(state)
   }
 
@@ -330,7 +331,7 @@
     if (state.pieces.some(stage => stage.some(piece => piece.hasFailedForGood))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
     for (const stage of state.listUsedUpStages()) this._results.freeStage(state, stage)
     if (!state.isDone || state.isDetached) return
-    if (this._targets.isBlocked(state, now)) {
+    if (this._targets.isBlocked(state, this._blocked.size, now)) {
       this._blocked.add(state)
       return
     }
@@ -345,6 +346,11 @@
     const blocked = this._order.rank(this._blocked, now)
     this._blocked.clear()
     for (const state of blocked) this._advance(state, now)
+    let ahead = 0
+    for (const state of [...this._blocked]) {
+      const waitMs = this._targets.estimateWaitMs(state, ahead++, now)
+      if (now + waitMs + state.requestMs > state.deadlineAt) this._refuse(state, { reason: 'overloaded', retryAfterMs: Math.round(Math.min(waitMs, state.job.deadlineInMs)) })
+    }
   }
 
   private _expire (now: number): void {
--- a/src/services/quota/common/limitSource.ts
+++ b/src/services/quota/common/limitSource.ts
@@ -54,8 +54,9 @@
 
   find ({ coldUntil = 0, role }: UpstreamEntry): RateLimit | undefined {
     const { clock, getBound, countKnown, countLive } = this._options
+    if (coldUntil <= clock.now()) return undefined
     const bound = getBound(role)
-    if (coldUntil <= clock.now() || !Number.isFinite(bound)) return undefined
+    if (!Number.isFinite(bound)) return undefined
     // Parts of a fleet that cannot reach each other have an owner each, which gives out what its part is of the whole.
     const reach = Math.min(1, countLive() / Math.max(1, countKnown()))
     const inWindow = bound * OWNER_SHARE * reach
