Keep the coordinators of halls until a member changes, and split the node's parts

Cause: found by reading. With quotas, each node asked ten times a second for the coordinator of each hall, and each time formatted the addresses of all members: some 6,000 a second in a fleet of 195 nodes with three halls; jobs did the same, once each. Change: a directory keeps the list and each hall's choice until the list of live members changes.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -21,7 +21,6 @@
 import type { ILogService } from '../services/log/node/logger.ts'
 import { HallRegions } from '../services/locate/common/hallRegions.ts'
 import type { AddressAnswer, CallerPlace } from '../services/locate/common/nodeDirectory.ts'
-import type { Member } from '../services/membership/common/membershipTable.ts'
 import { FleetMember } from '../services/membership/node/fleetMember.ts'
 import { PauseGuard } from '../services/pause/common/pauseGuard.ts'
 import { PauseRecovery } from '../services/pause/node/pauseRecovery.ts'
@@ -48,6 +47,8 @@
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 import { CallerDirectory } from './callerDirectory.ts'
+import { CoordinatorDirectory } from './coordinatorDirectory.ts'
+import { createNodeGauges } from './nodeGauges.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
 import { NodeQuota } from './nodeQuota.ts'
 import type { NodeSettings } from './nodeSettings.ts'
@@ -165,7 +166,8 @@
       getMaxKeepMs: () => this._settings.keep_s * 1000
     })
     const links = this._register(new CoordinatorLinks({ clock, log }))
-    const listCoordinators = () => this._member.membership.listLive().map(member => ({ ...member, address: this._formatPreparationAddress(member.address) }))
+    const coordinators = new CoordinatorDirectory({ listLive: () => this._member.membership.listLive(), port: settings.preparation_port })
+    const coordinatorAddress = coordinators.formatAddress(settings.address)
     this._quota = this._register(new NodeQuota({
       clock,
       log,
@@ -174,12 +176,13 @@
       links,
       node: settings.address,
       incarnation: options.incarnation,
-      coordinatorAddress: this._formatPreparationAddress(settings.address),
-      listCoordinators,
+      coordinatorAddress,
+      findCoordinator: hall => coordinators.find(hall),
       mayOwn: () => this._member.hasJoined && !this._isDraining && !this._pause.isStale,
-      getColdBound: role => this._computeColdBound(role),
-      countKnown: () => this._member.membership.listMembers().filter(({ state }) => state !== 'left').length,
-      countLive: () => this.countNodes()
+      membership: this._member.membership,
+      getTable,
+      coldShare: settings.cold_share,
+      coldSpare: settings.cold_spare
     }))
     const protocol = new LimitedPieces(options.pieceProtocol, this._quota.service)
     this._register(protocol.onDidReadRate(stated => this._quota.stated.note(stated)))
@@ -194,8 +197,8 @@
       coordinator: this._coordinator,
       hasMembers: () => this._member.hasJoined,
       onDidKnowMembers: this._member.onDidJoin,
-      address: this._formatPreparationAddress(settings.address),
-      listCoordinators,
+      address: coordinatorAddress,
+      listCoordinators: () => coordinators.list(),
       listPieceUpstreams: () => (this._table?.listPieceRoles() ?? []).flatMap(role => this._registry.listRole(role.name))
     }))
     this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._member.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation }))
@@ -225,32 +228,15 @@
       findObstacle: () => this._findObstacle(),
       estimateObstacleMs: () => estimateReadyMs({ isOutage: this._member.isReady && this._table === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics({
-      countOpen: () => this._relay.openCount,
-      countMembers: () => this.countNodes(),
-      countUpstreams: () => this._registry.size,
-      countColdUpstreams: () => this._registry.list().filter(({ coldUntil = 0 }) => coldUntil > clock.now()).length,
-      countEvacuatedHalls: () => this._registry.listEvacuated().length,
-      getKnownAgeMs: () => this._registry.computeAge(clock.now()).ageMs,
-      countJobs: () => this._coordinator.jobCount,
-      getConfigurationVersion: () => this._member.configuration.number.version,
-      countQuarantined: () => this._quarantine.listQuarantined().length,
-      countQuarantineRefusals: () => this._quarantine.refusedCount,
-      countLimitedUpstreams: () => this._quota.stated.listLimits().length,
-      countQuotaDenials: () => this._quota.deniedCount,
-      countInvalidRates: () => this._quota.stated.invalidCount,
-      countPauses: () => this._pause.pauseCount,
-      getBytesSent: () => this._member.traffic.sent
-    })
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relay, member: this._member, registry: this._registry, coordinator: this._coordinator, quota: this._quota, quarantine: this._quarantine, pause: this._pause }))
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
     this._sharing = this._register(new UpstreamSharing({ clock, log, facts: this._member.facts, registry: this._registry, source: options.upstreamSource, getColdMs: role => this._table?.getRole(role)?.coldMs ?? 0 }))
     this._register(this._member.facts.onDidChange(fact => { if (fact.value.kind === 'member') this._scheduleMove() }))
     this._register(this._member.onDidJoin(() => this._scheduleMove()))
-    this._register(options.configurationSource)
+    for (const source of [options.configurationSource, options.upstreamSource]) this._register(source)
     this._register(options.configurationSource.onDidRead(document => this._member.offer(document)))
     this._register(options.configurationSource.onDidMiss(revision => this._readMissed(revision)))
-    this._register(options.upstreamSource)
   }
 
   /** Whether callers should use this node. */
@@ -390,22 +376,11 @@
     this._member.gossip.spreadNow(this._isDraining)
   }
 
-  /** What all nodes together may send a cold upstream in a second. */
-  private _computeColdBound (role: string): number {
-    const { cold_share: share, cold_spare: spare = 0 } = this._settings
-    const bearsPerS = this._table?.getRole(role)?.coldRequestsPerS ?? 0
-    return share === undefined || bearsPerS <= 0 ? Infinity : bearsPerS * share + spare
-  }
-
   /** Nodes taken for alive, this one included. */
   countNodes (): number {
     return Math.max(1, this._member.membership.listLive().length)
   }
 
-  private _formatPreparationAddress (address: string): string {
-    return `${parseAddress(address)?.host ?? ''}:${this._options.settings.preparation_port}`
-  }
-
   private _noteEnd (ended: EndedRequest): void {
     this._recent.add(1)
     this._metrics.record(ended)
@@ -422,9 +397,4 @@
       if (!this._isDisposed) this._preparation.moveJobs()
     })
   }
-
-  /** Members as this node knows them, for the dump. */
-  listMembers (): readonly Member[] {
-    return this._member.membership.listMembers()
-  }
 }
--- /dev/null
+++ b/src/entryNode/nodeGauges.ts
@@ -0,0 +1,43 @@
+/**
+ * Reads a node's parts for its metrics.
+ */
+import type { IClock } from '../base/common/clock.ts'
+import type { FleetMember } from '../services/membership/node/fleetMember.ts'
+import type { PauseGuard } from '../services/pause/common/pauseGuard.ts'
+import type { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
+import type { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
+import type { RelayServer } from '../services/relay/node/relayServer.ts'
+import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
+import type { NodeGauges } from './nodeMetrics.ts'
+import type { NodeQuota } from './nodeQuota.ts'
+
+export interface GaugedParts {
+  readonly clock: IClock
+  readonly relay: RelayServer
+  readonly member: FleetMember
+  readonly registry: UpstreamRegistry
+  readonly coordinator: PreparationCoordinator
+  readonly quota: NodeQuota
+  readonly quarantine: QuarantineService
+  readonly pause: PauseGuard
+}
+
+export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, quarantine, pause }: GaugedParts): NodeGauges {
+  return {
+    countOpen: () => relay.openCount,
+    countMembers: () => Math.max(1, member.membership.listLive().length),
+    countUpstreams: () => registry.size,
+    countColdUpstreams: () => registry.list().filter(({ coldUntil = 0 }) => coldUntil > clock.now()).length,
+    countEvacuatedHalls: () => registry.listEvacuated().length,
+    getKnownAgeMs: () => registry.computeAge(clock.now()).ageMs,
+    countJobs: () => coordinator.jobCount,
+    getConfigurationVersion: () => member.configuration.number.version,
+    countQuarantined: () => quarantine.listQuarantined().length,
+    countQuarantineRefusals: () => quarantine.refusedCount,
+    countLimitedUpstreams: () => quota.stated.listLimits().length,
+    countQuotaDenials: () => quota.deniedCount,
+    countInvalidRates: () => quota.stated.invalidCount,
+    countPauses: () => pause.pauseCount,
+    getBytesSent: () => member.traffic.sent
+  }
+}
--- a/src/entryNode/nodeQuota.ts
+++ b/src/entryNode/nodeQuota.ts
@@ -6,14 +6,14 @@
 import { startInterval } from '../base/node/interval.ts'
 import type { FactStore } from '../services/facts/common/factStore.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
-import { chooseCoordinator } from '../services/preparation/common/coordinatorChoice.ts'
-import type { CoordinatorCandidate } from '../services/preparation/common/coordinatorChoice.ts'
 import type { CoordinatorLinks } from '../services/preparation/node/coordinatorLinks.ts'
+import type { MembershipTable } from '../services/membership/common/membershipTable.ts'
 import { AllLimits, ColdLimits, StatedLimits } from '../services/quota/common/limitSource.ts'
 import { QuotaOwner } from '../services/quota/common/quotaOwner.ts'
 import type { QuotaGrant } from '../services/quota/common/quotaOwner.ts'
 import { QuotaService } from '../services/quota/node/quotaService.ts'
 import { RateLimitService } from '../services/quota/node/rateLimitService.ts'
+import type { RelayTable } from '../services/relay/common/relayTable.ts'
 import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 
 export interface NodeQuotaOptions {
@@ -27,15 +27,16 @@
   readonly incarnation: number
   /** Where the coordinator of this node is reached. */
   readonly coordinatorAddress: string
-  /** The coordinators of all live nodes, this one's included. */
-  readonly listCoordinators: () => readonly CoordinatorCandidate[]
+  /** The coordinator that all nodes with the same members choose for a hall. */
+  readonly findCoordinator: (hall: string) => string | undefined
   /** Whether this node may take itself for the owner of anything. */
   readonly mayOwn: () => boolean
-  /** What one cold upstream of a role may get in a second from all nodes together; Infinity where nothing bounds it. */
-  readonly getColdBound: (role: string) => number
-  /** All nodes that are known to this one, those included that cannot be reached. */
-  readonly countKnown: () => number
-  readonly countLive: () => number
+  readonly membership: MembershipTable
+  /** Undefined until a configuration is known. */
+  readonly getTable: () => RelayTable | undefined
+  /** All nodes together send a cold upstream at most so many times what it bears in a second, and so many more; nothing bounds it without them. */
+  readonly coldShare?: number | undefined
+  readonly coldSpare?: number | undefined
 }
 
 /** How often it is looked at which halls this node owns the quotas of. */
@@ -52,11 +53,13 @@
   constructor (options: NodeQuotaOptions) {
     super()
     this._options = options
-    const { clock, registry, getColdBound: getBound, countKnown, countLive } = options
+    const { clock, registry, membership } = options
+    const countLive = () => Math.max(1, membership.listLive().length)
+    const countKnown = () => membership.listMembers().filter(({ state }) => state !== 'left').length
     this.stated = this._register(new RateLimitService(options))
     this.limits = new AllLimits([
       new StatedLimits(upstream => this.stated.findLimit(upstream)),
-      new ColdLimits({ clock, getBound, countKnown, countLive })
+      new ColdLimits({ clock, getBound: role => this._computeColdBound(role), countKnown, countLive })
     ])
     this._owner = new QuotaOwner({ clock, limits: this.limits, isOwner: hall => options.mayOwn() && this._findOwner(hall) === undefined })
     this.service = this._register(new QuotaService({ ...options, limits: this.limits, owner: this._owner, findOwner: hall => this._findOwner(hall), countNodes: countLive }))
@@ -79,10 +82,17 @@
     this._owner.forgetOwned()
   }
 
+  /** What one cold upstream of a role may get in a second from all nodes together; Infinity where nothing bounds it. */
+  private _computeColdBound (role: string): number {
+    const { coldShare, coldSpare = 0, getTable } = this._options
+    const bearsPerS = getTable()?.getRole(role)?.coldRequestsPerS ?? 0
+    return coldShare === undefined || bearsPerS <= 0 ? Infinity : bearsPerS * coldShare + coldSpare
+  }
+
   /** Where the owner of a hall's quotas is reached; undefined where that is this node. */
   private _findOwner (hall: string): string | undefined {
-    const { listCoordinators, coordinatorAddress } = this._options
-    const address = chooseCoordinator(listCoordinators(), hall) ?? coordinatorAddress
+    const { findCoordinator, coordinatorAddress } = this._options
+    const address = findCoordinator(hall) ?? coordinatorAddress
     return address === coordinatorAddress ? undefined : address
   }
 }
--- a/src/services/quota/node/rateLimitService.ts
+++ b/src/services/quota/node/rateLimitService.ts
@@ -29,9 +29,9 @@
   readonly ageMs: number
 }
 
-/** A limit that goes on is told again, or nodes that join later would not hear of it. */
+/** A limit that stays in force is announced again, or nodes that join later would not learn of it. */
 const REPEAT_MS = 60_000
-/** An upstream that keeps changing its limit is told of this often at most. */
+/** Changes of one upstream's limit are announced this often at most. */
 const MIN_PERIOD_MS = 100
 
 export class RateLimitService extends Disposable {
