--- a/src/services/quota/node/limitedPieces.ts
+++ b/src/services/quota/node/limitedPieces.ts
@@ -13,12 +13,12 @@
   }
 
   async runPieces (upstream: UpstreamEntry, pieces: readonly PlannedPiece[], timeoutMs: number): Promise<PieceCallOutcome> {
-    if (await this._quota.acquire(upstream)) return await this._pieces.runPieces(upstream, pieces, timeoutMs)
+    if (await this._quota.acquire(upstream, pieces[0]?.jobId ?? '')) return await this._pieces.runPieces(upstream, pieces, timeoutMs)
     return { kind: 'notRun', reason: 'limited', retryInMs: this._quota.getWaitMs(upstream) }
   }
 
   /** What is not given back goes when its lifetime ends. */
   async freeResults (upstream: UpstreamEntry, handles: readonly string[]): Promise<boolean> {
-    return await this._quota.acquire(upstream) && await this._pieces.freeResults(upstream, handles)
+    return await this._quota.acquire(upstream, '') && await this._pieces.freeResults(upstream, handles)
   }
 }
--- a/src/services/quota/node/quotaService.ts
+++ b/src/services/quota/node/quotaService.ts
@@ -55,14 +55,14 @@
     return this.isLimited(entry) ? Math.max(0, (this._deniedUntil.get(entry.id) ?? 0) - this._options.clock.now()) : 0
   }
 
-  async acquire (entry: UpstreamEntry): Promise<boolean> {
+  async acquire (entry: UpstreamEntry, request: string): Promise<boolean> {
     if (!this.isLimited(entry)) return true
     if (this.getWaitMs(entry) > 0) return false
     const address = this._options.findOwner(entry.hall)
     const grant = address === undefined ? this._options.owner.acquire(entry) : await this._ask(address, entry)
     const { isGranted, retryInMs } = grant
     if (!isGranted) this._deniedUntil.set(entry.id, this._options.clock.now() + Math.min(retryInMs, MAX_DENIED_MS))
-    this._options.log.info('quota_asked', { upstream: entry.id, owner: address ?? 'own', granted: isGranted, per_s: this._options.limits.find(entry)?.perS ?? 'none', retry_in_ms: Math.round(Math.min(retryInMs, MAX_DENIED_MS)) })
+    this._options.log.info('quota_asked', { request, upstream: entry.id, owner: address ?? 'own', granted: isGranted, per_s: this._options.limits.find(entry)?.perS ?? 'none', retry_in_ms: Math.round(Math.min(retryInMs, MAX_DENIED_MS)) })
     return isGranted
   }
 
--- a/src/services/quota/test/quotaService.test.ts
+++ b/src/services/quota/test/quotaService.test.ts
@@ -63,19 +63,19 @@
 }
 
 test('nodes that ask one owner get the limit together, and no more', () => runFleet(() => 2, async nodes => {
-  const granted = await Promise.all(nodes.map(node => node.acquire(UPSTREAM)))
+  const granted = await Promise.all(nodes.map(node => node.acquire(UPSTREAM, 'r')))
   assert.is(granted.filter(isGranted => isGranted).length, 1)
   assert.ok(nodes.every((node, index) => (node.getWaitMs(UPSTREAM) === 0) === granted[index]))
 }))
 
 test('an owner that cannot be heard grants nothing, and does not keep a request waiting', () => runFleet(() => 20, async ([node], relay) => {
-  assert.ok(node !== undefined && await node.acquire(UPSTREAM))
+  assert.ok(node !== undefined && await node.acquire(UPSTREAM, 'r'))
   relay.stopForwarding()
   const startedAt = performance.now()
-  assert.not(await node.acquire(UPSTREAM))
+  assert.not(await node.acquire(UPSTREAM, 'r'))
   assert.ok(performance.now() - startedAt < MAX_ANSWER_MS)
   // It is asked over a new connection as soon as the silence shows.
-  while (!await node.acquire(UPSTREAM)) {
+  while (!await node.acquire(UPSTREAM, 'r')) {
     assert.ok(performance.now() - startedAt < MAX_SILENCE_MS)
     await new Promise(resolve => { setTimeout(resolve, 50) })
   }
@@ -83,7 +83,7 @@
 
 test('an upstream without a limit is used without asking anyone', () => runFleet(() => undefined, async ([node], relay) => {
   relay.cut()
-  assert.ok(node !== undefined && await node.acquire(UPSTREAM))
+  assert.ok(node !== undefined && await node.acquire(UPSTREAM, 'r'))
 }))
 
 test('calls for pieces and what gives them back count as well', () => runFleet(() => 1, async ([node]) => {
--- a/src/services/relay/node/upstreamChoice.ts
+++ b/src/services/relay/node/upstreamChoice.ts
@@ -57,10 +57,11 @@
   }
 
   private async _askInTurn (terms: ChoiceTerms): Promise<UpstreamEntry | undefined> {
+    const { context: { quota }, taken } = this._options
     const denied = new Set<string>()
     while (denied.size < MAX_ASKED) {
       const upstream = this._choose(terms, denied)
-      if (upstream === undefined || await this._options.context.quota.acquire(upstream)) return upstream
+      if (upstream === undefined || await quota.acquire(upstream, taken.request.id)) return upstream
       denied.add(upstream.id)
     }
     return undefined
