Let requests leave a limited hall, and callers return when limits end

What callers saw: nothing yet, found by reading. A plan of one hall whose upstreams are all cold or limited kept back prepared requests that upstreams of other halls would have accepted at once, or refused their jobs. A request that needed an answer of a coordinator without an open link waited for the dial as well, 400 ms at most. Cause: the plan looked at its own targets only; the schedule of returns did not know that limits of cold upstreams end, and when; the dial came before the clock of the answer. Change: jobs wait for an upstream, or are refused for want of one, only where no upstream of the role anywhere in their home regions accepts any number. A limit tells when it ends, and callers return then if that is sooner. The question's 150 ms hold for the dial too. Evidence: a case each in limitedTargets.test.ts and quotaService.test.ts; both need what this change adds, so they do not compile on the code before.

--- a/src/services/preparation/common/jobTargets.ts
+++ b/src/services/preparation/common/jobTargets.ts
@@ -13,6 +13,8 @@
 export interface JobTargetsOptions {
   /** Upstreams that requests themselves go to, by role. */
   readonly listTargets: (role: string) => readonly TargetCandidate[]
+  /** Whether an upstream of the role accepts any number of requests, also where this plan does not send them. */
+  readonly hasOpenTarget: (role: string, homeHalls: readonly string[] | undefined) => boolean
   readonly halls: HallLoads
   readonly upstreams: ReadonlyMap<string, PieceUpstream>
 }
@@ -47,17 +49,16 @@
   /** A request whose upstreams all accept few waits for them as well, behind those that came before it. */
   addWait (forecast: JobForecast, jobs: Iterable<JobState>, now: number): JobForecast {
     const { state } = forecast
-    const candidates = this._list(state)
-    if (candidates.some(({ limit }) => limit === undefined)) return forecast
+    if (this._hasOpen(state)) return forecast
     const { role } = state.job.request
     const ahead = [...jobs].filter(other => !other.isHandedOver && other.job.request.role === role).length
-    const endAt = Math.max(forecast.endAt, now + this.planner.estimateWaitMs(candidates, ahead, now) + state.requestMs)
+    const endAt = Math.max(forecast.endAt, now + this.planner.estimateWaitMs(this._list(state), ahead, now) + state.requestMs)
     return { ...forecast, endAt, isLate: forecast.isLate || endAt > state.goalAt }
   }
 
   /** Whether the request has to wait until one of its upstreams accepts it, behind others that wait. */
   isBlocked (state: JobState, othersWaiting: number, now: number): boolean {
-    return hasPieces(state.job) && this.estimateWaitMs(state, othersWaiting, now) > 0
+    return hasPieces(state.job) && !this._hasOpen(state) && this.estimateWaitMs(state, othersWaiting, now) > 0
   }
 
   /** Until an upstream accepts the request, behind so many others, in milliseconds. */
@@ -65,6 +66,10 @@
     return this.planner.estimateWaitMs(this._list(state), ahead, now)
   }
 
+  private _hasOpen ({ job }: JobState): boolean {
+    return this._options.hasOpenTarget(job.request.role, job.homeHalls)
+  }
+
   private _list ({ job }: JobState): readonly TargetCandidate[] {
     return this._options.listTargets(job.request.role)
   }
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -7,6 +7,7 @@
 import { JobOrder } from './jobOrder.ts'
 import { JobState } from './jobState.ts'
 import { JobTargets } from './jobTargets.ts'
+import type { JobTargetsOptions } from './jobTargets.ts'
 import { HallLoads } from './hallLoads.ts'
 import { HeldResults } from './heldResults.ts'
 import { computeCallMs, PieceUpstream } from './pieceUpstream.ts'
@@ -23,7 +24,7 @@
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall } from './resultHalls.ts'
 import type { PrefixNote } from './prefixBook.ts'
-import type { TargetCandidate, TargetReport } from './targetPlanner.ts'
+import type { TargetReport } from './targetPlanner.ts'
 
 interface StartedCall {
   readonly call: PlannedCall
@@ -60,9 +61,9 @@
   private _forecastAt = -Infinity
   private _isEnding = false
 
-  /** The targets are the upstreams that requests themselves go to. */
-  constructor (listTargets: (role: string) => readonly TargetCandidate[]) {
-    this._targets = new JobTargets({ listTargets, halls: this._halls, upstreams: this._upstreams })
+  /** The targets are the upstreams that requests themselves go to; without the second, those that are listed are all. */
+  constructor (listTargets: JobTargetsOptions['listTargets'], hasOpenTarget: JobTargetsOptions['hasOpenTarget'] = role => listTargets(role).some(({ limit }) => limit === undefined)) {
+    this._targets = new JobTargets({ listTargets, hasOpenTarget, halls: this._halls, upstreams: this._upstreams })
   }
 
   get jobCount (): number {
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -25,7 +25,7 @@
     this.planner = new PreparationPlanner(role => {
       const msPerMovedToken = computeMoveMs(getTable()?.getRole(role)?.generationWork)
       return registry.listRole(role).filter(entry => this.holds(entry)).map(entry => ({ id: entry.id, hall: entry.hall, msPerMovedToken, limit: limits?.find(entry) }))
-    })
+    }, (role, homeHalls) => registry.listRole(role).some(entry => homeHalls?.includes(entry.hall) !== false && limits?.find(entry) === undefined))
   }
 
   holds (entry: UpstreamEntry): boolean {
--- a/src/services/preparation/test/limitedTargets.test.ts
+++ b/src/services/preparation/test/limitedTargets.test.ts
@@ -10,8 +10,8 @@
 const MS_PER_S = 1000
 
 /** A plan with room for any preparation, and two upstreams that take the requests. */
-function createPlanner (limits: readonly (RateLimit | undefined)[]): PreparationPlanner {
-  const planner = new PreparationPlanner(() => limits.map((limit, index) => ({ id: `t${index}`, hall: 'x', msPerMovedToken: Infinity, limit })))
+function createPlanner (limits: readonly (RateLimit | undefined)[], hasOpenTarget?: () => boolean): PreparationPlanner {
+  const planner = new PreparationPlanner(() => limits.map((limit, index) => ({ id: `t${index}`, hall: 'x', msPerMovedToken: Infinity, limit })), hasOpenTarget)
   for (let index = 0; index < 20; index++) planner.setUpstream({ id: `a-${index}`, role: 'a', hall: 'x', work: WORK })
   return planner
 }
@@ -63,4 +63,12 @@
   assert.ok(targets.length + refusals.length >= 150, `${refusals.length} refused`)
 })
 
+test('a plan whose own targets are limited keeps nothing back while another hall has one that is not', () => {
+  const limit = { perS: 2, burst: 2 }
+  const { targets, refusals } = runJobs(createPlanner([limit, limit], () => true), 20, 10_000)
+  assert.ok(targets.length >= 195, `${targets.length} prepared`)
+  assert.ok(targets.filter(id => id !== '').length <= 44)
+  assert.equal(refusals, [])
+})
+
 test.run()
--- a/src/services/quota/common/limitSource.ts
+++ b/src/services/quota/common/limitSource.ts
@@ -61,7 +61,7 @@
     const reach = Math.min(1, countLive() / Math.max(1, countKnown()))
     const inWindow = bound * OWNER_SHARE * reach
     const burst = Math.min(COLD_BURST, inWindow)
-    return { burst, perS: (inWindow - burst) / ARRIVAL_WINDOW_S }
+    return { burst, perS: (inWindow - burst) / ARRIVAL_WINDOW_S, until: coldUntil }
   }
 }
 
@@ -75,7 +75,8 @@
     return this._sources.reduce<RateLimit | undefined>((tightest, source) => {
       const limit = source.find(entry)
       if (tightest === undefined || limit === undefined) return tightest ?? limit
-      return { perS: Math.min(limit.perS, tightest.perS), burst: Math.min(limit.burst, tightest.burst) }
+      const until = limit.until === undefined || tightest.until === undefined ? undefined : Math.max(limit.until, tightest.until)
+      return { perS: Math.min(limit.perS, tightest.perS), burst: Math.min(limit.burst, tightest.burst), until }
     }, undefined)
   }
 }
--- a/src/services/quota/common/tokenBucket.ts
+++ b/src/services/quota/common/tokenBucket.ts
@@ -6,6 +6,8 @@
   readonly perS: number
   /** The most that may go at one moment. */
   readonly burst: number
+  /** When the limit ends, on the process's clock; undefined where that is not known. */
+  readonly until?: number | undefined
 }
 
 const MS_PER_S = 1000
--- a/src/services/quota/node/quotaService.ts
+++ b/src/services/quota/node/quotaService.ts
@@ -4,7 +4,6 @@
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
-import type { CoordinatorLink } from '../../preparation/node/coordinatorLink.ts'
 import type { CoordinatorLinks } from '../../preparation/node/coordinatorLinks.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { LimitSource } from '../common/limitSource.ts'
@@ -27,7 +26,7 @@
 
 /** A node in another hall answers within a few milliseconds. */
 const ANSWER_TIMEOUT_MS = 150
-const UNREACHABLE_RETRY_MS = 200
+const UNREACHABLE: QuotaGrant = { isGranted: false, retryInMs: 200 }
 /** What was denied may be asked for again after this, since limits change. */
 const MAX_DENIED_MS = 1000
 
@@ -59,7 +58,7 @@
     if (!this.isLimited(entry)) return true
     if (this.getWaitMs(entry) > 0) return false
     const address = this._options.findOwner(entry.hall)
-    const grant = address === undefined ? this._options.owner.acquire(entry) : await this._ask(address, entry)
+    const grant = address === undefined ? this._options.owner.acquire(entry) : await this._ask(address, entry.id)
     const { isGranted, retryInMs } = grant
     if (!isGranted) this._deniedUntil.set(entry.id, this._options.clock.now() + Math.min(retryInMs, MAX_DENIED_MS))
     this._options.log.info('quota_asked', { request, upstream: entry.id, owner: address ?? 'own', granted: isGranted, per_s: this._options.limits.find(entry)?.perS ?? 'none', retry_in_ms: Math.round(Math.min(retryInMs, MAX_DENIED_MS)) })
@@ -68,29 +67,33 @@
 
   scheduleReturn (role: string, entries: readonly UpstreamEntry[]): number {
     const { clock, limits, countNodes } = this._options
+    const now = clock.now()
     const soonestMs = Math.min(MAX_DENIED_MS, ...entries.map(entry => this.getWaitMs(entry)))
-    const perS = entries.reduce((sum, entry) => sum + (limits.find(entry)?.perS ?? 0), 0) / countNodes()
-    return this._returns.schedule({ role, soonestMs, perS }, clock.now())
+    const found = entries.map(entry => limits.find(entry))
+    const perS = found.reduce((sum, limit) => sum + (limit?.perS ?? 0), 0) / countNodes()
+    const endsInMs = Math.min(...found.map(limit => limit?.until === undefined ? Infinity : limit.until - now))
+    return this._returns.schedule({ role, soonestMs, perS, endsInMs }, now)
   }
 
-  private async _ask (address: string, entry: UpstreamEntry): Promise<QuotaGrant> {
-    const link = await this._options.links.connect(address)
-    if (link === undefined || link.isClosed || this._isDisposed) return { isGranted: false, retryInMs: UNREACHABLE_RETRY_MS }
-    return await this._askOver(link, entry.id)
-  }
-
-  private _askOver (link: CoordinatorLink, upstreamId: string): Promise<QuotaGrant> {
+  /** A link that has to be opened first takes none of the time of an answer: the request may go elsewhere. */
+  private _ask (address: string, upstreamId: string): Promise<QuotaGrant> {
     const id = this._nextId++
     return new Promise(resolve => {
-      const timer = this._options.clock.schedule(ANSWER_TIMEOUT_MS, () => this._settle(id, { isGranted: false, retryInMs: UNREACHABLE_RETRY_MS }))
+      const timer = this._options.clock.schedule(ANSWER_TIMEOUT_MS, () => this._settle(id, UNREACHABLE))
       this._waiting.set(id, grant => {
         timer.dispose()
         resolve(grant)
       })
-      link.askQuota(id, upstreamId)
+      void this._sendQuestion(address, id, upstreamId)
     })
   }
 
+  private async _sendQuestion (address: string, id: number, upstreamId: string): Promise<void> {
+    const link = await this._options.links.connect(address)
+    if (link === undefined || link.isClosed) this._settle(id, UNREACHABLE)
+    else if (this._waiting.has(id)) link.askQuota(id, upstreamId)
+  }
+
   /** A grant that comes too late is not used. */
   private _settle (id: number, grant: QuotaGrant): void {
     const settle = this._waiting.get(id)
--- a/src/services/quota/test/quotaService.test.ts
+++ b/src/services/quota/test/quotaService.test.ts
@@ -12,6 +12,7 @@
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import { StatedLimits } from '../common/limitSource.ts'
 import { QuotaOwner } from '../common/quotaOwner.ts'
+import { ReturnSchedule } from '../common/returnSchedule.ts'
 import { LimitedPieces } from '../node/limitedPieces.ts'
 import { QuotaService } from '../node/quotaService.ts'
 
@@ -104,4 +105,10 @@
   return Promise.resolve()
 }))
 
+test('callers return when the limit of an upstream ends, if that is sooner', () => {
+  const returns = new ReturnSchedule()
+  const terms = { role: 'r', soonestMs: 100, perS: 1, endsInMs: 1500 }
+  assert.equal([0, 0, 0, 0].map(now => returns.schedule(terms, now)), [100, 1100, 1500, 1500])
+})
+
 test.run()
