--- /dev/null
+++ b/src/entryNode/test/coordinatorDirectory.test.ts
@@ -0,0 +1,27 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { Member } from '../../services/membership/common/membershipTable.ts'
+import { CoordinatorDirectory } from '../coordinatorDirectory.ts'
+
+const test = suite('coordinatorDirectory')
+
+function createMember (address: string, hall: string, incarnation: number): Member {
+  return { address, hall, state: 'alive', incarnation, weight: 1 }
+}
+
+test('a hall has the coordinator of the node in it that has run for longest, and another once that is gone', () => {
+  const [near, younger, far] = [createMember('10.0.0.1:1', 'x', 2), createMember('10.0.0.2:1', 'x', 3), createMember('10.0.0.3:1', 'y', 1)]
+  let live: readonly Member[] = [near, younger, far]
+  const directory = new CoordinatorDirectory({ listLive: () => live, port: 9 })
+  assert.is(directory.find('x'), '10.0.0.1:9')
+  assert.is(directory.find('y'), '10.0.0.3:9')
+  assert.is(directory.list(), directory.list())
+  live = [younger, far]
+  assert.is(directory.find('x'), '10.0.0.2:9')
+  live = [far]
+  assert.is(directory.find('x'), '10.0.0.3:9')
+  live = []
+  assert.is(directory.find('x'), undefined)
+})
+
+test.run()
