--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -164,6 +164,8 @@
   /** The hall of each upstream, in order; all are in one without it. */
   readonly halls?: readonly string[]
   readonly hallRegions?: Readonly<Record<string, string>>
+  /** How callers and upstreams speak; plain HTTP with an id and a time without it. */
+  readonly protocols?: { readonly caller: CallerProtocol, readonly upstream: UpstreamProtocol }
 }
 
 const NO_PREPARATION: IPreparationService = {
@@ -206,7 +208,7 @@
         hall: '',
         regions: new HallRegions(_options.hallRegions),
         agent,
-        upstreamProtocol: new FakeUpstreamProtocol(),
+        upstreamProtocol: _options.protocols?.upstream ?? new FakeUpstreamProtocol(),
         registry: this.registry,
         pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1, hasEnded: id => quarantine.hasEnded(id), quota }),
         limits,
@@ -216,7 +218,7 @@
         releaseDelay: new ReleaseDelay(),
         quarantine
       },
-      callerProtocol: new FakeCallerProtocol(),
+      callerProtocol: _options.protocols?.caller ?? new FakeCallerProtocol(),
       getTable: () => table,
       describeConfiguration: () => '1.7 for 20 ms',
       findObstacle: () => undefined,
