Read what upstreams say of themselves in one place, with one receiver for each kind

A word that is read without a receiver now does not compile.

Change: adapters return typed statements for any answer, whatever was asked; the boundary decides whether an answer is the asked boot's and to the request. Bad values are logged and counted once for all kinds (statement_invalid in place of rate_limit_invalid).

Load stays apart: it is a hint for one node's choices, not a belief.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -52,6 +52,7 @@
 import { NodeMetrics } from './nodeMetrics.ts'
 import { NodeQuota } from './nodeQuota.ts'
 import type { NodeSettings } from './nodeSettings.ts'
+import { NodeStatements } from './nodeStatements.ts'
 import { PlannedStop } from './plannedStop.ts'
 import { UpstreamSharing } from './upstreamSharing.ts'
 
@@ -99,6 +100,7 @@
   private readonly _metrics: NodeMetrics
   private readonly _quarantine: QuarantineService
   private readonly _quota: NodeQuota
+  private readonly _statements: NodeStatements
   private readonly _relay: RelayServer
   private readonly _coordinator: PreparationCoordinator
   private readonly _preparation: PreparationClient
@@ -184,8 +186,9 @@
       coldShare: settings.cold_share,
       coldSpare: settings.cold_spare
     }))
+    this._statements = new NodeStatements({ log, rate: (upstream, { perS }) => this._quota.stated.note(upstream, perS) })
     const protocol = new LimitedPieces(options.pieceProtocol, this._quota.service)
-    this._register(protocol.onDidReadRate(stated => this._quota.stated.note(stated)))
+    this._register(protocol.onDidState(stated => this._statements.note(stated)))
     this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol, registry: this._registry, getTable, limits: this._quota.limits }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log, upstream => this._quota.answer(upstream)))
     this._preparation = this._register(new PreparationClient({
@@ -215,7 +218,7 @@
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
         pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id), quota: this._quota.service }),
-        limits: this._quota.stated,
+        noteStatements: stated => this._statements.note(stated),
         quota: this._quota.service,
         retry: new WindowedRetries({ clock, windowMs: settings.retry_window_s * 1000, share: settings.retry_share * RETRY_SAFETY, getSpare: () => settings.retry_spare * RETRY_SAFETY / this.countNodes() }),
         preparation: this._preparation,
@@ -228,7 +231,7 @@
       findObstacle: () => this._findObstacle(),
       estimateObstacleMs: () => estimateReadyMs({ isOutage: this._member.isReady && this._table === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relay, member: this._member, registry: this._registry, coordinator: this._coordinator, quota: this._quota, quarantine: this._quarantine, pause: this._pause }))
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relay, member: this._member, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, quarantine: this._quarantine, pause: this._pause }))
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
     this._sharing = this._register(new UpstreamSharing({ clock, log, facts: this._member.facts, registry: this._registry, source: options.upstreamSource, getColdMs: role => this._table?.getRole(role)?.coldMs ?? 0 }))
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -10,6 +10,7 @@
 import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { NodeGauges } from './nodeMetrics.ts'
 import type { NodeQuota } from './nodeQuota.ts'
+import type { NodeStatements } from './nodeStatements.ts'
 
 export interface GaugedParts {
   readonly clock: IClock
@@ -18,11 +19,12 @@
   readonly registry: UpstreamRegistry
   readonly coordinator: PreparationCoordinator
   readonly quota: NodeQuota
+  readonly statements: NodeStatements
   readonly quarantine: QuarantineService
   readonly pause: PauseGuard
 }
 
-export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, quarantine, pause }: GaugedParts): NodeGauges {
+export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, quarantine, pause }: GaugedParts): NodeGauges {
   return {
     countOpen: () => relay.openCount,
     countMembers: () => member.membership.countLive(),
@@ -36,7 +38,7 @@
     countQuarantineRefusals: () => quarantine.refusedCount,
     countLimitedUpstreams: () => quota.stated.listLimits().length,
     countQuotaDenials: () => quota.deniedCount,
-    countInvalidRates: () => quota.stated.invalidCount,
+    countInvalidStatements: () => statements.invalidCount,
     countPauses: () => pause.pauseCount,
     getBytesSent: () => member.traffic.sent
   }
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -16,7 +16,7 @@
   readonly countQuarantined: () => number
   readonly countQuarantineRefusals: () => number
   readonly countLimitedUpstreams: () => number
-  readonly countInvalidRates: () => number
+  readonly countInvalidStatements: () => number
   readonly countQuotaDenials: () => number
   readonly countPauses: () => number
   readonly getBytesSent: () => number
@@ -44,7 +44,7 @@
     this.metrics.createGauge('node_quarantine_refusals_total', 'Tries of such requests that were refused', gauges.countQuarantineRefusals)
     this.metrics.createGauge('node_limited_upstreams', 'Upstreams that state a limit of the rate that they accept', gauges.countLimitedUpstreams)
     this.metrics.createGauge('node_quota_denials_total', 'Requests for limited upstreams that this node did not give out', gauges.countQuotaDenials)
-    this.metrics.createGauge('node_invalid_rates_total', 'Statements of upstreams that were no rate', gauges.countInvalidRates)
+    this.metrics.createGauge('node_invalid_statements_total', 'Statements of upstreams whose values mean nothing', gauges.countInvalidStatements)
     this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
     this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
   }
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -18,7 +18,7 @@
     countQuarantined: getZero,
     countQuarantineRefusals: () => 6,
     countLimitedUpstreams: () => 2,
-    countInvalidRates: getZero,
+    countInvalidStatements: getZero,
     countQuotaDenials: getZero,
     countPauses: getZero,
     getBytesSent: getZero
--- a/src/services/preparation/common/pieceProtocol.ts
+++ b/src/services/preparation/common/pieceProtocol.ts
@@ -2,14 +2,14 @@
  * The port to upstreams that make pieces.
  */
 import { Emitter } from '../../../base/common/event.ts'
-import type { UpstreamRateStatement } from '../../quota/common/rateStatement.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import type { StatedByUpstream } from '../../upstream/common/upstreamStatement.ts'
 import type { PieceCallOutcome, PlannedPiece } from './plannedCall.ts'
 
 export abstract class PieceProtocol {
-  protected readonly _onDidReadRate = new Emitter<UpstreamRateStatement>()
-  /** What upstreams say, in their answers, of the rate that they accept. */
-  readonly onDidReadRate = this._onDidReadRate.event
+  protected readonly _onDidState = new Emitter<StatedByUpstream>()
+  /** What upstreams say of themselves with their answers. */
+  readonly onDidState = this._onDidState.event
 
   /** Asks for pieces in one call; never rejects. */
   abstract runPieces (upstream: UpstreamEntry, pieces: readonly PlannedPiece[], timeoutMs: number): Promise<PieceCallOutcome>
--- a/src/services/quota/node/limitedPieces.ts
+++ b/src/services/quota/node/limitedPieces.ts
@@ -9,7 +9,7 @@
 export class LimitedPieces extends PieceProtocol {
   constructor (private readonly _pieces: PieceProtocol, private readonly _quota: IQuotaService) {
     super()
-    _pieces.onDidReadRate(stated => this._onDidReadRate.fire(stated))
+    _pieces.onDidState(stated => this._onDidState.fire(stated))
   }
 
   async runPieces (upstream: UpstreamEntry, pieces: readonly PlannedPiece[], timeoutMs: number): Promise<PieceCallOutcome> {
--- a/src/services/quota/node/rateLimitService.ts
+++ b/src/services/quota/node/rateLimitService.ts
@@ -10,7 +10,6 @@
 import type { ILogService } from '../../log/node/logger.ts'
 import { RateLimitBook } from '../common/rateLimitBook.ts'
 import type { HeardRate } from '../common/rateLimitBook.ts'
-import type { UpstreamRateStatement } from '../common/rateStatement.ts'
 
 export interface RateLimitServiceOptions {
   readonly clock: IClock
@@ -38,7 +37,6 @@
   private readonly _options: RateLimitServiceOptions
   private readonly _book = new RateLimitBook()
   private _factCounter = 0
-  private _invalidCount = 0
 
   constructor (options: RateLimitServiceOptions) {
     super()
@@ -46,15 +44,8 @@
     this._register(options.facts.onDidChange(fact => { if (isFactOf(fact, 'limit') && fact.source !== '') this._takeFact(fact) }))
   }
 
-  /** Statements since the start whose value was no rate. */
-  get invalidCount (): number {
-    return this._invalidCount
-  }
-
-  /** Takes in what came with an answer. */
-  note ({ upstream, statement }: UpstreamRateStatement): void {
-    if (statement.kind === 'invalid') return this._noteInvalid(upstream, statement.name, statement.value)
-    const perS = statement.kind === 'limited' ? statement.perS : undefined
+  /** Takes in what came with an answer: requests per second, or that there is no limit. */
+  note (upstream: string, perS: number | undefined): void {
     const heardAt = this._options.clock.now()
     const held = this._book.get(upstream)
     const ageMs = heardAt - (held?.heardAt ?? -Infinity)
@@ -87,9 +78,4 @@
     if (!this._book.note(heard) || before === perS) return
     log.info('rate_limit_changed', { upstream, per_s: perS ?? 'none', before: before ?? 'none', source: source === '' ? 'own' : source, age_ms: Math.round(clock.now() - heardAt) })
   }
-
-  private _noteInvalid (upstream: string, name: string, value: string): void {
-    this._invalidCount++
-    this._options.log.warn('rate_limit_invalid', { upstream, name, value })
-  }
 }
--- a/src/services/quota/test/rateLimitService.test.ts
+++ b/src/services/quota/test/rateLimitService.test.ts
@@ -29,7 +29,7 @@
     const clock = new VirtualClock()
     const nodes = ['a', 'b', 'c'].map(node => createNode(clock, node))
     for (const { node, perS } of made) {
-      nodes[node]?.limits.note({ upstream: 'u', statement: perS === undefined ? { kind: 'unlimited' } : { kind: 'limited', perS } })
+      nodes[node]?.limits.note('u', perS)
       clock.advance(1000)
     }
     const all = nodes.flatMap(({ facts }) => listFacts(facts))
@@ -46,12 +46,12 @@
   const clock = new VirtualClock()
   const { facts, limits } = createNode(clock, 'a')
   for (let count = 0; count < 100; count++) {
-    limits.note({ upstream: 'u', statement: { kind: 'limited', perS: 2 } })
+    limits.note('u', 2)
     clock.advance(100)
   }
   assert.is(facts.sequence, 1)
   clock.advance(60_000)
-  limits.note({ upstream: 'u', statement: { kind: 'limited', perS: 2 } })
+  limits.note('u', 2)
   assert.is(facts.sequence, 2)
 })
 
@@ -59,20 +59,11 @@
   const clock = new VirtualClock()
   const [first, second] = ['a', 'b'].map(node => createNode(clock, node))
   assert.ok(first && second)
-  first.limits.note({ upstream: 'u', statement: { kind: 'limited', perS: 0.25 } })
+  first.limits.note('u', 0.25)
   clock.advance(40)
   for (const fact of listFacts(first.facts)) second.facts.merge(fact, 'n:1')
   assert.ok(second.lines.some(line => line.includes('event=rate_limit_changed upstream=u per_s=0.25 before=none source=n:1 age_ms=40')))
   assert.equal(second.limits.listLimits(), [{ upstream: 'u', perS: 0.25, ageMs: 40 }])
 })
 
-test('a statement that is no rate changes nothing', () => {
-  const { limits, lines, facts } = createNode(new VirtualClock(), 'a')
-  limits.note({ upstream: 'u', statement: { kind: 'invalid', name: 'limit', value: '1e3' } })
-  assert.is(limits.findLimit('u'), undefined)
-  assert.is(limits.invalidCount, 1)
-  assert.is(facts.size, 0)
-  assert.ok(lines.some(line => line.includes('event=rate_limit_invalid upstream=u name=limit value=1e3')))
-})
-
 test.run()
--- a/src/services/relay/common/relayProtocol.ts
+++ b/src/services/relay/common/relayProtocol.ts
@@ -4,8 +4,8 @@
  */
 import type { Either } from 'purify-ts'
 import type { PepperwoodError } from '../../result/common/pepperwoodError.ts'
-import type { RateStatement } from '../../quota/common/rateStatement.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import type { HeaderField, RelayRequest } from './relayRequest.ts'
 
 /** The head of a message as it was received. */
@@ -82,8 +82,8 @@
   /** The request's headers, host and framing included. */
   abstract createHeaders (call: RelayCall): readonly HeaderField[]
   abstract readHead (head: AnswerHead, call: RelayCall): AnswerVerdict
-  /** What the upstream says of the rate that it accepts. */
-  abstract readRate (head: AnswerHead): RateStatement
+  /** What the upstream says of itself; nothing where the answer is another boot's or to another request. */
+  abstract readStatements (head: AnswerHead, call: RelayCall): readonly UpstreamStatement[]
   /** The load that the upstream reports; undefined where it reports none. */
   abstract readLoad (head: AnswerHead): UpstreamLoad | undefined
 }
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -5,7 +5,7 @@
 import type { IClock } from '../../../base/common/clock.ts'
 import { dropIdleConnections, startExchange } from '../../upstream/node/httpExchange.ts'
 import type { IExchange } from '../../upstream/node/httpExchange.ts'
-import type { RateStatement } from '../../quota/common/rateStatement.ts'
+import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import type { AttemptOutcome } from '../common/attemptDecision.ts'
 import { EventSplitter } from '../common/eventSplitter.ts'
 import type { AnswerVerdict, RelayCall, UpstreamLoad, UpstreamProtocol } from '../common/relayProtocol.ts'
@@ -28,8 +28,8 @@
   /** The connection is open, and the request is written now. */
   readonly onWillSend: () => void
   readonly onDidReadLoad: (load: UpstreamLoad) => void
-  /** The upstream itself has answered, and says this of the rate that it accepts. */
-  readonly onDidReadRate: (statement: RateStatement) => void
+  /** What the upstream says of itself with its answer. */
+  readonly onDidState: (statements: readonly UpstreamStatement[]) => void
   /** The first event of a stream, or the whole answer, has arrived. */
   readonly onDidProduce: () => void
   readonly localAddress?: string
@@ -102,7 +102,7 @@
     response.on('error', () => {})
     const head = { status: response.statusCode ?? 0, headers: response.headers, rawHeaders: response.rawHeaders }
     const verdict = protocol.readHead(head, call)
-    this._noteRate(verdict, protocol.readRate(head))
+    this._options.onDidState(protocol.readStatements(head, call))
     const load = protocol.readLoad(head)
     if (load !== undefined) onDidReadLoad(load)
     if (verdict.kind === 'invalid') {
@@ -119,12 +119,6 @@
     return await this._forwardWhole(response, exchange, verdict)
   }
 
-  /** A refusal may leave a limit out, and another upstream at the address speaks for itself alone. */
-  private _noteRate (verdict: AnswerVerdict, statement: RateStatement): void {
-    if (verdict.kind === 'invalid' || (verdict.kind === 'notRun' && (verdict.reason === 'otherUpstream' || statement.kind === 'unlimited'))) return
-    this._options.onDidReadRate(statement)
-  }
-
   /** Reads the rest of a short answer, so that its connection can be used again. */
   private _drain (response: IncomingMessage, exchange: IExchange): void {
     const timer = this._options.clock.schedule(1000, () => exchange.cancel())
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -10,9 +10,9 @@
 import type { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
 import type { IQuarantineService } from '../../quarantine/common/quarantine.ts'
 import type { IQuotaService } from '../../quota/common/quota.ts'
-import type { RateLimitService } from '../../quota/node/rateLimitService.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { StatedByUpstream } from '../../upstream/common/upstreamStatement.ts'
 import type { RelayRefusal, UpstreamProtocol } from '../common/relayProtocol.ts'
 import type { RelayPool } from '../common/relayPool.ts'
 import type { CallerAnswer } from './callerAnswer.ts'
@@ -30,8 +30,7 @@
   readonly registry: UpstreamRegistry
   readonly pool: RelayPool
   readonly retry: RetryPolicy
-  /** What upstreams say of the rate that they accept goes there. */
-  readonly limits: RateLimitService
+  readonly noteStatements: (stated: StatedByUpstream) => void
   readonly quota: IQuotaService
   readonly preparation: IPreparationService
   readonly releaseDelay: ReleaseDelay
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -224,7 +224,7 @@
       pauseTimeoutMs: computePauseTimeout(route),
       signal: this._abort.signal,
       onWillSend: () => { releasing = this._inputs.scheduleRelease() },
-      onDidReadRate: statement => context.limits.note({ upstream: upstream.id, statement }),
+      onDidState: statements => context.noteStatements({ upstream: upstream.id, statements }),
       onDidReadLoad: load => context.pool.recordLoad(upstream, load),
       onDidProduce: () => this._noteProduced(visit, upstream),
       localAddress: context.localAddress
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -11,6 +11,7 @@
 import { Disposable, DisposableStore, toDisposable } from '../../../base/common/disposable.ts'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
+import { NodeStatements } from '../../../entryNode/nodeStatements.ts'
 import { RelaySchema, RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { RouteSchema } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { FactStore } from '../../facts/common/factStore.ts'
@@ -24,11 +25,11 @@
 import { QuotaOwner } from '../../quota/common/quotaOwner.ts'
 import { QuotaService } from '../../quota/node/quotaService.ts'
 import { RateLimitService } from '../../quota/node/rateLimitService.ts'
-import type { RateStatement } from '../../quota/common/rateStatement.ts'
 import { QuarantineService } from '../../quarantine/node/quarantineService.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { RetryBudget } from '../../retry/common/retryPolicy.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import { CallerProtocol, UpstreamProtocol } from '../common/relayProtocol.ts'
 import type { AnswerHead, AnswerVerdict, MessageHead, OwnAnswer, RelayCall, RelayRefusal } from '../common/relayProtocol.ts'
 import { RelayPool } from '../common/relayPool.ts'
@@ -84,9 +85,9 @@
     return { kind: 'answer', isSuccess: status === 200, headers: [{ name: 'Id', value: request.id }] }
   }
 
-  readRate ({ headers: { limit } }: AnswerHead): RateStatement {
-    if (typeof limit !== 'string') return { kind: 'unlimited' }
-    return Number.isFinite(Number(limit)) ? { kind: 'limited', perS: Number(limit) } : { kind: 'invalid', name: 'limit', value: limit }
+  readStatements ({ headers: { limit, unrun } }: AnswerHead): readonly UpstreamStatement[] {
+    if (typeof limit !== 'string') return unrun === undefined ? [{ kind: 'rate', perS: undefined }] : []
+    return [Number.isFinite(Number(limit)) ? { kind: 'rate', perS: Number(limit) } : { kind: 'invalid', name: 'limit', value: limit }]
   }
 
   readLoad (): undefined {
@@ -196,6 +197,7 @@
     }))
     const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1 }))
     const limits = this._register(new RateLimitService({ clock, log, facts, node: 'n', incarnation: 1 }))
+    const statements = new NodeStatements({ log, rate: (upstream, { perS }) => limits.note(upstream, perS) })
     const stated = new StatedLimits(upstream => limits.findLimit(upstream))
     const links = this._register(new CoordinatorLinks({ clock, log }))
     const owner = new QuotaOwner({ clock, limits: stated, isOwner: () => true, settleMs: 0 })
@@ -211,7 +213,7 @@
         upstreamProtocol: _options.protocols?.upstream ?? new FakeUpstreamProtocol(),
         registry: this.registry,
         pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1, hasEnded: id => quarantine.hasEnded(id), quota }),
-        limits,
+        noteStatements: stated => statements.note(stated),
         quota,
         retry: new RetryBudget({ maxSaved: _options.retries ?? 10 }),
         preparation: _options.preparation ?? NO_PREPARATION,
--- a/src/services/relay/test/statedRateLimit.test.ts
+++ b/src/services/relay/test/statedRateLimit.test.ts
@@ -90,7 +90,7 @@
 
 test('a value that is no rate changes nothing, and is logged with its name', () => runRelay([() => 'soon'], async harness => {
   assert.ok((await callFor(harness, KNOWN_MS)).every(isServed))
-  assert.ok(harness.lines.some(line => line.includes('event=rate_limit_invalid') && line.includes('name=limit value=soon')))
+  assert.ok(harness.lines.some(line => line.includes('event=statement_invalid') && line.includes('name=limit value=soon')))
 }))
 
 test.run()
