Give the request that was taken in a file of its own

Cause: relayRun.ts imports UpstreamChoice and upstreamChoice.ts imported a type of relayRun.ts: a circle of two files.

--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -3,7 +3,6 @@
  * ends it with an answer or an honest refusal.
  */
 import type { IDisposable } from '../../../base/common/disposable.ts'
-import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { ResultName } from '../../result/common/resultCodes.ts'
@@ -18,31 +17,15 @@
 import type { PoolVisit } from '../common/relayPool.ts'
 import { ELSEWHERE_RETRY_MS } from '../common/relayProtocol.ts'
 import type { RelayRefusal } from '../common/relayProtocol.ts'
-import type { RelayRequest } from '../common/relayRequest.ts'
 import { isRepeatable, pickTarget } from '../common/relayTable.ts'
-import type { CallerAnswer } from './callerAnswer.ts'
 import { RelayAttempt } from './relayAttempt.ts'
 import type { AttemptResult } from './relayAttempt.ts'
 import type { RelayContext } from './relayContext.ts'
 import { RequestInputs } from './requestInputs.ts'
 import { RequestSuspect } from './requestSuspect.ts'
+import type { TakenRequest } from './takenRequest.ts'
 import { UpstreamChoice } from './upstreamChoice.ts'
 
-/** A request that was taken in. */
-export interface TakenRequest {
-  readonly request: RelayRequest
-  readonly route: Route
-  readonly customer: string | undefined
-  /** 0 goes first. */
-  readonly priority: number
-  /** The only halls whose upstreams may get it; undefined for all. */
-  readonly homeHalls?: readonly string[] | undefined
-  readonly body: Buffer
-  readonly answer: CallerAnswer
-  /** On the process's clock. */
-  readonly arrivedAt: number
-}
-
 /** How a request ended, for logs and metrics. */
 export interface RelayEnd {
   readonly result: ResultName | 'delivered' | 'passedOn'
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -19,7 +19,8 @@
 import { CallerAnswer } from './callerAnswer.ts'
 import type { RelayContext } from './relayContext.ts'
 import { RelayRun } from './relayRun.ts'
-import type { RelayEnd, TakenRequest } from './relayRun.ts'
+import type { RelayEnd } from './relayRun.ts'
+import type { TakenRequest } from './takenRequest.ts'
 
 export interface RelayServerOptions {
   readonly context: Omit<RelayContext, 'refuse'>
--- a/src/services/relay/node/upstreamChoice.ts
+++ b/src/services/relay/node/upstreamChoice.ts
@@ -4,7 +4,7 @@
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { RelayContext } from './relayContext.ts'
 import type { RequestInputs } from './requestInputs.ts'
-import type { TakenRequest } from './relayRun.ts'
+import type { TakenRequest } from './takenRequest.ts'
 
 export interface UpstreamChoiceOptions {
   readonly context: RelayContext
