Send nothing more to an upstream that says with an answer that it leaves

An upstream that ends at the end of its notice takes what it then holds along, and they would have been lost.

Cause: an upstream says that it leaves in its entry and in all its answers, and only the entry was read.

Why this works: what is written goes to an upstream that takes work at that moment, whoever chose it and when.

--- /dev/null
+++ b/src/base/common/boundedSet.ts
@@ -0,0 +1,23 @@
+/**
+ * A set that remembers so many values at most: the oldest is forgotten first.
+ */
+export class BoundedSet<T> {
+  private readonly _values = new Set<T>()
+
+  constructor (private readonly _maxSize: number) {}
+
+  get size (): number {
+    return this._values.size
+  }
+
+  has (value: T): boolean {
+    return this._values.has(value)
+  }
+
+  add (value: T): void {
+    this._values.add(value)
+    if (this._values.size <= this._maxSize) return
+    const oldest = this._values.values().next()
+    if (oldest.done !== true) this._values.delete(oldest.value)
+  }
+}
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -44,6 +44,7 @@
 import type { EndedRequest } from '../services/relay/node/relayServer.ts'
 import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import { WindowedRetries } from '../services/retry/common/windowedRetries.ts'
+import { SendGuard } from '../services/upstream/node/sendGuard.ts'
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 import { CallerDirectory } from './callerDirectory.ts'
@@ -85,6 +86,7 @@
 const RETRY_SAFETY = 0.8
 /** A document reaches 195 nodes in three steps of some 50 ms each; it has to be in force within 2 s. */
 const MISSED_DOCUMENT_MS = 600
+const ANSWER_SIGNAL = 'answer'
 /** Changes of members within this time move jobs once. */
 const MOVE_DELAY_MS = 40
 
@@ -101,6 +103,7 @@
   private readonly _quarantine: QuarantineService
   private readonly _quota: NodeQuota
   private readonly _statements: NodeStatements
+  private readonly _guard: SendGuard
   private readonly _relay: RelayServer
   private readonly _coordinator: PreparationCoordinator
   private readonly _preparation: PreparationClient
@@ -186,10 +189,11 @@
       coldShare: settings.cold_share,
       coldSpare: settings.cold_spare
     }))
-    this._statements = new NodeStatements({ log, rate: (upstream, { perS }) => this._quota.stated.note(upstream, perS) })
+    this._statements = new NodeStatements({ log, rate: (upstream, { perS }) => this._quota.stated.note(upstream, perS), leaving: upstream => this._registry.markLeaving(upstream, ANSWER_SIGNAL) })
+    this._guard = new SendGuard({ clock, log, registry: this._registry })
     const protocol = new LimitedPieces(options.pieceProtocol, this._quota.service)
     this._register(protocol.onDidState(stated => this._statements.note(stated)))
-    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol, registry: this._registry, getTable, limits: this._quota.limits }))
+    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol, registry: this._registry, getTable, limits: this._quota.limits, guard: this._guard }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log, upstream => this._quota.answer(upstream)))
     this._preparation = this._register(new PreparationClient({
       clock,
@@ -218,6 +222,7 @@
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
         pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id), quota: this._quota.service }),
+        guard: this._guard,
         noteStatements: stated => this._statements.note(stated),
         quota: this._quota.service,
         retry: new WindowedRetries({ clock, windowMs: settings.retry_window_s * 1000, share: settings.retry_share * RETRY_SAFETY, getSpare: () => settings.retry_spare * RETRY_SAFETY / this.countNodes() }),
@@ -231,7 +236,7 @@
       findObstacle: () => this._findObstacle(),
       estimateObstacleMs: () => estimateReadyMs({ isOutage: this._member.isReady && this._table === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relay, member: this._member, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, quarantine: this._quarantine, pause: this._pause }))
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relay, member: this._member, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, guard: this._guard, quarantine: this._quarantine, pause: this._pause }))
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
     this._sharing = this._register(new UpstreamSharing({ clock, log, facts: this._member.facts, registry: this._registry, source: options.upstreamSource, getColdMs: role => this._table?.getRole(role)?.coldMs ?? 0 }))
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -17,6 +17,8 @@
   readonly countQuarantineRefusals: () => number
   readonly countLimitedUpstreams: () => number
   readonly countInvalidStatements: () => number
+  readonly countLeavingUpstreams: () => number
+  readonly countWithheldSends: () => number
   readonly countQuotaDenials: () => number
   readonly countPauses: () => number
   readonly getBytesSent: () => number
@@ -44,6 +46,8 @@
     this.metrics.createGauge('node_quarantine_refusals_total', 'Tries of such requests that were refused', gauges.countQuarantineRefusals)
     this.metrics.createGauge('node_limited_upstreams', 'Upstreams that state a limit of the rate that they accept', gauges.countLimitedUpstreams)
     this.metrics.createGauge('node_quota_denials_total', 'Requests for limited upstreams that this node did not give out', gauges.countQuotaDenials)
+    this.metrics.createGauge('node_leaving_upstreams', 'Upstreams that get nothing new, since they leave', gauges.countLeavingUpstreams)
+    this.metrics.createGauge('node_withheld_sends_total', 'Requests and calls that were not written, since their upstream was to get nothing more by then', gauges.countWithheldSends)
     this.metrics.createGauge('node_invalid_statements_total', 'Statements of upstreams whose values mean nothing', gauges.countInvalidStatements)
     this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
     this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -19,6 +19,8 @@
     countQuarantineRefusals: () => 6,
     countLimitedUpstreams: () => 2,
     countInvalidStatements: getZero,
+    countLeavingUpstreams: getZero,
+    countWithheldSends: getZero,
     countQuotaDenials: getZero,
     countPauses: getZero,
     getBytesSent: getZero
--- a/src/entryNode/test/nodeStatements.test.ts
+++ b/src/entryNode/test/nodeStatements.test.ts
@@ -11,13 +11,13 @@
   const lines: string[] = []
   log.onDidLog(({ line }) => lines.push(line))
   const received: string[] = []
-  const node = new NodeStatements({ log, rate: (upstream, { perS }) => received.push(`${upstream} rate ${perS}`) })
+  const node = new NodeStatements({ log, rate: (upstream, { perS }) => received.push(`${upstream} rate ${perS}`), leaving: upstream => received.push(`${upstream} leaving`) })
   node.note({ upstream: 'u', statements })
   return { lines, received, invalidCount: node.invalidCount }
 }
 
 test('each statement goes to the receiver of its kind', () => {
-  assert.equal(runWith([{ kind: 'rate', perS: 2 }, { kind: 'rate', perS: undefined }]).received, ['u rate 2', 'u rate undefined'])
+  assert.equal(runWith([{ kind: 'rate', perS: 2 }, { kind: 'leaving' }, { kind: 'rate', perS: undefined }]).received, ['u rate 2', 'u leaving', 'u rate undefined'])
 })
 
 test('a statement that means nothing reaches nobody, is counted, and logged with its name', () => {
--- a/src/entryNode/upstreamSharing.ts
+++ b/src/entryNode/upstreamSharing.ts
@@ -166,8 +166,11 @@
   }
 
   private _dropOldFacts (): void {
-    const { clock, facts } = this._options
+    const { clock, facts, registry } = this._options
     const now = clock.now()
-    for (const fact of facts.listKind('leaving')) if (now - fact.observedAt > FORGET_LEAVING_MS) facts.drop(fact.subject)
+    for (const { subject, observedAt, value } of facts.listKind('leaving')) {
+      // An entry may go on saying that the boot is ready.
+      if (now - observedAt > FORGET_LEAVING_MS && registry.get(value.upstream) === undefined) facts.drop(subject)
+    }
   }
 }
--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -36,7 +36,7 @@
 /** How a call ended. */
 export type PieceCallOutcome =
   | { readonly kind: 'answered', readonly pieces: readonly PieceOutcome[] }
-  | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' }
+  | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' | 'withheld' }
   /** Nothing was sent: the upstream accepts no more for so long. */
   | { readonly kind: 'notRun', readonly reason: 'limited', readonly retryInMs: number }
   /** `isThere`: the upstream answered something else, or kept its connection open until the time was over. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -314,7 +314,7 @@
     const bytes = started.pieces.reduce((sum, piece) => sum + (piece.state.job.stages[piece.stage]?.resultBytes ?? 0), 0)
     if (outcome.kind === 'lost') upstream?.loseRoom(bytes, now)
     else upstream?.releaseRoom(bytes)
-    if (outcome.kind === 'notRun' && outcome.reason === 'full') upstream?.avoidBriefly(now, FULL_PAUSE_MS)
+    if (outcome.kind === 'notRun' && (outcome.reason === 'full' || outcome.reason === 'withheld')) upstream?.avoidBriefly(now, FULL_PAUSE_MS)
     else if (outcome.kind === 'notRun' && outcome.reason === 'limited') upstream?.noteLimited(now, outcome.retryInMs)
     else upstream?.avoid(now)
     for (const { state, stage, index } of started.pieces) {
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -8,6 +8,7 @@
 import type { ILogService } from '../../log/node/logger.ts'
 import type { LimitSource } from '../../quota/common/limitSource.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
+import type { SendGuard } from '../../upstream/node/sendGuard.ts'
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobNews, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
@@ -24,6 +25,8 @@
   readonly registry: UpstreamRegistry
   readonly getTable: () => RelayTable | undefined
   readonly limits?: LimitSource
+  /** Asked before a call is written; without it every call is. */
+  readonly guard?: SendGuard
 }
 
 /** A job as it comes to a coordinator. */
@@ -277,13 +280,13 @@
   }
 
   private async _run (shard: PlanShard, call: PlannedCall): Promise<void> {
-    const { registry, protocol, clock, log } = this._options
+    const { registry, protocol, guard, clock, log } = this._options
     const upstream = registry.get(call.upstreamId)
     const startedAt = clock.now()
     const known = registry.computeAge(startedAt)
     const outcome = upstream === undefined
       ? { kind: 'notRun' as const, reason: 'unreachable' as const }
-      : await protocol.runPieces(upstream, call.pieces, call.timeoutMs)
+      : await protocol.runPieces(upstream, call.pieces, { timeoutMs: call.timeoutMs, onWillSend: () => guard?.maySend(upstream.id, call.pieces[0]?.jobId ?? '') !== false })
     if (this._isDisposed) return
     if (outcome.kind !== 'answered') {
       log.info('piece_call_failed', { upstream: call.upstreamId, pieces: call.pieces.length, outcome: outcome.kind, reason: outcome.reason, took_ms: Math.round(clock.now() - startedAt) })
--- a/src/services/quota/node/limitedPieces.ts
+++ b/src/services/quota/node/limitedPieces.ts
@@ -2,6 +2,7 @@
  * Calls to upstreams that make pieces, as far as these accept them.
  */
 import { PieceProtocol } from '../../preparation/common/pieceProtocol.ts'
+import type { PieceCallTerms } from '../../preparation/common/pieceProtocol.ts'
 import type { PieceCallOutcome, PlannedPiece } from '../../preparation/common/plannedCall.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { IQuotaService } from '../common/quota.ts'
@@ -12,8 +13,8 @@
     _pieces.onDidState(stated => this._onDidState.fire(stated))
   }
 
-  async runPieces (upstream: UpstreamEntry, pieces: readonly PlannedPiece[], timeoutMs: number): Promise<PieceCallOutcome> {
-    if (await this._quota.acquire(upstream, pieces[0]?.jobId ?? '')) return await this._pieces.runPieces(upstream, pieces, timeoutMs)
+  async runPieces (upstream: UpstreamEntry, pieces: readonly PlannedPiece[], terms: PieceCallTerms): Promise<PieceCallOutcome> {
+    if (await this._quota.acquire(upstream, pieces[0]?.jobId ?? '')) return await this._pieces.runPieces(upstream, pieces, terms)
     return { kind: 'notRun', reason: 'limited', retryInMs: this._quota.getWaitMs(upstream) }
   }
 
--- a/src/services/relay/common/attemptDecision.ts
+++ b/src/services/relay/common/attemptDecision.ts
@@ -76,6 +76,11 @@
   return outcome.kind === 'lost' || outcome.kind === 'failed' || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')
 }
 
+/** Nothing was written, since the upstream was to get nothing more by then. */
+export function isWithheld (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'notRun' && outcome.reason === 'withheld'
+}
+
 /** The connection ended before the answer did. */
 export function hasLostRun (outcome: AttemptOutcome): boolean {
   return outcome.kind === 'lost' || outcome.kind === 'broken'
--- a/src/services/relay/common/relayProtocol.ts
+++ b/src/services/relay/common/relayProtocol.ts
@@ -67,7 +67,8 @@
   /** Not an answer to this request, or not one that may be passed on. */
   | { readonly kind: 'invalid', readonly reason: string }
 
-export type NotRunReason = 'full' | 'otherUpstream' | 'inputMissing' | 'refused' | 'unreachable'
+/** Withheld: nothing was written, since the upstream was to get nothing more by then. */
+export type NotRunReason = 'full' | 'otherUpstream' | 'inputMissing' | 'refused' | 'unreachable' | 'withheld'
 
 /** Speaks with callers. */
 export abstract class CallerProtocol {
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -4,7 +4,7 @@
 import type { Agent, IncomingMessage } from 'node:http'
 import type { IClock } from '../../../base/common/clock.ts'
 import { dropIdleConnections, startExchange } from '../../upstream/node/httpExchange.ts'
-import type { IExchange } from '../../upstream/node/httpExchange.ts'
+import type { ExchangeStart, IExchange } from '../../upstream/node/httpExchange.ts'
 import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import type { AttemptOutcome } from '../common/attemptDecision.ts'
 import { EventSplitter } from '../common/eventSplitter.ts'
@@ -25,8 +25,8 @@
   /** How long a stream may pause before it is taken for broken. */
   readonly pauseTimeoutMs: number
   readonly signal: AbortSignal
-  /** The connection is open, and the request is written now. */
-  readonly onWillSend: () => void
+  /** The connection is open, and the request is written now; false withholds it. */
+  readonly onWillSend: () => boolean
   readonly onDidReadLoad: (load: UpstreamLoad) => void
   /** What the upstream says of itself with its answer. */
   readonly onDidState: (statements: readonly UpstreamStatement[]) => void
@@ -77,12 +77,9 @@
         localAddress: this._options.localAddress,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         signal: controller.signal,
-        onWillSend: () => {
-          this._options.onWillSend()
-          return true
-        }
+        onWillSend: this._options.onWillSend
       })
-      if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start.kind, start.reason), hasTimedOut: this._timedOut }
+      if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start), hasTimedOut: this._timedOut }
       return { ...await this._readAnswer(start.response, start.exchange), hasTimedOut: this._timedOut }
     } finally {
       this._timer?.dispose()
@@ -90,10 +87,10 @@
     }
   }
 
-  private _decideNoAnswer (kind: 'notSent' | 'lost', reason: string): AttemptOutcome {
+  private _decideNoAnswer (start: Exclude<ExchangeStart, { readonly kind: 'response' }>): AttemptOutcome {
     if (this._options.signal.aborted) return { kind: 'cancelled' }
-    if (kind === 'notSent') return { kind: 'notRun', reason: 'unreachable' }
-    return { kind: 'lost', reason: this._timedOut ? 'no answer in time' : reason }
+    if (start.kind === 'notSent') return { kind: 'notRun', reason: start.isWithheld ? 'withheld' : 'unreachable' }
+    return { kind: 'lost', reason: this._timedOut ? 'no answer in time' : start.reason }
   }
 
   private async _readAnswer (response: IncomingMessage, exchange: IExchange): Promise<AttemptResult> {
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -11,6 +11,7 @@
 import type { IQuarantineService } from '../../quarantine/common/quarantine.ts'
 import type { IQuotaService } from '../../quota/common/quota.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
+import type { SendGuard } from '../../upstream/node/sendGuard.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { StatedByUpstream } from '../../upstream/common/upstreamStatement.ts'
 import type { RelayRefusal, UpstreamProtocol } from '../common/relayProtocol.ts'
@@ -29,6 +30,7 @@
   readonly upstreamProtocol: UpstreamProtocol
   readonly registry: UpstreamRegistry
   readonly pool: RelayPool
+  readonly guard: SendGuard
   readonly retry: RetryPolicy
   readonly noteStatements: (stated: StatedByUpstream) => void
   readonly quota: IQuotaService
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -11,7 +11,7 @@
 import type { LostPieces } from '../../preparation/common/preparationService.ts'
 import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { computeHeadTimeout, computePauseTimeout } from '../common/attemptTimes.ts'
-import { decideAfterAttempt, hasFailedUpstream, hasLostRun } from '../common/attemptDecision.ts'
+import { decideAfterAttempt, hasFailedUpstream, hasLostRun, isWithheld } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { PoolVisit } from '../common/relayPool.ts'
@@ -146,6 +146,8 @@
   private async _prepare (): Promise<ResultName | undefined> {
     const { request, route } = this._taken
     const isSuspect = this._standing.ends > 0
+    // Whatever is made for it would be thrown away.
+    if (this._choice.listUsable().length === 0) return this._refuseWithoutUpstream()
     const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, homeHalls: this._taken.homeHalls, deadlineInMs: this._getTimeLeft(), isSuspect })
     return job === undefined ? undefined : await this._takePreparation(await this._inputs.prepare(job))
   }
@@ -206,13 +208,18 @@
       headTimeoutMs: computeHeadTimeout(route, this._runCount, timeLeftMs),
       pauseTimeoutMs: computePauseTimeout(route),
       signal: this._abort.signal,
-      onWillSend: () => { releasing = this._inputs.scheduleRelease() },
+      onWillSend: () => {
+        if (!context.guard.maySend(upstream.id, request.id)) return false
+        releasing = this._inputs.scheduleRelease()
+        return true
+      },
       onDidState: statements => context.noteStatements({ upstream: upstream.id, statements }),
       onDidReadLoad: load => context.pool.recordLoad(upstream, load),
       onDidProduce: () => this._noteProduced(visit, upstream),
       localAddress: context.localAddress
     }).run()
     this._isAtUpstream = false
+    if (isWithheld(result.outcome)) this._withdrawSend(upstream)
     visit.end(result.outcome)
     // What was not taken is still there for another upstream.
     if (result.outcome.kind === 'notRun') releasing?.dispose()
@@ -257,6 +264,12 @@
     return this._refuse('requestQuarantined', `${this._standing.ends} upstreams ended under its tries`, this._runCount === 0)
   }
 
+  /** Nothing was written, so this was no send. */
+  private _withdrawSend (upstream: UpstreamEntry): void {
+    this._sendCount--
+    this._tried.delete(upstream.id)
+  }
+
   private _decide (outcome: AttemptOutcome, upstream: UpstreamEntry): AttemptDecision {
     const { route } = this._taken
     if (outcome.kind !== 'notRun') this._runCount++
@@ -275,10 +288,10 @@
     })
   }
 
-  /** A connection that never opened is no arrival at an upstream, and costs no budget. */
+  /** What was never written is no arrival at an upstream, and costs no budget. */
   private _mayRetry (outcome: AttemptOutcome): boolean {
     if (this._abort.signal.aborted) return false
-    if (outcome.kind === 'notRun' && outcome.reason === 'unreachable') return true
+    if (isWithheld(outcome) || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')) return true
     return this._context.retry.takeRetry(this._role)
   }
 
--- a/src/services/upstream/common/upstreamRegistry.ts
+++ b/src/services/upstream/common/upstreamRegistry.ts
@@ -4,6 +4,7 @@
  * it later. One that is only missing from a list may: the list may have been wrong. Upstreams of a hall that is evacuated
  * are known, but take no work until the hall is taken back.
  */
+import { BoundedSet } from '../../../base/common/boundedSet.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
 
@@ -36,13 +37,14 @@
   readonly ageMs: number
 }
 
-/** Ids of dropped boots that are remembered, the oldest forgotten first. */
+/** Ids of boots that are remembered, whether or not they are listed. */
 const MAX_REMEMBERED = 2000
 
 export class UpstreamRegistry extends Disposable {
   private readonly _entries = new Map<string, UpstreamEntry>()
   private readonly _byRole = new Map<string, readonly UpstreamEntry[]>()
-  private readonly _gone = new Set<string>()
+  private readonly _gone = new BoundedSet<string>(MAX_REMEMBERED)
+  private readonly _leaving = new BoundedSet<string>(MAX_REMEMBERED)
   private readonly _evacuatedHalls = new Set<string>()
   private _confirmedRevision = 0
   private _confirmedAt = -Infinity
@@ -102,15 +104,16 @@
   update (entry: UpstreamEntry, signal: string): void {
     if (this._gone.has(entry.id)) return
     const held = this._entries.get(entry.id)
-    const next = { ...entry, isLeaving: entry.isLeaving || held?.isLeaving === true, coldUntil: Math.max(entry.coldUntil ?? 0, held?.coldUntil ?? 0) }
+    const next = { ...entry, isLeaving: entry.isLeaving || held?.isLeaving === true || this._leaving.has(entry.id), coldUntil: Math.max(entry.coldUntil ?? 0, held?.coldUntil ?? 0) }
     this._set(next)
     if (held === undefined) this._fire('added', next, signal)
     if (next.isLeaving && held?.isLeaving !== true) this._fire('leaving', next, signal)
     else if (held !== undefined && !isSameEntry(held, next)) this._fire('changed', next, signal)
   }
 
-  /** New work stops; what runs there may end. */
+  /** New work stops; what runs there may end. The word may come before the boot's entry does. */
   markLeaving (id: string, signal: string): void {
+    this._leaving.add(id)
     const held = this._entries.get(id)
     if (held === undefined || held.isLeaving) return
     const next = { ...held, isLeaving: true }
@@ -125,13 +128,13 @@
     this._entries.delete(id)
     this._byRole.delete(held.role)
     // Leaving is for good, also over a gap in the list.
-    if (held.isLeaving) this._noteGone(id)
+    if (held.isLeaving) this._gone.add(id)
     this._fire('dropped', held, signal)
   }
 
   /** Takes an entry out for good: the boot is known to have ended. */
   dropForGood (id: string, signal: string): void {
-    this._noteGone(id)
+    this._gone.add(id)
     this.drop(id, signal)
   }
 
@@ -145,11 +148,6 @@
     return { revision: this._confirmedRevision, ageMs: now - this._confirmedAt }
   }
 
-  private _noteGone (id: string): void {
-    this._gone.add(id)
-    if (this._gone.size > MAX_REMEMBERED) for (const oldest of [...this._gone].slice(0, 1)) this._gone.delete(oldest)
-  }
-
   private _set (entry: UpstreamEntry): void {
     const held = this._entries.get(entry.id)
     this._entries.set(entry.id, entry)
--- a/src/services/upstream/common/upstreamStatement.ts
+++ b/src/services/upstream/common/upstreamStatement.ts
@@ -5,6 +5,8 @@
 export type UpstreamStatement =
   /** Requests per second that it accepts from all callers together; a limit that was stated before ends without a number. */
   | { readonly kind: 'rate', readonly perS: number | undefined }
+  /** It finishes what it has and takes nothing new; a boot does not take this back. */
+  | { readonly kind: 'leaving' }
   /** A value that means nothing; nothing changes by it. */
   | { readonly kind: 'invalid', readonly name: string, readonly value: string }
 
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -26,7 +26,7 @@
 /** How far an exchange came. */
 export type ExchangeStart =
   | { readonly kind: 'response', readonly response: IncomingMessage, readonly exchange: IExchange }
-  | { readonly kind: 'notSent', readonly reason: string }
+  | { readonly kind: 'notSent', readonly reason: string, readonly isWithheld: boolean }
   | { readonly kind: 'lost', readonly reason: string }
 
 /** An exchange whose response has begun. */
@@ -44,6 +44,7 @@
 
 class ExchangeState {
   wasSent = false
+  isWithheld = false
   reason = ''
 }
 
@@ -65,6 +66,7 @@
 
 function sendWhenOpen (call: ClientRequest, socket: Socket, options: ExchangeOptions, state: ExchangeState): void {
   if (options.onWillSend?.() === false) {
+    state.isWithheld = true
     state.reason = 'not sent'
     call.destroy()
     return
@@ -80,7 +82,7 @@
 /** Starts an exchange; resolves at the first byte of the response, or when it failed. */
 export function startExchange (options: ExchangeOptions): Promise<ExchangeStart> {
   const address = parseAddress(options.address)
-  if (address === undefined) return Promise.resolve({ kind: 'notSent', reason: 'bad address' })
+  if (address === undefined) return Promise.resolve({ kind: 'notSent', reason: 'bad address', isWithheld: false })
   const state = new ExchangeState()
   return new Promise(resolve => {
     const call = request({
@@ -109,7 +111,8 @@
     call.on('error', error => { if (state.reason === '') state.reason = error.message })
     call.on('close', () => {
       clearTimeout(timer)
-      resolve({ kind: state.wasSent ? 'lost' : 'notSent', reason: state.reason === '' ? 'connection closed' : state.reason })
+      const reason = state.reason === '' ? 'connection closed' : state.reason
+      resolve(state.wasSent ? { kind: 'lost', reason } : { kind: 'notSent', reason, isWithheld: state.isWithheld })
     })
   })
 }
