Leave upstreams alone that turn a node away and ask for a pause

What callers saw: a further send for each request that was first sent to such an upstream, and where all of a role asked for it, a refusal after two or three sends with a time to return (0.3 s) that nothing made true.

Cause: a refusal was an outcome of one attempt. The request went elsewhere, and the next one started at the same upstream, which is free the soonest since it does nothing.

Change: Retry-After of 503 and 429 is a statement of an answer, of requests and of calls for pieces alike. The node keeps, for each boot, the end of its pause, from when the answer came; what binds: - choices, the plan's target at its confirmation, further sends, resumed streams, and the moment of writing (what waited meanwhile is withheld); - a job names the upstreams that its owner cannot send to, so that the plan of another node chooses among the rest and keeps the results near; - calls for pieces: the planner counts such an upstream out until then, and tells callers the end of the first pause when nobody is left; results are given back together at the end of a pause; - at the end one request goes first, more once it was taken or was not turned away for 250 ms. A longer pause takes the place of a shorter one, never the reverse: each answer holds until its own end. It ends with the boot; after a pause of the process itself each upstream may be tried with one request; - when all upstreams of a role ask for a pause, a request is refused at once and nothing is made for it, unless the first pause ends within the second that a prepared request may wait; callers return from the end of the first pause on, one after the other (ReturnSchedule). It is no health (all of a role may be left out), no limit of the fleet, and it costs no retry budget.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -11,10 +11,10 @@
 import { Emitter } from '../base/common/event.ts'
 import type { IRandom } from '../base/common/random.ts'
 import { startInterval, waitFor } from '../base/node/interval.ts'
+import { BackoffPieces } from '../services/backoff/node/backoffPieces.ts'
 import type { ConfigurationSource } from '../services/configuration/common/configurationSource.ts'
 import { formatNumber } from '../services/configuration/common/configurationNumber.ts'
 import type { AcceptedConfiguration } from '../services/configuration/common/configurationService.ts'
-import { formatGateSubject } from '../services/facts/common/fact.ts'
 import { formatPosition } from '../services/feed/common/sourcePosition.ts'
 import { FeedService } from '../services/feed/node/feedService.ts'
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
@@ -44,7 +44,6 @@
 import type { EndedRequest } from '../services/relay/node/relayServer.ts'
 import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import { WindowedRetries } from '../services/retry/common/windowedRetries.ts'
-import { SendGuard } from '../services/upstream/node/sendGuard.ts'
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 import { CallerDirectory } from './callerDirectory.ts'
@@ -52,9 +51,11 @@
 import { createNodeGauges } from './nodeGauges.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
 import { NodeQuota } from './nodeQuota.ts'
+import { NodeReport } from './nodeReport.ts'
 import type { NodeSettings } from './nodeSettings.ts'
 import { NodeStatements } from './nodeStatements.ts'
 import { PlannedStop } from './plannedStop.ts'
+import { createStatementsHandler } from './statementsHandler.ts'
 import { UpstreamSharing } from './upstreamSharing.ts'
 
 export interface EntryNodeOptions {
@@ -73,8 +74,6 @@
 
 /** How often a node looks whether it has something new to say of itself. */
 const REPORT_PERIOD_MS = 200
-/** What it says without anything new, so that a lost fact is mended; probes tell whether it lives. */
-const REPEAT_PERIOD_MS = 10_000
 /** A connection to an upstream that was idle for so long may be closed there at any moment. */
 const IDLE_CONNECTION_MS = 3000
 /** How long a starting node waits for the source and its peers before it goes on with what it has. */
@@ -86,7 +85,6 @@
 const RETRY_SAFETY = 0.8
 /** A document reaches 195 nodes in three steps of some 50 ms each; it has to be in force within 2 s. */
 const MISSED_DOCUMENT_MS = 600
-const ANSWER_SIGNAL = 'answer'
 /** Changes of members within this time move jobs once. */
 const MOVE_DELAY_MS = 40
 
@@ -103,7 +101,6 @@
   private readonly _quarantine: QuarantineService
   private readonly _quota: NodeQuota
   private readonly _statements: NodeStatements
-  private readonly _guard: SendGuard
   private readonly _relay: RelayServer
   private readonly _coordinator: PreparationCoordinator
   private readonly _preparation: PreparationClient
@@ -115,9 +112,7 @@
   readonly onDidStop = this._onDidStop.event
   private _settings: NodeSettings
   private _table: RelayTable | undefined
-  private _factCounter = 0
-  private _reportedWord = ''
-  private _reportedAt = -Infinity
+  private readonly _report: NodeReport
   private _isDraining = false
   private readonly _startedAt: number
   private readonly _sharing: UpstreamSharing
@@ -189,11 +184,11 @@
       coldShare: settings.cold_share,
       coldSpare: settings.cold_spare
     }))
-    this._statements = new NodeStatements({ log, rate: (upstream, { perS }) => this._quota.stated.note(upstream, perS), leaving: upstream => this._registry.markLeaving(upstream, ANSWER_SIGNAL) })
-    this._guard = new SendGuard({ clock, log, registry: this._registry })
-    const protocol = new LimitedPieces(options.pieceProtocol, this._quota.service)
+    this._statements = this._register(new NodeStatements({ clock, log, registry: this._registry, facts: this._member.facts, noteRate: (upstream, perS) => this._quota.stated.note(upstream, perS) }))
+    const { backoffs, guard } = this._statements
+    const protocol = new BackoffPieces(new LimitedPieces(options.pieceProtocol, this._quota.service), backoffs, clock)
     this._register(protocol.onDidState(stated => this._statements.note(stated)))
-    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol, registry: this._registry, getTable, limits: this._quota.limits, guard: this._guard }))
+    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol, registry: this._registry, getTable, limits: this._quota.limits, guard }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log, upstream => this._quota.answer(upstream)))
     this._preparation = this._register(new PreparationClient({
       clock,
@@ -221,8 +216,9 @@
         agent,
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
-        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id), quota: this._quota.service }),
-        guard: this._guard,
+        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasEnded: id => this._quarantine.hasEnded(id), quota: this._quota.service, backoffs }),
+        guard,
+        backoffs,
         noteStatements: stated => this._statements.note(stated),
         quota: this._quota.service,
         retry: new WindowedRetries({ clock, windowMs: settings.retry_window_s * 1000, share: settings.retry_share * RETRY_SAFETY, getSpare: () => settings.retry_spare * RETRY_SAFETY / this.countNodes() }),
@@ -236,7 +232,16 @@
       findObstacle: () => this._findObstacle(),
       estimateObstacleMs: () => estimateReadyMs({ isOutage: this._member.isReady && this._table === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relay, member: this._member, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, guard: this._guard, quarantine: this._quarantine, pause: this._pause }))
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relay, member: this._member, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, quarantine: this._quarantine, pause: this._pause }))
+    this._report = new NodeReport({
+      clock,
+      facts: this._member.facts,
+      address: settings.callers_address,
+      hall: settings.hall,
+      incarnation: options.incarnation,
+      getState: () => ({ isReady: this.isReady, isDraining: this._isDraining, inFlight: this._relay.openCount, recentRequests: Math.round(this._recent.value), configuration: this._member.configuration.number }),
+      onDidReport: ({ isDraining }) => this._member.gossip.spreadNow(isDraining)
+    })
     this._register(this._relay.onDidEnd(ended => this._noteEnd(ended)))
     this._register(this._member.configuration.onDidAccept(accepted => this._apply(accepted)))
     this._sharing = this._register(new UpstreamSharing({ clock, log, facts: this._member.facts, registry: this._registry, source: options.upstreamSource, getColdMs: role => this._table?.getRole(role)?.coldMs ?? 0 }))
@@ -263,11 +268,11 @@
     await this._relay.listen(callers.host, callers.port)
     await this._serveMetrics(address.host)
     this._recovery.start()
-    this._register(startInterval(REPORT_PERIOD_MS, () => this._report()))
+    this._register(startInterval(REPORT_PERIOD_MS, () => this._report.refresh()))
     this._sharing.start()
     configurationSource.start()
     await this._member.join(configurationSource.readNewest())
-    this._report()
+    this._report.refresh()
   }
 
   /** Requests are served also where the metrics' port is taken. */
@@ -275,7 +280,7 @@
     const port = this._options.settings.metrics_port
     if (port === undefined) return
     try {
-      await this._register(new MetricsServer(this._metrics.metrics, [createQuarantineHandler(this._quarantine, this._options.clock), createLimitsHandler(this._quota.stated)])).listen(host, port)
+      await this._register(new MetricsServer(this._metrics.metrics, [createQuarantineHandler(this._quarantine, this._options.clock), createLimitsHandler(this._quota.stated), createStatementsHandler({ clock: this._options.clock, registry: this._registry, facts: this._member.facts, backoffs: this._statements.backoffs })])).listen(host, port)
     } catch (thrown) {
       this._options.log.warn('metrics_unavailable', { port, reason: String(thrown) })
     }
@@ -300,7 +305,7 @@
     const ending = new PlannedStop({ clock, relay: this._relay, graceMs })
     this._isDraining = true
     log.info('stopping', { open: this._relay.openCount, grace_ms: graceMs })
-    this._report()
+    this._report.refresh()
     this._relay.drain()
     await this._member.leave()
     if (this._preparation.hasOtherCoordinator()) this._coordinator.moveJobs()
@@ -334,6 +339,7 @@
   private async _readAnew (): Promise<void> {
     const { configurationSource } = this._options
     this._quota.forgetOwned()
+    this._statements.backoffs.expire()
     this._member.askPeers()
     await Promise.race([configurationSource.readNewest(), waitFor(READY_WAIT_MS)])
   }
@@ -354,36 +360,6 @@
     }
   }
 
-  /** Says whether callers may use this node, when that has changed or was not said for long. */
-  private _report (): void {
-    const { settings, incarnation, clock } = this._options
-    const word = `${this.isReady}/${this._isDraining}`
-    if (word === this._reportedWord && clock.now() - this._reportedAt < REPEAT_PERIOD_MS) return
-    this._reportedWord = word
-    this._reportedAt = clock.now()
-    const { callers_address: address, hall } = settings
-    const subject = formatGateSubject(address)
-    const known = this._member.facts.get(subject)?.incarnation ?? 0
-    this._member.facts.merge({
-      subject,
-      // A node whose clock fell behind that of its predecessor at this address must still be heard.
-      incarnation: Math.max(incarnation, known),
-      counter: ++this._factCounter,
-      value: {
-        kind: 'gate',
-        address,
-        hall,
-        inFlight: this._relay.openCount,
-        recentRequests: Math.round(this._recent.value),
-        draining: this._isDraining,
-        ready: this.isReady,
-        configuration: this._member.configuration.number
-      },
-      ageMs: 0
-    })
-    this._member.gossip.spreadNow(this._isDraining)
-  }
-
   /** Nodes taken for alive, this one included. */
   countNodes (): number {
     return this._member.membership.countLive()
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -7,7 +7,6 @@
 import type { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
 import type { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
 import type { RelayServer } from '../services/relay/node/relayServer.ts'
-import type { SendGuard } from '../services/upstream/node/sendGuard.ts'
 import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { NodeGauges } from './nodeMetrics.ts'
 import type { NodeQuota } from './nodeQuota.ts'
@@ -21,12 +20,12 @@
   readonly coordinator: PreparationCoordinator
   readonly quota: NodeQuota
   readonly statements: NodeStatements
-  readonly guard: SendGuard
   readonly quarantine: QuarantineService
   readonly pause: PauseGuard
 }
 
-export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, guard, quarantine, pause }: GaugedParts): NodeGauges {
+export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, quarantine, pause }: GaugedParts): NodeGauges {
+  const { backoffs, guard } = statements
   return {
     countOpen: () => relay.openCount,
     countMembers: () => member.membership.countLive(),
@@ -41,6 +40,7 @@
     countLimitedUpstreams: () => quota.stated.listLimits().length,
     countQuotaDenials: () => quota.deniedCount,
     countLeavingUpstreams: () => registry.list().filter(({ isLeaving }) => isLeaving).length,
+    countBackingOffUpstreams: () => backoffs.list().filter(({ leftMs }) => leftMs > 0).length,
     countWithheldSends: () => guard.withheldCount,
     countInvalidStatements: () => statements.invalidCount,
     countPauses: () => pause.pauseCount,
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -18,6 +18,7 @@
   readonly countLimitedUpstreams: () => number
   readonly countInvalidStatements: () => number
   readonly countLeavingUpstreams: () => number
+  readonly countBackingOffUpstreams: () => number
   readonly countWithheldSends: () => number
   readonly countQuotaDenials: () => number
   readonly countPauses: () => number
@@ -47,6 +48,7 @@
     this.metrics.createGauge('node_limited_upstreams', 'Upstreams that state a limit of the rate that they accept', gauges.countLimitedUpstreams)
     this.metrics.createGauge('node_quota_denials_total', 'Requests for limited upstreams that this node did not give out', gauges.countQuotaDenials)
     this.metrics.createGauge('node_leaving_upstreams', 'Upstreams that get nothing new, since they leave', gauges.countLeavingUpstreams)
+    this.metrics.createGauge('node_backing_off_upstreams', 'Upstreams that get nothing from this node, since they turned it away and asked for a pause', gauges.countBackingOffUpstreams)
     this.metrics.createGauge('node_withheld_sends_total', 'Requests and calls that were not written, since their upstream was to get nothing more by then', gauges.countWithheldSends)
     this.metrics.createGauge('node_invalid_statements_total', 'Statements of upstreams whose values mean nothing', gauges.countInvalidStatements)
     this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
--- a/src/entryNode/nodeStatements.ts
+++ b/src/entryNode/nodeStatements.ts
@@ -1,28 +1,47 @@
 /**
- * Hands what upstreams say of themselves to whoever acts on it, whichever call they said it to.
+ * The parts of a node that act on what upstreams say of themselves, whichever call they said it with.
  */
+import type { IClock } from '../base/common/clock.ts'
+import { Disposable } from '../base/common/disposable.ts'
+import { BackoffService } from '../services/backoff/node/backoffService.ts'
+import type { FactStore } from '../services/facts/common/factStore.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { dispatchStatements } from '../services/upstream/common/upstreamStatement.ts'
 import type { StatedByUpstream, StatementReceivers } from '../services/upstream/common/upstreamStatement.ts'
+import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
+import { SendGuard } from '../services/upstream/node/sendGuard.ts'
 
-export interface NodeStatementsOptions extends Omit<StatementReceivers, 'invalid'> {
+export interface NodeStatementsOptions {
+  readonly clock: IClock
   readonly log: ILogService
+  readonly registry: UpstreamRegistry
+  readonly facts: FactStore
+  /** Takes in the rate that an upstream accepts: requests per second, or that there is no limit. */
+  readonly noteRate: (upstream: string, perS: number | undefined) => void
 }
 
+const ANSWER_SIGNAL = 'answer'
 /** A value is any bytes that fit into a head. */
 const MAX_LOGGED_CHARACTERS = 80
 
-export class NodeStatements {
+export class NodeStatements extends Disposable {
+  readonly backoffs: BackoffService
+  readonly guard: SendGuard
+  private readonly _options: NodeStatementsOptions
   private readonly _receivers: StatementReceivers
   private _invalidCount = 0
 
-  constructor ({ log, ...receivers }: NodeStatementsOptions) {
+  constructor (options: NodeStatementsOptions) {
+    super()
+    this._options = options
+    const { registry, noteRate } = options
+    this.backoffs = this._register(new BackoffService(options))
+    this.guard = new SendGuard({ ...options, backoffs: this.backoffs })
     this._receivers = {
-      ...receivers,
-      invalid: (upstream, { name, value }) => {
-        this._invalidCount++
-        log.warn('statement_invalid', { upstream, name, value: value.slice(0, MAX_LOGGED_CHARACTERS), length: value.length })
-      }
+      rate: (upstream, { perS }) => noteRate(upstream, perS),
+      leaving: upstream => registry.markLeaving(upstream, ANSWER_SIGNAL),
+      backoff: (upstream, { forMs }) => this.backoffs.note(upstream, forMs),
+      invalid: (upstream, { name, value }) => this._noteInvalid(upstream, name, value)
     }
   }
 
@@ -34,4 +53,9 @@
   note (stated: StatedByUpstream): void {
     dispatchStatements(stated, this._receivers)
   }
+
+  private _noteInvalid (upstream: string, name: string, value: string): void {
+    this._invalidCount++
+    this._options.log.warn('statement_invalid', { upstream, name, value: value.slice(0, MAX_LOGGED_CHARACTERS), length: value.length })
+  }
 }
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -20,6 +20,7 @@
     countLimitedUpstreams: () => 2,
     countInvalidStatements: getZero,
     countLeavingUpstreams: getZero,
+    countBackingOffUpstreams: getZero,
     countWithheldSends: getZero,
     countQuotaDenials: getZero,
     countPauses: getZero,
--- a/src/entryNode/test/nodeStatements.test.ts
+++ b/src/entryNode/test/nodeStatements.test.ts
@@ -1,7 +1,10 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { VirtualClock } from '../../base/common/clock.ts'
+import { FactStore } from '../../services/facts/common/factStore.ts'
 import { LogService } from '../../services/log/node/logger.ts'
 import type { UpstreamStatement } from '../../services/upstream/common/upstreamStatement.ts'
+import { UpstreamRegistry } from '../../services/upstream/common/upstreamRegistry.ts'
 import { NodeStatements } from '../nodeStatements.ts'
 
 const test = suite('nodeStatements')
@@ -10,20 +13,37 @@
   const log = new LogService({ program: 'test', silent: true })
   const lines: string[] = []
   log.onDidLog(({ line }) => lines.push(line))
-  const received: string[] = []
-  const node = new NodeStatements({ log, rate: (upstream, { perS }) => received.push(`${upstream} rate ${perS}`), leaving: upstream => received.push(`${upstream} leaving`) })
+  const rates: (number | undefined)[] = []
+  const clock = new VirtualClock()
+  const registry = new UpstreamRegistry()
+  registry.update({ id: 'u', role: 'r', address: '127.0.0.1:9', hall: 'x', slots: 1, isLeaving: false }, 'test')
+  const node = new NodeStatements({ clock, log, registry, facts: new FactStore(clock), noteRate: (_upstream, perS) => rates.push(perS) })
   node.note({ upstream: 'u', statements })
-  return { lines, received, invalidCount: node.invalidCount }
+  return { lines, rates, node, registry }
 }
 
-test('each statement goes to the receiver of its kind', () => {
-  assert.equal(runWith([{ kind: 'rate', perS: 2 }, { kind: 'leaving' }, { kind: 'rate', perS: undefined }]).received, ['u rate 2', 'u leaving', 'u rate undefined'])
+test('a rate goes to whoever keeps it, and so does its end', () => {
+  assert.equal(runWith([{ kind: 'rate', perS: 2 }, { kind: 'rate', perS: undefined }]).rates, [2, undefined])
 })
 
-test('a statement that means nothing reaches nobody, is counted, and logged with its name', () => {
-  const { lines, received, invalidCount } = runWith([{ kind: 'invalid', name: 'limit', value: '1e3' }])
-  assert.equal(received, [])
-  assert.is(invalidCount, 1)
+test('an upstream that says that it leaves takes no more work', () => {
+  const { registry, node } = runWith([{ kind: 'rate', perS: undefined }, { kind: 'leaving' }])
+  assert.equal(registry.listRole('r'), [])
+  assert.not(node.guard.maySend('u', 'a1'))
+})
+
+test('an upstream that asks for a pause gets nothing', () => {
+  const { registry, node } = runWith([{ kind: 'backoff', forMs: 300 }])
+  assert.is(registry.listRole('r').length, 1)
+  assert.is(node.backoffs.getWaitMs('u'), 300)
+  assert.not(node.guard.maySend('u', 'a1'))
+})
+
+test('a statement that means nothing changes nothing, is counted, and logged with its name', () => {
+  const { lines, rates, node } = runWith([{ kind: 'invalid', name: 'limit', value: '1e3' }])
+  assert.equal(rates, [])
+  assert.ok(node.guard.maySend('u', 'a1'))
+  assert.is(node.invalidCount, 1)
   assert.ok(lines.some(line => line.includes('event=statement_invalid upstream=u name=limit value=1e3')))
 })
 
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -11,6 +11,8 @@
   readonly work: PieceWorkSpec
   /** Calls that its usable upstreams make at once, slow ones counted by what they do. */
   readonly calls: number
+  /** Until the first of them that asked for a pause takes calls again; 0 where one of them did not, Infinity where none takes work. */
+  readonly backoffMs: number
   /** Pieces that they make in a millisecond while others wait. */
   readonly piecesPerMs: number
   /** Pieces that are asked for in a millisecond, by rank. */
@@ -75,14 +77,20 @@
 /** Refuses what nobody can make, and what would be too late even for the caller's patience. */
 export function decideAdmission (forecast: JobForecast, capacities: ReadonlyMap<string, RoleCapacity>, now: number, { isOffer }: AdmissionTerms = { isOffer: false }): JobRefusal | JobDecline | undefined {
   const { state } = forecast
-  const missing = state.job.stages.some(stage => stage.pieceCount > 0 && (capacities.get(stage.role)?.calls ?? 0) <= 0)
-  if (missing) return { reason: 'noUpstream', retryAfterMs: NO_UPSTREAM_RETRY_MS }
+  const missing = state.job.stages.filter(stage => stage.pieceCount > 0 && (capacities.get(stage.role)?.calls ?? 0) <= 0)
+  if (missing.length > 0) return { reason: 'noUpstream', retryAfterMs: Math.max(...missing.map(({ role }) => computeMissingMs(capacities.get(role)))) }
   if (isOffer && forecast.isLate) return { reason: 'late', endInMs: Math.max(0, forecast.endAt - now) }
   const latestEndAt = now + state.job.deadlineInMs * ADMITTED_PATIENCE_SHARE
   if (!forecast.isLate || forecast.endAt <= latestEndAt) return undefined
   return { reason: 'overloaded', retryAfterMs: computeRetryAfter(forecast, latestEndAt) }
 }
 
+/** When a role that nobody can be counted on for may have somebody again. */
+function computeMissingMs (capacity: RoleCapacity | undefined): number {
+  const backoffMs = capacity?.backoffMs ?? Infinity
+  return Number.isFinite(backoffMs) ? Math.max(NO_UPSTREAM_RETRY_MS, backoffMs) : NO_UPSTREAM_RETRY_MS
+}
+
 /** It makes sense to come back when what is too much now has been done. */
 export function computeRetryAfter ({ endAt }: JobForecast, latestEndAt: number): number {
   return Math.round(Math.max(MIN_RETRY_MS, endAt - latestEndAt))
--- a/src/services/preparation/common/jobTargets.ts
+++ b/src/services/preparation/common/jobTargets.ts
@@ -71,6 +71,8 @@
   }
 
   private _list ({ job }: JobState): readonly TargetCandidate[] {
-    return this._options.listTargets(job.request.role)
+    const targets = this._options.listTargets(job.request.role)
+    const excluded = job.excludedTargets
+    return excluded === undefined ? targets : targets.filter(({ id }) => !excluded.includes(id))
   }
 }
--- a/src/services/preparation/common/pieceProtocol.ts
+++ b/src/services/preparation/common/pieceProtocol.ts
@@ -12,6 +12,8 @@
   readonly onWillSend?: () => boolean
 }
 
+export type FreeTerms = Pick<PieceCallTerms, 'onWillSend'>
+
 export abstract class PieceProtocol {
   protected readonly _onDidState = new Emitter<StatedByUpstream>()
   /** What upstreams say of themselves with their answers. */
@@ -20,5 +22,5 @@
   /** Asks for pieces in one call; never rejects. */
   abstract runPieces (upstream: UpstreamEntry, pieces: readonly PlannedPiece[], terms: PieceCallTerms): Promise<PieceCallOutcome>
   /** Gives results back; false when the upstream did not confirm it. */
-  abstract freeResults (upstream: UpstreamEntry, handles: readonly string[]): Promise<boolean>
+  abstract freeResults (upstream: UpstreamEntry, handles: readonly string[], terms?: FreeTerms): Promise<boolean>
 }
--- a/src/services/preparation/common/pieceUpstream.ts
+++ b/src/services/preparation/common/pieceUpstream.ts
@@ -48,6 +48,7 @@
   private _avoidUntil = 0
   private _avoidMs = FIRST_AVOID_MS
   private _limitedUntil = 0
+  private _backoffUntil = 0
 
   constructor (options: PieceUpstreamOptions) {
     this.id = options.id
@@ -63,16 +64,17 @@
 
   /** Whether a call may start now. */
   canStart (now: number): boolean {
-    return this.takesWork && !this.hasSuspectCall && this.runningCalls < this.work.concurrentCalls && now >= Math.max(this._avoidUntil, this._limitedUntil)
+    return this.takesWork && !this.hasSuspectCall && this.runningCalls < this.work.concurrentCalls && now >= Math.max(this._avoidUntil, this._limitedUntil, this._backoffUntil)
   }
 
   /** Whether it can be counted on for work to come. */
   isUsable (now: number): boolean {
-    return this.takesWork && now >= this._avoidUntil
+    return this.takesWork && now >= Math.max(this._avoidUntil, this._backoffUntil)
   }
 
-  get avoidUntil (): number {
-    return this._avoidUntil
+  /** Until the end of a pause that it asked for, in milliseconds. */
+  getBackoffMs (now: number): number {
+    return Math.max(0, this._backoffUntil - now)
   }
 
   getFreeBytes (now: number): number {
@@ -106,6 +108,11 @@
     this._limitedUntil = Math.max(this._limitedUntil, now + forMs)
   }
 
+  /** It wants nothing for a while, so nobody can count on it until then. */
+  noteBackoff (now: number, forMs: number): void {
+    this._backoffUntil = Math.max(this._backoffUntil, now + forMs)
+  }
+
   recordCall (tookMs: number, expectedMs: number, now: number): void {
     const held = this.getSlowness(now)
     this._slowness = held + SLOWNESS_SMOOTHING * (tookMs / Math.max(1, expectedMs) - held)
--- a/src/services/preparation/common/pieceUpstreams.ts
+++ b/src/services/preparation/common/pieceUpstreams.ts
@@ -66,15 +66,16 @@
   }
 
   computeCapacities (now: number): ReadonlyMap<string, RoleCapacity> {
-    const sums = new Map<string, Pick<RoleCapacity, 'work' | 'calls'>>()
+    const sums = new Map<string, Pick<RoleCapacity, 'work' | 'calls' | 'backoffMs'>>()
     for (const upstream of this._byId.values()) {
-      const held = sums.get(upstream.role)?.calls ?? 0
+      const held = sums.get(upstream.role) ?? { calls: 0, backoffMs: Infinity }
       const calls = upstream.isUsable(now) ? upstream.work.concurrentCalls / Math.max(1, upstream.getSlowness(now)) : 0
-      sums.set(upstream.role, { work: upstream.work, calls: held + calls })
+      const backoffMs = upstream.takesWork ? upstream.getBackoffMs(now) : Infinity
+      sums.set(upstream.role, { work: upstream.work, calls: held.calls + calls, backoffMs: Math.min(held.backoffMs, backoffMs) })
     }
-    return new Map([...sums].map(([role, { work, calls }]) => {
+    return new Map([...sums].map(([role, { work, calls, backoffMs }]) => {
       const rate = this.getRate(role)
-      return [role, { work, calls, piecesPerMs: rate.computePiecesPerMs(work, calls, now), arrivalsPerMs: rate.computeArrivalsPerMs(now) }]
+      return [role, { work, calls, backoffMs, piecesPerMs: rate.computePiecesPerMs(work, calls, now), arrivalsPerMs: rate.computeArrivalsPerMs(now) }]
     }))
   }
 }
--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -37,8 +37,8 @@
 export type PieceCallOutcome =
   | { readonly kind: 'answered', readonly pieces: readonly PieceOutcome[] }
   | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' | 'withheld' }
-  /** Nothing was sent: the upstream accepts no more for so long. */
-  | { readonly kind: 'notRun', readonly reason: 'limited', readonly retryInMs: number }
+  /** Nothing was sent: the upstream accepts no more, or wants nothing at all, for so long. */
+  | { readonly kind: 'notRun', readonly reason: 'limited' | 'backingOff', readonly retryInMs: number }
   /** `isThere`: the upstream answered something else, or kept its connection open until the time was over. */
   | { readonly kind: 'lost', readonly reason: string, readonly isThere?: boolean }
 
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -38,6 +38,8 @@
   readonly isSuspect?: boolean
   /** The only halls that its pieces and the request itself may go to; undefined for all. */
   readonly homeHalls?: readonly string[] | undefined
+  /** Upstreams that its owner cannot send the request to now, whatever others may. */
+  readonly excludedTargets?: readonly string[] | undefined
 }
 
 /** Whether results have to be made; otherwise only an upstream is asked for. */
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -11,6 +11,8 @@
 const MAX_STAGES = 64
 const MAX_PIECES = 10_000
 const MAX_PREFIX_PARTS = 64
+/** The most upstreams that a job names as closed to its request. */
+export const MAX_EXCLUDED_TARGETS = 200
 /** The most notes on prefixes that one message holds. */
 export const MAX_PREFIX_NOTES = 400
 
@@ -32,7 +34,8 @@
   goalInMs: Span,
   deadlineInMs: Span,
   isSuspect: Schema.optional(Schema.Boolean),
-  homeHalls: Schema.optional(Schema.Array(Schema.String.pipe(Schema.maxLength(256))))
+  homeHalls: Schema.optional(Schema.Array(Schema.String.pipe(Schema.maxLength(256)))),
+  excludedTargets: Schema.optional(Schema.Array(Id).pipe(Schema.maxItems(MAX_EXCLUDED_TARGETS)))
 })
 
 const ResultSchema = Schema.Struct({ handle: Id, upstreamId: Id })
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -315,6 +315,7 @@
     if (outcome.kind === 'lost') upstream?.loseRoom(bytes, now)
     else upstream?.releaseRoom(bytes)
     if (outcome.kind === 'notRun' && (outcome.reason === 'full' || outcome.reason === 'withheld')) upstream?.avoidBriefly(now, FULL_PAUSE_MS)
+    else if (outcome.kind === 'notRun' && outcome.reason === 'backingOff') upstream?.noteBackoff(now, outcome.retryInMs)
     else if (outcome.kind === 'notRun' && outcome.reason === 'limited') upstream?.noteLimited(now, outcome.retryInMs)
     else upstream?.avoid(now)
     for (const { state, stage, index } of started.pieces) {
--- a/src/services/preparation/test/jobForecast.test.ts
+++ b/src/services/preparation/test/jobForecast.test.ts
@@ -14,7 +14,7 @@
 const LATE_MS = 3000
 
 function createCapacities (options: Partial<RoleCapacity> = {}): ReadonlyMap<string, RoleCapacity> {
-  return new Map([['p', { work: WORK, calls: 1, piecesPerMs: PIECES_PER_MS, arrivalsPerMs: new Map(), ...options }]])
+  return new Map([['p', { work: WORK, calls: 1, backoffMs: 0, piecesPerMs: PIECES_PER_MS, arrivalsPerMs: new Map(), ...options }]])
 }
 
 function forecast (jobs: readonly PreparationJob[], capacities = createCapacities()) {
@@ -80,4 +80,15 @@
   assert.is(planner.addJob({ ...hurried, id: 'later' }, endAt + 24_000), undefined)
 })
 
+test('who is refused since all that could make it asked for a pause may return at its end', () => {
+  const decide = (options: Partial<RoleCapacity>) => {
+    const [only] = forecast([createJob('a', [createStage('p', 1)])])
+    assert.ok(only)
+    return decideAdmission(only, createCapacities({ calls: 0, ...options }), 0)
+  }
+  assert.equal(decide({ backoffMs: 2800 }), { reason: 'noUpstream', retryAfterMs: 2800 })
+  assert.equal(decide({ backoffMs: 0 }), { reason: 'noUpstream', retryAfterMs: 500 })
+  assert.equal(decide({ backoffMs: Infinity }), { reason: 'noUpstream', retryAfterMs: 500 })
+})
+
 test.run()
--- a/src/services/preparation/test/limitedTargets.test.ts
+++ b/src/services/preparation/test/limitedTargets.test.ts
@@ -71,4 +71,12 @@
   assert.equal(refusals, [])
 })
 
+test('no target is chosen that the owner of a job cannot send to', () => {
+  const planner = createPlanner([undefined, undefined])
+  for (let index = 0; index < 6; index++) planner.addJob(createJob(`j${index}`, [createStage('a', 1)], { excludedTargets: ['t0'] }), 0)
+  for (const call of planner.startCalls(0)) planner.settleCall(call.id, { kind: 'answered', pieces: call.pieces.map(({ jobId }) => ({ kind: 'made', handle: `h/${jobId}` })) }, 0)
+  const targets = planner.takeNews().flatMap(news => news.kind === 'prepared' ? [news.targetId] : [])
+  assert.equal(targets, Array.from({ length: 6 }, () => 't1'))
+})
+
 test.run()
--- a/src/services/quota/node/limitedPieces.ts
+++ b/src/services/quota/node/limitedPieces.ts
@@ -2,7 +2,7 @@
  * Calls to upstreams that make pieces, as far as these accept them.
  */
 import { PieceProtocol } from '../../preparation/common/pieceProtocol.ts'
-import type { PieceCallTerms } from '../../preparation/common/pieceProtocol.ts'
+import type { FreeTerms, PieceCallTerms } from '../../preparation/common/pieceProtocol.ts'
 import type { PieceCallOutcome, PlannedPiece } from '../../preparation/common/plannedCall.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { IQuotaService } from '../common/quota.ts'
@@ -19,7 +19,7 @@
   }
 
   /** What is not given back goes when its lifetime ends. */
-  async freeResults (upstream: UpstreamEntry, handles: readonly string[]): Promise<boolean> {
-    return await this._quota.acquire(upstream, '') && await this._pieces.freeResults(upstream, handles)
+  async freeResults (upstream: UpstreamEntry, handles: readonly string[], terms?: FreeTerms): Promise<boolean> {
+    return await this._quota.acquire(upstream, '') && await this._pieces.freeResults(upstream, handles, terms)
   }
 }
--- a/src/services/relay/common/attemptDecision.ts
+++ b/src/services/relay/common/attemptDecision.ts
@@ -76,6 +76,11 @@
   return outcome.kind === 'lost' || outcome.kind === 'failed' || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')
 }
 
+/** The upstream began to work on the request, whatever became of it. */
+export function hasTaken (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'delivered' || outcome.kind === 'failed' || outcome.kind === 'broken'
+}
+
 /** Nothing was written, since the upstream was to get nothing more by then. */
 export function isWithheld (outcome: AttemptOutcome): boolean {
   return outcome.kind === 'notRun' && outcome.reason === 'withheld'
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -2,6 +2,7 @@
  * From a request and its route to the job that prepares it.
  */
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { MAX_EXCLUDED_TARGETS } from '../../preparation/common/preparationMessage.ts'
 import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
 import { listSharedPrefixes } from './relayRequest.ts'
 import type { RelayRequest } from './relayRequest.ts'
@@ -14,6 +15,8 @@
   readonly priority: number
   /** The only halls that may serve it; undefined for all. */
   readonly homeHalls?: readonly string[] | undefined
+  /** Upstreams of the role that the request cannot go to now. */
+  readonly excludedTargets?: readonly string[]
   readonly deadlineInMs: number
   /** Upstreams have ended under it. */
   readonly isSuspect: boolean
@@ -27,7 +30,7 @@
  * take the request: its prompt has long parts that others share, and the planner knows where these are kept.
  */
 export function createPreparationJob (inputs: PreparationNeedInputs): PreparationJob | undefined {
-  const { request, route, role, priority, homeHalls, deadlineInMs, isSuspect } = inputs
+  const { request, route, role, priority, homeHalls, excludedTargets = [], deadlineInMs, isSuspect } = inputs
   if (route.stages.length === 0) return undefined
   const need = request.preparation
   const counts = route.stages.map((_, index) => need?.pieceCounts[index] ?? 0)
@@ -45,5 +48,5 @@
     shared,
     inputTokens: prompt?.inputTokens ?? 0
   }
-  return { id: request.id, key: need?.key ?? '', stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs, isSuspect, homeHalls }
+  return { id: request.id, key: need?.key ?? '', stages, request: shape, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs, isSuspect, homeHalls, ...excludedTargets.length > 0 ? { excludedTargets: excludedTargets.slice(0, MAX_EXCLUDED_TARGETS) } : {} }
 }
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -3,6 +3,7 @@
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
+import type { IBackoffService } from '../../backoff/common/backoff.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
 import type { IQuotaService } from '../../quota/common/quota.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
@@ -23,6 +24,8 @@
   readonly hasEnded: (upstream: string) => boolean
   /** What limited upstreams accept; any number without it. */
   readonly quota?: Pick<IQuotaService, 'getWaitMs'>
+  /** How long upstreams want nothing from this node; without it all take work. */
+  readonly backoffs?: Pick<IBackoffService, 'getWaitMs'>
 }
 
 export interface PoolQuestion {
@@ -85,7 +88,7 @@
   /** An upstream that was chosen elsewhere, if nothing known here speaks against it. */
   confirm (id: string, tried: ReadonlySet<string>, homeHalls?: readonly string[]): UpstreamEntry | undefined {
     const entry = this._options.registry.get(id)
-    if (entry === undefined || !this._options.registry.mayUse(entry) || tried.has(id) || homeHalls?.includes(entry.hall) === false) return undefined
+    if (entry === undefined || !this._options.registry.mayUse(entry) || tried.has(id) || this._isBackingOff(id) || homeHalls?.includes(entry.hall) === false) return undefined
     return this._getUse(id).health.getState(this._options.clock.now()) === 'ejected' ? undefined : entry
   }
 
@@ -156,7 +159,11 @@
   /** Upstreams that accept work now, as far as is known without asking. */
   private _listOpen ({ role, homeHalls, denied }: Pick<PoolQuestion, 'role' | 'homeHalls' | 'denied'>): readonly UpstreamEntry[] {
     const { quota } = this._options
-    return this.listUsable(role, homeHalls).filter(entry => denied?.has(entry.id) !== true && (quota === undefined || quota.getWaitMs(entry) === 0))
+    return this.listUsable(role, homeHalls).filter(entry => denied?.has(entry.id) !== true && !this._isBackingOff(entry.id) && (quota === undefined || quota.getWaitMs(entry) === 0))
+  }
+
+  private _isBackingOff (id: string): boolean {
+    return (this._options.backoffs?.getWaitMs(id) ?? 0) > 0
   }
 
   /** A refusal for want of room says nothing of health; a failed connection does. */
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -4,6 +4,7 @@
 import type { Agent } from 'node:http'
 import type { IClock } from '../../../base/common/clock.ts'
 import type { IRandom } from '../../../base/common/random.ts'
+import type { IBackoffService } from '../../backoff/common/backoff.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { HallRegions } from '../../locate/common/hallRegions.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
@@ -31,6 +32,7 @@
   readonly registry: UpstreamRegistry
   readonly pool: RelayPool
   readonly guard: SendGuard
+  readonly backoffs: IBackoffService
   readonly retry: RetryPolicy
   readonly noteStatements: (stated: StatedByUpstream) => void
   readonly quota: IQuotaService
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -11,7 +11,7 @@
 import type { LostPieces } from '../../preparation/common/preparationService.ts'
 import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { computeHeadTimeout, computePauseTimeout } from '../common/attemptTimes.ts'
-import { decideAfterAttempt, hasFailedUpstream, hasLostRun, isWithheld } from '../common/attemptDecision.ts'
+import { decideAfterAttempt, hasFailedUpstream, hasLostRun, hasTaken, isWithheld } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { PoolVisit } from '../common/relayPool.ts'
@@ -147,8 +147,8 @@
     const { request, route } = this._taken
     const isSuspect = this._standing.ends > 0
     // Whatever is made for it would be thrown away.
-    if (this._choice.listUsable().length === 0) return this._refuseWithoutUpstream()
-    const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, homeHalls: this._taken.homeHalls, deadlineInMs: this._getTimeLeft(), isSuspect })
+    if (!this._choice.mayPrepare()) return this._refuseWithoutUpstream()
+    const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, homeHalls: this._taken.homeHalls, excludedTargets: this._choice.listBackingOff().map(({ id }) => id), deadlineInMs: this._getTimeLeft(), isSuspect })
     return job === undefined ? undefined : await this._takePreparation(await this._inputs.prepare(job))
   }
 
@@ -186,6 +186,7 @@
     this._producedAt = Infinity
     this._known = context.registry.computeAge(this._sentAt)
     let releasing: IDisposable | undefined
+    let writtenAt: number | undefined
     this._isAtUpstream = true
     const result = await new RelayAttempt({
       agent: context.agent,
@@ -210,16 +211,21 @@
       signal: this._abort.signal,
       onWillSend: () => {
         if (!context.guard.maySend(upstream.id, request.id)) return false
+        writtenAt = context.clock.now()
         releasing = this._inputs.scheduleRelease()
         return true
       },
       onDidState: statements => context.noteStatements({ upstream: upstream.id, statements }),
       onDidReadLoad: load => context.pool.recordLoad(upstream, load),
-      onDidProduce: () => this._noteProduced(visit, upstream),
+      onDidProduce: () => {
+        if (writtenAt !== undefined) context.backoffs.settleSend(upstream.id, writtenAt, true)
+        this._noteProduced(visit, upstream)
+      },
       localAddress: context.localAddress
     }).run()
     this._isAtUpstream = false
     if (isWithheld(result.outcome)) this._withdrawSend(upstream)
+    if (writtenAt !== undefined) context.backoffs.settleSend(upstream.id, writtenAt, hasTaken(result.outcome))
     visit.end(result.outcome)
     // What was not taken is still there for another upstream.
     if (result.outcome.kind === 'notRun') releasing?.dispose()
@@ -323,10 +329,9 @@
   }
 
   private _refuseWithoutUpstream (): ResultName {
-    const { quota } = this._context
     if (this._abort.signal.aborted) return this._refuseLate()
-    const usable = this._choice.listUsable()
-    if (usable.some(entry => quota.isLimited(entry))) return this._refuse('overloaded', `no upstream of ${this._role} accepts more now`, this._runCount === 0, quota.scheduleReturn(this._role, usable))
+    const returnMs = this._choice.scheduleReturn()
+    if (returnMs !== undefined) return this._refuse('overloaded', `no upstream of ${this._role} accepts more now`, this._runCount === 0, returnMs)
     return this._refuse('upstreamNoneLeft', `no upstream of ${this._role} takes work`, this._runCount === 0, RETRY_SOON_MS)
   }
 
--- a/src/services/relay/node/upstreamChoice.ts
+++ b/src/services/relay/node/upstreamChoice.ts
@@ -38,14 +38,13 @@
 
   /** Undefined where none accepts the request now. */
   async acquire (terms: ChoiceTerms): Promise<UpstreamEntry | undefined> {
-    const { context: { clock, quota }, inputs, signal } = this._options
+    const { context: { clock }, inputs, signal } = this._options
     const waitUntil = clock.now() + (inputs.handles.length > 0 ? Math.min(MAX_WAIT_MS, terms.timeLeftMs) : 0)
     for (;;) {
       const upstream = await this._askInTurn(terms)
       if (upstream !== undefined || signal.aborted) return upstream
-      const limited = this.listUsable().filter(entry => quota.isLimited(entry))
-      const waitMs = Math.max(MIN_WAIT_MS, Math.min(...limited.map(entry => quota.getWaitMs(entry))))
-      if (limited.length === 0 || clock.now() + waitMs >= waitUntil) return undefined
+      const waitMs = Math.max(MIN_WAIT_MS, this._computeWaitMs())
+      if (clock.now() + waitMs >= waitUntil) return undefined
       await new Promise<void>(resolve => { clock.schedule(waitMs, resolve) })
     }
   }
@@ -56,6 +55,40 @@
     return context.pool.listUsable(role, taken.homeHalls)
   }
 
+  /** Upstreams of the role that want nothing from this node now. */
+  listBackingOff (): readonly UpstreamEntry[] {
+    const { backoffs } = this._options.context
+    return backoffs.isEmpty ? [] : this.listUsable().filter(({ id }) => backoffs.getWaitMs(id) > 0)
+  }
+
+  /** Whether what is made for the request could be sent to anybody by the time it is there. */
+  mayPrepare (): boolean {
+    const { backoffs } = this._options.context
+    return this.listUsable().some(({ id }) => backoffs.getWaitMs(id) <= MAX_WAIT_MS)
+  }
+
+  /** When the caller of a request that none accepts now should return; undefined where no upstream says so. */
+  scheduleReturn (): number | undefined {
+    const { context: { backoffs, quota }, role } = this._options
+    const backingOff = this.listBackingOff()
+    const limited = this.listUsable().filter(entry => !backingOff.includes(entry) && quota.isLimited(entry))
+    const times = [
+      ...backingOff.length > 0 ? [backoffs.scheduleReturn(role, backingOff)] : [],
+      ...limited.length > 0 ? [quota.scheduleReturn(role, limited)] : []
+    ]
+    return times.length === 0 ? undefined : Math.min(...times)
+  }
+
+  /** Until one of the upstreams accepts more by its own word; Infinity where none says so. */
+  private _computeWaitMs (): number {
+    const { backoffs, quota } = this._options.context
+    const waits = this.listUsable().map(entry => {
+      const backoffMs = backoffs.getWaitMs(entry.id)
+      return backoffMs === 0 && !quota.isLimited(entry) ? Infinity : Math.max(backoffMs, quota.getWaitMs(entry))
+    })
+    return Math.min(Infinity, ...waits)
+  }
+
   private async _askInTurn (terms: ChoiceTerms): Promise<UpstreamEntry | undefined> {
     const { context: { quota }, taken } = this._options
     const denied = new Set<string>()
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -28,7 +28,6 @@
 import { QuarantineService } from '../../quarantine/node/quarantineService.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { RetryBudget } from '../../retry/common/retryPolicy.ts'
-import { SendGuard } from '../../upstream/node/sendGuard.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import { CallerProtocol, UpstreamProtocol } from '../common/relayProtocol.ts'
@@ -198,7 +197,8 @@
     }))
     const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1 }))
     const limits = this._register(new RateLimitService({ clock, log, facts, node: 'n', incarnation: 1 }))
-    const statements = new NodeStatements({ log, rate: (upstream, { perS }) => limits.note(upstream, perS), leaving: upstream => this.registry.markLeaving(upstream, 'answer') })
+    const statements = this._register(new NodeStatements({ clock, log, registry: this.registry, facts, noteRate: (upstream, perS) => limits.note(upstream, perS) }))
+    const { backoffs, guard } = statements
     const stated = new StatedLimits(upstream => limits.findLimit(upstream))
     const links = this._register(new CoordinatorLinks({ clock, log }))
     const owner = new QuotaOwner({ clock, limits: stated, isOwner: () => true, settleMs: 0 })
@@ -213,8 +213,9 @@
         agent,
         upstreamProtocol: _options.protocols?.upstream ?? new FakeUpstreamProtocol(),
         registry: this.registry,
-        pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1, hasEnded: id => quarantine.hasEnded(id), quota }),
-        guard: new SendGuard({ clock, log, registry: this.registry }),
+        pool: new RelayPool({ clock, registry: this.registry, router: new RoundRobinRouter(), createHealth: () => new TrustingTracker(), countNodes: () => 1, hasEnded: id => quarantine.hasEnded(id), quota, backoffs }),
+        guard,
+        backoffs,
         noteStatements: stated => statements.note(stated),
         quota,
         retry: new RetryBudget({ maxSaved: _options.retries ?? 10 }),
--- a/src/services/upstream/common/upstreamStatement.ts
+++ b/src/services/upstream/common/upstreamStatement.ts
@@ -7,6 +7,8 @@
   | { readonly kind: 'rate', readonly perS: number | undefined }
   /** It finishes what it has and takes nothing new; a boot does not take this back. */
   | { readonly kind: 'leaving' }
+  /** It turned this node away, and wants nothing from it for so long. */
+  | { readonly kind: 'backoff', readonly forMs: number }
   /** A value that means nothing; nothing changes by it. */
   | { readonly kind: 'invalid', readonly name: string, readonly value: string }
 
--- a/src/services/upstream/node/sendGuard.ts
+++ b/src/services/upstream/node/sendGuard.ts
@@ -3,16 +3,19 @@
  * request was prepared, waited for a quota, or waited for a connection.
  */
 import type { IClock } from '../../../base/common/clock.ts'
+import type { IBackoffService } from '../../backoff/common/backoff.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../common/upstreamRegistry.ts'
 
 /** Why nothing is sent to an upstream. */
-export type SendObstacle = 'gone' | 'leaving' | 'evacuated'
+export type SendObstacle = 'gone' | 'leaving' | 'evacuated' | 'backingOff'
 
 export interface SendGuardOptions {
   readonly clock: IClock
   readonly log: ILogService
   readonly registry: UpstreamRegistry
+  /** Pauses that upstreams asked for; none without it. */
+  readonly backoffs?: Pick<IBackoffService, 'beginSend'>
 }
 
 export class SendGuard {
@@ -28,7 +31,7 @@
     return this._withheldCount
   }
 
-  /** The log names the request, or the first one of a call. */
+  /** What may be sent counts as sent. The log names the request, or the first one of a call. */
   maySend (upstream: string, request: string): boolean {
     const obstacle = this._findObstacle(upstream)
     if (obstacle === undefined) return true
@@ -40,10 +43,11 @@
   }
 
   private _findObstacle (upstream: string): SendObstacle | undefined {
-    const { registry } = this._options
+    const { registry, backoffs } = this._options
     const entry = registry.get(upstream)
     if (entry === undefined) return 'gone'
     if (entry.isLeaving) return 'leaving'
-    return registry.mayUse(entry) ? undefined : 'evacuated'
+    if (!registry.mayUse(entry)) return 'evacuated'
+    return backoffs?.beginSend(upstream) === false ? 'backingOff' : undefined
   }
 }
