Spread callers over a second after a pause, and prepare only what can still be sent

What callers saw (by reading, no run): with 100 refusals a second over a pause of 3 s, the last were told to return 7 s after its end, 50 ms after each other, though the upstream takes everything again 250 ms after the end; a third of the time that a caller has left is what it waits.

Change: one caller is told the end of the first pause, the others times spread evenly over the second after its trial, in turn. What a request needs is made only where the first pause ends before its own time does.

--- a/src/services/backoff/node/backoffService.ts
+++ b/src/services/backoff/node/backoffService.ts
@@ -5,11 +5,11 @@
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
 import type { ILogService } from '../../log/node/logger.ts'
-import { ReturnSchedule } from '../../quota/common/returnSchedule.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { IBackoffService } from '../common/backoff.ts'
 import { BackoffBook } from '../common/backoffBook.ts'
 import type { KnownBackoff } from '../common/backoffBook.ts'
+import { ReturnSpread } from '../common/returnSpread.ts'
 
 export interface BackoffServiceOptions {
   readonly clock: IClock
@@ -17,14 +17,10 @@
   readonly registry: UpstreamRegistry
 }
 
-/** Callers that return to an upstream after its pause; it takes one at first. */
-const RETURNS_PER_S = 20
-const MAX_RETURN_MS = 3_600_000
-
 export class BackoffService extends Disposable implements IBackoffService {
   private readonly _options: BackoffServiceOptions
   private readonly _book = new BackoffBook()
-  private readonly _returns = new ReturnSchedule({ maxReturnMs: MAX_RETURN_MS })
+  private readonly _returns = new ReturnSpread()
 
   constructor (options: BackoffServiceOptions) {
     super()
@@ -62,7 +58,7 @@
 
   scheduleReturn (role: string, entries: readonly UpstreamEntry[]): number {
     const soonestMs = Math.min(...entries.map(({ id }) => this.getWaitMs(id)))
-    return this._returns.schedule({ role, soonestMs, perS: RETURNS_PER_S * entries.length, endsInMs: Infinity }, this._options.clock.now())
+    return this._returns.schedule(role, soonestMs, this._options.clock.now())
   }
 
   /** What is known is from before a pause of this process. */
--- a/src/services/quota/common/returnSchedule.ts
+++ b/src/services/quota/common/returnSchedule.ts
@@ -14,29 +14,19 @@
 
 const MS_PER_S = 1000
 /** Limits change sooner than this. */
-const DEFAULT_MAX_RETURN_MS = 10_000
+const MAX_RETURN_MS = 10_000
 const MIN_RETURN_MS = 50
 
-export interface ReturnScheduleOptions {
-  /** The longest that a caller is told to stay away. */
-  readonly maxReturnMs?: number
-}
-
 export class ReturnSchedule {
   private readonly _lastAt = new Map<string, number>()
-  private readonly _maxReturnMs: number
-
-  constructor ({ maxReturnMs = DEFAULT_MAX_RETURN_MS }: ReturnScheduleOptions = {}) {
-    this._maxReturnMs = maxReturnMs
-  }
 
   /** Milliseconds from now. */
   schedule ({ role, soonestMs, perS, endsInMs }: ReturnTerms, now: number): number {
-    const intervalMs = perS > 0 ? MS_PER_S / perS : this._maxReturnMs
+    const intervalMs = perS > 0 ? MS_PER_S / perS : MAX_RETURN_MS
     const nextAt = Math.max(now + soonestMs, (this._lastAt.get(role) ?? -Infinity) + intervalMs)
     // Whoever comes after the end of a limit is accepted, however many there are.
     if (endsInMs <= nextAt - now) return Math.max(MIN_RETURN_MS, endsInMs)
-    const at = Math.min(now + this._maxReturnMs, Math.max(now + MIN_RETURN_MS, nextAt))
+    const at = Math.min(now + MAX_RETURN_MS, Math.max(now + MIN_RETURN_MS, nextAt))
     this._lastAt.set(role, at)
     return at - now
   }
--- a/src/services/relay/node/upstreamChoice.ts
+++ b/src/services/relay/node/upstreamChoice.ts
@@ -62,9 +62,9 @@
   }
 
   /** Whether what is made for the request could be sent to anybody by the time it is there. */
-  mayPrepare (): boolean {
+  mayPrepare (timeLeftMs: number): boolean {
     const { backoffs } = this._options.context
-    return this.listUsable().some(({ id }) => backoffs.getWaitMs(id) <= MAX_WAIT_MS)
+    return this.listUsable().some(({ id }) => backoffs.getWaitMs(id) <= Math.min(MAX_WAIT_MS, timeLeftMs))
   }
 
   /** When the caller of a request that none accepts now should return; undefined where no upstream says so. */
