--- a/src/base/common/boundedSet.ts
+++ b/src/base/common/boundedSet.ts
@@ -6,14 +6,18 @@
 
   constructor (private readonly _maxSize: number) {}
 
-  get size (): number {
-    return this._values.size
-  }
-
   has (value: T): boolean {
     return this._values.has(value)
   }
 
+  delete (value: T): void {
+    this._values.delete(value)
+  }
+
+  clear (): void {
+    this._values.clear()
+  }
+
   add (value: T): void {
     this._values.add(value)
     if (this._values.size <= this._maxSize) return
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -184,7 +184,7 @@
       coldShare: settings.cold_share,
       coldSpare: settings.cold_spare
     }))
-    this._statements = this._register(new NodeStatements({ clock, log, registry: this._registry, facts: this._member.facts, noteRate: (upstream, perS) => this._quota.stated.note(upstream, perS) }))
+    this._statements = this._register(new NodeStatements({ clock, log, registry: this._registry, noteRate: (upstream, perS) => this._quota.stated.note(upstream, perS) }))
     const { backoffs, guard } = this._statements
     const protocol = new BackoffPieces(new LimitedPieces(options.pieceProtocol, this._quota.service), backoffs, clock)
     this._register(protocol.onDidState(stated => this._statements.note(stated)))
--- a/src/entryNode/nodeStatements.ts
+++ b/src/entryNode/nodeStatements.ts
@@ -4,7 +4,6 @@
 import type { IClock } from '../base/common/clock.ts'
 import { Disposable } from '../base/common/disposable.ts'
 import { BackoffService } from '../services/backoff/node/backoffService.ts'
-import type { FactStore } from '../services/facts/common/factStore.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { dispatchStatements } from '../services/upstream/common/upstreamStatement.ts'
 import type { StatedByUpstream, StatementReceivers } from '../services/upstream/common/upstreamStatement.ts'
@@ -15,7 +14,6 @@
   readonly clock: IClock
   readonly log: ILogService
   readonly registry: UpstreamRegistry
-  readonly facts: FactStore
   /** Takes in the rate that an upstream accepts: requests per second, or that there is no limit. */
   readonly noteRate: (upstream: string, perS: number | undefined) => void
 }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -147,7 +147,7 @@
     const { request, route } = this._taken
     const isSuspect = this._standing.ends > 0
     // Whatever is made for it would be thrown away.
-    if (!this._choice.mayPrepare(this._getTimeLeft() - MIN_ATTEMPT_MS)) return this._refuseWithoutUpstream()
+    if (!this._choice.mayPrepare(Math.max(0, this._getTimeLeft() - MIN_ATTEMPT_MS))) return this._refuseWithoutUpstream()
     const job = createPreparationJob({ request, route, role: this._role, priority: this._taken.priority, homeHalls: this._taken.homeHalls, excludedTargets: this._choice.listBackingOff().map(({ id }) => id), deadlineInMs: this._getTimeLeft(), isSuspect })
     return job === undefined ? undefined : await this._takePreparation(await this._inputs.prepare(job))
   }
--- a/src/services/upstream/node/sendGuard.ts
+++ b/src/services/upstream/node/sendGuard.ts
@@ -4,6 +4,7 @@
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import type { IBackoffService } from '../../backoff/common/backoff.ts'
+import { formatPosition } from '../../feed/common/sourcePosition.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../common/upstreamRegistry.ts'
 
@@ -38,7 +39,7 @@
     const { clock, log, registry } = this._options
     const { revision, ageMs } = registry.computeAge(clock.now())
     this._withheldCount++
-    log.info('send_withheld', { request, upstream, obstacle, known_revision: revision, known_age_ms: Math.round(ageMs) })
+    log.info('send_withheld', { request, upstream, obstacle, known_revision: formatPosition(revision), known_age_ms: Math.round(ageMs) })
     return false
   }
 
