Count by kind what upstreams say of themselves

Cause: a counter of what was held up and one of bad values do not tell whether upstreams leave or ask for pauses at all.

Change: statements_total by kind; answers that say nothing are not counted.

Tests: nodeStatements 6 of 6, nodeMetrics 1 of 1.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -233,6 +233,7 @@
       estimateObstacleMs: () => estimateReadyMs({ isOutage: this._member.isReady && this._table === undefined, sinceMs: clock.now() - this._startedAt })
     }))
     this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relay, member: this._member, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, quarantine: this._quarantine, pause: this._pause }))
+    this._register(this._statements.onDidNote(kind => this._metrics.countStatement(kind)))
     this._report = new NodeReport({
       clock,
       facts: this._member.facts,
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -3,6 +3,7 @@
  */
 import { MetricsRegistry } from '../services/metrics/node/metricsServer.ts'
 import type { EndedRequest } from '../services/relay/node/relayServer.ts'
+import type { StatementKind } from '../services/upstream/common/upstreamStatement.ts'
 
 export interface NodeGauges {
   readonly countOpen: () => number
@@ -29,6 +30,7 @@
   readonly metrics = new MetricsRegistry()
   private readonly _ends = this.metrics.createCounter('node_requests_total', 'Requests that ended', ['result'])
   private readonly _attempts = this.metrics.createCounter('node_attempts_total', 'Sends to upstreams')
+  private readonly _statements = this.metrics.createCounter('node_statements_total', 'What upstreams said of themselves with their answers', ['kind'])
   private readonly _times = this.metrics.createLatencyHistogram('node_request_ms', 'Time of requests, by result', ['result'])
   private readonly _prepared = this.metrics.createLatencyHistogram('node_prepared_ms', 'Time in preparation')
   private readonly _produced = this.metrics.createLatencyHistogram('node_produced_ms', 'From the end of preparation to the first event or the whole answer')
@@ -55,6 +57,10 @@
     this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
   }
 
+  countStatement (kind: StatementKind): void {
+    this._statements.inc({ kind })
+  }
+
   record ({ elapsedMs, end }: EndedRequest): void {
     this._ends.inc({ result: end.result })
     this._attempts.inc(end.attempts)
--- a/src/entryNode/nodeStatements.ts
+++ b/src/entryNode/nodeStatements.ts
@@ -3,10 +3,11 @@
  */
 import type { IClock } from '../base/common/clock.ts'
 import { Disposable } from '../base/common/disposable.ts'
+import { Emitter } from '../base/common/event.ts'
 import { BackoffService } from '../services/backoff/node/backoffService.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { dispatchStatements } from '../services/upstream/common/upstreamStatement.ts'
-import type { StatedByUpstream, StatementReceivers } from '../services/upstream/common/upstreamStatement.ts'
+import type { StatedByUpstream, StatementKind, StatementReceivers, UpstreamStatement } from '../services/upstream/common/upstreamStatement.ts'
 import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import { SendGuard } from '../services/upstream/node/sendGuard.ts'
 
@@ -28,6 +29,9 @@
   private readonly _options: NodeStatementsOptions
   private readonly _receivers: StatementReceivers
   private _invalidCount = 0
+  private readonly _onDidNote = this._register(new Emitter<StatementKind>())
+  /** An upstream said something of itself; that it has no limit is not told. */
+  readonly onDidNote = this._onDidNote.event
 
   constructor (options: NodeStatementsOptions) {
     super()
@@ -50,6 +54,7 @@
 
   note (stated: StatedByUpstream): void {
     dispatchStatements(stated, this._receivers)
+    for (const statement of stated.statements) if (!isPlain(statement)) this._onDidNote.fire(statement.kind)
   }
 
   private _noteInvalid (upstream: string, name: string, value: string): void {
@@ -57,3 +62,8 @@
     this._options.log.warn('statement_invalid', { upstream, name, value: value.slice(0, MAX_LOGGED_CHARACTERS), length: value.length })
   }
 }
+
+/** What nearly every answer says. */
+function isPlain (statement: UpstreamStatement): boolean {
+  return statement.kind === 'rate' && statement.perS === undefined
+}
--- a/src/entryNode/test/nodeStatements.test.ts
+++ b/src/entryNode/test/nodeStatements.test.ts
@@ -17,8 +17,10 @@
   const registry = new UpstreamRegistry()
   registry.update({ id: 'u', role: 'r', address: '127.0.0.1:9', hall: 'x', slots: 1, isLeaving: false }, 'test')
   const node = new NodeStatements({ clock, log, registry, noteRate: (_upstream, perS) => rates.push(perS) })
+  const kinds: string[] = []
+  node.onDidNote(kind => kinds.push(kind))
   node.note({ upstream: 'u', statements })
-  return { lines, rates, node, registry }
+  return { lines, rates, node, registry, kinds }
 }
 
 test('a rate goes to whoever keeps it, and so does its end', () => {
@@ -46,6 +48,10 @@
   assert.ok(lines.some(line => line.includes('event=statement_invalid upstream=u name=limit value=1e3')))
 })
 
+test('statements are counted by kind, but for answers that say nothing', () => {
+  assert.equal(runWith([{ kind: 'rate', perS: undefined }, { kind: 'leaving' }, { kind: 'backoff', forMs: 300 }, { kind: 'rate', perS: 1 }]).kinds, ['leaving', 'backoff', 'rate'])
+})
+
 test('a value of any length makes a short line', () => {
   const { lines } = runWith([{ kind: 'invalid', name: 'limit', value: '9'.repeat(4096) }])
   assert.ok(lines.every(line => line.length < 300 && line.includes('length=4096')))
