Find a live coordinator behind lost ones, and dial it as the process that is meant

Links were made by address alone, so nodes that knew a host's earlier process gave jobs to the later one, which began a plan of its own (14 links of 237). A backoff applied to the address and went on after the host was known to be back, so nodes used different coordinators for up to 1.5 s.

Change: `hello` states the process that a link is meant for; a later one answers `restarted` with its incarnation, takes no jobs, and the dialler corrects its membership. A backoff applies to one process. After one dial without an answer the next eight are dialled at the same time, and jobs take the first in rank that answers. Such a dial is no move; the caller's deadline bounds it.

--- a/src/entryNode/coordinatorDirectory.ts
+++ b/src/entryNode/coordinatorDirectory.ts
@@ -41,6 +41,11 @@
     return this._byHall.get(hall)
   }
 
+  /** Returns the address of the live member whose coordinator has this address. */
+  findMember (coordinator: string): Member | undefined {
+    return this._options.listLiveMembers().find(({ address }) => this.formatCoordinatorAddress(address) === coordinator)
+  }
+
   /** Returns the address of the coordinator on the host of a member. */
   formatCoordinatorAddress (member: string): string {
     return `${parseAddress(member)?.host ?? ''}:${this._options.port}`
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -165,8 +165,12 @@
       getOwnAddress: () => this.isReady ? this._settings.callers_address : undefined,
       getMaxKeepMs: () => this._settings.keep_s * 1000
     })
-    const coordinatorLinks = this._register(new CoordinatorLinks({ clock, log }))
     const coordinatorDirectory = new CoordinatorDirectory({ listLiveMembers: () => this._fleetMember.membership.listLive(), port: settings.preparation_port })
+    const coordinatorLinks = this._register(new CoordinatorLinks({ clock, log, findIncarnation: address => coordinatorDirectory.findMember(address)?.incarnation }))
+    this._register(coordinatorLinks.onDidDetectRestart(({ address, incarnation }) => {
+      const member = coordinatorDirectory.findMember(address)
+      if (member !== undefined) this._fleetMember.membership.recordRestart(member.address, incarnation)
+    }))
     const coordinatorAddress = coordinatorDirectory.formatCoordinatorAddress(settings.address)
     this._quota = this._register(new NodeQuota({
       clock,
@@ -189,7 +193,7 @@
     const pieceProtocol = new BackoffPieceCalls(new RateLimitedPieceCalls(options.pieceProtocol, this._quota.service), backoffs, clock)
     this._register(pieceProtocol.onDidReceiveStatement(batch => this._statements.recordStatements(batch)))
     this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard }))
-    this._preparationServer = this._register(new PreparationServer(this._coordinator, log, (upstream, limit) => this._quota.acquireForPeer(upstream, limit)))
+    this._preparationServer = this._register(new PreparationServer(this._coordinator, log, (upstream, limit) => this._quota.acquireForPeer(upstream, limit), options.incarnation))
     this._preparationClient = this._register(new PreparationClient({
       clock,
       log,
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -151,6 +151,13 @@
     this._mergeState(fact, 'suspect')
   }
 
+  /** Records that a later process of a member was reached at its address, which other members may not have learned yet. */
+  recordRestart (address: string, incarnation: number): void {
+    const fact = this._findFact(address)
+    if (fact === undefined || incarnation <= fact.incarnation) return
+    this._mergeState({ ...fact, incarnation }, 'alive')
+  }
+
   /**
    * Marks suspects as dead after the suspicion timeout, and removes dead and left members after the retention period.
    * An answer to a probe does not clear a suspicion, not even one raised by this member alone: the suspect refutes it itself.
--- a/src/services/membership/test/membershipTable.test.ts
+++ b/src/services/membership/test/membershipTable.test.ts
@@ -37,6 +37,19 @@
   return { clock, a, b }
 }
 
+// Guards against the belief that a member is still its earlier process after its later one was reached.
+test('a member that was reached after a restart is alive at once, for all that hear of it', () => {
+  const { a, b } = createPair()
+  a.table.suspect('b')
+  a.table.recordRestart('b', 5)
+  assert.equal(a.table.listPeers().map(({ state, incarnation }) => [state, incarnation]), [['alive', 5]])
+  a.table.recordRestart('b', 4)
+  a.table.recordRestart('unknown', 9)
+  assert.equal(a.table.listPeers().map(({ incarnation }) => incarnation), [5])
+  b.receive(a)
+  assert.ok(b.table.incarnation > 5, 'a process that learns of a later one at its address remains known')
+})
+
 test('a suspect that does not refute the suspicion is dead after the timeout, and is removed later', () => {
   const { clock, a } = createPair()
   a.table.suspect('b')
--- a/src/services/preparation/common/coordinatorChoice.ts
+++ b/src/services/preparation/common/coordinatorChoice.ts
@@ -52,6 +52,11 @@
   return best?.address
 }
 
+/** Returns the addresses in the order in which they would be chosen if each one before them were lost. */
+export function rankCoordinators (candidates: readonly CoordinatorCandidate[], hall = ''): readonly string[] {
+  return [...candidates].sort((a, b) => Number(b.hall === hall) - Number(a.hall === hall) || compareCandidates(a, b)).map(({ address }) => address)
+}
+
 function compareCandidates (a: CoordinatorCandidate, b: CoordinatorCandidate): number {
   return b.weight - a.weight || a.incarnation - b.incarnation || (a.address < b.address ? -1 : 1)
 }
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -45,6 +45,10 @@
 const CarriedPieceSchema = Schema.Struct({ ...ComputedPieceSchema.fields, ageMs: NonNegative })
 
 const PreparationMessageSchema = Schema.Union(
+  /** First message on a link: the process that the sender regards as the coordinator. Earlier versions do not send it. */
+  Schema.Struct({ kind: Schema.Literal('hello'), incarnation: Count }),
+  /** The process that the sender of `hello` meant has ended; this one, which started later, processes none of its messages. */
+  Schema.Struct({ kind: Schema.Literal('restarted'), incarnation: Count }),
   /** An owner submits a job. */
   Schema.Struct({
     kind: Schema.Literal('job'),
--- a/src/services/preparation/node/coordinatorLink.ts
+++ b/src/services/preparation/node/coordinatorLink.ts
@@ -18,6 +18,8 @@
   readonly address: string
   readonly localAddress?: string
   readonly clock: IClock
+  /** The process that the link is meant for; a later one at the address refuses it. If undefined, any process accepts it. */
+  readonly incarnation?: number | undefined
 }
 
 export type QuotaAnswer = PreparationMessage & { readonly kind: 'quotaAnswered' }
@@ -36,27 +38,40 @@
 export class CoordinatorLink extends Disposable {
   private readonly _onDidReceiveUpdate = this._register(new Emitter<JobUpdate>())
   private readonly _onDidReceiveQuotaAnswer = this._register(new Emitter<QuotaAnswer>())
+  private readonly _onDidDetectRestart = this._register(new Emitter<number>())
   private readonly _onDidClose = this._register(new Emitter<void>())
   readonly onDidReceiveUpdate = this._onDidReceiveUpdate.event
   readonly onDidReceiveQuotaAnswer = this._onDidReceiveQuotaAnswer.event
+  /** Fired with the incarnation of the process at the address if that started after the one that the link was meant for. */
+  readonly onDidDetectRestart = this._onDidDetectRestart.event
   readonly onDidClose = this._onDidClose.event
   private readonly _connection: FrameConnection
   private _lastReceivedAt: number
   private _isClosed = false
   private _hasReceived = false
   private _hasTimedOut = false
+  private _hasRestarted = false
   private readonly _hallsWithSentPrefixes = new Set<string>()
   /** Jobs that wait for updates. Liveness is checked only while there are such jobs or unanswered quota queries. */
   openJobCount = 0
   private _openQuotaQueryCount = 0
 
-  private constructor (readonly address: string, socket: Socket, private readonly _clock: IClock) {
+  readonly address: string
+  /** The process that the link is meant for. */
+  readonly incarnation: number | undefined
+  private readonly _clock: IClock
+
+  private constructor (socket: Socket, { address, incarnation, clock }: CoordinatorLinkOptions) {
     super()
-    this._lastReceivedAt = _clock.now()
+    this.address = address
+    this.incarnation = incarnation
+    this._clock = clock
+    this._lastReceivedAt = clock.now()
     this._connection = this._register(new FrameConnection(socket))
     this._connection.onDidReceive(frame => this._receive(frame))
     this._connection.onDidClose(() => this._close())
     this._register(startInterval(PING_PERIOD_MS, () => this._checkLiveness()))
+    if (incarnation !== undefined) this.send({ kind: 'hello', incarnation })
   }
 
   /** Resolves with undefined if the coordinator cannot be reached in time. */
@@ -75,7 +90,7 @@
       socket.once('connect', () => {
         clearTimeout(timer)
         socket.off('close', onFail)
-        resolve(new CoordinatorLink(options.address, socket, options.clock))
+        resolve(new CoordinatorLink(socket, options))
       })
     })
   }
@@ -102,6 +117,11 @@
     return this._hasTimedOut && this._hasReceived
   }
 
+  /** Whether the link was closed because the process that it was meant for has ended. */
+  get hasRestarted (): boolean {
+    return this._hasRestarted
+  }
+
   send (message: PreparationMessage): void {
     this._connection.send(message)
   }
@@ -126,6 +146,7 @@
       Right: message => {
         if (isJobUpdate(message)) this._onDidReceiveUpdate.fire(message)
         else if (message.kind === 'quotaAnswered') this._receiveQuotaAnswer(message)
+        else if (message.kind === 'restarted') this._receiveRestart(message.incarnation)
       }
     })
   }
@@ -135,6 +156,12 @@
     this._onDidReceiveQuotaAnswer.fire(answer)
   }
 
+  private _receiveRestart (incarnation: number): void {
+    this._hasRestarted = true
+    this._onDidDetectRestart.fire(incarnation)
+    this.close()
+  }
+
   private _checkLiveness (): void {
     const silentMs = this._clock.now() - this._lastReceivedAt
     if (this.openJobCount + this._openQuotaQueryCount === 0) this._lastReceivedAt = this._clock.now()
--- a/src/services/preparation/node/coordinatorLinks.ts
+++ b/src/services/preparation/node/coordinatorLinks.ts
@@ -14,22 +14,35 @@
   readonly localAddress?: string
   /** Opens a link to a coordinator; resolves with undefined if it cannot be reached in time. */
   readonly openLink?: (options: CoordinatorLinkOptions) => Promise<CoordinatorLink | undefined>
+  /** Returns the incarnation of the process that is known at an address; without it, links to any process are accepted. */
+  readonly findIncarnation?: (address: string) => number | undefined
 }
 
 /** A coordinator that could not be reached, or whose link was closed. */
 export interface LostCoordinator {
   readonly address: string
+  /** The process that the link was meant for; undefined if it was not known. */
+  readonly incarnation: number | undefined
   /** Undefined if no link could be opened. */
   readonly link: CoordinatorLink | undefined
 }
 
+/** A process at the address of a coordinator that started after the known one. */
+export interface RestartedCoordinator {
+  readonly address: string
+  readonly incarnation: number
+}
+
 export class CoordinatorLinks extends Disposable {
   private readonly _options: CoordinatorLinksOptions
   private readonly _links = new Map<string, Promise<CoordinatorLink | undefined>>()
   private readonly _onDidOpen = this._register(new Emitter<CoordinatorLink>())
   private readonly _onDidLose = this._register(new Emitter<LostCoordinator>())
+  private readonly _onDidDetectRestart = this._register(new Emitter<RestartedCoordinator>())
   readonly onDidOpen = this._onDidOpen.event
   readonly onDidLose = this._onDidLose.event
+  /** Fired before the link that detected it is lost. */
+  readonly onDidDetectRestart = this._onDidDetectRestart.event
 
   constructor (options: CoordinatorLinksOptions) {
     super()
@@ -47,14 +60,19 @@
   }
 
   private async _open (address: string): Promise<CoordinatorLink | undefined> {
-    const { localAddress, clock, log, openLink = options => CoordinatorLink.open(options) } = this._options
-    const link = await openLink({ address, localAddress, clock })
+    const { localAddress, clock, log, openLink = options => CoordinatorLink.open(options), findIncarnation } = this._options
+    const incarnation = findIncarnation?.(address)
+    const link = await openLink({ address, localAddress, clock, incarnation })
     if (link === undefined) {
-      this._removeLink({ address, link })
+      this._removeLink({ address, incarnation, link })
       return undefined
     }
-    log.info('coordinator_linked', { coordinator: address })
-    link.onDidClose(() => this._removeLink({ address, link }))
+    log.info('coordinator_linked', { coordinator: address, incarnation: incarnation ?? 'any' })
+    link.onDidDetectRestart(started => {
+      log.info('coordinator_restarted', { coordinator: address, known: incarnation ?? 'any', incarnation: started })
+      this._onDidDetectRestart.fire({ address, incarnation: started })
+    })
+    link.onDidClose(() => this._removeLink({ address, incarnation, link }))
     this._onDidOpen.fire(link)
     return link
   }
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -11,13 +11,14 @@
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { listLastStages } from '../common/preparationJob.ts'
 import type { CarriedPiece, JobRefusal, PieceResult, PreparationJob } from '../common/preparationJob.ts'
-import { chooseCoordinator, listHomePlans, listPlans } from '../common/coordinatorChoice.ts'
+import { chooseCoordinator, listHomePlans, listPlans, rankCoordinators } from '../common/coordinatorChoice.ts'
 import type { CoordinatorCandidate, PlannedUpstream } from '../common/coordinatorChoice.ts'
 import type { IPreparationService, IPreparedInputs, LostPiecesListener } from '../common/preparationService.ts'
 import { MAX_PREFIX_ENTRIES } from '../common/preparationMessage.ts'
 import { PrefixIndex } from '../common/prefixIndex.ts'
 import type { PrefixEntry } from '../common/prefixIndex.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
+import { COORDINATOR_BACKOFF_MS, UnreachableCoordinators } from '../common/unreachableCoordinators.ts'
 import type { JobEnd, JobUpdate } from '../common/plannedCall.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 import type { CoordinatorLink, CoordinatorLinkOptions } from './coordinatorLink.ts'
@@ -58,9 +59,10 @@
   readonly onDidLose: LostPiecesListener | undefined
 }
 
-/** How long a coordinator that could not be reached, or that moved its jobs away, is not chosen. */
-const COORDINATOR_BACKOFF_MS = 1500
+/** How often a job moves from one live coordinator to another. A dial without an answer is no move: the job has not been anywhere. */
 const MAX_MOVES = 4
+/** Once a coordinator does not answer, this many of the next ones are dialled at the same time, since hosts are often lost together. */
+const CONCURRENT_DIALS = 8
 
 /** The result after an abort by the owner, which answers its caller itself. */
 const ABORTED: JobRefusal = { reason: 'interrupted', retryAfterMs: 0 }
@@ -70,23 +72,30 @@
   private readonly _jobs = new Map<string, OwnedJob>()
   private readonly _links: CoordinatorLinks
   private readonly _prefixes = new PrefixIndex()
-  private readonly _backoffUntil = new Map<string, number>()
+  private readonly _unreachable = new UnreachableCoordinators()
 
   constructor (options: PreparationClientOptions) {
     super()
     this._options = options
     this._register(options.onDidReceiveMembers(() => { for (const ownedJob of [...this._jobs.values()]) void this._submit(ownedJob) }))
     const { clock, log, localAddress, openLink } = options
-    this._links = options.links ?? this._register(new CoordinatorLinks({ clock, log, localAddress, openLink }))
+    this._links = options.links ?? this._register(new CoordinatorLinks({ clock, log, localAddress, openLink, findIncarnation: address => this._findIncarnation(address) }))
     this._register(this._links.onDidOpen(link => this._subscribe(link)))
     this._register(this._links.onDidLose(lost => this._handleLostCoordinator(lost)))
   }
 
   /** Returns the address of the coordinator that is responsible for the plan of a hall. */
   findCoordinator (hall: string): string {
+    return chooseCoordinator(this._listReachable(), hall) ?? this._options.address
+  }
+
+  private _listReachable (): readonly CoordinatorCandidate[] {
     const now = this._options.clock.now()
-    const usable = this._options.listCoordinators().filter(({ address }) => (this._backoffUntil.get(address) ?? 0) <= now)
-    return chooseCoordinator(usable, hall) ?? this._options.address
+    return this._options.listCoordinators().filter(candidate => !this._unreachable.has(candidate, now))
+  }
+
+  private _findIncarnation (address: string): number | undefined {
+    return this._options.listCoordinators().find(candidate => candidate.address === address)?.incarnation
   }
 
   /** Moves jobs that this node plans although another node, which was unknown when they arrived, is responsible. */
@@ -134,13 +143,26 @@
     }
     const link = await this._links.connect(address)
     if (this._jobs.get(ownedJob.job.id) !== ownedJob) return
-    if (link === undefined || link.isClosed) return this._moveJob(ownedJob)
+    if (link === undefined || link.isClosed) {
+      this._dialNextCoordinators(hall)
+      return this._submit(ownedJob)
+    }
     ownedJob.link = link
     link.openJobCount++
     if (link.markPrefixesSent(hall)) link.send({ kind: 'prefixes', hall, notes: this._listPrefixes() })
     link.send({ kind: 'job', job: this._createSubmission(ownedJob), hall, isOffer, carried: this._listCarriedPieces(ownedJob) })
   }
 
+  /**
+   * Dials the next coordinators before they are needed. Jobs still take the first in rank that answers, so that all nodes
+   * choose the same one.
+   */
+  private _dialNextCoordinators (hall: string): void {
+    const ranked = rankCoordinators(this._listReachable(), hall).slice(0, CONCURRENT_DIALS)
+    const ownIndex = ranked.indexOf(this._options.address)
+    for (const address of ownIndex < 0 ? ranked : ranked.slice(0, ownIndex)) void this._links.connect(address)
+  }
+
   /** A plan that this node is about to start gets the records of where this node's own prompts were processed. */
   private _addOwnPrefixes (hall: string): void {
     if (this._options.coordinator.hasPlan(hall)) return
@@ -201,7 +223,8 @@
   /** The coordinator has announced that it is stopping, so this job and all later ones go to the next one. */
   private _handleMoved (ownedJob: OwnedJob): void {
     const { link } = ownedJob
-    this._backoffUntil.set(link?.address ?? this._options.address, this._options.clock.now() + COORDINATOR_BACKOFF_MS)
+    const address = link?.address ?? this._options.address
+    this._unreachable.record(address, link?.incarnation ?? this._findIncarnation(address) ?? Infinity, this._options.clock.now())
     if (link !== undefined) link.openJobCount--
     this._moveJob(ownedJob)
   }
@@ -232,11 +255,17 @@
    * stalled at once, nodes that moved to the next coordinator found its link stalled as well, until each node planned
    * alone for the same upstreams.
    */
-  private _handleLostCoordinator ({ address, link }: LostCoordinator): void {
+  private _handleLostCoordinator ({ address, incarnation, link }: LostCoordinator): void {
+    const hasRestarted = link?.hasRestarted === true
     const canRetry = link?.hasStalled === true
-    if (!canRetry) this._backoffUntil.set(address, this._options.clock.now() + COORDINATOR_BACKOFF_MS)
-    this._options.log.warn('coordinator_lost', { coordinator: address, jobs: this._jobs.size, asked_again: canRetry })
-    if (link !== undefined) for (const ownedJob of [...this._jobs.values()]) if (ownedJob.link === link) this._moveJob(ownedJob)
+    if (!canRetry) this._unreachable.record(address, incarnation ?? Infinity, this._options.clock.now())
+    this._options.log.warn('coordinator_lost', { coordinator: address, incarnation: incarnation ?? 'any', jobs: this._jobs.size, asked_again: canRetry })
+    if (link === undefined) return
+    for (const ownedJob of [...this._jobs.values()]) {
+      if (ownedJob.link !== link) continue
+      if (hasRestarted) void this._submit(ownedJob)
+      else this._moveJob(ownedJob)
+    }
   }
 
   private _createOutcome (ownedJob: OwnedJob, update: JobEnd, signal: AbortSignal): Either<JobRefusal, IPreparedInputs> {
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -21,8 +21,11 @@
 export class PreparationServer extends Disposable {
   private readonly _server = this._register(new FrameServer(connection => this._accept(connection)))
 
-  /** Without `_answerQuota`, all requests for quota are denied. */
-  constructor (private readonly _coordinator: PreparationCoordinator, private readonly _log: ILogService, private readonly _answerQuota?: QuotaHandler) {
+  /**
+   * Without `_answerQuota`, all requests for quota are denied. `_incarnation` is that of this process; without it, links to
+   * any process at this address are accepted.
+   */
+  constructor (private readonly _coordinator: PreparationCoordinator, private readonly _log: ILogService, private readonly _answerQuota?: QuotaHandler, private readonly _incarnation = 0) {
     super()
   }
 
@@ -33,6 +36,7 @@
 
   private _accept (connection: FrameConnection): void {
     const jobs = new Set<string>()
+    let isRefused = false
     connection.onDidReceive(frame => {
       checkPreparationMessage(frame).caseOf({
         Left: error => {
@@ -40,12 +44,25 @@
           // Kinds of messages that only newer owners send are ignored.
           if (error.resultName !== 'messageUnknown') connection.dispose()
         },
-        Right: message => this._handleMessage(connection, jobs, message)
+        Right: message => {
+          if (message.kind === 'hello' && message.incarnation < this._incarnation) isRefused = this._refuseLink(connection, message.incarnation)
+          else if (!isRefused) this._handleMessage(connection, jobs, message)
+        }
       })
     })
     connection.onDidClose(() => { for (const jobId of jobs) this._coordinator.detach(jobId, connection) })
   }
 
+  /**
+   * Refuses a link that was meant for an earlier process at this address. Its sender does not know yet that this process
+   * may no longer be the right coordinator, and its jobs would start a plan beside the one that other nodes use.
+   */
+  private _refuseLink (connection: FrameConnection, meant: number): true {
+    this._log.info('coordinator_link_refused', { meant, incarnation: this._incarnation })
+    connection.send({ kind: 'restarted', incarnation: this._incarnation })
+    return true
+  }
+
   private _handleMessage (connection: FrameConnection, jobs: Set<string>, message: PreparationMessage): void {
     const send = (reply: PreparationMessage) => connection.send(reply)
     if (message.kind === 'ping') {
