Rank coordinators by process start, which refuted suspicions do not change

Callers: after many hosts had returned at once, plans of a hall went back and forth between two nodes for two seconds; jobs were moved up to 198 times in a quarter of a second, and those that moved five times were refused.

Change: member facts state the incarnation of the process start, `started`, which ranks coordinators and is what a link means. Earlier versions do not send it and skip it; they are ranked by incarnation as before.

--- a/src/entryNode/coordinatorDirectory.ts
+++ b/src/entryNode/coordinatorDirectory.ts
@@ -29,7 +29,7 @@
     const live = this._options.listLiveMembers()
     if (live === this._liveMembers) return this._coordinators
     this._liveMembers = live
-    this._coordinators = live.map(member => ({ ...member, address: this.formatCoordinatorAddress(member.address) }))
+    this._coordinators = live.map(({ address, hall, weight, incarnation, started = incarnation }) => ({ address: this.formatCoordinatorAddress(address), hall, weight, incarnation: started }))
     this._byHall.clear()
     return this._coordinators
   }
@@ -41,9 +41,14 @@
     return this._byHall.get(hall)
   }
 
+  /** Returns the process at the address of a coordinator, by the incarnation with which it started; undefined if no live member has that address. */
+  findIncarnation (coordinator: string): number | undefined {
+    return this.listCoordinators().find(({ address }) => address === coordinator)?.incarnation
+  }
+
   /** Returns the address of the live member whose coordinator has this address. */
-  findMember (coordinator: string): Member | undefined {
-    return this._options.listLiveMembers().find(({ address }) => this.formatCoordinatorAddress(address) === coordinator)
+  findMember (coordinator: string): string | undefined {
+    return this._options.listLiveMembers().find(({ address }) => this.formatCoordinatorAddress(address) === coordinator)?.address
   }
 
   /** Returns the address of the coordinator on the host of a member. */
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -166,10 +166,10 @@
       getMaxKeepMs: () => this._settings.keep_s * 1000
     })
     const coordinatorDirectory = new CoordinatorDirectory({ listLiveMembers: () => this._fleetMember.membership.listLive(), port: settings.preparation_port })
-    const coordinatorLinks = this._register(new CoordinatorLinks({ clock, log, findIncarnation: address => coordinatorDirectory.findMember(address)?.incarnation }))
+    const coordinatorLinks = this._register(new CoordinatorLinks({ clock, log, findIncarnation: address => coordinatorDirectory.findIncarnation(address) }))
     this._register(coordinatorLinks.onDidDetectRestart(({ address, incarnation }) => {
       const member = coordinatorDirectory.findMember(address)
-      if (member !== undefined) this._fleetMember.membership.recordRestart(member.address, incarnation)
+      if (member !== undefined) this._fleetMember.membership.recordRestart(member, incarnation)
     }))
     const coordinatorAddress = coordinatorDirectory.formatCoordinatorAddress(settings.address)
     this._quota = this._register(new NodeQuota({
--- a/src/services/facts/common/fact.ts
+++ b/src/services/facts/common/fact.ts
@@ -14,6 +14,8 @@
   readonly state: MemberState
   /** Processing capacity of its host, in hundredths of a core; 0 if unknown. */
   readonly weight: number
+  /** The incarnation with which its process started, before any refuted suspicion; undefined from earlier versions. */
+  readonly started?: number | undefined
 }
 
 /** State that a gate reports about itself. */
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -16,7 +16,8 @@
     address: Name,
     hall: Name,
     state: Schema.Literal('alive', 'suspect', 'dead', 'left'),
-    weight: Schema.optionalWith(Count, { default: () => 0 })
+    weight: Schema.optionalWith(Count, { default: () => 0 }),
+    started: Schema.optional(Count)
   }),
   Schema.Struct({
     kind: Schema.Literal('gate'),
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -32,6 +32,8 @@
   readonly state: MemberState
   readonly incarnation: number
   readonly weight: number
+  /** Orders members by their process start: unlike `incarnation`, it does not change when the member refutes a suspicion. */
+  readonly started?: number | undefined
 }
 
 /** Member lists derived from facts, with the list of facts they were derived from. */
@@ -99,7 +101,7 @@
   private _deriveSnapshot (): MemberSnapshot {
     const facts = this._listFacts()
     if (facts === this._snapshot.facts) return this._snapshot
-    const members = facts.map(({ value, incarnation }) => ({ address: value.address, hall: value.hall, state: value.state, incarnation, weight: value.weight }))
+    const members = facts.map(({ value, incarnation }) => ({ address: value.address, hall: value.hall, state: value.state, incarnation, weight: value.weight, started: value.started }))
     const live = members.filter(member => !isDeadOrLeft(member.state))
     const peers = live.filter(member => member.address !== this._options.address)
     this._snapshot = { facts, members, live, peers, peerAddresses: peers.map(member => member.address) }
@@ -155,7 +157,7 @@
   recordRestart (address: string, incarnation: number): void {
     const fact = this._findFact(address)
     if (fact === undefined || incarnation <= fact.incarnation) return
-    this._mergeState({ ...fact, incarnation }, 'alive')
+    this._mergeState({ ...fact, incarnation, value: { ...fact.value, started: incarnation } }, 'alive')
   }
 
   /**
@@ -178,8 +180,8 @@
   }
 
   private _announce (): void {
-    const { address, hall, facts, weight = 0 } = this._options
-    const value = { kind: 'member' as const, address, hall, state: this._state, weight }
+    const { address, hall, facts, weight = 0, incarnation: started } = this._options
+    const value = { kind: 'member' as const, address, hall, state: this._state, weight, started }
     facts.merge({ subject: formatMemberSubject(address), incarnation: this._incarnation, counter: STATE_PRECEDENCE[this._state], value, ageMs: 0 })
   }
 
--- a/src/services/membership/test/membershipTable.test.ts
+++ b/src/services/membership/test/membershipTable.test.ts
@@ -50,6 +50,19 @@
   assert.ok(b.table.incarnation > 5, 'a process that learns of a later one at its address remains known')
 })
 
+// Guards against coordinators that change places whenever one of them refutes a suspicion: two nodes that had started in the
+// same millisecond moved a hall's plan to each other for two seconds.
+test('a member that refutes a suspicion keeps the time of its start', () => {
+  const { a, b } = createPair()
+  const getStarted = () => a.table.listPeers().map(({ started }) => started)
+  const before = getStarted()
+  a.table.suspect('b')
+  b.receive(a)
+  a.receive(b)
+  assert.equal(a.table.listPeers().map(({ state, incarnation }) => [state, incarnation]), [['alive', 2]])
+  assert.equal(getStarted(), before)
+})
+
 test('a suspect that does not refute the suspicion is dead after the timeout, and is removed later', () => {
   const { clock, a } = createPair()
   a.table.suspect('b')
--- a/src/services/preparation/common/coordinatorChoice.ts
+++ b/src/services/preparation/common/coordinatorChoice.ts
@@ -7,7 +7,7 @@
 export interface CoordinatorCandidate {
   readonly address: string
   readonly hall: string
-  /** Increases with each start of the process. */
+  /** Increases with each start of the process, and does not change until the next one. */
   readonly incarnation: number
   /** Capacity of the host relative to the others. */
   readonly weight: number
