Back off from a coordinator that moved a plan for that hall only

Callers: jobs of a hall were moved away from its right coordinator, and some were refused after four moves.

Cause, from the same log: a node that had stood in for two halls left the second to its returning coordinator (`plan_ending hall=wien-c jobs=67` at 29.22 s). Every owner then backed off from it for 1.5 s for all halls, and so did the node itself, which is why it moved 111 jobs of its own hall at 29.88 s. An evacuated hall did the same to the coordinator's other plans.

Change: a `moved` job causes a backoff for the job's hall. The node's own coordinator causes none: it moves plans because the node already chooses another.

Tests: unreachableCoordinators.test.ts.

--- a/src/services/preparation/common/unreachableCoordinators.ts
+++ b/src/services/preparation/common/unreachableCoordinators.ts
@@ -1,16 +1,17 @@
 /**
- * Coordinators that this node leaves out of its choice for a while, because they did not answer or moved their jobs away.
+ * Coordinators that this node leaves out of its choice for a while: for all halls because they did not answer, or for one hall
+ * because they moved its jobs away.
  */
 import type { CoordinatorCandidate } from './coordinatorChoice.ts'
 
-interface UnreachableCoordinator {
+interface Backoff {
   /** The latest process at the address to which this applies. */
   readonly incarnation: number
   /** In milliseconds on this process's clock. */
   readonly until: number
 }
 
-/** How long a coordinator that could not be reached, or that moved its jobs away, is not chosen. */
+/** How long a coordinator that could not be reached, or that moved a hall's jobs away, is not chosen. */
 export const COORDINATOR_BACKOFF_MS = 1500
 
 /**
@@ -18,14 +19,26 @@
  * that lost it at different times would otherwise return to it at different times and use different coordinators until then.
  */
 export class UnreachableCoordinators {
-  private readonly _byAddress = new Map<string, UnreachableCoordinator>()
+  private readonly _unreachable = new Map<string, Backoff>()
+  private readonly _movedByHall = new Map<string, Map<string, Backoff>>()
 
-  record (address: string, incarnation: number, now: number): void {
-    this._byAddress.set(address, { incarnation, until: now + COORDINATOR_BACKOFF_MS })
+  recordUnreachable (address: string, incarnation: number, now: number): void {
+    this._unreachable.set(address, { incarnation, until: now + COORDINATOR_BACKOFF_MS })
   }
 
-  has ({ address, incarnation }: CoordinatorCandidate, now: number): boolean {
-    const unreachable = this._byAddress.get(address)
-    return unreachable !== undefined && unreachable.until > now && incarnation <= unreachable.incarnation
+  /** The coordinator left the plan of one hall to another one; it may well be right for other halls. */
+  recordMoved (address: string, incarnation: number, hall: string, now: number): void {
+    const moved = this._movedByHall.get(hall) ?? new Map<string, Backoff>()
+    moved.set(address, { incarnation, until: now + COORDINATOR_BACKOFF_MS })
+    this._movedByHall.set(hall, moved)
   }
+
+  has (candidate: CoordinatorCandidate, hall: string, now: number): boolean {
+    const { address } = candidate
+    return isInForce(this._unreachable.get(address), candidate, now) || isInForce(this._movedByHall.get(hall)?.get(address), candidate, now)
+  }
+}
+
+function isInForce (backoff: Backoff | undefined, { incarnation }: CoordinatorCandidate, now: number): boolean {
+  return backoff !== undefined && backoff.until > now && incarnation <= backoff.incarnation
 }
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -86,12 +86,12 @@
 
   /** Returns the address of the coordinator that is responsible for the plan of a hall. */
   findCoordinator (hall: string): string {
-    return chooseCoordinator(this._listReachable(), hall) ?? this._options.address
+    return chooseCoordinator(this._listReachable(hall), hall) ?? this._options.address
   }
 
-  private _listReachable (): readonly CoordinatorCandidate[] {
+  private _listReachable (hall: string): readonly CoordinatorCandidate[] {
     const now = this._options.clock.now()
-    return this._options.listCoordinators().filter(candidate => !this._unreachable.has(candidate, now))
+    return this._options.listCoordinators().filter(candidate => !this._unreachable.has(candidate, hall, now))
   }
 
   private _findIncarnation (address: string): number | undefined {
@@ -158,7 +158,7 @@
    * choose the same one.
    */
   private _dialNextCoordinators (hall: string): void {
-    const ranked = rankCoordinators(this._listReachable(), hall).slice(0, CONCURRENT_DIALS)
+    const ranked = rankCoordinators(this._listReachable(hall), hall).slice(0, CONCURRENT_DIALS)
     const ownIndex = ranked.indexOf(this._options.address)
     for (const address of ownIndex < 0 ? ranked : ranked.slice(0, ownIndex)) void this._links.connect(address)
   }
@@ -220,12 +220,16 @@
     }
   }
 
-  /** The coordinator has announced that it is stopping, so this job and all later ones go to the next one. */
+  /**
+   * The coordinator leaves the hall's plan to another one, so this job and all later ones of the hall go there. This node's own
+   * coordinator does so because this node already chooses another one.
+   */
   private _handleMoved (ownedJob: OwnedJob): void {
-    const { link } = ownedJob
-    const address = link?.address ?? this._options.address
-    this._unreachable.record(address, link?.incarnation ?? this._findIncarnation(address) ?? Infinity, this._options.clock.now())
-    if (link !== undefined) link.openJobCount--
+    const { link, search } = ownedJob
+    if (link !== undefined) {
+      this._unreachable.recordMoved(link.address, link.incarnation ?? Infinity, search.currentChoice?.hall ?? '', this._options.clock.now())
+      link.openJobCount--
+    }
     this._moveJob(ownedJob)
   }
 
@@ -258,7 +262,7 @@
   private _handleLostCoordinator ({ address, incarnation, link }: LostCoordinator): void {
     const hasRestarted = link?.hasRestarted === true
     const canRetry = link?.hasStalled === true
-    if (!canRetry) this._unreachable.record(address, incarnation ?? Infinity, this._options.clock.now())
+    if (!canRetry) this._unreachable.recordUnreachable(address, incarnation ?? Infinity, this._options.clock.now())
     this._options.log.warn('coordinator_lost', { coordinator: address, incarnation: incarnation ?? 'any', jobs: this._jobs.size, asked_again: canRetry })
     if (link === undefined) return
     for (const ownedJob of [...this._jobs.values()]) {
