Bound what upstreams get that may have become cold unnoticed

Callers: an upstream that has become cold accepts a few requests a second and collapses under more. While the store turned all nodes away, nodes went on sending: up to 53 requests in a second to one that accepts 10.

Cause: the last known state of an upstream counted as its present one, however long ago the source had confirmed it, or whether the store had lost the word by a restore.

Change: while a node's source is not current, it asks the owner of the hall's quotas before each request to an upstream with a cold limit. The owner grants what a cold one accepts within 1.4 s, and asks the upstream's health check once half of that is used. An answer without a cold time proves that what was granted until 50 ms before the question did no harm. Requests wait up to 60 ms for such a proof. Roles without a cold limit and fleets whose settings name none ask nobody.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -34,6 +34,7 @@
 import { createQuarantineHandler } from '../services/quarantine/node/quarantineHandler.ts'
 import { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
 import { createLimitsHandler } from '../services/quota/node/limitsHandler.ts'
+import type { WarmthProbe } from '../services/quota/common/warmthProbe.ts'
 import { RateLimitedPieceCalls } from '../services/quota/node/rateLimitedPieceCalls.ts'
 import type { CallerProtocol, UpstreamProtocol } from '../services/relay/common/relayProtocol.ts'
 import { RelayPool } from '../services/relay/common/relayPool.ts'
@@ -70,6 +71,8 @@
   readonly pieceProtocol: PieceProtocol
   readonly configurationSource: ConfigurationSource
   readonly upstreamSource: UpstreamSource
+  /** Without it, upstreams are not asked whether they are cold. */
+  readonly warmthProbe?: WarmthProbe
 }
 
 /** How often a node checks whether its own status has to be published again. */
@@ -186,7 +189,9 @@
       membership: this._fleetMember.membership,
       getTable,
       coldRateMultiplier: settings.cold_share,
-      extraColdRequestsPerS: settings.cold_spare
+      extraColdRequestsPerS: settings.cold_spare,
+      isSourceCurrent: () => options.upstreamSource.isCurrent,
+      warmthProbe: options.warmthProbe
     }))
     this._statements = this._register(new NodeStatements({ clock, log, registry: this._registry, recordRateLimit: (upstream, perS) => this._quota.statedLimits.recordLimit(upstream, perS) }))
     const { backoffs, guard } = this._statements
--- a/src/entryNode/nodeQuota.ts
+++ b/src/entryNode/nodeQuota.ts
@@ -14,6 +14,9 @@
 import { PeerReportedLimits } from '../services/quota/common/peerReportedLimits.ts'
 import type { PeerReportedLimit } from '../services/quota/common/peerReportedLimits.ts'
 import { QuotaService } from '../services/quota/node/quotaService.ts'
+import { WarmthProbes } from '../services/quota/node/warmthProbes.ts'
+import { UnconfirmedLimits } from '../services/quota/common/warmthProof.ts'
+import type { WarmthProbe } from '../services/quota/common/warmthProbe.ts'
 import { RateLimitService } from '../services/quota/node/rateLimitService.ts'
 import type { RelayTable } from '../services/relay/common/relayTable.ts'
 import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
@@ -40,6 +43,10 @@
   readonly coldRateMultiplier?: number | undefined
   /** Requests per second that all nodes together may send a cold upstream in addition to that. */
   readonly extraColdRequestsPerS?: number | undefined
+  /** Whether this node would learn at once from the source that an upstream has become cold. */
+  readonly isSourceCurrent: () => boolean
+  /** Asks upstreams whether they are cold while the source is not current; without it, they get no more than cold ones then. */
+  readonly warmthProbe?: WarmthProbe | undefined
 }
 
 /** How often this node determines the halls whose quotas it owns. */
@@ -63,13 +70,16 @@
     this.statedLimits = this._register(new RateLimitService(options))
     this._peerReportedLimits = new PeerReportedLimits(clock)
     this._register(registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._peerReportedLimits.remove(entry.id) }))
-    const localLimits = new CombinedLimits([
-      new StatedLimits(upstream => this.statedLimits.findLimit(upstream)),
-      new ColdStartLimits({ clock, getMaxRequestsPerS: role => this._computeColdStartLimit(role), countKnownNodes, countLiveNodes })
-    ])
-    this.limits = new CombinedLimits([this._peerReportedLimits, localLimits])
-    this._quotaOwner = new QuotaOwner({ clock, limits: this.limits, isOwner: hall => options.canOwnQuotas() && this._findOwnerAddress(hall) === undefined })
-    this.service = this._register(new QuotaService({ ...options, limits: this.limits, localLimits, owner: this._quotaOwner, findOwnerAddress: hall => this._findOwnerAddress(hall), countNodes: countLiveNodes }))
+    const coldStartLimits = new ColdStartLimits({ clock, getMaxRequestsPerS: role => this._computeColdStartLimit(role), countKnownNodes, countLiveNodes })
+    const localLimits = new CombinedLimits([new StatedLimits(upstream => this.statedLimits.findLimit(upstream)), coldStartLimits])
+    const knownLimits = new CombinedLimits([this._peerReportedLimits, localLimits])
+    const unconfirmed = new UnconfirmedLimits({ clock, isSourceCurrent: options.isSourceCurrent, coldStartLimits })
+    this.limits = new CombinedLimits([knownLimits, unconfirmed])
+    this._quotaOwner = this._register(new QuotaOwner({ clock, limits: knownLimits, unconfirmed, isOwner: hall => options.canOwnQuotas() && this._findOwnerAddress(hall) === undefined }))
+    if (options.warmthProbe !== undefined) {
+      this._register(new WarmthProbes({ ...options, probe: options.warmthProbe, owner: this._quotaOwner, findHealthPath: role => options.getTable()?.getRole(role)?.healthPath ?? '' }))
+    }
+    this.service = this._register(new QuotaService({ ...options, limits: this.limits, localLimits, unconfirmed, owner: this._quotaOwner, findOwnerAddress: hall => this._findOwnerAddress(hall), countNodes: countLiveNodes }))
     this._register(startInterval(OWNERSHIP_REFRESH_PERIOD_MS, () => this._quotaOwner.refreshOwnership(new Set(registry.list().map(({ hall }) => hall)))))
   }
 
--- a/src/services/quota/common/quota.ts
+++ b/src/services/quota/common/quota.ts
@@ -6,6 +6,8 @@
 export interface IQuotaService {
   /** Returns whether a rate limit across all nodes applies to the upstream. */
   isLimited (entry: UpstreamEntry): boolean
+  /** Whether the upstream may have become cold unnoticed, so that further requests may have to wait for a proof that it is warm. */
+  isUnconfirmed (entry: UpstreamEntry): boolean
   /** Returns the time in ms until the quota may be requested again after a denial; 0 if there is no limit or no recent denial. */
   getWaitMs (entry: UpstreamEntry): number
   /**
--- a/src/services/quota/common/rateLimitSource.ts
+++ b/src/services/quota/common/rateLimitSource.ts
@@ -41,7 +41,7 @@
 }
 
 /** Requests sent within this span may arrive within one second, because slow connection setup delays some of them. */
-const ARRIVAL_WINDOW_S = 1.4
+export const ARRIVAL_WINDOW_S = 1.4
 /** Two nodes may briefly both act as owner of a quota; with less than half of the limit each, they stay within it together. */
 const OWNER_SHARE = 0.45
 const MAX_COLD_BURST = 2
@@ -56,16 +56,22 @@
   }
 
   findLimit ({ coldUntil = 0, role }: UpstreamEntry): RateLimit | undefined {
-    const { clock, getMaxRequestsPerS, countKnownNodes, countLiveNodes } = this._options
-    if (coldUntil <= clock.now()) return undefined
+    if (coldUntil <= this._options.clock.now()) return undefined
+    const maxInWindow = this.computeMaxInWindow(role)
+    if (maxInWindow === undefined) return undefined
+    const burst = Math.min(MAX_COLD_BURST, maxInWindow)
+    return { burst, perS: (maxInWindow - burst) / ARRIVAL_WINDOW_S, expiresAt: coldUntil }
+  }
+
+  /** The most requests that an owner may grant to a cold upstream within the arrival window; undefined if there is no limit. */
+  computeMaxInWindow (role: string): number | undefined {
+    const { getMaxRequestsPerS, countKnownNodes, countLiveNodes } = this._options
     const maxPerS = getMaxRequestsPerS(role)
     if (!Number.isFinite(maxPerS)) return undefined
     // In a network partition, each side has its own owner. An owner grants only the fraction of the limit that corresponds
     // to the fraction of nodes on its side.
     const reachableRatio = Math.min(1, countLiveNodes() / Math.max(1, countKnownNodes()))
-    const maxInWindow = maxPerS * OWNER_SHARE * reachableRatio
-    const burst = Math.min(MAX_COLD_BURST, maxInWindow)
-    return { burst, perS: (maxInWindow - burst) / ARRIVAL_WINDOW_S, expiresAt: coldUntil }
+    return maxPerS * OWNER_SHARE * reachableRatio
   }
 }
 
--- a/src/services/quota/node/quotaService.ts
+++ b/src/services/quota/node/quotaService.ts
@@ -10,6 +10,7 @@
 import type { IQuotaService } from '../common/quota.ts'
 import type { QuotaDecision, QuotaOwner } from '../common/quotaOwner.ts'
 import { RetryAfterSchedule } from '../common/retryAfterSchedule.ts'
+import type { UnconfirmedLimits } from '../common/warmthProof.ts'
 import type { PeerReportedLimit } from '../common/peerReportedLimits.ts'
 
 export interface QuotaServiceOptions {
@@ -22,6 +23,8 @@
    * query each other would keep renewing each other's reports. Defaults to all limits.
    */
   readonly localLimits?: RateLimitSource
+  /** Limits of upstreams that may be cold, which are among `limits`. */
+  readonly unconfirmed?: UnconfirmedLimits
   /** Grants requests for the halls whose quotas this node owns. */
   readonly owner: QuotaOwner
   readonly links: CoordinatorLinks
@@ -56,6 +59,10 @@
     return this._options.limits.findLimit(entry) !== undefined
   }
 
+  isUnconfirmed (entry: UpstreamEntry): boolean {
+    return this._options.unconfirmed?.findMaxUnproven(entry) !== undefined
+  }
+
   getWaitMs (entry: UpstreamEntry): number {
     return this.isLimited(entry) ? Math.max(0, (this._deniedUntil.get(entry.id) ?? 0) - this._options.clock.now()) : 0
   }
--- a/src/services/relay/node/upstreamSelector.ts
+++ b/src/services/relay/node/upstreamSelector.ts
@@ -24,8 +24,10 @@
 
 /** Upstreams whose quota is requested for one request before it is refused. */
 const MAX_QUOTA_QUERIES = 5
-/** A request with prepared results waits up to this long for an upstream; others are refused at once. */
+/** A request with prepared results waits up to this long for an upstream. */
 const MAX_PREPARED_WAIT_MS = 1000
+/** Other requests wait only for a proof that an upstream is warm, which is about to arrive. */
+const MAX_PROOF_WAIT_MS = 60
 const MIN_WAIT_MS = 10
 
 export class UpstreamSelector {
@@ -37,13 +39,13 @@
 
   /** Returns undefined if no upstream accepts the request now. */
   async acquire (constraints: SelectionConstraints): Promise<UpstreamEntry | undefined> {
-    const { context: { clock }, inputs, signal } = this._options
-    const waitUntil = clock.now() + (inputs.handles.length > 0 ? Math.min(MAX_PREPARED_WAIT_MS, constraints.timeLeftMs) : 0)
+    const { context: { clock }, signal } = this._options
+    const startedAt = clock.now()
     for (;;) {
       const upstream = await this._acquireNow(constraints)
       if (upstream !== undefined || signal.aborted) return upstream
       const waitMs = Math.max(MIN_WAIT_MS, this._computeWaitMs())
-      if (clock.now() + waitMs >= waitUntil) return undefined
+      if (clock.now() + waitMs >= startedAt + Math.min(this._getMaxWaitMs(), constraints.timeLeftMs)) return undefined
       await new Promise<void>(resolve => { clock.schedule(waitMs, resolve) })
     }
   }
@@ -88,6 +90,12 @@
     return Math.min(Infinity, ...waitTimesMs)
   }
 
+  private _getMaxWaitMs (): number {
+    const { context: { quota }, inputs } = this._options
+    if (inputs.handles.length > 0) return MAX_PREPARED_WAIT_MS
+    return this.listEligible().some(entry => quota.isUnconfirmed(entry)) ? MAX_PROOF_WAIT_MS : 0
+  }
+
   private async _acquireNow (constraints: SelectionConstraints): Promise<UpstreamEntry | undefined> {
     const { context: { quota }, accepted } = this._options
     const excluded = new Set<string>()
