Split the limits of unconfirmed upstreams from the count of unproven grants

Cause: one file held two concepts, under a name of neither. And a host whose clock is set back between two starts would have announced a start before that of its earlier process, so that it took plans over from the node that had replaced it.

Change: unconfirmedLimits.ts says which upstreams may be cold and what they may get, unprovenGrants.ts counts. A process that learns of an earlier one at its address with a later start ranks after it, as its incarnation already did.

--- a/src/entryNode/nodeQuota.ts
+++ b/src/entryNode/nodeQuota.ts
@@ -15,7 +15,7 @@
 import type { PeerReportedLimit } from '../services/quota/common/peerReportedLimits.ts'
 import { QuotaService } from '../services/quota/node/quotaService.ts'
 import { WarmthProbes } from '../services/quota/node/warmthProbes.ts'
-import { UnconfirmedLimits } from '../services/quota/common/warmthProof.ts'
+import { UnconfirmedLimits } from '../services/quota/common/unconfirmedLimits.ts'
 import type { WarmthProbe } from '../services/quota/common/warmthProbe.ts'
 import { RateLimitService } from '../services/quota/node/rateLimitService.ts'
 import type { RelayTable } from '../services/relay/common/relayTable.ts'
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -56,6 +56,7 @@
   private readonly _suspicionTimeoutMs: number
   private readonly _retentionMs: number
   private _incarnation: number
+  private _started: number
   private _state: MemberState = 'alive'
   private readonly _stateChangedAt = new Map<string, number>()
   private _probeOrder: readonly string[] = []
@@ -69,6 +70,7 @@
     this._suspicionTimeoutMs = options.suspicionTimeoutMs ?? 2000
     this._retentionMs = options.retentionMs ?? 600_000
     this._incarnation = options.incarnation
+    this._started = options.incarnation
     this._register(options.facts.onDidChange(fact => this._handleFact(fact)))
     this._announce()
   }
@@ -180,8 +182,8 @@
   }
 
   private _announce (): void {
-    const { address, hall, facts, weight = 0, incarnation: started } = this._options
-    const value = { kind: 'member' as const, address, hall, state: this._state, weight, started }
+    const { address, hall, facts, weight = 0 } = this._options
+    const value = { kind: 'member' as const, address, hall, state: this._state, weight, started: this._started }
     facts.merge({ subject: formatMemberSubject(address), incarnation: this._incarnation, counter: STATE_PRECEDENCE[this._state], value, ageMs: 0 })
   }
 
@@ -192,6 +194,8 @@
     const isOwn = fact.incarnation === this._incarnation && fact.value.state === this._state
     if (isOwn || this._state === 'left') return
     this._incarnation = fact.incarnation + 1
+    // The fact is about an earlier process, whose clock was ahead.
+    if ((fact.value.started ?? 0) > this._started) this._started = this._incarnation
     this._announce()
   }
 
--- a/src/services/membership/test/membershipTable.test.ts
+++ b/src/services/membership/test/membershipTable.test.ts
@@ -37,6 +37,15 @@
   return { clock, a, b }
 }
 
+test('a process ranks after an earlier one at its address even if its clock was set back in between', () => {
+  const clock = new VirtualClock()
+  const [earlier, later, other] = [new Node('b', clock, 9), new Node('b', clock, 5), new Node('a', clock)]
+  other.receive(earlier)
+  later.receive(other)
+  other.receive(later)
+  assert.equal(other.table.listPeers().map(({ started, incarnation }) => [started, incarnation]), [[10, 10]])
+})
+
 // Guards against the belief that a member is still its earlier process after its later one was reached.
 test('a member that was reached after a restart is alive at once, for all that hear of it', () => {
   const { a, b } = createPair()
--- a/src/services/quota/common/quotaOwner.ts
+++ b/src/services/quota/common/quotaOwner.ts
@@ -10,8 +10,8 @@
 import type { RateLimitSource } from './rateLimitSource.ts'
 import { TokenBucket } from './tokenBucket.ts'
 import type { RateLimit } from './tokenBucket.ts'
-import { UnprovenGrants } from './warmthProof.ts'
-import type { UnconfirmedLimits } from './warmthProof.ts'
+import { UnprovenGrants } from './unprovenGrants.ts'
+import type { UnconfirmedLimits } from './unconfirmedLimits.ts'
 
 export interface QuotaOwnerOptions {
   readonly clock: IClock
--- a/src/services/quota/common/warmthProof.ts
+++ b/src/services/quota/common/unprovenGrants.ts
@@ -1,45 +1,13 @@
 /**
- * Limits what an upstream is sent after the last proof that it was warm. While the source of upstreams is not current, any
- * upstream may become cold without a node learning of it, and requests that it was sent since then may be too many for it.
+ * Counts what an upstream that may be cold was granted since it last proved to be warm. It may become cold at any moment, so
+ * everything granted after the last proof may be too much for it.
  */
-import type { IClock } from '../../../base/common/clock.ts'
-import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
-import { ARRIVAL_WINDOW_S, RateLimitSource } from './rateLimitSource.ts'
-import type { ColdStartLimits } from './rateLimitSource.ts'
-import type { RateLimit } from './tokenBucket.ts'
+import { ARRIVAL_WINDOW_S } from './rateLimitSource.ts'
 
 const MS_PER_S = 1000
 const WINDOW_MS = ARRIVAL_WINDOW_S * MS_PER_S
 /** A request may reach its upstream this long after it was granted, and thus after a proof that was requested later. */
-const ARRIVAL_DELAY_MS = 50
-
-export interface UnconfirmedLimitsOptions {
-  readonly clock: IClock
-  /** Whether this node would learn at once from the source that an upstream has become cold. */
-  readonly isSourceCurrent: () => boolean
-  readonly coldStartLimits: ColdStartLimits
-}
-
-/** Limits upstreams that are not known to be cold, but may be. */
-export class UnconfirmedLimits extends RateLimitSource {
-  constructor (private readonly _options: UnconfirmedLimitsOptions) {
-    super()
-  }
-
-  /** The rate is the highest that proofs allow; the owner of the quota grants less without them. */
-  findLimit (entry: UpstreamEntry): RateLimit | undefined {
-    const maxUnproven = this.findMaxUnproven(entry)
-    return maxUnproven === undefined ? undefined : { perS: maxUnproven * MS_PER_S / ARRIVAL_DELAY_MS, burst: maxUnproven }
-  }
-
-  /** The most requests that may be granted to an upstream within the arrival window without a proof that it is warm. */
-  findMaxUnproven (entry: UpstreamEntry): number | undefined {
-    const { clock, isSourceCurrent, coldStartLimits } = this._options
-    if ((entry.coldUntil ?? 0) > clock.now()) return undefined
-    const maxInWindow = coldStartLimits.computeMaxInWindow(entry.role)
-    return maxInWindow === undefined || isSourceCurrent() ? undefined : maxInWindow
-  }
-}
+export const ARRIVAL_DELAY_MS = 50
 
 interface GrantHistory {
   /** Grants within the arrival window that no proof covers, oldest first, in milliseconds on this process's clock. */
--- a/src/services/quota/node/quotaService.ts
+++ b/src/services/quota/node/quotaService.ts
@@ -10,7 +10,7 @@
 import type { IQuotaService } from '../common/quota.ts'
 import type { QuotaDecision, QuotaOwner } from '../common/quotaOwner.ts'
 import { RetryAfterSchedule } from '../common/retryAfterSchedule.ts'
-import type { UnconfirmedLimits } from '../common/warmthProof.ts'
+import type { UnconfirmedLimits } from '../common/unconfirmedLimits.ts'
 import type { PeerReportedLimit } from '../common/peerReportedLimits.ts'
 
 export interface QuotaServiceOptions {
--- a/src/services/quota/test/warmthProof.test.ts
+++ b/src/services/quota/test/unconfirmedUpstreams.test.ts
@@ -10,10 +10,10 @@
 import { QuotaOwner } from '../common/quotaOwner.ts'
 import { ColdStartLimits } from '../common/rateLimitSource.ts'
 import { WarmthProbe } from '../common/warmthProbe.ts'
-import { UnconfirmedLimits } from '../common/warmthProof.ts'
+import { UnconfirmedLimits } from '../common/unconfirmedLimits.ts'
 import { WarmthProbes } from '../node/warmthProbes.ts'
 
-const test = suite('warmthProof')
+const test = suite('unconfirmedUpstreams')
 
 const SEED = 20261203
 const UPSTREAM: UpstreamEntry = { id: 'u', role: 'r', address: '10.0.0.1:80', hall: 'x', slots: 8, isLeaving: false }
