Add the setting for contention, and the messages for reserved returns

The forecast assumes three tenths of a role for late jobs even if nothing is left over, so it admits them, and they later displace new jobs.

Change: plans of single halls get `hasContention` where the setting `contention` is `on`; the forecast then assumes no minimum share for late jobs.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -197,7 +197,7 @@
     const { backoffs, guard } = this._statements
     const pieceProtocol = new BackoffPieceCalls(new RateLimitedPieceCalls(options.pieceProtocol, this._quota.service), backoffs, clock)
     this._register(pieceProtocol.onDidReceiveStatement(batch => this._statements.recordStatements(batch)))
-    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard }))
+    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard, handlesContention: settings.contention === 'on' }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log, (upstream, limit) => this._quota.acquireForPeer(upstream, limit), options.incarnation))
     this._preparationClient = this._register(new PreparationClient({
       clock,
--- a/src/entryNode/nodeSettings.ts
+++ b/src/entryNode/nodeSettings.ts
@@ -47,6 +47,8 @@
   cold_spare: Schema.optional(NonNegative),
   /** Retries of all nodes together in one window that are allowed regardless of the number of first attempts. */
   retry_spare: NonNegative,
+  /** With `on`, plans of single halls shed late work and reserve capacity for callers that they refuse. */
+  contention: Schema.optionalWith(Schema.Literal('on', 'off'), { default: () => 'off' as const }),
   /** The time window over which retries are compared with first attempts. */
   retry_window_s: Schema.optionalWith(PositiveSeconds, { default: () => DEFAULT_RETRY_WINDOW_S })
 })
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -26,6 +26,11 @@
   readonly latenessPenaltyMs: number
 }
 
+export interface ForecastOptions {
+  /** Minimum share of a role's capacity that is assumed for late jobs, whatever the arrival rate of others. */
+  readonly minLateCapacityRatio?: number
+}
+
 export interface JobForecast {
   readonly state: JobState
   /** When the first event of the request is expected. */
@@ -50,7 +55,7 @@
  * Forecasts all jobs, given in scheduling order. A job that would miss its goal is placed behind those that can meet
  * theirs, so that it makes none of them late.
  */
-export function forecastJobs (entries: readonly ForecastEntry[], capacities: ReadonlyMap<string, RoleCapacity>, now: number): readonly JobForecast[] {
+export function forecastJobs (entries: readonly ForecastEntry[], capacities: ReadonlyMap<string, RoleCapacity>, now: number, { minLateCapacityRatio = MIN_LATE_CAPACITY_RATIO }: ForecastOptions = {}): readonly JobForecast[] {
   const piecesAhead = new Map<string, number>()
   const forecasts: JobForecast[] = []
   const late: ForecastEntry[] = []
@@ -66,7 +71,7 @@
   }
   for (const entry of late) {
     const { state, remainingMs } = entry
-    const waitMs = computeQueueMs(state, capacities, piecesAhead, (capacity, pieces) => computeLateWaitMs(capacity, pieces, entry, now))
+    const waitMs = computeQueueMs(state, capacities, piecesAhead, (capacity, pieces) => computeLateWaitMs(capacity, pieces, { ...entry, minLateCapacityRatio }, now))
     forecasts.push({ state, endAt: now + waitMs + remainingMs, waitMs, isLate: true })
     addOpenPieces(state, piecesAhead)
   }
@@ -123,7 +128,7 @@
  * Jobs that arrive later also go before a late job, but only until the late job has waited long enough to be ahead of new
  * ones. A late job of a more urgent rank reaches that point sooner.
  */
-function computeLateWaitMs ({ piecesPerMs, arrivalsPerMs }: RoleCapacity, pieces: number, { state: { job, goalAt }, latenessPenaltyMs }: ForecastEntry, now: number): number {
+function computeLateWaitMs ({ piecesPerMs, arrivalsPerMs }: RoleCapacity, pieces: number, { state: { job, goalAt }, latenessPenaltyMs, minLateCapacityRatio }: ForecastEntry & Required<ForecastOptions>, now: number): number {
   let arrivalsAheadPerMs = 0
   let arrivingPieces = 0
   for (const [rank, perMs] of arrivalsPerMs) {
@@ -132,6 +137,6 @@
     arrivalsAheadPerMs += perMs
     arrivingPieces += perMs * aheadForMs
   }
-  const sparePiecesPerMs = Math.max(piecesPerMs * MIN_LATE_CAPACITY_RATIO, piecesPerMs - arrivalsAheadPerMs)
+  const sparePiecesPerMs = Math.max(piecesPerMs * minLateCapacityRatio, piecesPerMs - arrivalsAheadPerMs)
   return Math.min(pieces / sparePiecesPerMs, (pieces + arrivingPieces) / piecesPerMs)
 }
--- a/src/services/preparation/common/jobOrder.ts
+++ b/src/services/preparation/common/jobOrder.ts
@@ -2,7 +2,7 @@
  * Ranks jobs in scheduling order and forecasts when each completes.
  */
 import { forecastJobs, RANK_STEP_MS } from './jobForecast.ts'
-import type { JobForecast, RoleCapacity } from './jobForecast.ts'
+import type { ForecastOptions, JobForecast, RoleCapacity } from './jobForecast.ts'
 import type { JobState } from './jobState.ts'
 import { computeCallMs } from './pieceUpstream.ts'
 import type { PieceWorkSpec } from './pieceUpstream.ts'
@@ -24,7 +24,11 @@
 const ADMISSION_MARGIN = 0.1
 
 export class JobOrder {
-  constructor (private readonly _workSpecs: ReadonlyMap<string, PieceWorkSpec>, private readonly _pool: PieceUpstreams) {}
+  constructor (
+    private readonly _workSpecs: ReadonlyMap<string, PieceWorkSpec>,
+    private readonly _pool: PieceUpstreams,
+    private readonly _forecastOptions: ForecastOptions = {}
+  ) {}
 
   /** Returns the active jobs in scheduling order. Whether a job is late is taken from the latest forecast. */
   rank (jobs: Iterable<JobState>, now: number): readonly JobState[] {
@@ -43,7 +47,7 @@
     const entries = activeJobs
       .map(state => ({ state, remainingMs: this._estimateMinimumMs(state) + (state === newJob ? ADMISSION_MARGIN * state.job.goalInMs : 0), latenessPenaltyMs: computeLatenessPenaltyMs(state, lowestRank), score: this._scoreOnTime(state, now) }))
       .sort((a, b) => a.score - b.score)
-    return forecastJobs(entries, capacities, now)
+    return forecastJobs(entries, capacities, now, this._forecastOptions)
   }
 
   /** Estimates the remaining time of a job from the usual call durations, the request itself included. */
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -34,6 +34,10 @@
   readonly goalInMs: number
   /** Time, from now, after which the results are useless. */
   readonly deadlineInMs: number
+  /** Identifies the caller's request over all its tries; without it no capacity is reserved for the caller's return. */
+  readonly returnKey?: string | undefined
+  /** The longest delay, from now, that the caller observes before it returns. */
+  readonly returnWithinMs?: number | undefined
   /** Upstreams have crashed while running the request or its pieces, so its pieces never share a call with those of other jobs. */
   readonly isSuspect?: boolean
   /** The only halls that may run its pieces and the request itself; undefined for all. */
@@ -80,6 +84,18 @@
 export interface JobRefusal {
   readonly reason: 'overloaded' | 'tooLate' | 'noUpstream' | 'interrupted'
   readonly retryAfterMs: number
+  /** The plan reserved capacity for the caller's return at that time, so that no other plan is tried. */
+  readonly isReserved?: boolean | undefined
+}
+
+/** Capacity of one plan that is reserved for a refused caller, as it is sent between nodes. */
+export interface ReservationEntry {
+  /** The `returnKey` of the caller's job. */
+  readonly key: string
+  /** Time until the caller returns as told, in milliseconds. */
+  readonly returnInMs: number
+  /** Number of pieces by role. */
+  readonly pieces: readonly { readonly role: string, readonly count: number }[]
 }
 
 /** The plan could complete an offered job, but not by its goal. */
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -15,6 +15,8 @@
 export const MAX_EXCLUDED_TARGETS = 200
 /** Maximum number of prefix cache entries in one message. */
 export const MAX_PREFIX_ENTRIES = 400
+/** Maximum number of reservations in one message. */
+export const MAX_RESERVATION_ENTRIES = 200
 
 const StageSchema = Schema.Struct({
   role: Id,
@@ -33,6 +35,9 @@
   rank: Count,
   goalInMs: NonNegative,
   deadlineInMs: NonNegative,
+  /** Earlier versions send neither this nor the next field. */
+  returnKey: Schema.optional(Schema.String.pipe(Schema.maxLength(256))),
+  returnWithinMs: Schema.optional(NonNegative),
   isSuspect: Schema.optional(Schema.Boolean),
   homeHalls: Schema.optional(Schema.Array(Schema.String.pipe(Schema.maxLength(256)))),
   excludedTargets: Schema.optional(Schema.Array(Id).pipe(Schema.maxItems(MAX_EXCLUDED_TARGETS)))
@@ -44,6 +49,12 @@
 
 const CarriedPieceSchema = Schema.Struct({ ...ComputedPieceSchema.fields, ageMs: NonNegative })
 
+const ReservationEntrySchema = Schema.Struct({
+  key: Schema.String.pipe(Schema.maxLength(256)),
+  returnInMs: NonNegative,
+  pieces: Schema.Array(Schema.Struct({ role: Id, count: Count })).pipe(Schema.maxItems(MAX_STAGES))
+})
+
 const PreparationMessageSchema = Schema.Union(
   /** First message on a link: the process that the sender regards as the coordinator. Earlier versions do not send it. */
   Schema.Struct({ kind: Schema.Literal('hello'), incarnation: Count }),
@@ -90,7 +101,7 @@
   Schema.Struct({
     kind: Schema.Literal('refused'),
     jobId: Id,
-    refusal: Schema.Struct({ reason: Schema.Literal('overloaded', 'tooLate', 'noUpstream', 'interrupted'), retryAfterMs: NonNegative })
+    refusal: Schema.Struct({ reason: Schema.Literal('overloaded', 'tooLate', 'noUpstream', 'interrupted'), retryAfterMs: NonNegative, isReserved: Schema.optional(Schema.Boolean) })
   }),
   /** Prefixes that the owner's requests left in upstream caches, for a coordinator that may be new. */
   Schema.Struct({
@@ -98,6 +109,12 @@
     hall: Schema.String.pipe(Schema.maxLength(256)),
     notes: Schema.Array(Schema.Struct({ shared: SharedPrefixesSchema, targetId: Id, ageMs: NonNegative })).pipe(Schema.maxItems(MAX_PREFIX_ENTRIES))
   }),
+  /** Reservations that the sender's callers were given by an earlier coordinator of the hall. */
+  Schema.Struct({
+    kind: Schema.Literal('reservations'),
+    hall: Schema.String.pipe(Schema.maxLength(256)),
+    entries: Schema.Array(ReservationEntrySchema).pipe(Schema.maxItems(MAX_RESERVATION_ENTRIES))
+  }),
   /** Asks the coordinator of a hall for permission to send one request to a rate limited upstream of that hall. */
   Schema.Struct({
     kind: Schema.Literal('quotaWanted'),
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -26,6 +26,11 @@
 import type { PrefixEntry } from './prefixIndex.ts'
 import type { TargetReport } from './targetPlanner.ts'
 
+export interface PreparationPlannerOptions {
+  /** Whether late jobs get only the capacity that jobs in time leave over. */
+  readonly hasContention?: boolean
+}
+
 interface StartedCall {
   readonly call: PlannedCall
   readonly pieces: readonly ReadyPiece[]
@@ -48,8 +53,8 @@
   private readonly _workSpecs = new Map<string, PieceWorkSpec>()
   private readonly _jobs = new Map<string, JobState>()
   private readonly _pool = new PieceUpstreams(this._upstreams)
-  private readonly _jobOrder = new JobOrder(this._workSpecs, this._pool)
-  private readonly _batchPlanner = new BatchPlanner(this._pool, this._jobOrder)
+  private readonly _jobOrder: JobOrder
+  private readonly _batchPlanner: BatchPlanner
   private readonly _hallLoads = new HallLoads(this._upstreams, this._jobs, this._workSpecs)
   private readonly _calls = new Map<number, StartedCall>()
   private readonly _pendingFrees = new PendingFrees()
@@ -62,7 +67,10 @@
   private _isDraining = false
 
   /** Targets are the upstreams that run the requests themselves. Without `hasOpenTarget`, the listed targets are regarded as all that exist. */
-  constructor (listTargets: JobTargetsOptions['listTargets'], hasOpenTarget: JobTargetsOptions['hasOpenTarget'] = role => listTargets(role).some(({ limit }) => limit === undefined)) {
+  constructor (listTargets: JobTargetsOptions['listTargets'], hasOpenTarget: JobTargetsOptions['hasOpenTarget'] = role => listTargets(role).some(({ limit }) => limit === undefined), { hasContention = false }: PreparationPlannerOptions = {}) {
+    // Under contention, a guaranteed share for late jobs makes as many others late, which are then late in turn.
+    this._jobOrder = new JobOrder(this._workSpecs, this._pool, hasContention ? { minLateCapacityRatio: 0 } : {})
+    this._batchPlanner = new BatchPlanner(this._pool, this._jobOrder)
     this._targets = new JobTargets({ listTargets, hasOpenTarget, halls: this._hallLoads, upstreams: this._upstreams })
   }
 
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -12,6 +12,8 @@
   readonly getTable: () => RelayTable | undefined
   /** The rate limits of upstreams; without it no upstream is limited. */
   readonly limits?: RateLimitSource
+  /** Whether plans of single halls handle contention; see docs/CONTENTION.md. */
+  readonly handlesContention?: boolean
 }
 
 /** The plan for the upstreams of one hall, or for all upstreams if the hall is empty. */
@@ -21,11 +23,11 @@
   isFreeScheduled = false
   loadLoggedAt = -Infinity
 
-  constructor (readonly hall: string, { registry, getTable, limits }: PlanShardOptions) {
+  constructor (readonly hall: string, { registry, getTable, limits, handlesContention = false }: PlanShardOptions) {
     this.planner = new PreparationPlanner(role => {
       const msPerMovedToken = computeTransferMsPerToken(getTable()?.getRole(role)?.generationWork)
       return registry.listAvailable(role).filter(entry => this.isInScope(entry)).map(entry => ({ id: entry.id, hall: entry.hall, msPerMovedToken, limit: limits?.findLimit(entry) }))
-    }, (role, homeHalls) => registry.listAvailable(role).some(entry => homeHalls?.includes(entry.hall) !== false && limits?.findLimit(entry) === undefined))
+    }, (role, homeHalls) => registry.listAvailable(role).some(entry => homeHalls?.includes(entry.hall) !== false && limits?.findLimit(entry) === undefined), { hasContention: handlesContention && hall !== '' })
   }
 
   isInScope (entry: UpstreamEntry): boolean {
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -25,6 +25,7 @@
   readonly registry: UpstreamRegistry
   readonly getTable: () => RelayTable | undefined
   readonly limits?: RateLimitSource
+  readonly handlesContention?: boolean
   /** Checked before a call is written to the connection; without a guard every call is sent. */
   readonly guard?: SendGuard
 }
