Give each hall's plan a share of the jobs by its capacity

Cause: plans were ranked for a prompt with equal shares, although a hall of the contended deployment has two or three of eleven upstreams of the scarce role.

Change: with `contention` on, plans are ranked by weighted rendezvous hashing; a hall's weight is its smallest share of the upstreams of any role of the route. The list of upstreams and its counts are cached until an upstream changes.

--- a/src/base/common/rendezvous.ts
+++ b/src/base/common/rendezvous.ts
@@ -17,6 +17,19 @@
   return (hash ^ (hash >>> 16)) >>> 0
 }
 
+const HASH_RANGE = 2 ** 32
+
+/**
+ * Returns the candidates in their order of preference for the key. Each is first for a share of the keys that is proportional
+ * to its weight, and a change of one weight moves only keys to or from that candidate. Weights are above 0.
+ */
+export function rankByWeightedRendezvous (key: string, weights: ReadonlyMap<string, number>): readonly string[] {
+  return [...weights]
+    .map(([candidate, weight]) => ({ candidate, score: -Math.log((hashText(`${key}\u0000${candidate}`) + 0.5) / HASH_RANGE) / weight }))
+    .sort((a, b) => a.score - b.score || (a.candidate < b.candidate ? -1 : 1))
+    .map(entry => entry.candidate)
+}
+
 /** Returns the candidates in their order of preference for the key. */
 export function rankByRendezvous (key: string, candidates: readonly string[]): readonly string[] {
   return candidates
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -56,6 +56,7 @@
 import type { NodeSettings } from './nodeSettings.ts'
 import { NodeStatements } from './nodeStatements.ts'
 import { GracefulShutdown } from './gracefulShutdown.ts'
+import { PieceUpstreamList } from './pieceUpstreamList.ts'
 import { createStatementsHandler } from './statementsHandler.ts'
 import { UpstreamSynchronizer } from './upstreamSynchronizer.ts'
 
@@ -199,6 +200,7 @@
     this._register(pieceProtocol.onDidReceiveStatement(batch => this._statements.recordStatements(batch)))
     this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard, handlesContention: settings.contention === 'on' }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log, (upstream, limit) => this._quota.acquireForPeer(upstream, limit), options.incarnation))
+    const pieceUpstreams = new PieceUpstreamList(this._registry, getTable)
     this._preparationClient = this._register(new PreparationClient({
       clock,
       log,
@@ -209,8 +211,9 @@
       isMembershipKnown: () => this._fleetMember.hasJoined,
       onDidReceiveMembers: this._fleetMember.onDidJoin,
       address: coordinatorAddress,
+      weighsPlans: settings.contention === 'on',
       listCoordinators: () => coordinatorDirectory.listCoordinators(),
-      listPieceUpstreams: () => (this._relayTable?.listPieceRoles() ?? []).flatMap(role => this._registry.listAvailable(role.name))
+      listPieceUpstreams: () => pieceUpstreams.list()
     }))
     this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation }))
     const agent = new Agent({ keepAlive: true, timeout: UPSTREAM_IDLE_TIMEOUT_MS, scheduling: 'lifo' })
--- a/src/services/preparation/common/coordinatorChoice.ts
+++ b/src/services/preparation/common/coordinatorChoice.ts
@@ -2,7 +2,7 @@
  * Chooses the plan of a job and the node that coordinates each plan. Nodes with the same view of members and upstreams make
  * the same choice. No consensus is needed: two coordinators for a while only cause extra work.
  */
-import { rankByRendezvous } from '../../../base/common/rendezvous.ts'
+import { rankByRendezvous, rankByWeightedRendezvous } from '../../../base/common/rendezvous.ts'
 
 export interface CoordinatorCandidate {
   readonly address: string
@@ -24,14 +24,55 @@
  */
 const MIN_UPSTREAMS_PER_HALL = 2
 
-/** Returns the halls that have their own plan, in the order in which a job should try them; an empty hall means one plan for all halls. */
-export function listPlans (upstreams: readonly PlannedUpstream[], key: string): readonly string[] {
-  const halls = [...new Set(upstreams.map(upstream => upstream.hall))]
-  const counts = new Map<string, number>()
-  for (const { role } of upstreams) counts.set(role, (counts.get(role) ?? 0) + 1)
+/**
+ * Returns the halls that have their own plan, in the order in which a job should try them; an empty hall means one plan for
+ * all halls. With `roles`, each hall is first for a share of the jobs that corresponds to its share of the upstreams of these
+ * roles; otherwise all halls are first for the same share.
+ */
+export function listPlans (upstreams: readonly PlannedUpstream[], key: string, roles: readonly string[] = []): readonly string[] {
+  const { countsByHall, counts } = countUpstreams(upstreams)
+  const halls = [...countsByHall.keys()]
   const fewest = Math.min(...counts.values())
   if (halls.length < 2 || fewest / halls.length < MIN_UPSTREAMS_PER_HALL) return ['']
-  return rankByRendezvous(key, halls)
+  if (roles.length === 0) return rankByRendezvous(key, halls)
+  return rankByWeightedRendezvous(key, new Map([...countsByHall].map(([hall, inHall]) => [hall, computeHallWeight(inHall, counts, roles)])))
+}
+
+type RoleCounts = ReadonlyMap<string, number>
+
+/** Weight of a hall that has no upstream of one of the roles: its jobs use upstreams of other halls for that role. */
+const MISSING_ROLE_WEIGHT = 0.01
+
+/**
+ * Returns the smallest share that a hall has of the upstreams of any of the roles, since the role that is scarcest there
+ * limits how many jobs the hall can complete.
+ */
+function computeHallWeight (inHall: RoleCounts, counts: RoleCounts, roles: readonly string[]): number {
+  const shares = roles.filter(role => counts.has(role)).map(role => (inHall.get(role) ?? 0) / (counts.get(role) ?? 1))
+  return Math.max(MISSING_ROLE_WEIGHT, Math.min(1, ...shares))
+}
+
+interface UpstreamCounts {
+  readonly countsByHall: ReadonlyMap<string, RoleCounts>
+  readonly counts: RoleCounts
+}
+
+/** By list: callers pass the same one until an upstream changes. */
+const countsCache = new WeakMap<readonly PlannedUpstream[], UpstreamCounts>()
+
+function countUpstreams (upstreams: readonly PlannedUpstream[]): UpstreamCounts {
+  const cached = countsCache.get(upstreams)
+  if (cached !== undefined) return cached
+  const countsByHall = new Map<string, Map<string, number>>()
+  const counts = new Map<string, number>()
+  for (const { hall, role } of upstreams) {
+    const inHall = countsByHall.get(hall) ?? new Map<string, number>()
+    countsByHall.set(hall, inHall.set(role, (inHall.get(role) ?? 0) + 1))
+    counts.set(role, (counts.get(role) ?? 0) + 1)
+  }
+  const counted = { countsByHall, counts }
+  countsCache.set(upstreams, counted)
+  return counted
 }
 
 /** Returns the plans for a job restricted to its home halls: only plans of single halls, since a plan of all halls would use others too. */
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -46,6 +46,8 @@
   readonly listCoordinators: () => readonly CoordinatorCandidate[]
   /** All upstreams that compute pieces. */
   readonly listPieceUpstreams: () => readonly PlannedUpstream[]
+  /** Whether each hall gets a share of the jobs that corresponds to its capacity, instead of equal shares. */
+  readonly weighsPlans?: boolean
   /** Opens a link to a coordinator; resolves with undefined if it cannot be reached in time. */
   readonly openLink?: (options: CoordinatorLinkOptions) => Promise<CoordinatorLink | undefined>
   /** Links that are shared with other services; without them the client opens its own. */
@@ -182,7 +184,9 @@
     const { job } = ownedJob
     const upstreams = this._options.listPieceUpstreams()
     const key = job.request.shared.at(-1)?.key ?? job.id
-    return job.homeHalls === undefined ? listPlans(upstreams, key) : listHomePlans(upstreams, key, job.homeHalls)
+    if (job.homeHalls !== undefined) return listHomePlans(upstreams, key, job.homeHalls)
+    // Stages without pieces count too: requests of one route share prompts, and must prefer the same plan.
+    return listPlans(upstreams, key, this._options.weighsPlans === true ? job.stages.map(({ role }) => role) : [])
   }
 
   /** If a plan lacks capacity or upstreams, or would finish late, the job is submitted to another plan. */
--- a/src/services/preparation/test/coordinatorChoice.test.ts
+++ b/src/services/preparation/test/coordinatorChoice.test.ts
@@ -37,6 +37,20 @@
   assert.equal(listPlans([...createUpstreams(3), { role: 't', hall: 'x' }], 'p'), [''])
 })
 
+test('a hall with fewer upstreams of a scarce role gets fewer jobs, so that its queue is not the longest', () => {
+  const upstreams = [...createUpstreams(3), { role: 't', hall: 'x' }, { role: 't', hall: 'x' }, { role: 't', hall: 'y' }, { role: 't', hall: 'y' }, { role: 't', hall: 'y' }, { role: 't', hall: 'z' }, { role: 't', hall: 'z' }, { role: 't', hall: 'z' }]
+  const countFirst = (roles: readonly string[], hall: string) => Array.from({ length: 4000 }, (_, index) => listPlans(upstreams, `prompt-${index}`, roles)[0]).filter(first => first === hall).length
+  assert.ok(Math.abs(countFirst(['r'], 'x') / 4000 - 1 / 3) < 0.03)
+  assert.ok(Math.abs(countFirst(['r', 't'], 'x') / 4000 - 0.25 / (0.25 + 2 / 3)) < 0.03)
+})
+
+test('the loss of one upstream moves few prompts to another hall, so that prefix caches stay useful', () => {
+  const before = [...createUpstreams(4), ...createUpstreams(4)]
+  const after = before.slice(1)
+  const movedCount = Array.from({ length: 1000 }, (_, index) => `prompt-${index}`).filter(key => listPlans(before, key, ['r', 's'])[0] !== listPlans(after, key, ['r', 's'])[0]).length
+  assert.ok(movedCount < 60, `${movedCount} of 1000 moved`)
+})
+
 test('a job with home halls is planned only there, even if one plan serves all other jobs', () => {
   assert.equal(listHomePlans(createUpstreams(1), 'p', ['y']), ['y'])
   assert.equal([...listHomePlans(createUpstreams(1), 'p', ['y', 'z', 'elsewhere'])].sort(), ['y', 'z'])
