Reserve capacity for refused callers, and simulate a contended load

Cause: a refused caller was told when a late job would be admitted, and came back to the same queue.

Change: with `hasContention`, a refused job gets the first time at which the projected queues of its roles let it meet its goal (`capacityOutlook.ts`), and the plan reserves its pieces (`returnReservations.ts`). New jobs are admitted behind the reserved work that returns within their goal. A caller that returns as told is admitted unless no upstream makes its pieces or its deadline cannot be met, and is ordered without the offset of its rank. The decision moves from the planner to `jobAdmission.ts` and `contendedAdmission.ts`.

--- a/src/load/lab/labDeployment.ts
+++ b/src/load/lab/labDeployment.ts
@@ -62,9 +62,19 @@
   readonly detectedAfterMs: number
 }
 
+/** Periodic variation of all arrival rates: the factor swings around 1. */
+export interface LabWave {
+  readonly swing: number
+  readonly periodMs: number
+  readonly phase: number
+}
+
 export interface LabDeployment {
   readonly seed: number
   readonly durationMs: number
+  readonly wave?: LabWave
+  /** Whether an answer within the goal of the second attempt earns more than a late one, if the first was refused promptly. */
+  readonly hasReturnCredit?: boolean
   readonly upstreams: readonly LabUpstream[]
   readonly kinds: readonly LabRequestKind[]
   readonly bursts: readonly LabBurst[]
@@ -145,3 +155,40 @@
     plannerLosses: [{ at: drawBetween(random, 3000, 12_000), detectedAfterMs: 30 }, { at: drawBetween(random, 14_000, 22_000), detectedAfterMs: 600 }]
   }
 }
+
+/** A deployment whose last stage is short of capacity at the crest of a wave and in bursts. */
+export function generateContendedDeployment (seed: number): LabDeployment {
+  const random = new SeededRandom(seed)
+  const createRole = (role: string, count: number, work: PieceWorkSpec) => Array.from({ length: count }, (_, index) => ({ id: `${role}-${index}`, role, hall: 'h0', work }))
+  const common = { concurrentCalls: 1, callMs: 150, resultLifetimeMs: 4000 }
+  const upstreams = [
+    ...createRole('large', 3, { ...common, maxPiecesPerCall: 14, pieceMs: 9.2, resultRoomBytes: 81e6 }),
+    ...createRole('middle', drawInteger(random, 2, 3), { ...common, maxPiecesPerCall: 67, pieceMs: 1.91, resultRoomBytes: 11.5e6 }),
+    ...createRole('small', drawInteger(random, 2, 3), { ...common, maxPiecesPerCall: 98, pieceMs: 1.75, resultRoomBytes: 1.74e6 })
+  ]
+  const createChain = (previousStage: number): readonly LabStage[] => [
+    { role: 'large', after: [], meanPieces: 1, share: 1, resultBytes: 8000, costFactor: 0.3 },
+    { role: 'middle', after: [previousStage], meanPieces: 8, share: 1, resultBytes: 60_000, costFactor: 1 },
+    { role: 'small', after: [previousStage + 1], meanPieces: 16, share: 1, resultBytes: 6000, costFactor: 1 }
+  ]
+  const drawLargeStage = (meanPieces: number, share: number): LabStage => ({ role: 'large', after: [], meanPieces, share, resultBytes: 3e6, costFactor: 1 })
+  const kinds: readonly LabRequestKind[] = [
+    { name: 'normal', rank: 0, requestsPerSecond: 30, goalMs: 1500, deadlineMs: 6000, credit: 1.9, lateCredit: 0.28, stages: createChain(0), firstEventMs: 80 },
+    { name: 'urgent', rank: 1, requestsPerSecond: 27, goalMs: 930, deadlineMs: 6000, credit: 3.1, lateCredit: 0.46, stages: [drawLargeStage(2.5, 0.7)], firstEventMs: 200 },
+    { name: 'least', rank: 2, requestsPerSecond: 6.6, goalMs: 1400, deadlineMs: 15_000, credit: 1.6, lateCredit: 0.24, stages: [drawLargeStage(1.5, 0.4), ...createChain(1)], firstEventMs: 45 }
+  ]
+  const smallCount = upstreams.filter(({ role }) => role === 'small').length
+  const createBurst = (at: number, kind: string | undefined): LabBurst => ({ startAt: at, durationMs: drawBetween(random, 4000, 6500), factor: drawBetween(random, kind === undefined ? 1.8 : 2.4, kind === undefined ? 2.2 : 3), kind })
+  const urgentFirst = random.next() < 0.5
+  return {
+    seed,
+    durationMs: ARRIVALS_MS,
+    hasReturnCredit: true,
+    wave: { swing: 0.55, periodMs: 13_000, phase: random.next() },
+    upstreams,
+    kinds: kinds.map(kind => ({ ...kind, requestsPerSecond: kind.requestsPerSecond * smallCount / 2.75 })),
+    bursts: [createBurst(3500, urgentFirst ? 'urgent' : 'normal'), createBurst(15_000, urgentFirst ? 'normal' : 'urgent'), createBurst(26_000, undefined)],
+    slowdowns: [],
+    plannerLosses: []
+  }
+}
--- a/src/load/lab/labRun.ts
+++ b/src/load/lab/labRun.ts
@@ -8,7 +8,7 @@
 import type { PlannedCall } from '../../services/preparation/common/plannedCall.ts'
 import type { CarriedPiece, JobRefusal, ComputedPiece, PreparationJob } from '../../services/preparation/common/preparationJob.ts'
 import { LabUpstreamModel } from './labUpstreamModel.ts'
-import type { LabDeployment, LabRequestKind } from './labDeployment.ts'
+import type { LabDeployment, LabRequestKind, LabWave } from './labDeployment.ts'
 import { scoreRun } from './labScore.ts'
 import type { LabOutcome, LabScore } from './labScore.ts'
 import { VirtualTimeScheduler } from './virtualTimeScheduler.ts'
@@ -22,16 +22,25 @@
 const MAX_RETRY_WAIT_SHARE = 1 / 3
 /** Every request ends within this time after the last arrival. The rest of a stream after its first event is not simulated. */
 const DRAIN_MS = 20_000
+/** A refusal is prompt within this share of the goal. */
+const PROMPT_REFUSAL_SHARE = 1 / 4
 const MS_PER_S = 1000
 const PIECE_COUNT_SIGMA = 0.5
 const FIRST_EVENT_SIGMA = 0.6
 const MAX_PIECE_COUNT_FACTOR = 4
 
+export interface LabRunOptions {
+  /** Whether the planner reserves capacity for refused callers. */
+  readonly hasContention?: boolean
+}
+
 class LabRequest {
   refusals = 0
   unansweredMs = 0
   submittedAt = 0
   hasEnded = false
+  /** Time of the second attempt, if the first was refused so soon that the second earns credit of its own. */
+  returnedAt: number | undefined
   resultHandles: readonly string[] = []
   private readonly _computedPieces = new Map<string, ComputedPiece & { readonly at: number }>()
 
@@ -55,6 +64,7 @@
   private readonly _upstreamIdByHandle = new Map<string, string>()
   /** Processing time behind each result that has not been used yet, by result handle. */
   private readonly _unusedWorkMs = new Map<string, number>()
+  private readonly _hasContention: boolean
   private _planner: PreparationPlanner
   private _plannerEpoch = 0
   private _usedWorkMs = 0
@@ -64,7 +74,8 @@
   private _pieceCount = 0
   private _noRoomCount = 0
 
-  constructor (private readonly _deployment: LabDeployment) {
+  constructor (private readonly _deployment: LabDeployment, { hasContention = false }: LabRunOptions = {}) {
+    this._hasContention = hasContention
     this._random = new SeededRandom(_deployment.seed + 1)
     this._upstreams = new Map(_deployment.upstreams.map(upstream => [upstream.id, new LabUpstreamModel(upstream, _deployment.slowdowns)]))
     this._planner = this._createPlanner()
@@ -81,14 +92,15 @@
 
   private _createPlanner (): PreparationPlanner {
     const halls = [...new Set(this._deployment.upstreams.map(upstream => upstream.hall))]
-    const planner = new PreparationPlanner(() => halls.flatMap(hall => [{ id: `model-${hall}-0`, hall, msPerMovedToken: Infinity }, { id: `model-${hall}-1`, hall, msPerMovedToken: Infinity }]))
+    const planner = new PreparationPlanner(() => halls.flatMap(hall => [{ id: `model-${hall}-0`, hall, msPerMovedToken: Infinity }, { id: `model-${hall}-1`, hall, msPerMovedToken: Infinity }]), undefined, { hasContention: this._hasContention })
     for (const upstream of this._deployment.upstreams) planner.setUpstream(upstream)
     return planner
   }
 
   private _scheduleArrival (kind: LabRequestKind, from: number): void {
     const factor = this._deployment.bursts.reduce((product, burst) => product * (from >= burst.startAt && from < burst.startAt + burst.durationMs && (burst.kind ?? kind.name) === kind.name ? burst.factor : 1), 1)
-    const at = from - Math.log(1 - this._random.next()) / (kind.requestsPerSecond * factor) * MS_PER_S
+    const wave = computeWaveFactor(this._deployment.wave, from)
+    const at = from - Math.log(1 - this._random.next()) / (kind.requestsPerSecond * factor * wave) * MS_PER_S
     if (at >= this._deployment.durationMs) return
     this._scheduler.schedule(at, () => {
       this._scheduleArrival(kind, at)
@@ -113,6 +125,7 @@
   private _startAttempt (request: LabRequest): void {
     if (request.hasEnded) return
     request.submittedAt = this._scheduler.now
+    if (this._deployment.hasReturnCredit === true && request.refusals === 1 && request.unansweredMs <= request.kind.goalMs * PROMPT_REFUSAL_SHARE) request.returnedAt = this._scheduler.now
     if (request.pieceCounts.every(count => count === 0)) return this._sendRequest(request)
     this._submitJob(request)
   }
@@ -130,6 +143,7 @@
     return {
       id,
       key: id,
+      ...this._hasContention ? { returnKey: id, returnWithinMs: (request.sentAt + kind.deadlineMs - now) * MAX_RETRY_WAIT_SHARE } : {},
       rank: kind.rank,
       // The goal counts from the current attempt, since a retry does not state when the request was first sent.
       goalInMs: Math.max(0, kind.goalMs - waitedMs),
@@ -251,7 +265,7 @@
     const { kind, sentAt, refusals } = request
     const unansweredMs = request.unansweredMs + (answeredAt === undefined && Number.isFinite(request.submittedAt) && refusals < 2 ? this._scheduler.now - request.submittedAt : 0)
     if (answeredAt === undefined) this._planner.releaseJob(request.id)
-    this._outcomes.push({ kind, sentAt, answeredAt, refusals, unansweredMs })
+    this._outcomes.push({ kind, sentAt, answeredAt, refusals, unansweredMs, returnedAt: request.returnedAt })
   }
 
   /** Discards the planner with all its state. Once the loss is detected, the owners submit their open jobs to the new planner. */
@@ -262,3 +276,7 @@
     this._scheduler.schedule(this._scheduler.now + detectedAfterMs, () => { for (const request of openRequests) if (!request.hasEnded) this._submitJob(request) })
   }
 }
+
+function computeWaveFactor (wave: LabWave | undefined, at: number): number {
+  return wave === undefined ? 1 : 1 + wave.swing * Math.sin(2 * Math.PI * (at / wave.periodMs + wave.phase))
+}
--- a/src/load/labCommand.ts
+++ b/src/load/labCommand.ts
@@ -2,7 +2,7 @@
  * `pepperwood-load lab`: runs the planner of pieces in virtual time on randomly generated deployments.
  */
 import { defineCommand } from 'citty'
-import { generateDeployment } from './lab/labDeployment.ts'
+import { generateContendedDeployment, generateDeployment } from './lab/labDeployment.ts'
 import { LabRun } from './lab/labRun.ts'
 import type { LabScore } from './lab/labScore.ts'
 
@@ -33,11 +33,15 @@
   args: {
     first: { type: 'string', default: '1', description: 'the first seed' },
     count: { type: 'string', default: '40', description: 'number of deployments to generate' },
+    contended: { type: 'boolean', default: false, description: 'deployments whose last stage is short of capacity for seconds; refused callers get a time of return' },
+    contention: { type: 'enum', options: ['on', 'off'], default: 'on', description: 'with --contended, whether the planner reserves capacity for refused callers' },
     json: { type: 'boolean', default: false, description: 'one line of JSON for each deployment instead of the table' }
   },
   run ({ args }) {
     const seeds = Array.from({ length: Number(args.count) }, (_, index) => Number(args.first) + index)
-    const scores = seeds.map(seed => new LabRun(generateDeployment(seed)).run())
+    const hasContention = args.contended && args.contention === 'on'
+    const generate = args.contended ? generateContendedDeployment : generateDeployment
+    const scores = seeds.map(seed => new LabRun(generate(seed), { hasContention }).run())
     process.stdout.write(args.json ? scores.map((score, index) => `${JSON.stringify({ seed: seeds[index], ...score })}\n`).join('') : `${formatTable(scores)}\n`)
   }
 })
--- /dev/null
+++ b/src/services/preparation/common/contendedAdmission.ts
@@ -0,0 +1,105 @@
+/**
+ * Admission where capacity is scarce: a refused caller is told when it can be served in time, and capacity is reserved for it.
+ */
+import { findReturnMs } from './capacityOutlook.ts'
+import type { RoleOutlook } from './capacityOutlook.ts'
+import { JobAdmission } from './jobAdmission.ts'
+import { computeRetryAfterMs, decideAdmission } from './jobForecast.ts'
+import type { JobForecast, RoleCapacity } from './jobForecast.ts'
+import { ADMISSION_MARGIN } from './jobOrder.ts'
+import type { JobState } from './jobState.ts'
+import type { AdmissionOptions, JobDecline, JobRefusal, JobStage, ReservationEntry } from './preparationJob.ts'
+import { ReturnReservations } from './returnReservations.ts'
+import type { ReturnCounts } from './returnReservations.ts'
+
+type Capacities = ReadonlyMap<string, RoleCapacity>
+
+export class ContendedAdmission extends JobAdmission {
+  private readonly _reservations = new ReturnReservations()
+
+  override get returnCounts (): ReturnCounts {
+    return this._reservations.counts
+  }
+
+  override decide (state: JobState, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
+    const capacities = this._options.pool.computeCapacities(now)
+    const { returnKey } = state.job
+    if (returnKey === undefined) return this._decideNew(state, capacities, now, options)
+    if (this._reservations.take(returnKey, now) !== undefined) return this._decideReturn(state, returnKey, capacities, now)
+    const decision = this._decideNew(state, capacities, now, options)
+    if (decision === undefined && this._reservations.find(returnKey, now) !== undefined) this._reservations.recordReturn(returnKey, true)
+    return decision
+  }
+
+  protected override refuseWaiting (forecast: JobForecast, now: number): JobRefusal {
+    const { state } = forecast
+    const capacities = this._options.pool.computeCapacities(now)
+    return this._refuseWithReturn(state, capacities, now) ?? { reason: 'overloaded', retryAfterMs: computeRetryAfterMs(forecast, state.deadlineAt) }
+  }
+
+  override listReservations (now: number): readonly ReservationEntry[] {
+    return this._reservations.list(now).map(({ key, at, pieces }) => ({ key, returnInMs: Math.max(0, at - now), pieces }))
+  }
+
+  override adoptReservations (entries: readonly ReservationEntry[], now: number): void {
+    for (const entry of entries) this._reservations.adopt(entry, now)
+  }
+
+  private _decideNew (state: JobState, capacities: Capacities, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
+    const reservedPieces = this._reservations.sumPieces(state.goalAt, now, state.job.returnKey)
+    const forecast = this._forecast(state, capacities, now, reservedPieces)
+    if (forecast === undefined) return undefined
+    const decision = decideAdmission(forecast, capacities, now, options)
+    return decision?.reason === 'overloaded' ? this._refuseWithReturn(state, capacities, now) ?? decision : decision
+  }
+
+  /** Admits a caller that returned as told, also if it is late, unless it cannot be served before its deadline. */
+  private _decideReturn (state: JobState, returnKey: string, capacities: Capacities, now: number): JobRefusal | undefined {
+    state.isReturn = true
+    const forecast = this._forecast(state, capacities, now)
+    const decision = forecast === undefined ? undefined : decideAdmission(forecast, capacities, now)
+    const isImpossible = decision?.reason === 'noUpstream' || (forecast !== undefined && forecast.endAt > state.deadlineAt)
+    this._reservations.recordReturn(returnKey, !isImpossible)
+    return isImpossible && decision?.reason !== 'late' ? decision : undefined
+  }
+
+  /** Refuses a job with a time of return, if its caller accepts one. */
+  private _refuseWithReturn (state: JobState, capacities: Capacities, now: number): JobRefusal | undefined {
+    const { job } = state
+    if (job.returnKey === undefined || job.returnWithinMs === undefined || state.isStarted || state.isReturn) return undefined
+    const existing = this._reservations.find(job.returnKey, now)
+    if (existing !== undefined) return { reason: 'overloaded', retryAfterMs: Math.max(0, existing.at - now), isReserved: true }
+    const maxReturnMs = job.returnWithinMs * Math.max(0, state.deadlineAt - now) / Math.max(1, job.deadlineInMs)
+    const returnMs = this._findReturnMs(state, capacities, maxReturnMs, now)
+    if (returnMs === undefined) return { reason: 'overloaded', retryAfterMs: Math.round(maxReturnMs) }
+    const isReserved = this._reservations.add({ key: job.returnKey, at: now + returnMs, pieces: countPieces(job.stages) }, now)
+    return { reason: 'overloaded', retryAfterMs: returnMs, ...isReserved ? { isReserved } : {} }
+  }
+
+  private _findReturnMs (state: JobState, capacities: Capacities, maxReturnMs: number, now: number): number | undefined {
+    const { job } = state
+    const maxQueueMs = job.goalInMs * (1 - ADMISSION_MARGIN) - this._options.jobOrder.estimateRemainingMs(state, now)
+    return findReturnMs({ roles: this._viewRoles(job.stages, capacities, now), expectedWork: this._reservations.list(now), maxQueueMs, maxReturnMs }, now)
+  }
+
+  private _viewRoles (stages: readonly JobStage[], capacities: Capacities, now: number): ReadonlyMap<string, RoleOutlook> {
+    const { jobs, pool } = this._options
+    const queued = new Map<string, number>()
+    for (const other of jobs.values()) {
+      if (!other.isActive) continue
+      other.job.stages.forEach(({ role }, index) => queued.set(role, (queued.get(role) ?? 0) + other.countOpen(index)))
+    }
+    return new Map(stages.filter(({ pieceCount }) => pieceCount > 0).map(({ role }) => {
+      const capacity = capacities.get(role)
+      let arrivalsPerMs = 0
+      for (const perMs of capacity?.arrivalsPerMs.values() ?? []) arrivalsPerMs += perMs
+      return [role, { queuedPieces: queued.get(role) ?? 0, piecesPerMs: capacity?.piecesPerMs ?? 0, arrivalsPerMs, usualArrivalsPerMs: pool.getRate(role).computeUsualArrivalsPerMs(now) }]
+    }))
+  }
+}
+
+function countPieces (stages: readonly JobStage[]): ReservationEntry['pieces'] {
+  const counts = new Map<string, number>()
+  for (const { role, pieceCount } of stages) if (pieceCount > 0) counts.set(role, (counts.get(role) ?? 0) + pieceCount)
+  return [...counts].map(([role, count]) => ({ role, count }))
+}
--- /dev/null
+++ b/src/services/preparation/common/jobAdmission.ts
@@ -0,0 +1,77 @@
+/**
+ * Decides which jobs a plan admits, and when the callers of refused jobs should return.
+ */
+import { computeRetryAfterMs, decideAdmission } from './jobForecast.ts'
+import type { JobForecast, RoleCapacity } from './jobForecast.ts'
+import type { JobOrder } from './jobOrder.ts'
+import type { JobState } from './jobState.ts'
+import type { JobTargets } from './jobTargets.ts'
+import type { PieceUpstreams } from './pieceUpstreams.ts'
+import type { AdmissionOptions, JobDecline, JobRefusal, ReservationEntry } from './preparationJob.ts'
+import type { ReturnCounts } from './returnReservations.ts'
+
+export interface JobAdmissionOptions {
+  readonly pool: PieceUpstreams
+  readonly jobOrder: JobOrder
+  readonly targets: JobTargets
+  readonly jobs: ReadonlyMap<string, JobState>
+}
+
+export abstract class JobAdmission {
+  abstract readonly returnCounts: ReturnCounts
+
+  constructor (protected readonly _options: JobAdmissionOptions) {}
+
+  /** Returns undefined if the job is admitted. */
+  abstract decide (state: JobState, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined
+
+  /** Returns the refusal of an admitted job that misses its deadline. */
+  protected abstract refuseWaiting (forecast: JobForecast, now: number): JobRefusal
+
+  abstract listReservations (now: number): readonly ReservationEntry[]
+
+  abstract adoptReservations (entries: readonly ReservationEntry[], now: number): void
+
+  /**
+   * Updates which jobs are late, and returns refusals of those that the forecast shows to miss their deadline: any further
+   * work on them would be wasted.
+   */
+  updateForecasts (now: number): readonly { readonly state: JobState, readonly refusal: JobRefusal }[] {
+    const { jobOrder, pool, jobs } = this._options
+    return jobOrder.forecast(jobs.values(), pool.computeCapacities(now), now).flatMap(forecast => {
+      const { state } = forecast
+      state.isLate = forecast.isLate
+      const isUnstartedAndLate = forecast.endAt > state.deadlineAt && !state.isStarted
+      const isInfeasible = now + jobOrder.estimateRemainingMs(state, now) > state.deadlineAt
+      return isUnstartedAndLate || isInfeasible ? [{ state, refusal: this.refuseWaiting(forecast, now) }] : []
+    })
+  }
+
+  /** Forecasts a new job behind the admitted ones and `reservedPieces`, the wait for its target included. */
+  protected _forecast (state: JobState, capacities: ReadonlyMap<string, RoleCapacity>, now: number, reservedPieces?: ReadonlyMap<string, number>): JobForecast | undefined {
+    const { jobOrder, targets, jobs } = this._options
+    const forecast = jobOrder.forecast([...jobs.values(), state], capacities, now, state, reservedPieces).find(other => other.state === state)
+    return forecast === undefined ? undefined : targets.addTargetWait(forecast, jobs.values(), now)
+  }
+}
+
+/** Admits every job that can be done within its caller's patience; reserves nothing. */
+export class PatientAdmission extends JobAdmission {
+  override readonly returnCounts: ReturnCounts = { reserved: 0, kept: 0, expired: 0, missed: 0 }
+
+  override decide (state: JobState, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
+    const capacities = this._options.pool.computeCapacities(now)
+    const forecast = this._forecast(state, capacities, now)
+    return forecast === undefined ? undefined : decideAdmission(forecast, capacities, now, options)
+  }
+
+  protected override refuseWaiting (forecast: JobForecast): JobRefusal {
+    return { reason: 'overloaded', retryAfterMs: computeRetryAfterMs(forecast, forecast.state.deadlineAt) }
+  }
+
+  override listReservations (): readonly ReservationEntry[] {
+    return []
+  }
+
+  override adoptReservations (): void {}
+}
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -31,6 +31,12 @@
   readonly minLateCapacityRatio?: number
 }
 
+/** A job that is not admitted yet, and the work that is reserved before it: pieces by role. */
+export interface NewJobEntry {
+  readonly state: JobState
+  readonly reservedPieces: ReadonlyMap<string, number>
+}
+
 export interface JobForecast {
   readonly state: JobState
   /** When the first event of the request is expected. */
@@ -55,12 +61,12 @@
  * Forecasts all jobs, given in scheduling order. A job that would miss its goal is placed behind those that can meet
  * theirs, so that it makes none of them late.
  */
-export function forecastJobs (entries: readonly ForecastEntry[], capacities: ReadonlyMap<string, RoleCapacity>, now: number, { minLateCapacityRatio = MIN_LATE_CAPACITY_RATIO }: ForecastOptions = {}): readonly JobForecast[] {
+export function forecastJobs (entries: readonly ForecastEntry[], capacities: ReadonlyMap<string, RoleCapacity>, now: number, { minLateCapacityRatio = MIN_LATE_CAPACITY_RATIO }: ForecastOptions = {}, newJob?: NewJobEntry): readonly JobForecast[] {
   const piecesAhead = new Map<string, number>()
   const forecasts: JobForecast[] = []
   const late: ForecastEntry[] = []
   for (const entry of entries) {
-    const waitMs = computeQueueMs(entry.state, capacities, piecesAhead, computeWaitMs)
+    const waitMs = computeQueueMs(entry.state, capacities, addReserved(piecesAhead, entry.state, newJob), computeWaitMs)
     const endAt = now + waitMs + entry.remainingMs
     if (endAt > entry.state.goalAt) {
       late.push(entry)
@@ -71,7 +77,7 @@
   }
   for (const entry of late) {
     const { state, remainingMs } = entry
-    const waitMs = computeQueueMs(state, capacities, piecesAhead, (capacity, pieces) => computeLateWaitMs(capacity, pieces, { ...entry, minLateCapacityRatio }, now))
+    const waitMs = computeQueueMs(state, capacities, addReserved(piecesAhead, state, newJob), (capacity, pieces) => computeLateWaitMs(capacity, pieces, { ...entry, minLateCapacityRatio }, now))
     forecasts.push({ state, endAt: now + waitMs + remainingMs, waitMs, isLate: true })
     addOpenPieces(state, piecesAhead)
   }
@@ -100,6 +106,14 @@
   return Math.round(Math.max(MIN_RETRY_MS, endAt - latestEndAt))
 }
 
+/** Returns the pieces before a job, with the reserved ones if it is the new job. */
+function addReserved (piecesAhead: ReadonlyMap<string, number>, state: JobState, newJob: NewJobEntry | undefined): ReadonlyMap<string, number> {
+  if (newJob?.state !== state || newJob.reservedPieces.size === 0) return piecesAhead
+  const sums = new Map(piecesAhead)
+  for (const [role, count] of newJob.reservedPieces) sums.set(role, (sums.get(role) ?? 0) + count)
+  return sums
+}
+
 /** Adds the open pieces of a job to the counts by role. */
 function addOpenPieces (state: JobState, counts: Map<string, number>): void {
   state.job.stages.forEach((stage, index) => {
--- a/src/services/preparation/common/jobOrder.ts
+++ b/src/services/preparation/common/jobOrder.ts
@@ -21,7 +21,9 @@
  * Share of its goal that a new job must have to spare to be regarded as in time, since throughput varies from second to
  * second. Without a margin, jobs at the limit become late after they were admitted, and are refused after a useless wait.
  */
-const ADMISSION_MARGIN = 0.1
+export const ADMISSION_MARGIN = 0.1
+
+const NO_PIECES: ReadonlyMap<string, number> = new Map()
 
 export class JobOrder {
   constructor (
@@ -40,14 +42,14 @@
       .map(({ state }) => state)
   }
 
-  /** Forecasts all active jobs; the margin for admission applies to `newJob` only. */
-  forecast (jobs: Iterable<JobState>, capacities: ReadonlyMap<string, RoleCapacity>, now: number, newJob?: JobState): readonly JobForecast[] {
+  /** Forecasts all active jobs; the margin for admission and the reserved pieces apply to `newJob` only. */
+  forecast (jobs: Iterable<JobState>, capacities: ReadonlyMap<string, RoleCapacity>, now: number, newJob?: JobState, reservedPieces: ReadonlyMap<string, number> = NO_PIECES): readonly JobForecast[] {
     const activeJobs = [...jobs].filter(state => state.isActive)
     const lowestRank = findLowestRank(activeJobs)
     const entries = activeJobs
       .map(state => ({ state, remainingMs: this._estimateMinimumMs(state) + (state === newJob ? ADMISSION_MARGIN * state.job.goalInMs : 0), latenessPenaltyMs: computeLatenessPenaltyMs(state, lowestRank), score: this._scoreOnTime(state, now) }))
       .sort((a, b) => a.score - b.score)
-    return forecastJobs(entries, capacities, now, this._forecastOptions)
+    return forecastJobs(entries, capacities, now, this._forecastOptions, newJob === undefined ? undefined : { state: newJob, reservedPieces })
   }
 
   /** Estimates the remaining time of a job from the usual call durations, the request itself included. */
@@ -58,9 +60,9 @@
     })
   }
 
-  /** Returns the score of a job that can be in time; lower scores go first. */
+  /** Returns the score of a job that can be in time; lower scores go first. A caller that returns as told has waited for its rank before. */
   private _scoreOnTime (state: JobState, now: number): number {
-    return state.goalAt - this.estimateRemainingMs(state, now) + state.job.rank * RANK_STEP_MS
+    return state.goalAt - this.estimateRemainingMs(state, now) + (state.isReturn ? 0 : state.job.rank * RANK_STEP_MS)
   }
 
   /**
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -27,6 +27,8 @@
   isLate = false
   /** All results are computed, and the owner was notified. */
   isHandedOver = false
+  /** The caller returned when it was told to, and capacity was reserved for it. */
+  isReturn = false
   /** The link to the job's owner is down. */
   isDetached = false
   /** The upstream that should run the request, and its hall; empty if there is none. */
--- a/src/services/preparation/common/pieceUpstream.ts
+++ b/src/services/preparation/common/pieceUpstream.ts
@@ -2,6 +2,7 @@
  * The planner's state of an upstream that runs pieces: its running calls, the result capacity in use, its speed and its
  * backoffs.
  */
+import type { PieceCallOutcome } from './plannedCall.ts'
 
 /** Limits and nominal costs of the upstreams of a role, from the configuration. */
 export interface PieceWorkSpec {
@@ -30,6 +31,7 @@
 const SLOWNESS_HALF_LIFE_MS = 2000
 const INITIAL_BACKOFF_MS = 400
 const MAX_BACKOFF_MS = 3200
+const FULL_BACKOFF_MS = 60
 
 export class PieceUpstream {
   readonly id: string
@@ -129,6 +131,18 @@
     this._failureBackoffMs = Math.min(MAX_BACKOFF_MS, this._failureBackoffMs * 2)
   }
 
+  /** Backs off as the outcome of a call requires that has computed nothing. */
+  recordFailedCall (outcome: PieceCallOutcome, now: number): void {
+    if (outcome.kind === 'notRun' && (outcome.reason === 'full' || outcome.reason === 'withheld')) this.applyBriefBackoff(now, FULL_BACKOFF_MS)
+    else if (outcome.kind === 'notRun' && outcome.reason === 'backingOff') this.recordRequestedBackoff(now, outcome.retryInMs)
+    else if (outcome.kind === 'notRun' && outcome.reason === 'limited') this.recordRateLimit(now, outcome.retryInMs)
+    else this.applyFailureBackoff(now)
+  }
+
+  describe (now: number): object {
+    return { id: this.id, role: this.role, runningCalls: this.runningCalls, slowness: this.getSlowness(now), freeBytes: this.getFreeBytes(now), isUsable: this.isUsable(now) }
+  }
+
   /** Backs off briefly, without increasing later backoffs: the upstream is busy, but has not failed. */
   applyBriefBackoff (now: number, forMs: number): void {
     this._failureBackoffUntil = Math.max(this._failureBackoffUntil, now + forMs)
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -3,7 +3,9 @@
  * and when. Does no I/O and reads no clock: the caller passes the time in, makes the planned calls and reports the results.
  */
 import { BatchPlanner } from './batchPlanner.ts'
-import { computeRetryAfterMs, decideAdmission } from './jobForecast.ts'
+import { ContendedAdmission } from './contendedAdmission.ts'
+import { PatientAdmission } from './jobAdmission.ts'
+import type { JobAdmission } from './jobAdmission.ts'
 import { JobOrder } from './jobOrder.ts'
 import { JobState } from './jobState.ts'
 import { JobTargets } from './jobTargets.ts'
@@ -17,17 +19,18 @@
 import { isPossibleCrash } from './plannedCall.ts'
 import type { JobUpdate, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
 import { hasPieces } from './preparationJob.ts'
-import type { AdmissionOptions, JobDecline, JobRefusal, NewJobOptions, PieceResult, PreparationJob } from './preparationJob.ts'
+import type { JobDecline, JobRefusal, NewJobOptions, PieceResult, PreparationJob, ReservationEntry } from './preparationJob.ts'
 import { measurePlanLoad } from './planLoad.ts'
 import type { PlanLoad } from './planLoad.ts'
 import { createPlannedPiece, getPiece, createLostUpdates, createComputedUpdates } from './readyPiece.ts'
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall } from './resultHalls.ts'
 import type { PrefixEntry } from './prefixIndex.ts'
+import type { ReturnCounts } from './returnReservations.ts'
 import type { TargetReport } from './targetPlanner.ts'
 
 export interface PreparationPlannerOptions {
-  /** Whether late jobs get only the capacity that jobs in time leave over. */
+  /** Whether late jobs get only the capacity that jobs in time leave over, and refused callers a reservation. */
   readonly hasContention?: boolean
 }
 
@@ -40,7 +43,6 @@
 /** A call times out after its expected duration (scaled by the slowness of the upstream) times the factor, plus the extra. */
 const TIMEOUT_FACTOR = 3
 const TIMEOUT_EXTRA_MS = 500
-const FULL_BACKOFF_MS = 60
 /** Results are recomputed this long before the upstream may evict them. */
 const LIFETIME_MARGIN_MS = 400
 const INTERRUPTED_RETRY_MS = 300
@@ -60,6 +62,7 @@
   private readonly _pendingFrees = new PendingFrees()
   private readonly _jobResults = new JobResults(this._upstreams, this._pendingFrees)
   private readonly _targets: JobTargets
+  private readonly _admission: JobAdmission
   private readonly _blockedJobs = new Set<JobState>()
   private _updates: JobUpdate[] = []
   private _nextCallId = 1
@@ -72,6 +75,12 @@
     this._jobOrder = new JobOrder(this._workSpecs, this._pool, hasContention ? { minLateCapacityRatio: 0 } : {})
     this._batchPlanner = new BatchPlanner(this._pool, this._jobOrder)
     this._targets = new JobTargets({ listTargets, hasOpenTarget, halls: this._hallLoads, upstreams: this._upstreams })
+    const parts = { pool: this._pool, jobOrder: this._jobOrder, targets: this._targets, jobs: this._jobs }
+    this._admission = hasContention ? new ContendedAdmission(parts) : new PatientAdmission(parts)
+  }
+
+  get returnCounts (): ReturnCounts {
+    return this._admission.returnCounts
   }
 
   get jobCount (): number {
@@ -110,7 +119,7 @@
     const state = new JobState(job, now)
     this._jobResults.restore(state, carried, now)
     this._targets.choose(state, now)
-    const refusal = hasPieces(job) ? this._decideAdmission(state, now, { isOffer }) : undefined
+    const refusal = hasPieces(job) ? this._admission.decide(state, now, { isOffer }) : undefined
     if (refusal !== undefined) {
       this._jobResults.freeAll(state)
       return refusal
@@ -122,10 +131,14 @@
     return undefined
   }
 
-  private _decideAdmission (state: JobState, now: number, admissionOptions: AdmissionOptions): JobRefusal | JobDecline | undefined {
-    const capacities = this._pool.computeCapacities(now)
-    const forecast = this._jobOrder.forecast([...this._jobs.values(), state], capacities, now, state).find(other => other.state === state)
-    return forecast === undefined ? undefined : decideAdmission(this._targets.addTargetWait(forecast, this._jobs.values(), now), capacities, now, admissionOptions)
+  /** Returns the capacity that is reserved for callers that were told when to return. */
+  listReservations (now: number): readonly ReservationEntry[] {
+    return this._admission.listReservations(now)
+  }
+
+  /** Adds reservations that an earlier plan has made. Of two for the same key, the later one stays. */
+  adoptReservations (entries: readonly ReservationEntry[], now: number): void {
+    this._admission.adoptReservations(entries, now)
   }
 
   /** Merges prefix cache entries that owners of jobs have recorded. */
@@ -257,14 +270,7 @@
     return {
       jobs: this._jobs.size,
       calls: this._calls.size,
-      upstreams: [...this._upstreams.values()].map(upstream => ({
-        id: upstream.id,
-        role: upstream.role,
-        runningCalls: upstream.runningCalls,
-        slowness: upstream.getSlowness(now),
-        freeBytes: upstream.getFreeBytes(now),
-        isUsable: upstream.isUsable(now)
-      }))
+      upstreams: [...this._upstreams.values()].map(upstream => upstream.describe(now))
     }
   }
 
@@ -322,10 +328,7 @@
     const bytes = started.pieces.reduce((sum, piece) => sum + (piece.state.job.stages[piece.stage]?.resultBytes ?? 0), 0)
     if (outcome.kind === 'lost') upstream?.retainCapacity(bytes, now)
     else upstream?.releaseCapacity(bytes)
-    if (outcome.kind === 'notRun' && (outcome.reason === 'full' || outcome.reason === 'withheld')) upstream?.applyBriefBackoff(now, FULL_BACKOFF_MS)
-    else if (outcome.kind === 'notRun' && outcome.reason === 'backingOff') upstream?.recordRequestedBackoff(now, outcome.retryInMs)
-    else if (outcome.kind === 'notRun' && outcome.reason === 'limited') upstream?.recordRateLimit(now, outcome.retryInMs)
-    else upstream?.applyFailureBackoff(now)
+    upstream?.recordFailedCall(outcome, now)
     for (const { state, stage, index } of started.pieces) {
       const piece = getPiece({ state, stage, index })
       if (outcome.kind === 'lost') piece.failures++
@@ -372,19 +375,7 @@
       else if (!state.isHandedOver) this._reopenExpired(state, now)
     }
     this._advanceBlocked(now)
-    this._refuseMissedDeadlines(now)
-  }
-
-  /** Refuses jobs as soon as the forecast shows that they miss their deadline: any further work on them would be wasted. */
-  private _refuseMissedDeadlines (now: number): void {
-    const forecasts = this._jobOrder.forecast(this._jobs.values(), this._pool.computeCapacities(now), now)
-    for (const forecast of forecasts) {
-      const { state } = forecast
-      state.isLate = forecast.isLate
-      const isUnstartedAndLate = forecast.endAt > state.deadlineAt && !state.isStarted
-      const isInfeasible = now + this._jobOrder.estimateRemainingMs(state, now) > state.deadlineAt
-      if (isUnstartedAndLate || isInfeasible) this._refuse(state, { reason: 'overloaded', retryAfterMs: computeRetryAfterMs(forecast, state.deadlineAt) })
-    }
+    for (const { state, refusal } of this._admission.updateForecasts(now)) this._refuse(state, refusal)
   }
 
   /** Frees results that are about to exceed their lifetime, and schedules their pieces again. */
--- a/src/services/preparation/common/roleRate.ts
+++ b/src/services/preparation/common/roleRate.ts
@@ -7,6 +7,10 @@
 
 /** Half-life of observations, in view of bursts that last a few seconds. */
 const HALF_LIFE_MS = 1000
+/** Half-life of the usual arrival rate, several times the length of a burst. */
+const USUAL_HALF_LIFE_MS = 10_000
+/** With less observed time, the usual rate would depend on single arrivals. */
+const MIN_USUAL_MS = 1000
 /** The nominal throughput is weighted like an observation over this time. */
 const PRIOR_MS = 400
 
@@ -16,6 +20,8 @@
   private _completedPieces = 0
   /** By rank. */
   private readonly _arrivedPieces = new Map<number, number>()
+  private _usualPieces = 0
+  private _usualMs = 0
   private _callMs = 0
   private _calls = 0
   private _hasBacklog = false
@@ -29,6 +35,7 @@
   recordArrival (rank: number, pieces: number, now: number): void {
     this._advance(now)
     this._arrivedPieces.set(rank, (this._arrivedPieces.get(rank) ?? 0) + pieces)
+    this._usualPieces += pieces
   }
 
   recordCall (computedPieces: number, tookMs: number, now: number): void {
@@ -51,6 +58,12 @@
     return new Map([...this._arrivedPieces].map(([rank, pieces]) => [rank, pieces * Math.LN2 / HALF_LIFE_MS]))
   }
 
+  /** Returns the arrival rate of all ranks over a longer time, in pieces per millisecond. */
+  computeUsualArrivalsPerMs (now: number): number {
+    this._advance(now)
+    return this._usualPieces / Math.max(MIN_USUAL_MS, this._usualMs)
+  }
+
   /** Returns the usual duration of a call, which may contain pieces of other jobs. */
   computeUsualCallMs (work: PieceWorkSpec, pieceCount: number, now: number): number {
     this._advance(now)
@@ -66,6 +79,9 @@
     this._backlogMs = this._backlogMs * decay + (this._hasBacklog ? elapsedMs : 0)
     this._completedPieces *= decay
     for (const [rank, pieces] of this._arrivedPieces) this._arrivedPieces.set(rank, pieces * decay)
+    const usualDecay = 0.5 ** (elapsedMs / USUAL_HALF_LIFE_MS)
+    this._usualPieces *= usualDecay
+    this._usualMs = this._usualMs * usualDecay + elapsedMs
     this._callMs *= decay
     this._calls *= decay
   }
--- /dev/null
+++ b/src/services/preparation/test/contendedAdmission.test.ts
@@ -0,0 +1,110 @@
+/**
+ * Guards against the failures observed under contention (docs/CONTENTION.md): late work made other work late, and callers
+ * were told to return at a time at which they were refused again.
+ */
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { generateContendedDeployment } from '../../../load/lab/labDeployment.ts'
+import { LabRun } from '../../../load/lab/labRun.ts'
+import type { JobDecline, JobRefusal, PreparationJob } from '../common/preparationJob.ts'
+import type { PreparationPlanner } from '../common/preparationPlanner.ts'
+import { createJob, createPlanner, createStage } from './fakes.ts'
+
+const test = suite('contendedAdmission')
+
+/** The plan has existed for a while, so that it knows the usual rate of arrivals. */
+const START = 30_000
+
+function createCallersJob (id: string, options: Partial<PreparationJob> = {}): PreparationJob {
+  return createJob(id, [createStage('a', 4)], { deadlineInMs: 1400, returnKey: id, returnWithinMs: 5000, ...options })
+}
+
+/** Submits jobs until one is refused, and returns its id and refusal. */
+function addUntilRefused (planner: PreparationPlanner, now: number): { readonly id: string, readonly refusal: JobRefusal | JobDecline } {
+  for (let index = 0; index < 200; index++) {
+    const refusal = planner.addJob(createCallersJob(`f${index}`), now)
+    if (refusal !== undefined) return { id: `f${index}`, refusal }
+  }
+  throw new Error('nothing was refused')
+}
+
+function getRetryAfterMs (refusal: JobRefusal | JobDecline): number {
+  return refusal.reason === 'late' ? NaN : refusal.retryAfterMs
+}
+
+test('more requests are in time in a contended load with the switch than without', () => {
+  const countInTime = (hasContention: boolean) => {
+    const { answersByKind } = new LabRun({ ...generateContendedDeployment(1), durationMs: 12_000 }, { hasContention }).run()
+    return Object.values(answersByKind).reduce((sum, { inTime }) => sum + inTime, 0)
+  }
+  const [withSwitch, without] = [countInTime(true), countInTime(false)]
+  assert.ok(withSwitch > without, `${withSwitch} with, ${without} without`)
+})
+
+test('a refused caller is told when to return, and is admitted then although new jobs arrive all the time', () => {
+  const planner = createPlanner({ upstreams: { a: 1 }, hasContention: true })
+  const { id, refusal } = addUntilRefused(planner, START)
+  assert.equal({ ...refusal, retryAfterMs: 0 }, { reason: 'overloaded', retryAfterMs: 0, isReserved: true })
+  const returnAt = START + getRetryAfterMs(refusal)
+  for (let at = START + 10; at < returnAt; at += 10) planner.addJob(createCallersJob(`n${at}`, { returnKey: undefined }), at)
+  assert.is(planner.addJob(createCallersJob(id), returnAt, { isOffer: true }), undefined)
+  assert.is(planner.returnCounts.kept, 1)
+})
+
+test('a caller that returns before its time is not admitted for its reservation, and keeps it', () => {
+  const planner = createPlanner({ upstreams: { a: 1 }, hasContention: true })
+  const { id, refusal } = addUntilRefused(planner, START)
+  const again = planner.addJob(createCallersJob(id), START + 10)
+  assert.equal(again, { reason: 'overloaded', retryAfterMs: getRetryAfterMs(refusal) - 10, isReserved: true })
+  assert.is(planner.addJob(createCallersJob(id), START + getRetryAfterMs(refusal)), undefined)
+})
+
+test('new jobs are admitted behind reserved work only, which is free again 400 ms after the time told', () => {
+  const planner = createPlanner({ upstreams: { a: 1 }, hasContention: true })
+  planner.adoptReservations([{ key: 'away', returnInMs: 500, pieces: [{ role: 'a', count: 400 }] }], 0)
+  const offer = (id: string, now: number) => planner.addJob(createCallersJob(id, { returnKey: undefined }), now, { isOffer: true })
+  assert.is(offer('x', 890)?.reason, 'late')
+  assert.is(offer('y', 901), undefined)
+  assert.equal(planner.listReservations(901), [])
+  assert.is(planner.returnCounts.expired, 1)
+})
+
+test('a plan adopts reservations, of two for the same key the later one, and at most 1,000', () => {
+  const planner = createPlanner({ upstreams: { a: 1 }, hasContention: true })
+  const pieces = [{ role: 'a', count: 1 }]
+  planner.adoptReservations([{ key: 'k', returnInMs: 800, pieces }, { key: 'k', returnInMs: 300, pieces }], 0)
+  assert.equal(planner.listReservations(100), [{ key: 'k', returnInMs: 700, pieces }])
+  planner.adoptReservations(Array.from({ length: 1200 }, (_, index) => ({ key: `k${index}`, returnInMs: 500, pieces })), 100)
+  assert.is(planner.listReservations(100).length, 1000)
+})
+
+test('a caller whose upstreams are lost is refused on its return, and counted as missed', () => {
+  const planner = createPlanner({ upstreams: { a: 1 }, hasContention: true })
+  const { id, refusal } = addUntilRefused(planner, START)
+  planner.setAcceptsWork('a-0', false)
+  assert.is(planner.addJob(createCallersJob(id), START + getRetryAfterMs(refusal))?.reason, 'noUpstream')
+  assert.is(planner.returnCounts.missed, 1)
+})
+
+test('a waiting job that is refused before it has started gets a time of return', () => {
+  const planner = createPlanner({ upstreams: { a: 2 }, hasContention: true })
+  addUntilRefused(planner, START)
+  planner.dequeueUpdates()
+  planner.setAcceptsWork('a-1', false)
+  planner.startCalls(START + 100)
+  const refusals = planner.dequeueUpdates().flatMap(update => update.kind === 'refused' ? [update.refusal] : [])
+  assert.ok(refusals.some(({ isReserved }) => isReserved === true), JSON.stringify(refusals))
+})
+
+test('without the switch, keys of returns change nothing', () => {
+  const withKeys = createPlanner({ upstreams: { a: 1 } })
+  const withoutKeys = createPlanner({ upstreams: { a: 1 } })
+  withKeys.adoptReservations([{ key: 'k', returnInMs: 100, pieces: [{ role: 'a', count: 1000 }] }], 0)
+  for (let index = 0; index < 300; index++) {
+    const job = createCallersJob(`j${index}`)
+    assert.equal(withKeys.addJob(job, index), withoutKeys.addJob({ ...job, returnKey: undefined, returnWithinMs: undefined }, index))
+  }
+  assert.equal([withKeys.listReservations(0), withKeys.returnCounts], [[], { reserved: 0, kept: 0, expired: 0, missed: 0 }])
+})
+
+test.run()
