stub: reservations of the planner

Cause: the transfer of reservations needs the interface of the planner, which is built beside it.

Change: PreparationPlanner gets listReservations, adoptReservations and returnCounts without function. To be replaced by the planner's own.

--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -17,7 +17,7 @@
 import { isPossibleCrash } from './plannedCall.ts'
 import type { JobUpdate, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
 import { hasPieces } from './preparationJob.ts'
-import type { AdmissionOptions, JobDecline, JobRefusal, NewJobOptions, PieceResult, PreparationJob } from './preparationJob.ts'
+import type { AdmissionOptions, JobDecline, JobRefusal, NewJobOptions, PieceResult, PreparationJob, ReservationEntry } from './preparationJob.ts'
 import { measurePlanLoad } from './planLoad.ts'
 import type { PlanLoad } from './planLoad.ts'
 import { createPlannedPiece, getPiece, createLostUpdates, createComputedUpdates } from './readyPiece.ts'
@@ -249,6 +249,14 @@
     else upstream?.retainCapacity(free.bytes, now)
   }
 
+  readonly returnCounts = { reserved: 0, kept: 0, expired: 0, missed: 0 }
+
+  listReservations (_now: number): readonly ReservationEntry[] {
+    return []
+  }
+
+  adoptReservations (_entries: readonly ReservationEntry[], _now: number): void {}
+
   measureLoad (now: number): PlanLoad {
     return measurePlanLoad(this._jobs.values(), this._upstreams.values(), this._pool.computeCapacities(now))
   }
