State in jobs when their callers can return

Cause: a plan that refuses a request can reserve capacity for the caller's retry only if it knows the caller over all its tries, and how long the caller waits. The id of a job differs between tries, and the route's patience says nothing of the caller's own deadline.

Change: with the setting `contention` on, a job with pieces carries the request's digest as `returnKey`, and a third of the time that the caller has left by its own deadline as `returnWithinMs`; the route's timeout stands in for a deadline that is not stated. With the setting off no field is added and no digest is computed.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -221,6 +221,7 @@
         random,
         log,
         hall: settings.hall,
+        handlesContention: settings.contention === 'on',
         regions: this._hallRegions,
         agent,
         upstreamProtocol: options.upstreamProtocol,
--- /dev/null
+++ b/src/services/preparation/common/returnWindow.ts
@@ -0,0 +1,17 @@
+/**
+ * How far in the future a refused caller may be told to return, and how long a reservation outlasts that time.
+ */
+
+/** Callers honor `Retry-After` up to this fraction of the time that they have left. */
+const RETURN_FRACTION = 1 / 3
+/** Reservations are kept this long after the time told, since the caller's retry still has to arrive. */
+export const RETURN_GRACE_MS = 400
+
+export function computeReturnWithinMs (callerTimeLeftMs: number): number {
+  return Math.max(0, callerTimeLeftMs) * RETURN_FRACTION
+}
+
+/** Returns the window of a job that is submitted again later: of the time that has passed, the caller loses the same fraction. */
+export function computeRemainingReturnMs (returnWithinMs: number, elapsedMs: number): number {
+  return Math.max(0, returnWithinMs - elapsedMs * RETURN_FRACTION)
+}
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -4,9 +4,18 @@
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { MAX_EXCLUDED_TARGETS } from '../../preparation/common/preparationMessage.ts'
 import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
+import { computeReturnWithinMs } from '../../preparation/common/returnWindow.ts'
+import type { IRequestDigest } from '../../quarantine/common/quarantine.ts'
 import { listSharedPrefixes } from './relayRequest.ts'
 import type { RelayRequest } from './relayRequest.ts'
 
+export interface ReturningCaller {
+  /** The same for all tries of the caller. */
+  readonly request: IRequestDigest
+  /** By the caller's own deadline: it decides how long the caller waits before it returns. */
+  readonly timeLeftMs: number
+}
+
 export interface PreparationJobInputs {
   readonly request: RelayRequest
   readonly route: Route
@@ -18,6 +27,8 @@
   /** Upstreams of the role that cannot accept the request now. */
   readonly excludedTargets?: readonly string[]
   readonly deadlineInMs: number
+  /** The caller, for whom capacity may be reserved if the request is refused; undefined if none is reserved. */
+  readonly returningCaller?: ReturningCaller | undefined
   /** Upstreams have crashed while they ran the request. */
   readonly isSuspect: boolean
 }
@@ -30,13 +41,14 @@
  * request: its prompt has a long shared prefix, and the planner knows which upstreams have it in their caches.
  */
 export function createPreparationJob (inputs: PreparationJobInputs): PreparationJob | undefined {
-  const { request, route, role, priority, homeHalls, excludedTargets = [], deadlineInMs, isSuspect } = inputs
+  const { request, route, role, priority, homeHalls, excludedTargets = [], deadlineInMs, returningCaller, isSuspect } = inputs
   if (route.stages.length === 0) return undefined
   const need = request.preparation
   const counts = route.stages.map((_, index) => need?.pieceCounts[index] ?? 0)
+  const hasPieces = counts.some(count => count > 0)
   const { prompt } = request
   const shared = prompt === undefined ? [] : listSharedPrefixes(prompt)
-  if (counts.every(count => count === 0) && (shared.at(-1)?.tokens ?? 0) < MIN_QUERY_TOKENS) return undefined
+  if (!hasPieces && (shared.at(-1)?.tokens ?? 0) < MIN_QUERY_TOKENS) return undefined
   const stages = route.stages.map((stage, index) => ({
     role: stage.role,
     after: stage.after.filter(before => (counts[before] ?? 0) > 0),
@@ -48,5 +60,10 @@
     shared,
     inputTokens: prompt?.inputTokens ?? 0
   }
-  return { id: request.id, key: need?.key ?? '', stages, request: targetRequest, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs, isSuspect, homeHalls, ...excludedTargets.length > 0 ? { excludedTargets: excludedTargets.slice(0, MAX_EXCLUDED_TARGETS) } : {} }
+  return { id: request.id, key: need?.key ?? '', stages, request: targetRequest, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs, ...hasPieces ? createReturnFields(returningCaller) : {}, isSuspect, homeHalls, ...excludedTargets.length > 0 ? { excludedTargets: excludedTargets.slice(0, MAX_EXCLUDED_TARGETS) } : {} }
+}
+
+/** Only jobs with pieces are refused for lack of capacity, so no digest is computed for others. */
+function createReturnFields (caller: ReturningCaller | undefined): Pick<PreparationJob, 'returnKey' | 'returnWithinMs'> {
+  return caller === undefined ? {} : { returnKey: caller.request.getDigest(), returnWithinMs: computeReturnWithinMs(caller.timeLeftMs) }
 }
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -24,6 +24,8 @@
   readonly random: IRandom
   readonly log: ILogService
   readonly hall: string
+  /** Whether plans reserve capacity for refused callers; see docs/CONTENTION.md. */
+  readonly handlesContention?: boolean
   /** Regions of the halls; without it home regions are not enforced. */
   readonly regions?: HallRegions
   readonly localAddress?: string
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -14,6 +14,7 @@
 import { decideAfterAttempt, isUpstreamFailure, isConnectionLost, isAccepted, isWithheld } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
+import type { ReturningCaller } from '../common/preparationNeed.ts'
 import type { InFlightRequest } from '../common/relayPool.ts'
 import { OTHER_NODE_RETRY_MS } from '../common/relayProtocol.ts'
 import type { RelayRefusal } from '../common/relayProtocol.ts'
@@ -148,10 +149,17 @@
     const isSuspect = this._quarantineState.crashCount > 0
     // Prepared results would be discarded: no upstream accepts the request in time.
     if (!this._selector.canPrepare(Math.max(0, this._getTimeLeft() - MIN_ATTEMPT_MS))) return this._refuseWithoutUpstream()
-    const job = createPreparationJob({ request, route, role: this._role, priority: this._accepted.priority, homeHalls: this._accepted.homeHalls, excludedTargets: this._selector.listBackingOff().map(({ id }) => id), deadlineInMs: this._getTimeLeft(), isSuspect })
+    const job = createPreparationJob({ request, route, role: this._role, priority: this._accepted.priority, homeHalls: this._accepted.homeHalls, excludedTargets: this._selector.listBackingOff().map(({ id }) => id), deadlineInMs: this._getTimeLeft(), returningCaller: this._findReturningCaller(), isSuspect })
     return job === undefined ? undefined : await this._handlePreparation(await this._inputs.prepare(job))
   }
 
+  /** The route's timeout stands in for the deadline of a caller that states none. */
+  private _findReturningCaller (): ReturningCaller | undefined {
+    const { request, route, arrivedAt } = this._accepted
+    if (this._context.handlesContention !== true) return undefined
+    return { request: this._fingerprint, timeLeftMs: arrivedAt + (request.timeLeftMs ?? route.timeoutMs) - this._context.clock.now() }
+  }
+
   private async _prepareAgain (): Promise<ResultName | undefined> {
     if (!this._inputs.isPrepared) return this._refuse('upstreamRefused', 'the upstream reported missing inputs, but the request has no prepared ones', this._runCount === 0)
     return await this._handlePreparation(await this._inputs.prepareAgain())
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -158,6 +158,7 @@
   readonly route?: MessageInitShape<typeof RouteSchema>
   readonly upstreams: readonly FakeUpstream[]
   readonly preparation?: IPreparationService
+  readonly handlesContention?: boolean
   readonly retries?: number
   /** The facts that it shares with other nodes. */
   readonly facts?: FactStore
@@ -209,6 +210,7 @@
         random: new SeededRandom(1),
         log,
         hall: '',
+        handlesContention: _options.handlesContention,
         regions: new HallRegions(_options.hallRegions),
         agent,
         upstreamProtocol: _options.protocols?.upstream ?? new FakeUpstreamProtocol(),
--- a/src/services/relay/test/relayServer.test.ts
+++ b/src/services/relay/test/relayServer.test.ts
@@ -2,7 +2,9 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
+import { computeRemainingReturnMs } from '../../preparation/common/returnWindow.ts'
 import { answerWith, FakeUpstream, RelayHarness } from './fakes.ts'
 import type { RelayHarnessOptions, UpstreamScript } from './fakes.ts'
 
@@ -126,6 +128,22 @@
   assert.match((await sent).text, /^HTTP\/1\.1 200 .*body$/s)
 }))
 
+for (const handlesContention of [true, false]) {
+  test(`with contention ${handlesContention ? 'on, a job states that its caller returns within a third of its own time' : 'off, a job has no new field'}`, async () => {
+    const jobs: PreparationJob[] = []
+    const preparation: IPreparationService = { prepare: job => { jobs.push(job); return Promise.resolve(Left({ reason: 'overloaded', retryAfterMs: 250, isReserved: true })) } }
+    await runWith([answerWith('')], { handlesContention, preparation, route: { patienceMs: 90, stages: [{ role: 'p', after: [], resultBytes: 1 }] } }, async harness => {
+      for (const id of ['first', 'second']) assert.match((await harness.call(id, 'Time: 1500\r\nPieces: 2\r\n')).text, /^HTTP\/1\.1 503 /)
+    })
+    const [first, second] = jobs
+    assert.ok(first && second)
+    if (!handlesContention) return assert.not('returnKey' in first || 'returnWithinMs' in first)
+    const { returnKey, returnWithinMs = 0 } = first
+    assert.ok(returnKey !== undefined && returnKey === second.returnKey && returnWithinMs <= 500 && returnWithinMs > 400)
+    assert.is(computeRemainingReturnMs(500, 300), 400, 'the caller has lost a third of the time that has passed')
+  })
+}
+
 test('a node that is about to stop refuses new requests', () => runWith([answerWith(COMPLETE_ANSWER)], {}, async (harness, upstreams) => {
   harness.server.refuseNew()
   assert.match((await harness.call('a')).text, /^HTTP\/1\.1 503 .*gateDraining$/s)
