Pass reservations on when the plan of a hall moves to another coordinator

Cause: the plan that refused a caller holds its reservation. When the plan moves (its coordinator is lost, stops, restarts or is found elsewhere), the caller returns as it was told and is refused again.

Each reservation is tied to the link, or to this node's own coordinator, that has it; as soon as the plan is found elsewhere the others go there in one `reservations` message, before the next job or over a link that is open anyway. The coordinator adopts them into the plan of the hall, which it starts if needed.

A refusal with a reservation is final: no other plan is tried. Jobs without a shared prefix were ranked to halls by their id, which sent the second try to another hall than the first; with a return key they are ranked by it.

Metrics count reservations made, kept, expired and missed, over plans that have ended as well.

--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -2,6 +2,7 @@
  * The metrics of a node. Labels only have values from small fixed sets; customers and routes are written to the log instead.
  */
 import { MetricsRegistry } from '../services/metrics/node/metricsServer.ts'
+import type { ReturnCounts } from '../services/preparation/node/returnLog.ts'
 import type { CompletedRequest } from '../services/relay/node/relayServer.ts'
 import type { StatementKind } from '../services/upstream/common/upstreamStatement.ts'
 
@@ -22,6 +23,7 @@
   readonly countBackingOffUpstreams: () => number
   readonly countWithheldSends: () => number
   readonly countQuotaDenials: () => number
+  readonly getReturnCounts: () => ReturnCounts
   readonly countPauses: () => number
   readonly getBytesSent: () => number
 }
@@ -53,6 +55,10 @@
     this.metrics.createGauge('node_backing_off_upstreams', 'Upstreams that get nothing from this node, since they turned it away and asked for a pause', gauges.countBackingOffUpstreams)
     this.metrics.createGauge('node_withheld_sends_total', 'Requests and calls that were not written, since their upstream was to get nothing more by then', gauges.countWithheldSends)
     this.metrics.createGauge('node_invalid_statements_total', 'Statements of upstreams whose values mean nothing', gauges.countInvalidStatements)
+    this.metrics.createGauge('node_reserved_returns_total', 'Refused callers that were told when to return, with capacity reserved for then by a plan of this node', () => gauges.getReturnCounts().reserved)
+    this.metrics.createGauge('node_kept_returns_total', 'Callers that returned as told and were admitted', () => gauges.getReturnCounts().kept)
+    this.metrics.createGauge('node_expired_returns_total', 'Reservations whose callers did not return', () => gauges.getReturnCounts().expired)
+    this.metrics.createGauge('node_missed_returns_total', 'Callers that returned as told and were refused', () => gauges.getReturnCounts().missed)
     this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
     this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
   }
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -23,6 +23,7 @@
     countBackingOffUpstreams: getZero,
     countWithheldSends: getZero,
     countQuotaDenials: getZero,
+    getReturnCounts: () => ({ reserved: 9, kept: 5, expired: 3, missed: 1 }),
     countPauses: getZero,
     getBytesSent: getZero
   })
@@ -40,6 +41,7 @@
   assert.match(text, /pepperwood_node_evacuated_halls 1/)
   assert.match(text, /pepperwood_node_requests_open 3/)
   assert.match(text, /pepperwood_node_quarantine_refusals_total 6/)
+  for (const line of ['reserved_returns_total 9', 'kept_returns_total 5', 'expired_returns_total 3', 'missed_returns_total 1']) assert.match(text, new RegExp(`pepperwood_node_${line}\n`))
 })
 
 test.run()
--- /dev/null
+++ b/src/services/preparation/common/toldReservations.ts
@@ -0,0 +1,73 @@
+/**
+ * The reservations that an owner's callers were told, so that the owner can pass them on when the plan of a hall moves to
+ * another coordinator. Does no I/O and reads no clock.
+ */
+import { MAX_RESERVATION_ENTRIES } from './preparationMessage.ts'
+import type { PreparationJob, ReservationEntry } from './preparationJob.ts'
+import { RETURN_GRACE_MS } from './returnWindow.ts'
+
+interface ToldReservation {
+  readonly pieces: ReservationEntry['pieces']
+  /** When the caller returns, on this process's clock. */
+  readonly returnAt: number
+  /** Identifies the plan that has the reservation; undefined if none is known to have it. */
+  readonly holder: object | undefined
+}
+
+/** Where a reservation was made. */
+export interface ReservationPlace {
+  readonly hall: string
+  readonly holder: object
+}
+
+export class ToldReservations {
+  /** By hall, then by key, the latest told last. */
+  private readonly _byHall = new Map<string, Map<string, ToldReservation>>()
+
+  listHalls (): readonly string[] {
+    return [...this._byHall.keys()]
+  }
+
+  /** Records a reservation. Beyond the bound of one message, the one that was told first is dropped. */
+  add ({ key, returnInMs, pieces }: ReservationEntry, { hall, holder }: ReservationPlace, now: number): void {
+    this._expire(hall, now)
+    const told = this._byHall.get(hall) ?? new Map<string, ToldReservation>()
+    this._byHall.set(hall, told)
+    told.delete(key)
+    told.set(key, { pieces, returnAt: now + returnInMs, holder })
+    const [first] = told.keys()
+    if (told.size > MAX_RESERVATION_ENTRIES && first !== undefined) told.delete(first)
+  }
+
+  /** Removes the reservation of a caller whose retry has ended. */
+  remove (key: string): void {
+    for (const [hall, told] of this._byHall) if (told.delete(key) && told.size === 0) this._byHall.delete(hall)
+  }
+
+  /** Returns the reservations of a hall that the holder does not have yet, and records that it has them from now on. */
+  take ({ hall, holder }: ReservationPlace, now: number): readonly ReservationEntry[] {
+    this._expire(hall, now)
+    const missing = [...this._byHall.get(hall) ?? []].filter(([, told]) => told.holder !== holder)
+    for (const [key, told] of missing) this._byHall.get(hall)?.set(key, { ...told, holder })
+    return missing.map(([key, { pieces, returnAt }]) => ({ key, returnInMs: Math.max(0, returnAt - now), pieces }))
+  }
+
+  /** Records that the holder no longer has a plan of the hall. */
+  forgetHolder ({ hall, holder }: ReservationPlace): void {
+    const told = this._byHall.get(hall)
+    for (const [key, reservation] of told ?? []) if (reservation.holder === holder) told?.set(key, { ...reservation, holder: undefined })
+  }
+
+  private _expire (hall: string, now: number): void {
+    const told = this._byHall.get(hall)
+    for (const [key, { returnAt }] of told ?? []) if (now >= returnAt + RETURN_GRACE_MS) told?.delete(key)
+    if (told?.size === 0) this._byHall.delete(hall)
+  }
+}
+
+/** Returns the number of pieces of a job by role, as its plan reserves them. */
+export function countPiecesByRole (job: PreparationJob): ReservationEntry['pieces'] {
+  const counts = new Map<string, number>()
+  for (const { role, pieceCount } of job.stages) if (pieceCount > 0) counts.set(role, (counts.get(role) ?? 0) + pieceCount)
+  return [...counts].map(([role, count]) => ({ role, count }))
+}
--- a/src/services/preparation/node/coordinatorLinks.ts
+++ b/src/services/preparation/node/coordinatorLinks.ts
@@ -36,6 +36,7 @@
 export class CoordinatorLinks extends Disposable {
   private readonly _options: CoordinatorLinksOptions
   private readonly _links = new Map<string, Promise<CoordinatorLink | undefined>>()
+  private readonly _openLinks = new Map<string, CoordinatorLink>()
   private readonly _onDidOpen = this._register(new Emitter<CoordinatorLink>())
   private readonly _onDidLose = this._register(new Emitter<LostCoordinator>())
   private readonly _onDidDetectRestart = this._register(new Emitter<RestartedCoordinator>())
@@ -59,6 +60,11 @@
     return opening
   }
 
+  /** Returns the link to the coordinator at the address if it is open already. */
+  findOpen (address: string): CoordinatorLink | undefined {
+    return this._openLinks.get(address)
+  }
+
   private async _open (address: string): Promise<CoordinatorLink | undefined> {
     const { localAddress, clock, log, openLink = options => CoordinatorLink.open(options), findIncarnation } = this._options
     const incarnation = findIncarnation?.(address)
@@ -73,12 +79,14 @@
       this._onDidDetectRestart.fire({ address, incarnation: started })
     })
     link.onDidClose(() => this._removeLink({ address, incarnation, link }))
+    this._openLinks.set(address, link)
     this._onDidOpen.fire(link)
     return link
   }
 
   private _removeLink (lost: LostCoordinator): void {
     this._links.delete(lost.address)
+    this._openLinks.delete(lost.address)
     if (!this._isDisposed) this._onDidLose.fire(lost)
   }
 }
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -40,11 +40,18 @@
   return work === undefined || work.tokenBytes <= 0 || work.linkBytesPerMs <= 0 ? Infinity : work.tokenBytes / work.linkBytesPerMs
 }
 
+/** The caller of a job, over all its tries. */
+export interface ReturningCaller {
+  readonly returnKey?: string | undefined
+  /** Whether the job took a reservation that its caller had been told. */
+  readonly isKept?: boolean
+}
+
 /** A job whose owner has not yet sent both its release and its report. */
 export class TrackedJob {
   isReleased = false
   isDetached = false
   isReported = false
 
-  constructor (readonly shard: PlanShard, readonly link: object | undefined) {}
+  constructor (readonly shard: PlanShard, readonly link: object | undefined, readonly returning: ReturningCaller = {}) {}
 }
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -18,6 +18,7 @@
 import { PrefixIndex } from '../common/prefixIndex.ts'
 import type { PrefixEntry } from '../common/prefixIndex.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
+import { computeRemainingReturnMs } from '../common/returnWindow.ts'
 import { COORDINATOR_BACKOFF_MS, UnreachableCoordinators } from '../common/unreachableCoordinators.ts'
 import type { JobEnd, JobUpdate } from '../common/plannedCall.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
@@ -26,6 +27,7 @@
 import type { LostCoordinator } from './coordinatorLinks.ts'
 import { OwnedJob } from './ownedJob.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
+import { ReservationTransfer } from './reservationTransfer.ts'
 
 export interface PreparationClientOptions {
   readonly clock: IClock
@@ -73,6 +75,7 @@
   private readonly _links: CoordinatorLinks
   private readonly _prefixes = new PrefixIndex()
   private readonly _unreachable = new UnreachableCoordinators()
+  private readonly _reservations: ReservationTransfer
 
   constructor (options: PreparationClientOptions) {
     super()
@@ -80,6 +83,7 @@
     this._register(options.onDidReceiveMembers(() => { for (const ownedJob of [...this._jobs.values()]) void this._submit(ownedJob) }))
     const { clock, log, localAddress, openLink } = options
     this._links = options.links ?? this._register(new CoordinatorLinks({ clock, log, localAddress, openLink, findIncarnation: address => this._findIncarnation(address) }))
+    this._reservations = new ReservationTransfer({ ...options, links: this._links, findCoordinator: hall => this.findCoordinator(hall), onWillAdopt: hall => this._addOwnPrefixes(hall) })
     this._register(this._links.onDidOpen(link => this._subscribe(link)))
     this._register(this._links.onDidLose(lost => this._handleLostCoordinator(lost)))
   }
@@ -98,9 +102,14 @@
     return this._options.listCoordinators().find(candidate => candidate.address === address)?.incarnation
   }
 
-  /** Moves jobs that this node plans although another node, which was unknown when they arrived, is responsible. */
+  /**
+   * Called when members have changed: moves jobs that this node plans although another node, which was unknown when they
+   * arrived, is responsible, and passes on the reservations of plans that have moved.
+   */
   moveMisplacedJobs (): void {
-    if (this._options.isMembershipKnown()) this._options.coordinator.movePlans(hall => this.findCoordinator(hall) !== this._options.address)
+    if (!this._options.isMembershipKnown()) return
+    this._options.coordinator.movePlans(hall => this.findCoordinator(hall) !== this._options.address)
+    this._reservations.sendAll()
   }
 
   /** Whether another node could take over the plans of this node. */
@@ -138,6 +147,7 @@
     const address = this.findCoordinator(hall)
     if (address === this._options.address) {
       ownedJob.link = undefined
+      this._reservations.send(hall, undefined)
       this._addOwnPrefixes(hall)
       return this._options.coordinator.submit({ job: this._createSubmission(ownedJob), hall, isOffer, carried: this._listCarriedPieces(ownedJob) }, update => this._handleUpdate(ownedJob, update))
     }
@@ -149,6 +159,7 @@
     }
     ownedJob.link = link
     link.openJobCount++
+    this._reservations.send(hall, link)
     if (link.markPrefixesSent(hall)) link.send({ kind: 'prefixes', hall, notes: this._listPrefixes() })
     link.send({ kind: 'job', job: this._createSubmission(ownedJob), hall, isOffer, carried: this._listCarriedPieces(ownedJob) })
   }
@@ -177,11 +188,14 @@
     return ownedJob.listCarriedPieces(this._options.clock.now())
   }
 
-  /** Jobs with the same shared prefix go to the same plan, which tracks the upstreams that have processed it. */
+  /**
+   * Jobs with the same shared prefix go to the same plan, which tracks the upstreams that have processed it. The id of a job
+   * differs between the tries of a caller, which returns to the plan that has its reservation.
+   */
   private _listJobPlans (ownedJob: OwnedJob): readonly string[] {
     const { job } = ownedJob
     const upstreams = this._options.listPieceUpstreams()
-    const key = job.request.shared.at(-1)?.key ?? job.id
+    const key = job.request.shared.at(-1)?.key ?? job.returnKey ?? job.id
     return job.homeHalls === undefined ? listPlans(upstreams, key) : listHomePlans(upstreams, key, job.homeHalls)
   }
 
@@ -201,8 +215,9 @@
   }
 
   /** Returns whether the job may be submitted to another plan. */
-  private _recordRefusal (ownedJob: OwnedJob, { reason }: JobRefusal): boolean {
-    if (reason === 'tooLate') return false
+  private _recordRefusal (ownedJob: OwnedJob, { reason, isReserved }: JobRefusal): boolean {
+    // Another plan would not have the reservation, and the caller returns in time.
+    if (reason === 'tooLate' || isReserved === true) return false
     if (reason !== 'noUpstream' || ownedJob.search.currentChoice?.isOffer !== true) return ownedJob.search.recordRefusal(this._listJobPlans(ownedJob))
     ownedJob.search.recordDecline(Infinity)
     return true
@@ -216,6 +231,7 @@
       ...job,
       goalInMs: Math.max(0, job.goalInMs - elapsedMs),
       deadlineInMs: Math.max(0, job.deadlineInMs - elapsedMs),
+      ...job.returnWithinMs === undefined ? {} : { returnWithinMs: computeRemainingReturnMs(job.returnWithinMs, elapsedMs) },
       isSuspect: ownedJob.isSuspect || job.isSuspect === true
     }
   }
@@ -226,6 +242,7 @@
    */
   private _handleMoved (ownedJob: OwnedJob): void {
     const { link, search } = ownedJob
+    this._reservations.recordMoved(search.currentChoice?.hall ?? '', link)
     if (link !== undefined) {
       this._unreachable.recordMoved(link.address, link.incarnation ?? Infinity, search.currentChoice?.hall ?? '', this._options.clock.now())
       link.openJobCount--
@@ -244,6 +261,7 @@
     if (this._jobs.get(ownedJob.job.id) !== ownedJob) return
     this._jobs.delete(ownedJob.job.id)
     if (ownedJob.link !== undefined) ownedJob.link.openJobCount--
+    this._reservations.recordEnd(ownedJob, update)
     ownedJob.complete(update)
   }
 
@@ -252,6 +270,7 @@
       const ownedJob = this._jobs.get(update.jobId)
       if (ownedJob?.link === link) this._handleUpdate(ownedJob, update)
     })
+    this._reservations.sendAll()
   }
 
   /**
@@ -270,6 +289,7 @@
       if (hasRestarted) void this._submit(ownedJob)
       else this._moveJob(ownedJob)
     }
+    this._reservations.sendAll()
   }
 
   private _createOutcome (ownedJob: OwnedJob, update: JobEnd, signal: AbortSignal): Either<JobRefusal, IPreparedInputs> {
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -12,11 +12,14 @@
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobUpdate, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
-import type { CarriedPiece, JobRefusal, PreparationJob } from '../common/preparationJob.ts'
+import type { CarriedPiece, JobRefusal, PreparationJob, ReservationEntry } from '../common/preparationJob.ts'
 import type { PrefixEntry } from '../common/prefixIndex.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 import { PlanLog } from './planLog.ts'
 import { PlanShard, TrackedJob } from './planShard.ts'
+import type { ReturningCaller } from './planShard.ts'
+import { addReturningJob, formatReturnKey, NO_RETURNS, ReturnLog, sumReturnCounts } from './returnLog.ts'
+import type { ReturnCounts } from './returnLog.ts'
 
 export interface PreparationCoordinatorOptions {
   readonly clock: IClock
@@ -69,11 +72,15 @@
   private _sweepTimer: IDisposable | undefined
   private _isDraining = false
   private readonly _planLog: PlanLog
+  private readonly _returnLog: ReturnLog
+  /** Counts of plans that no longer exist. */
+  private _endedReturns = NO_RETURNS
 
   constructor (options: PreparationCoordinatorOptions) {
     super()
     this._options = options
     this._planLog = new PlanLog(options.log)
+    this._returnLog = new ReturnLog(options.log)
     this._register(options.registry.onDidChange(change => this._applyUpstreamChange(change)))
     this._register(options.registry.onDidEvacuate(hall => this._drainHall(hall)))
     this._register(toDisposable(() => {
@@ -86,6 +93,11 @@
     return this._jobs.size
   }
 
+  /** What became of the reservations of all plans since the start of this process. */
+  get returnCounts (): ReturnCounts {
+    return [...this._shards.values(), ...this._drainingShards].reduce((sum, { planner }) => sumReturnCounts(sum, planner.returnCounts), this._endedReturns)
+  }
+
   /** Whether this coordinator already has a plan for the hall. */
   hasPlan (hall: string): boolean {
     return this._shards.has(hall)
@@ -106,18 +118,19 @@
     const shard = this._getShard(hall)
     if (carried.length > 0) this._options.log.info('preparation_carried', { request: job.id, hall, pieces: carried.length })
     this._forgetReplacedJob(job.id, link)
-    const refusal = shard.planner.addJob(job, this._options.clock.now(), { carried, isOffer })
+    const { refusal, isKept, isMissed } = addReturningJob(shard.planner, () => shard.planner.addJob(job, this._options.clock.now(), { carried, isOffer }))
     if (refusal?.reason === 'late') {
       this._planLog.recordDeclined(hall, job.id, refusal)
       return listener({ kind: 'declined', jobId: job.id, endInMs: refusal.endInMs })
     }
     if (refusal !== undefined) {
-      this._removeRefusedJob(job.id, refusal, shard)
+      this._removeRefusedJob(job.id, refusal, shard, { returnKey: job.returnKey, isKept: isMissed })
       this._scheduleFrees(shard)
       return listener({ kind: 'refused', jobId: job.id, refusal })
     }
     this._listeners.set(job.id, listener)
-    this._jobs.set(job.id, new TrackedJob(shard, link))
+    if (isKept) this._returnLog.recordKept(hall, job)
+    this._jobs.set(job.id, new TrackedJob(shard, link, { returnKey: job.returnKey, isKept }))
     this._scheduleDispatch(shard)
     this._scheduleSweep()
   }
@@ -201,6 +214,14 @@
     this._getShard(hall).planner.addPrefixes(prefixEntries, this._options.clock.now())
   }
 
+  /** Adds reservations of an earlier coordinator's plan. Plans without contention have none, and a draining one passes none on. */
+  adoptReservations (hall: string, entries: readonly ReservationEntry[]): void {
+    const { clock, log, handlesContention } = this._options
+    if (handlesContention !== true || hall === '' || this._isDraining) return
+    log.info('reservations_adopted', { hall, reservations: entries.length })
+    this._getShard(hall).planner.adoptReservations(entries, clock.now())
+  }
+
   /** Records the outcome of a request at the upstream that was chosen for it. */
   report (jobId: string, report: TargetReport): void {
     const trackedJob = this._jobs.get(jobId)
@@ -219,8 +240,8 @@
   reopen (jobId: string, listener: JobListener): boolean {
     const trackedJob = this._jobs.get(jobId)
     if (trackedJob === undefined || !trackedJob.shard.planner.reopenJob(jobId, this._options.clock.now())) return false
-    const { shard, link } = trackedJob
-    this._jobs.set(jobId, new TrackedJob(shard, link))
+    const { shard, link, returning } = trackedJob
+    this._jobs.set(jobId, new TrackedJob(shard, link, returning))
     this._listeners.set(jobId, listener)
     this._scheduleDispatch(shard)
     this._scheduleSweep()
@@ -261,7 +282,7 @@
     this._sweepTimer = this._options.clock.schedule(SWEEP_PERIOD_MS, () => {
       this._sweepTimer = undefined
       if (this._isDisposed) return
-      for (const shard of this._drainingShards) if (shard.planner.jobCount === 0) this._drainingShards.delete(shard)
+      for (const shard of this._drainingShards) if (shard.planner.jobCount === 0) this._removeDrainedShard(shard)
       const busyShards = [...this._shards.values(), ...this._drainingShards].filter(shard => shard.planner.jobCount > 0)
       for (const shard of busyShards) this._dispatch(shard)
       for (const shard of busyShards) this._recordLoad(shard)
@@ -269,6 +290,11 @@
     })
   }
 
+  private _removeDrainedShard (shard: PlanShard): void {
+    this._drainingShards.delete(shard)
+    this._endedReturns = sumReturnCounts(this._endedReturns, shard.planner.returnCounts)
+  }
+
   private _recordLoad (shard: PlanShard): void {
     const now = this._options.clock.now()
     if (now - shard.loadLoggedAt < LOAD_LOG_PERIOD_MS) return
@@ -312,16 +338,17 @@
     for (const update of shard.planner.dequeueUpdates()) {
       const listener = this._listeners.get(update.jobId)
       if (update.kind !== 'made' && update.kind !== 'lost') this._listeners.delete(update.jobId)
-      if (update.kind === 'refused') this._removeRefusedJob(update.jobId, update.refusal, shard)
+      if (update.kind === 'refused') this._removeRefusedJob(update.jobId, update.refusal, shard, this._jobs.get(update.jobId)?.returning)
       else if (update.kind === 'prepared') this._planLog.recordPrepared(update)
       listener?.(update)
     }
     for (const jobId of shard.planner.removeIdleJobs()) this._notifyMoved(jobId)
   }
 
-  private _removeRefusedJob (jobId: string, refusal: JobRefusal, shard: PlanShard): void {
+  private _removeRefusedJob (jobId: string, refusal: JobRefusal, shard: PlanShard, { returnKey, isKept = false }: ReturningCaller = {}): void {
     this._jobs.delete(jobId)
-    this._options.log.info('preparation_refused', { request: jobId, hall: shard.hall, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs, jobs: shard.planner.jobCount })
+    this._options.log.info('preparation_refused', { request: jobId, hall: shard.hall, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs, jobs: shard.planner.jobCount, ...formatReturnKey(returnKey) })
+    this._returnLog.recordRefusal(shard.hall, { id: jobId, returnKey }, refusal, isKept)
   }
 
   private _scheduleFrees (shard: PlanShard): void {
--- /dev/null
+++ b/src/services/preparation/node/reservationTransfer.ts
@@ -0,0 +1,73 @@
+/**
+ * Passes the reservations that this node's callers were told to the coordinator of their hall's plan, whenever that plan is
+ * found where they are not known yet.
+ */
+import type { IClock } from '../../../base/common/clock.ts'
+import type { ILogService } from '../../log/node/logger.ts'
+import type { JobEnd } from '../common/plannedCall.ts'
+import { countPiecesByRole, ToldReservations } from '../common/toldReservations.ts'
+import type { CoordinatorLink } from './coordinatorLink.ts'
+import type { CoordinatorLinks } from './coordinatorLinks.ts'
+import type { OwnedJob } from './ownedJob.ts'
+import type { PreparationCoordinator } from './preparationCoordinator.ts'
+
+export interface ReservationTransferOptions {
+  readonly clock: IClock
+  readonly log: ILogService
+  /** This node's own coordinator, and its address. */
+  readonly coordinator: PreparationCoordinator
+  readonly address: string
+  readonly links: CoordinatorLinks
+  readonly findCoordinator: (hall: string) => string
+  /** Called before this node's own coordinator adopts reservations, which may start a plan. */
+  readonly onWillAdopt: (hall: string) => void
+}
+
+/**
+ * A plan is identified by the link to its coordinator, or by this node's own coordinator. Reservations are thus sent again
+ * after a link was replaced: the message may have been lost with it, and a plan ignores what it has already.
+ */
+export class ReservationTransfer {
+  private readonly _options: ReservationTransferOptions
+  private readonly _told = new ToldReservations()
+
+  constructor (options: ReservationTransferOptions) {
+    this._options = options
+  }
+
+  /** Records the reservation that a refusal states, or that the job no longer needs the one that it had. */
+  recordEnd ({ job, link, search }: OwnedJob, update: JobEnd): void {
+    if (job.returnKey === undefined) return
+    this._told.remove(job.returnKey)
+    const hall = search.currentChoice?.hall
+    if (hall === undefined || update.kind !== 'refused' || update.refusal.isReserved !== true) return
+    this._told.add({ key: job.returnKey, returnInMs: update.refusal.retryAfterMs, pieces: countPiecesByRole(job) }, { hall, holder: link ?? this._options.coordinator }, this._options.clock.now())
+  }
+
+  /** The coordinator gave up its plan of the hall, together with the reservations. */
+  recordMoved (hall: string, link: CoordinatorLink | undefined): void {
+    this._told.forgetHolder({ hall, holder: link ?? this._options.coordinator })
+  }
+
+  /** Passes on what the coordinator of a hall does not know; without a link, that is this node's own one. */
+  send (hall: string, link: CoordinatorLink | undefined): void {
+    const { clock, log, coordinator, address, onWillAdopt } = this._options
+    if (link === undefined && !coordinator.hasPlan(hall)) this.recordMoved(hall, undefined)
+    const entries = this._told.take({ hall, holder: link ?? coordinator }, clock.now())
+    if (entries.length === 0) return
+    log.info('reservations_sent', { hall, coordinator: link?.address ?? address, reservations: entries.length })
+    if (link !== undefined) return link.send({ kind: 'reservations', hall, entries })
+    onWillAdopt(hall)
+    coordinator.adoptReservations(hall, entries)
+  }
+
+  /** Passes on the reservations of all halls whose coordinator is this node or has an open link; no link is opened for them. */
+  sendAll (): void {
+    const { address, links, findCoordinator } = this._options
+    for (const hall of this._told.listHalls()) {
+      const coordinatorAddress = findCoordinator(hall)
+      const link = links.findOpen(coordinatorAddress)
+      if (coordinatorAddress === address || link !== undefined) this.send(hall, link)
+    }
+  }
+}
