Use the slowness that upstreams state with their load

Cause: upstreams state in a fourth figure of Engine-Load how long work takes there now. Loads of four figures were ignored as a whole, and loads in answers to calls for pieces were not read at all. The learned slowness covers seconds, so short slow spells of an upstream were noticed late and held against it afterwards.

Change: a load is a statement like others. answerStatements.ts reads three or four figures from any answer; other values are counted (node_invalid_loads_total) and logged once per upstream. It is the latency factor in the pool, and a factor beside the learned slowness in plans and in the choice of targets, which learn only what the statement did not predict. Loads of answers by another instance or to another request are ignored now, as their other statements are.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -194,10 +194,10 @@
       warmthProbe: options.warmthProbe
     }))
     this._statements = this._register(new NodeStatements({ clock, log, registry: this._registry, recordRateLimit: (upstream, perS) => this._quota.statedLimits.recordLimit(upstream, perS) }))
-    const { backoffs, guard } = this._statements
+    const { backoffs, guard, loads } = this._statements
     const pieceProtocol = new BackoffPieceCalls(new RateLimitedPieceCalls(options.pieceProtocol, this._quota.service), backoffs, clock)
     this._register(pieceProtocol.onDidReceiveStatement(batch => this._statements.recordStatements(batch)))
-    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard, handlesContention: settings.contention === 'on' }))
+    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard, loads, handlesContention: settings.contention === 'on' }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log, (upstream, limit) => this._quota.acquireForPeer(upstream, limit), options.incarnation))
     this._preparationClient = this._register(new PreparationClient({
       clock,
@@ -225,7 +225,7 @@
         agent,
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
-        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasTerminated: id => this._quarantine.hasCrashed(id), quota: this._quota.service, backoffs }),
+        pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasTerminated: id => this._quarantine.hasCrashed(id), quota: this._quota.service, backoffs, loads }),
         guard,
         backoffs,
         recordStatements: batch => this._statements.recordStatements(batch),
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -43,6 +43,7 @@
     countBackingOffUpstreams: () => backoffs.list().filter(({ leftMs }) => leftMs > 0).length,
     countWithheldSends: () => guard.withheldSendCount,
     countInvalidStatements: () => statements.invalidCount,
+    countInvalidLoads: () => statements.invalidLoadCount,
     countPauses: () => pauseDetector.pauseCount,
     getBytesSent: () => member.traffic.sent
   }
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -18,6 +18,7 @@
   readonly countQuarantineRefusals: () => number
   readonly countLimitedUpstreams: () => number
   readonly countInvalidStatements: () => number
+  readonly countInvalidLoads: () => number
   readonly countLeavingUpstreams: () => number
   readonly countBackingOffUpstreams: () => number
   readonly countWithheldSends: () => number
@@ -53,6 +54,7 @@
     this.metrics.createGauge('node_backing_off_upstreams', 'Upstreams that get nothing from this node, since they turned it away and asked for a pause', gauges.countBackingOffUpstreams)
     this.metrics.createGauge('node_withheld_sends_total', 'Requests and calls that were not written, since their upstream was to get nothing more by then', gauges.countWithheldSends)
     this.metrics.createGauge('node_invalid_statements_total', 'Statements of upstreams whose values mean nothing', gauges.countInvalidStatements)
+    this.metrics.createGauge('node_invalid_loads_total', 'Loads stated by upstreams that could not be read', gauges.countInvalidLoads)
     this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
     this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
   }
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -19,6 +19,7 @@
     countQuarantineRefusals: () => 6,
     countLimitedUpstreams: () => 2,
     countInvalidStatements: getZero,
+    countInvalidLoads: () => 7,
     countLeavingUpstreams: getZero,
     countBackingOffUpstreams: getZero,
     countWithheldSends: getZero,
@@ -38,6 +39,7 @@
   assert.match(text, /pepperwood_node_known_age_ms 250/)
   assert.match(text, /pepperwood_node_cold_upstreams 4/)
   assert.match(text, /pepperwood_node_evacuated_halls 1/)
+  assert.match(text, /pepperwood_node_invalid_loads_total 7/)
   assert.match(text, /pepperwood_node_requests_open 3/)
   assert.match(text, /pepperwood_node_quarantine_refusals_total 6/)
 })
--- a/src/entryNode/test/nodeStatements.test.ts
+++ b/src/entryNode/test/nodeStatements.test.ts
@@ -57,4 +57,14 @@
   assert.ok(lines.every(line => line.length < 300 && line.includes('length=4096')))
 })
 
+test('invalid loads are counted but logged once per upstream, and a load of a dropped upstream is not kept', () => {
+  const invalid = { kind: 'invalidLoad', name: 'load', value: '3,1' } as const
+  const { lines, node, registry, kinds } = runWith([invalid, invalid, { kind: 'load', load: { running: 3, waiting: 1, slots: 8, slowness: 2 } }])
+  assert.equal([node.invalidLoadCount, node.invalidCount, lines.length], [2, 0, 1])
+  assert.equal(kinds, ['invalidLoad', 'invalidLoad'])
+  assert.is(node.loads.getSlowness('u', 0), 2)
+  registry.removePermanently('u', 'test')
+  assert.is(node.loads.find('u'), undefined)
+})
+
 test.run()
--- a/src/services/preparation/common/jobTargets.ts
+++ b/src/services/preparation/common/jobTargets.ts
@@ -43,7 +43,7 @@
     state.targetId = choice?.id ?? ''
     state.prefixSourceId = choice?.prefixSourceId ?? ''
     state.targetHall = choice?.hall ?? ''
-    if (choice !== undefined && state.isHandedOver) this.planner.assign({ jobId: id, shape: request, targetId: choice.id, prefillTokens: choice.prefillTokens }, now)
+    if (choice !== undefined && state.isHandedOver) this.planner.assign({ jobId: id, shape: request, targetId: choice.id, prefillTokens: choice.prefillTokens, statedSlowness: choice.statedSlowness }, now)
   }
 
   /** Adds the wait for a target if all targets are rate limited, behind the jobs that arrived earlier. */
--- a/src/services/preparation/common/pieceUpstream.ts
+++ b/src/services/preparation/common/pieceUpstream.ts
@@ -18,6 +18,8 @@
   readonly role: string
   readonly hall: string
   readonly work: PieceWorkSpec
+  /** Returns the slowness that the upstream stated, at this time; without it the upstream states none. */
+  readonly getStatedSlowness?: (now: number) => number
 }
 
 interface UnavailableCapacity {
@@ -25,7 +27,7 @@
   readonly until: number
 }
 
-/** Weight of the newest call in the smoothed slowness. */
+/** Weight of the newest call in the learned slowness. */
 const SLOWNESS_SMOOTHING = 0.4
 const SLOWNESS_HALF_LIFE_MS = 2000
 const INITIAL_BACKOFF_MS = 400
@@ -44,7 +46,8 @@
    * crash too, and its pieces would become suspects.
    */
   hasSuspectCall = false
-  private _slowness = 1
+  private readonly _getStatedSlowness: (now: number) => number
+  private _learnedSlowness = 1
   private _measuredAt = 0
   private _usedBytes = 0
   /** Capacity for results that the upstream may hold but that cannot be freed; it becomes free at the end of their lifetime. */
@@ -59,11 +62,22 @@
     this.role = options.role
     this.hall = options.hall
     this.work = options.work
+    this._getStatedSlowness = options.getStatedSlowness ?? (() => 1)
   }
 
-  /** Ratio of measured to configured call durations; old measurements decay towards 1. */
+  /** Ratio of expected to configured call durations. */
   getSlowness (now: number): number {
-    return 1 + (this._slowness - 1) * 0.5 ** (Math.max(0, now - this._measuredAt) / SLOWNESS_HALF_LIFE_MS)
+    return this._getLearnedSlowness(now) * this._getStatedSlowness(now)
+  }
+
+  /** Returns the duration that a call with so many pieces would have if only the stated slowness applied. */
+  predictCallMs (pieceCount: number, now: number): number {
+    return computeCallMs(this.work, pieceCount) * this._getStatedSlowness(now)
+  }
+
+  /** Ratio of measured to predicted call durations; old measurements decay towards 1. */
+  private _getLearnedSlowness (now: number): number {
+    return 1 + (this._learnedSlowness - 1) * 0.5 ** (Math.max(0, now - this._measuredAt) / SLOWNESS_HALF_LIFE_MS)
   }
 
   canStartCall (now: number): boolean {
@@ -116,9 +130,10 @@
     this._requestedBackoffUntil = Math.max(this._requestedBackoffUntil, now + forMs)
   }
 
+  /** Records the duration of a call, and the one that was predicted at its start. */
   recordCall (tookMs: number, expectedMs: number, now: number): void {
-    const previous = this.getSlowness(now)
-    this._slowness = previous + SLOWNESS_SMOOTHING * (tookMs / Math.max(1, expectedMs) - previous)
+    const previous = this._getLearnedSlowness(now)
+    this._learnedSlowness = previous + SLOWNESS_SMOOTHING * (tookMs / Math.max(1, expectedMs) - previous)
     this._measuredAt = now
     this._failureBackoffMs = INITIAL_BACKOFF_MS
   }
--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -24,6 +24,7 @@
   readonly leftWaiting: number
   /** Free result capacity of the upstream when the call was planned, before capacity for its own results is reserved. */
   readonly freeBytes: number
+  /** The configured duration times the slowness that the upstream stated; what was learned from earlier calls is not included. */
   readonly expectedMs: number
   readonly timeoutMs: number
 }
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -269,7 +269,7 @@
   }
 
   private _startCall (upstream: PieceUpstream, batch: readonly ReadyPiece[], leftWaiting: number, now: number): PlannedCall {
-    const expectedMs = computeCallMs(upstream.work, batch.length)
+    const expectedMs = upstream.predictCallMs(batch.length, now)
     const call: PlannedCall = {
       id: this._nextCallId++,
       upstreamId: upstream.id,
@@ -278,7 +278,7 @@
       freeBytes: upstream.getFreeBytes(now),
       pieces: batch.map(piece => createPlannedPiece(piece, now)),
       expectedMs,
-      timeoutMs: expectedMs * TIMEOUT_FACTOR * Math.max(1, upstream.getSlowness(now)) + TIMEOUT_EXTRA_MS
+      timeoutMs: computeCallMs(upstream.work, batch.length) * TIMEOUT_FACTOR * Math.max(1, upstream.getSlowness(now)) + TIMEOUT_EXTRA_MS
     }
     upstream.runningCalls++
     upstream.hasSuspectCall = batch.some(piece => piece.isSuspect)
--- a/src/services/preparation/common/targetPlanner.ts
+++ b/src/services/preparation/common/targetPlanner.ts
@@ -18,6 +18,8 @@
   readonly msPerMovedToken: number
   /** Rate limit over the requests of all nodes; undefined if there is none. */
   readonly limit?: RateLimit
+  /** How slow the upstream states to be now; 1 if it states nothing. */
+  readonly statedSlowness?: number
 }
 
 export interface TargetQuery {
@@ -38,6 +40,8 @@
   readonly prefillTokens: number
   /** The upstream that it should fetch the cached prefix from; empty if there is none. */
   readonly prefixSourceId: string
+  /** The target's stated slowness that `costMs` includes. */
+  readonly statedSlowness: number
 }
 
 /** A request that is being sent to its target. */
@@ -46,6 +50,7 @@
   readonly shape: RequestShape
   readonly targetId: string
   readonly prefillTokens: number
+  readonly statedSlowness?: number
 }
 
 /** How many tokens of a prompt a target would process itself, and how many it would fetch from the cache of another upstream. */
@@ -110,6 +115,7 @@
   readonly tokens: number
   readonly tokensAhead: number
   readonly assignedAt: number
+  readonly statedSlowness: number
   readonly overdueAt: number
 }
 
@@ -135,7 +141,7 @@
       const score = costMs + this._scoreWork(query, candidate, preferredId, plan)
       if (score >= bestScore) continue
       bestScore = score
-      best = { id: candidate.id, hall: candidate.hall, costMs, prefillTokens: plan.prefillTokens, prefixSourceId: plan.prefixSourceId }
+      best = { id: candidate.id, hall: candidate.hall, costMs, prefillTokens: plan.prefillTokens, prefixSourceId: plan.prefixSourceId, statedSlowness: candidate.statedSlowness ?? 1 }
     }
     return best
   }
@@ -173,11 +179,11 @@
   }
 
   /** Counts a request as pending at its target. */
-  assign ({ jobId, shape, targetId, prefillTokens: tokens }: TargetRequest, now: number): void {
+  assign ({ jobId, shape, targetId, prefillTokens: tokens, statedSlowness = 1 }: TargetRequest, now: number): void {
     this._removeAssignment(jobId)
     const target = this._getTarget(targetId)
-    const expectedMs = estimatePrefillMs(target, tokens)
-    const assignment = { targetId, tokens, tokensAhead: target.pendingTokens, assignedAt: now, overdueAt: now + expectedMs * OVERDUE_FACTOR + OVERDUE_EXTRA_MS }
+    const expectedMs = estimatePrefillMs(target, tokens) * Math.max(1, statedSlowness)
+    const assignment = { targetId, tokens, tokensAhead: target.pendingTokens, assignedAt: now, statedSlowness, overdueAt: now + expectedMs * OVERDUE_FACTOR + OVERDUE_EXTRA_MS }
     this._assignments.set(jobId, assignment)
     this._buckets.get(targetId)?.tryAcquire(now)
     target.pendingTokens += tokens
@@ -195,7 +201,7 @@
     target.lastProducedAt = now
     const tokens = assignment.tokens + assignment.tokensAhead
     if (tokens <= 0) return
-    const measuredMsPerToken = Math.min(MAX_MS_PER_TOKEN, Math.max(MIN_MS_PER_TOKEN, (report.producedMs - FIRST_EVENT_BASE_MS) / tokens))
+    const measuredMsPerToken = Math.min(MAX_MS_PER_TOKEN, Math.max(MIN_MS_PER_TOKEN, (report.producedMs / assignment.statedSlowness - FIRST_EVENT_BASE_MS) / tokens))
     target.msPerToken += SMOOTHING_FACTOR * (measuredMsPerToken - target.msPerToken)
   }
 
@@ -224,7 +230,7 @@
   private _estimateFirstEventMs ({ waitByHall }: TargetQuery, candidate: TargetCandidate, { prefillTokens, transferTokens }: PrefillPlan): number {
     const target = this._getTarget(candidate.id)
     const transferMs = transferTokens > 0 ? transferTokens * candidate.msPerMovedToken : 0
-    return estimatePrefillMs(target, prefillTokens) + transferMs + (waitByHall.get(candidate.hall) ?? 0)
+    return estimatePrefillMs(target, prefillTokens) * (candidate.statedSlowness ?? 1) + transferMs + (waitByHall.get(candidate.hall) ?? 0)
   }
 
   /** Scores the work that the choice causes for the fleet, beyond the time of this request; in milliseconds. */
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -1,17 +1,22 @@
 /**
  * One plan of a coordinator, and the state that the coordinator keeps for each job.
  */
+import type { IClock } from '../../../base/common/clock.ts'
 import type { GenerationWork } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { RateLimitSource } from '../../quota/common/rateLimitSource.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
+import type { StatedLoads } from '../../upstream/common/statedLoads.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { PreparationPlanner } from '../common/preparationPlanner.ts'
 
 export interface PlanShardOptions {
+  readonly clock: IClock
   readonly registry: UpstreamRegistry
   readonly getTable: () => RelayTable | undefined
   /** The rate limits of upstreams; without it no upstream is limited. */
   readonly limits?: RateLimitSource
+  /** Loads that upstreams stated to this node; without it none has stated any. */
+  readonly loads?: Pick<StatedLoads, 'getSlowness'>
   /** Whether plans of single halls handle contention; see docs/CONTENTION.md. */
   readonly handlesContention?: boolean
 }
@@ -23,10 +28,11 @@
   isFreeScheduled = false
   loadLoggedAt = -Infinity
 
-  constructor (readonly hall: string, { registry, getTable, limits, handlesContention = false }: PlanShardOptions) {
+  constructor (readonly hall: string, { clock, registry, getTable, limits, loads, handlesContention = false }: PlanShardOptions) {
     this.planner = new PreparationPlanner(role => {
       const msPerMovedToken = computeTransferMsPerToken(getTable()?.getRole(role)?.generationWork)
-      return registry.listAvailable(role).filter(entry => this.isInScope(entry)).map(entry => ({ id: entry.id, hall: entry.hall, msPerMovedToken, limit: limits?.findLimit(entry) }))
+      const now = clock.now()
+      return registry.listAvailable(role).filter(entry => this.isInScope(entry)).map(entry => ({ id: entry.id, hall: entry.hall, msPerMovedToken, limit: limits?.findLimit(entry), statedSlowness: loads?.getSlowness(entry.id, now) }))
     }, (role, homeHalls) => registry.listAvailable(role).some(entry => homeHalls?.includes(entry.hall) !== false && limits?.findLimit(entry) === undefined), { hasContention: handlesContention && hall !== '' })
   }
 
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -9,6 +9,7 @@
 import type { RateLimitSource } from '../../quota/common/rateLimitSource.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
 import type { SendGuard } from '../../upstream/node/sendGuard.ts'
+import type { StatedLoads } from '../../upstream/common/statedLoads.ts'
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobUpdate, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
@@ -25,6 +26,8 @@
   readonly registry: UpstreamRegistry
   readonly getTable: () => RelayTable | undefined
   readonly limits?: RateLimitSource
+  /** Loads that upstreams stated to this node; without it none has stated any. */
+  readonly loads?: Pick<StatedLoads, 'getSlowness'>
   readonly handlesContention?: boolean
   /** Checked before a call is written to the connection; without a guard every call is sent. */
   readonly guard?: SendGuard
@@ -353,6 +356,7 @@
   }
 
   private _setUpstream (shard: PlanShard, entry: UpstreamEntry): void {
+    const { loads } = this._options
     const work = this._options.getTable()?.getRole(entry.role)?.pieceWork
     if (work === undefined || !shard.isInScope(entry)) return
     const { concurrentCalls, maxPiecesPerCall, callMs, pieceMs, resultRoomBytes, resultLifetimeMs } = work
@@ -360,7 +364,8 @@
       id: entry.id,
       role: entry.role,
       hall: entry.hall,
-      work: { concurrentCalls, maxPiecesPerCall, callMs, pieceMs, resultRoomBytes, resultLifetimeMs }
+      work: { concurrentCalls, maxPiecesPerCall, callMs, pieceMs, resultRoomBytes, resultLifetimeMs },
+      getStatedSlowness: loads === undefined ? undefined : now => loads.getSlowness(entry.id, now)
     })
     shard.planner.setAcceptsWork(entry.id, this._options.registry.isAvailable(entry))
   }
--- a/src/services/preparation/test/targetPlanner.test.ts
+++ b/src/services/preparation/test/targetPlanner.test.ts
@@ -126,4 +126,14 @@
   assert.is(planner.choose(createQuestion({ candidates: without }), 100)?.prefixSourceId, '')
 })
 
+test('a target that states to be slow is avoided, without being learned as slow', () => {
+  const planner = new TargetPlanner()
+  const unshared = { ...shape, shared: [] }
+  const slow = createQuestion({ shape: unshared, candidates: candidates.map(candidate => ({ ...candidate, statedSlowness: candidate.id === 'a' ? 2.5 : 1 })) })
+  assert.is(planner.choose(slow, 0)?.id, 'b')
+  planner.assign({ jobId: 'x', shape: unshared, targetId: 'a', prefillTokens: 15_000, statedSlowness: 2.5 }, 0)
+  planner.recordReport('x', { outcome: 'produced', producedMs: 2.5 * 275 }, 700)
+  assert.is(planner.choose({ ...slow, candidates }, 700)?.costMs, 275)
+})
+
 test.run()
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -6,11 +6,11 @@
 import type { IBackoffService } from '../../backoff/common/backoff.ts'
 import type { HealthTracker } from '../../health/common/healthTracker.ts'
 import type { IQuotaService } from '../../quota/common/quota.ts'
+import type { StatedLoads } from '../../upstream/common/statedLoads.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { AttemptOutcome } from './attemptDecision.ts'
 import { listSharedPrefixes } from './relayRequest.ts'
 import type { PromptShape } from './relayRequest.ts'
-import type { UpstreamLoad } from './relayProtocol.ts'
 import type { RelayCandidate, RelayRouter } from './relayRouter.ts'
 
 export interface RelayPoolOptions {
@@ -26,6 +26,8 @@
   readonly quota?: Pick<IQuotaService, 'getWaitMs'>
   /** Remaining backoff time of each upstream; without it no upstream is in backoff. */
   readonly backoffs?: Pick<IBackoffService, 'getWaitMs'>
+  /** Loads that upstreams stated; without it none has stated any. */
+  readonly loads?: Pick<StatedLoads, 'find' | 'findRecent' | 'getSlowness'>
 }
 
 export interface PoolQuery {
@@ -64,14 +66,10 @@
   inFlight = 0
   pendingTokens = 0
   suspectCount = 0
-  load: UpstreamLoad | undefined
-  loadReceivedAt = -Infinity
 
   constructor (readonly health: HealthTracker) {}
 }
 
-/** A reported load is ignored after this time. */
-const MAX_LOAD_AGE_MS = 1000
 /** At most this share of a role's upstreams is ejected for poor health. */
 const MAX_EJECTED_SHARE = 0.5
 
@@ -145,15 +143,9 @@
     }
   }
 
-  recordLoad (upstream: UpstreamEntry, load: UpstreamLoad): void {
-    const usage = this._getUsage(upstream.id)
-    usage.load = load
-    usage.loadReceivedAt = this._options.clock.now()
-  }
-
   describe (): readonly object[] {
     const now = this._options.clock.now()
-    return [...this._usages].map(([id, usage]) => ({ id, inFlight: usage.inFlight, pendingTokens: usage.pendingTokens, health: usage.health.getState(now), load: usage.load }))
+    return [...this._usages].map(([id, usage]) => ({ id, inFlight: usage.inFlight, pendingTokens: usage.pendingTokens, health: usage.health.getState(now), load: this._options.loads?.find(id) }))
   }
 
   /** Upstreams that should accept a request now, as far as this node knows without requesting quota. */
@@ -187,15 +179,16 @@
 
   private _createCandidate (entry: UpstreamEntry): RelayCandidate {
     const usage = this._getUsage(entry.id)
-    const isFresh = this._options.clock.now() - usage.loadReceivedAt <= MAX_LOAD_AGE_MS
+    const { loads, clock } = this._options
+    const load = loads?.findRecent(entry.id, clock.now())
     return {
       id: entry.id,
       hall: entry.hall,
       inFlight: usage.inFlight,
       pendingTokens: usage.pendingTokens,
-      reportedLoad: isFresh && usage.load !== undefined ? usage.load.running + usage.load.waiting : 0,
+      reportedLoad: load === undefined ? 0 : load.running + load.waiting,
       slots: entry.slots,
-      latencyFactor: 1
+      latencyFactor: loads?.getSlowness(entry.id, clock.now()) ?? 1
     }
   }
 
--- a/src/services/relay/common/relayProtocol.ts
+++ b/src/services/relay/common/relayProtocol.ts
@@ -85,13 +85,4 @@
   abstract readHead (head: AnswerHead, call: RelayCall): AnswerVerdict
   /** Returns what the upstream states about itself; empty if the answer is from another instance or to another request. */
   abstract readStatements (head: AnswerHead, call: RelayCall): readonly UpstreamStatement[]
-  /** Returns the load that the upstream reports; undefined if it reports none. */
-  abstract readLoad (head: AnswerHead): UpstreamLoad | undefined
-}
-
-/** Load that an upstream reported with an answer. */
-export interface UpstreamLoad {
-  readonly running: number
-  readonly waiting: number
-  readonly slots: number
 }
--- a/src/services/relay/common/relayRouter.ts
+++ b/src/services/relay/common/relayRouter.ts
@@ -15,7 +15,7 @@
   /** Requests of all nodes there, as the upstream reported recently; 0 without a recent report. */
   readonly reportedLoad: number
   readonly slots: number
-  /** Latency relative to the other upstreams; 1 is normal. */
+  /** Latency relative to the usual, as the upstream stated recently; 1 without a recent statement. */
   readonly latencyFactor: number
 }
 
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -8,7 +8,7 @@
 import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import type { AttemptOutcome } from '../common/attemptDecision.ts'
 import { EventSplitter } from '../common/eventSplitter.ts'
-import type { AnswerVerdict, RelayCall, UpstreamLoad, UpstreamProtocol } from '../common/relayProtocol.ts'
+import type { AnswerVerdict, RelayCall, UpstreamProtocol } from '../common/relayProtocol.ts'
 import type { CallerAnswer, BufferedAnswer } from './callerAnswer.ts'
 
 export interface RelayAttemptOptions {
@@ -27,7 +27,6 @@
   readonly signal: AbortSignal
   /** Called once the connection is open, right before the request is written; false withholds the request. */
   readonly onWillSend: () => boolean
-  readonly onDidReadLoad: (load: UpstreamLoad) => void
   /** Receives what the upstream states about itself in the head of its answer. */
   readonly onDidReadStatements: (statements: readonly UpstreamStatement[]) => void
   /** Called when the first event of a stream, or the whole answer, has arrived. */
@@ -94,14 +93,12 @@
   }
 
   private async _readAnswer (response: IncomingMessage, exchange: IExchange): Promise<AttemptResult> {
-    const { protocol, call, onDidReadLoad } = this._options
+    const { protocol, call } = this._options
     // An error of the response is followed by its close, which is handled below.
     response.on('error', () => {})
     const head = { status: response.statusCode ?? 0, headers: response.headers, rawHeaders: response.rawHeaders }
     const verdict = protocol.readHead(head, call)
     this._options.onDidReadStatements(protocol.readStatements(head, call))
-    const load = protocol.readLoad(head)
-    if (load !== undefined) onDidReadLoad(load)
     if (verdict.kind === 'invalid') {
       exchange.cancel()
       return { outcome: { kind: 'lost', reason: verdict.reason } }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -216,7 +216,6 @@
         return true
       },
       onDidReadStatements: statements => context.recordStatements({ upstream: upstream.id, statements }),
-      onDidReadLoad: load => context.pool.recordLoad(upstream, load),
       onDidReceiveFirstOutput: () => {
         if (writtenAt !== undefined) context.backoffs.recordSendResult(upstream.id, writtenAt, true)
         this._recordFirstOutput(inFlightRequest, upstream)
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -89,10 +89,6 @@
     if (typeof limit !== 'string') return unrun === undefined ? [{ kind: 'rate', perS: undefined }] : []
     return [Number.isFinite(Number(limit)) ? { kind: 'rate', perS: Number(limit) } : { kind: 'invalid', name: 'limit', value: limit }]
   }
-
-  readLoad (): undefined {
-    return undefined
-  }
 }
 
 /** Handles a request whose head an upstream has read. */
--- a/src/services/upstream/common/upstreamStatement.ts
+++ b/src/services/upstream/common/upstreamStatement.ts
@@ -2,6 +2,7 @@
  * Statements about its own state that an upstream sends with its answers. Adapters read them from any answer; each kind has one
  * receiver.
  */
+import type { StatedLoad } from './statedLoad.ts'
 
 export type UpstreamStatement =
   /** Requests per second that the upstream accepts from all callers together; undefined removes a limit stated earlier. */
@@ -10,6 +11,10 @@
   | { readonly kind: 'leaving' }
   /** The upstream refused a request of this node and asks it to send nothing for this time. */
   | { readonly kind: 'backoff', readonly forMs: number }
+  /** The upstream's load when it answered; a hint for this node's choices. */
+  | { readonly kind: 'load', readonly load: StatedLoad }
+  /** A load that cannot be read; it has no effect. Apart from other invalid statements, because nearly every answer may have one. */
+  | { readonly kind: 'invalidLoad', readonly name: string, readonly value: string }
   /** A statement with an invalid value; it has no effect. */
   | { readonly kind: 'invalid', readonly name: string, readonly value: string }
 
