--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -44,6 +44,7 @@
     countWithheldSends: () => guard.withheldSendCount,
     countInvalidStatements: () => statements.invalidCount,
     getReturnCounts: () => coordinator.returnCounts,
+    countInvalidLoads: () => statements.invalidLoadCount,
     countPauses: () => pauseDetector.pauseCount,
     getBytesSent: () => member.traffic.sent
   }
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -19,6 +19,7 @@
   readonly countQuarantineRefusals: () => number
   readonly countLimitedUpstreams: () => number
   readonly countInvalidStatements: () => number
+  readonly countInvalidLoads: () => number
   readonly countLeavingUpstreams: () => number
   readonly countBackingOffUpstreams: () => number
   readonly countWithheldSends: () => number
@@ -59,6 +60,7 @@
     this.metrics.createGauge('node_kept_returns_total', 'Callers that returned as told and were admitted', () => gauges.getReturnCounts().kept)
     this.metrics.createGauge('node_expired_returns_total', 'Reservations whose callers did not return', () => gauges.getReturnCounts().expired)
     this.metrics.createGauge('node_missed_returns_total', 'Callers that returned as told and were refused', () => gauges.getReturnCounts().missed)
+    this.metrics.createGauge('node_invalid_loads_total', 'Loads stated by upstreams that could not be read', gauges.countInvalidLoads)
     this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
     this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
   }
