Learn by how much forecasts of admitted jobs are wrong

The margin of a tenth does not cover calls that take longer than configured and more urgent jobs that arrive later.

Change: a plan that handles contention records how much later than forecast its jobs complete, by the number of their stages, and admits new jobs with the mean error and a standard deviation to spare, at most 0.35 of the goal.

--- a/src/services/preparation/common/contendedAdmission.ts
+++ b/src/services/preparation/common/contendedAdmission.ts
@@ -6,16 +6,21 @@
 import { JobAdmission } from './jobAdmission.ts'
 import { computeRetryAfterMs, decideAdmission } from './jobForecast.ts'
 import type { JobForecast, RoleCapacity } from './jobForecast.ts'
-import { ADMISSION_MARGIN } from './jobOrder.ts'
+import { ForecastErrors } from './forecastErrors.ts'
+import { computeAdmissionMarginMs } from './jobOrder.ts'
 import type { JobState } from './jobState.ts'
 import type { AdmissionOptions, JobDecline, JobRefusal, JobStage, ReservationEntry } from './preparationJob.ts'
 import { ReturnReservations } from './returnReservations.ts'
 import type { ReturnCounts } from './returnReservations.ts'
 
+/** Bounds the margin: a job that needs most of its goal for itself would never be admitted. */
+const MAX_MARGIN_RATIO = 0.35
+
 type Capacities = ReadonlyMap<string, RoleCapacity>
 
 export class ContendedAdmission extends JobAdmission {
   private readonly _reservations = new ReturnReservations()
+  private readonly _errors = new ForecastErrors()
 
   override get returnCounts (): ReturnCounts {
     return this._reservations.counts
@@ -31,6 +36,10 @@
     return decision
   }
 
+  override recordPrepared (state: JobState, now: number): void {
+    if (state.forecastEndAt !== undefined) this._errors.record(countDepth(state), now + state.expectedRequestMs - state.forecastEndAt)
+  }
+
   protected override refuseWaiting (forecast: JobForecast, now: number): JobRefusal {
     const { state } = forecast
     const capacities = this._options.pool.computeCapacities(now)
@@ -46,9 +55,11 @@
   }
 
   private _decideNew (state: JobState, capacities: Capacities, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
+    state.admissionMarginMs = Math.min(MAX_MARGIN_RATIO * state.job.goalInMs, this._errors.computeMarginMs(countDepth(state)))
     const reservedPieces = this._reservations.sumPieces(state.goalAt, now, state.job.returnKey)
     const forecast = this._forecast(state, capacities, now, reservedPieces)
     if (forecast === undefined) return undefined
+    if (!forecast.isLate) state.forecastEndAt = forecast.endAt - computeAdmissionMarginMs(state)
     const decision = decideAdmission(forecast, capacities, now, options)
     return decision?.reason === 'overloaded' ? this._refuseWithReturn(state, capacities, now) ?? decision : decision
   }
@@ -78,7 +89,7 @@
 
   private _findReturnMs (state: JobState, capacities: Capacities, maxReturnMs: number, now: number): number | undefined {
     const { job } = state
-    const maxQueueMs = job.goalInMs * (1 - ADMISSION_MARGIN) - this._options.jobOrder.estimateRemainingMs(state, now)
+    const maxQueueMs = job.goalInMs - computeAdmissionMarginMs(state) - this._options.jobOrder.estimateRemainingMs(state, now)
     return findReturnMs({ roles: this._viewRoles(job.stages, capacities, now), expectedWork: this._reservations.list(now), maxQueueMs, maxReturnMs }, now)
   }
 
@@ -98,6 +109,11 @@
   }
 }
 
+/** Returns the number of stages that the job runs one after the other. */
+function countDepth ({ heights }: JobState): number {
+  return Math.max(0, ...heights)
+}
+
 function countPieces (stages: readonly JobStage[]): ReservationEntry['pieces'] {
   const counts = new Map<string, number>()
   for (const { role, pieceCount } of stages) if (pieceCount > 0) counts.set(role, (counts.get(role) ?? 0) + pieceCount)
--- a/src/services/preparation/common/jobAdmission.ts
+++ b/src/services/preparation/common/jobAdmission.ts
@@ -25,6 +25,9 @@
   /** Returns undefined if the job is admitted. */
   abstract decide (state: JobState, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined
 
+  /** Called when all results of a job are computed, so that later forecasts can be corrected. */
+  recordPrepared (_state: JobState, _now: number): void {}
+
   /** Returns the refusal of an admitted job that misses its deadline. */
   protected abstract refuseWaiting (forecast: JobForecast, now: number): JobRefusal
 
--- a/src/services/preparation/common/jobOrder.ts
+++ b/src/services/preparation/common/jobOrder.ts
@@ -21,7 +21,7 @@
  * Share of its goal that a new job must have to spare to be regarded as in time, since throughput varies from second to
  * second. Without a margin, jobs at the limit become late after they were admitted, and are refused after a useless wait.
  */
-export const ADMISSION_MARGIN = 0.1
+const ADMISSION_MARGIN = 0.1
 
 const NO_PIECES: ReadonlyMap<string, number> = new Map()
 
@@ -47,7 +47,7 @@
     const activeJobs = [...jobs].filter(state => state.isActive)
     const lowestRank = findLowestRank(activeJobs)
     const entries = activeJobs
-      .map(state => ({ state, remainingMs: this._estimateMinimumMs(state) + (state === newJob ? ADMISSION_MARGIN * state.job.goalInMs : 0), latenessPenaltyMs: computeLatenessPenaltyMs(state, lowestRank), score: this._scoreOnTime(state, now) }))
+      .map(state => ({ state, remainingMs: this._estimateMinimumMs(state) + (state === newJob ? computeAdmissionMarginMs(state) : 0), latenessPenaltyMs: computeLatenessPenaltyMs(state, lowestRank), score: this._scoreOnTime(state, now) }))
       .sort((a, b) => a.score - b.score)
     return forecastJobs(entries, capacities, now, this._forecastOptions, newJob === undefined ? undefined : { state: newJob, reservedPieces })
   }
@@ -77,6 +77,11 @@
   }
 }
 
+/** Returns the time that a new job must have to spare to be regarded as in time. */
+export function computeAdmissionMarginMs ({ job, admissionMarginMs }: JobState): number {
+  return Math.max(ADMISSION_MARGIN * job.goalInMs, admissionMarginMs)
+}
+
 /** Returns the largest rank number: rank 0 is the most urgent. */
 function findLowestRank (jobs: readonly JobState[]): number {
   return jobs.reduce((lowest, { job }) => Math.max(lowest, job.rank), 0)
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -25,6 +25,10 @@
   readonly placements: readonly StagePlacement[]
   /** Whether the latest forecast has the job miss its goal. */
   isLate = false
+  /** When the job was forecast to complete at its admission; undefined if it was then late. */
+  forecastEndAt: number | undefined
+  /** Time that the job must have to spare when it is admitted, in addition to the usual margin. */
+  admissionMarginMs = 0
   /** All results are computed, and the owner was notified. */
   isHandedOver = false
   /** The caller returned when it was told to, and capacity was reserved for it. */
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -348,6 +348,7 @@
       this._blockedJobs.add(state)
       return
     }
+    this._admission.recordPrepared(state, now)
     state.isHandedOver = true
     const results = state.listFinalResults()
     this._targets.choose(state, now)
