Check messages by functions compiled from their schemas

Cause: each message between nodes, entry of an upstream and answer of the store was decoded by Effect, which interprets the schema for each value. It also built a parser for every schema when a process started. Frames were copied by Buffer.concat from two buffers.

Change: createSchemaDecoder compiles a schema to closures over its own refinements when it is first used. It decides on acceptance only; whatever it does not accept, and schemas that it does not support, goes to Effect, which also words the errors. A frame is written into one buffer.

--- a/src/base/node/frameConnection.ts
+++ b/src/base/node/frameConnection.ts
@@ -12,9 +12,10 @@
 /** Encodes a value as a frame, so that a value sent over many connections is encoded once. */
 export function createFrame (value: unknown): Buffer {
   const body = encoder.encode(value)
-  const head = Buffer.allocUnsafe(LENGTH_BYTES)
-  head.writeUInt32BE(body.length)
-  return Buffer.concat([head, body])
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length)
+  frame.writeUInt32BE(body.length)
+  frame.set(body, LENGTH_BYTES)
+  return frame
 }
 
 /** Large enough for a configuration document of 1 MB and its envelope. */
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -72,7 +72,7 @@
 /** How long ago the source last confirmed to the sender that there are no further changes, in milliseconds. */
 const ConfirmedAgeMs = Count
 
-const WireMessageSchema = Schema.Union(
+export const WireMessageSchema = Schema.Union(
   /** The first message of each side. */
   Schema.Struct({ kind: Schema.Literal('hello'), role: Schema.Literal('steward', 'gate'), address: Name, hall: Name }),
   Schema.Struct({ kind: Schema.Literal('facts'), facts: Schema.Array(FactSchema) }),
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -55,7 +55,7 @@
   pieces: Schema.Array(Schema.Struct({ role: Id, count: Count })).pipe(Schema.maxItems(MAX_STAGES))
 })
 
-const PreparationMessageSchema = Schema.Union(
+export const PreparationMessageSchema = Schema.Union(
   /** First message on a link: the process that the sender regards as the coordinator. Earlier versions do not send it. */
   Schema.Struct({ kind: Schema.Literal('hello'), incarnation: Count }),
   /** The process that the sender of `hello` meant has ended; this one, which started later, processes none of its messages. */
--- a/src/services/rpc/common/messageValidator.ts
+++ b/src/services/rpc/common/messageValidator.ts
@@ -2,10 +2,12 @@
  * Validates messages received from other processes of the system. During a rolling upgrade nodes of several versions run
  * side by side, so a message kind that only newer senders know is reported differently from an invalid message.
  */
-import { Either as EffectEither, ParseResult, Schema } from 'effect'
+import { Either as EffectEither, ParseResult } from 'effect'
+import type { Schema } from 'effect'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import { createSchemaDecoder } from './schemaDecoder.ts'
 
 /** A schema of a struct with a literal `kind`. */
 interface KindSchema {
@@ -26,7 +28,7 @@
 }
 
 export function createMessageValidator<M, I> (schema: Schema.Schema<M, I>, kinds: ReadonlySet<string>): MessageValidator<M> {
-  const decode = Schema.decodeUnknownEither(schema)
+  const decode = createSchemaDecoder(schema)
   return frame => {
     const kind = readKind(frame)
     if (kind === undefined) return Left(new PepperwoodError({ name: 'frameInvalid', message: 'expected a message with a kind', place: 'kind' }))
