Keep the place of returning callers, and reserve by rank

Each decision went through all reservations.

Change: a caller that returned as told keeps its place when it is late. No capacity of a role is reserved for a rank for a second after a more urgent one got no time of return because of that role. A job that only lacks a target gets no reservation.

--- a/src/services/preparation/common/capacityOutlook.ts
+++ b/src/services/preparation/common/capacityOutlook.ts
@@ -15,13 +15,14 @@
 /** Work that is expected at a known time. */
 export interface ExpectedWork {
   readonly at: number
-  readonly pieces: readonly { readonly role: string, readonly count: number }[]
+  /** Number of pieces by role. */
+  readonly pieces: ReadonlyMap<string, number>
 }
 
 export interface ReturnQuery {
   /** The roles of the job. */
   readonly roles: ReadonlyMap<string, RoleOutlook>
-  readonly expectedWork: readonly ExpectedWork[]
+  readonly expectedWork: Iterable<ExpectedWork>
   /** The longest queue with which the job would meet its goal; a negative value if it cannot be met at all. */
   readonly maxQueueMs: number
   readonly maxReturnMs: number
@@ -47,12 +48,11 @@
   return step === -1 ? undefined : step * STEP_MS
 }
 
-function sumByStep (expectedWork: readonly ExpectedWork[], role: string, stepCount: number, now: number): Float64Array {
+function sumByStep (expectedWork: Iterable<ExpectedWork>, role: string, stepCount: number, now: number): Float64Array {
   const sums = new Float64Array(stepCount + 1)
   for (const { at, pieces } of expectedWork) {
     const step = Math.max(0, Math.ceil((at - now) / STEP_MS))
-    if (step > stepCount) continue
-    for (const piece of pieces) if (piece.role === role) sums[step] = (sums[step] ?? 0) + piece.count
+    if (step <= stepCount) sums[step] = (sums[step] ?? 0) + (pieces.get(role) ?? 0)
   }
   return sums
 }
--- a/src/services/preparation/common/contendedAdmission.ts
+++ b/src/services/preparation/common/contendedAdmission.ts
@@ -11,11 +11,13 @@
 import type { AdmissionOptions, JobDecline, JobRefusal, JobStage, ReservationEntry } from './preparationJob.ts'
 import { ReturnReservations } from './returnReservations.ts'
 import type { ReturnCounts } from './returnReservations.ts'
+import { ScarceRoles } from './scarceRoles.ts'
 
 type Capacities = ReadonlyMap<string, RoleCapacity>
 
 export class ContendedAdmission extends JobAdmission {
   private readonly _reservations = new ReturnReservations()
+  private readonly _scarceRoles = new ScarceRoles()
 
   override get returnCounts (): ReturnCounts {
     return this._reservations.counts
@@ -47,20 +49,24 @@
 
   private _decideNew (state: JobState, capacities: Capacities, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
     const reservedPieces = this._reservations.sumPieces(state.goalAt, now, state.job.returnKey)
-    const forecast = this._forecast(state, capacities, now, reservedPieces)
+    const forecast = this._forecastPieces(state, capacities, now, reservedPieces)
     if (forecast === undefined) return undefined
-    const decision = decideAdmission(forecast, capacities, now, options)
-    return decision?.reason === 'overloaded' ? this._refuseWithReturn(state, capacities, now) ?? decision : decision
+    const decision = decideAdmission(this._addTargetWait(forecast, now), capacities, now, options)
+    // Reserved pieces do not help a caller whose request waits for a rate limited target.
+    const lacksPieces = decision?.reason === 'overloaded' && decideAdmission(forecast, capacities, now)?.reason === 'overloaded'
+    return lacksPieces ? this._refuseWithReturn(state, capacities, now) ?? decision : decision
   }
 
   /** Admits a caller that returned as told, also if it is late, unless it cannot be served before its deadline. */
-  private _decideReturn (state: JobState, returnKey: string, capacities: Capacities, now: number): JobRefusal | undefined {
+  private _decideReturn (state: JobState, returnKey: string, capacities: Capacities, now: number): JobRefusal | JobDecline | undefined {
     state.isReturn = true
-    const forecast = this._forecast(state, capacities, now)
+    const pieceForecast = this._forecastPieces(state, capacities, now)
+    const forecast = pieceForecast === undefined ? undefined : this._addTargetWait(pieceForecast, now)
     const decision = forecast === undefined ? undefined : decideAdmission(forecast, capacities, now)
-    const isImpossible = decision?.reason === 'noUpstream' || (forecast !== undefined && forecast.endAt > state.deadlineAt)
-    this._reservations.recordReturn(returnKey, !isImpossible)
-    return isImpossible && decision?.reason !== 'late' ? decision : undefined
+    const canMeetDeadline = forecast === undefined || forecast.endAt <= state.deadlineAt
+    const isAdmitted = decision === undefined || (canMeetDeadline && decision.reason !== 'noUpstream')
+    this._reservations.recordReturn(returnKey, isAdmitted)
+    return isAdmitted ? undefined : decision
   }
 
   /** Refuses a job with a time of return, if its caller accepts one. */
@@ -68,9 +74,9 @@
     const { job } = state
     if (job.returnKey === undefined || job.returnWithinMs === undefined || state.isStarted || state.isReturn) return undefined
     const existing = this._reservations.find(job.returnKey, now)
-    if (existing !== undefined) return { reason: 'overloaded', retryAfterMs: Math.max(0, existing.at - now), isReserved: true }
+    if (existing !== undefined) return { reason: 'overloaded', retryAfterMs: Math.round(Math.max(0, existing.at - now)), isReserved: true }
     const maxReturnMs = job.returnWithinMs * Math.max(0, state.deadlineAt - now) / Math.max(1, job.deadlineInMs)
-    const returnMs = this._findReturnMs(state, capacities, maxReturnMs, now)
+    const returnMs = this._isOutranked(state, now) ? undefined : this._findReturnMs(state, capacities, maxReturnMs, now)
     if (returnMs === undefined) return { reason: 'overloaded', retryAfterMs: Math.round(maxReturnMs) }
     const isReserved = this._reservations.add({ key: job.returnKey, at: now + returnMs, pieces: countPieces(job.stages) }, now)
     return { reason: 'overloaded', retryAfterMs: returnMs, ...isReserved ? { isReserved } : {} }
@@ -79,7 +85,15 @@
   private _findReturnMs (state: JobState, capacities: Capacities, maxReturnMs: number, now: number): number | undefined {
     const { job } = state
     const maxQueueMs = job.goalInMs * (1 - ADMISSION_MARGIN) - this._options.jobOrder.estimateRemainingMs(state, now)
-    return findReturnMs({ roles: this._viewRoles(job.stages, capacities, now), expectedWork: this._reservations.list(now), maxQueueMs, maxReturnMs }, now)
+    const roles = this._viewRoles(job.stages, capacities, now)
+    const returnMs = findReturnMs({ roles, expectedWork: this._reservations.listWork(now), maxQueueMs, maxReturnMs }, now)
+    if (returnMs === undefined) this._scarceRoles.record(findLongestQueue(roles), job.rank, now)
+    return returnMs
+  }
+
+  /** Whether the job needs a role that has no capacity for more urgent ones. Patient callers of a low rank would be served more often than these. */
+  private _isOutranked ({ job }: JobState, now: number): boolean {
+    return job.stages.some(({ role, pieceCount }) => pieceCount > 0 && this._scarceRoles.isScarce(role, job.rank, now))
   }
 
   private _viewRoles (stages: readonly JobStage[], capacities: Capacities, now: number): ReadonlyMap<string, RoleOutlook> {
@@ -98,6 +112,19 @@
   }
 }
 
+/** Returns the role whose queue takes longest to work off. */
+function findLongestQueue (roles: ReadonlyMap<string, RoleOutlook>): string {
+  let longestRole = ''
+  let longestMs = -Infinity
+  for (const [role, { queuedPieces, piecesPerMs }] of roles) {
+    const queueMs = queuedPieces / piecesPerMs
+    if (queueMs <= longestMs) continue
+    longestMs = queueMs
+    longestRole = role
+  }
+  return longestRole
+}
+
 function countPieces (stages: readonly JobStage[]): ReservationEntry['pieces'] {
   const counts = new Map<string, number>()
   for (const { role, pieceCount } of stages) if (pieceCount > 0) counts.set(role, (counts.get(role) ?? 0) + pieceCount)
--- a/src/services/preparation/common/jobAdmission.ts
+++ b/src/services/preparation/common/jobAdmission.ts
@@ -47,11 +47,15 @@
     })
   }
 
-  /** Forecasts a new job behind the admitted ones and `reservedPieces`, the wait for its target included. */
-  protected _forecast (state: JobState, capacities: ReadonlyMap<string, RoleCapacity>, now: number, reservedPieces?: ReadonlyMap<string, number>): JobForecast | undefined {
-    const { jobOrder, targets, jobs } = this._options
-    const forecast = jobOrder.forecast([...jobs.values(), state], capacities, now, state, reservedPieces).find(other => other.state === state)
-    return forecast === undefined ? undefined : targets.addTargetWait(forecast, jobs.values(), now)
+  /** Forecasts the pieces of a new job behind the admitted ones and `reservedPieces`. */
+  protected _forecastPieces (state: JobState, capacities: ReadonlyMap<string, RoleCapacity>, now: number, reservedPieces?: ReadonlyMap<string, number>): JobForecast | undefined {
+    const { jobOrder, jobs } = this._options
+    return jobOrder.forecast([...jobs.values(), state], capacities, now, state, reservedPieces).find(other => other.state === state)
+  }
+
+  protected _addTargetWait (forecast: JobForecast, now: number): JobForecast {
+    const { targets, jobs } = this._options
+    return targets.addTargetWait(forecast, jobs.values(), now)
   }
 }
 
@@ -61,8 +65,8 @@
 
   override decide (state: JobState, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
     const capacities = this._options.pool.computeCapacities(now)
-    const forecast = this._forecast(state, capacities, now)
-    return forecast === undefined ? undefined : decideAdmission(forecast, capacities, now, options)
+    const forecast = this._forecastPieces(state, capacities, now)
+    return forecast === undefined ? undefined : decideAdmission(this._addTargetWait(forecast, now), capacities, now, options)
   }
 
   protected override refuseWaiting (forecast: JobForecast): JobRefusal {
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -59,7 +59,7 @@
 
 /**
  * Forecasts all jobs, given in scheduling order. A job that would miss its goal is placed behind those that can meet
- * theirs, so that it makes none of them late.
+ * theirs, so that it makes none of them late. A caller that returned as told keeps its place: it was promised the capacity.
  */
 export function forecastJobs (entries: readonly ForecastEntry[], capacities: ReadonlyMap<string, RoleCapacity>, now: number, { minLateCapacityRatio = MIN_LATE_CAPACITY_RATIO }: ForecastOptions = {}, newJob?: NewJobEntry): readonly JobForecast[] {
   const piecesAhead = new Map<string, number>()
@@ -68,11 +68,12 @@
   for (const entry of entries) {
     const waitMs = computeQueueMs(entry.state, capacities, addReserved(piecesAhead, entry.state, newJob), computeWaitMs)
     const endAt = now + waitMs + entry.remainingMs
-    if (endAt > entry.state.goalAt) {
+    const isLate = endAt > entry.state.goalAt
+    if (isLate && !entry.state.isReturn) {
       late.push(entry)
       continue
     }
-    forecasts.push({ state: entry.state, endAt, waitMs, isLate: false })
+    forecasts.push({ state: entry.state, endAt, waitMs, isLate })
     addOpenPieces(entry.state, piecesAhead)
   }
   for (const entry of late) {
--- a/src/services/preparation/common/jobOrder.ts
+++ b/src/services/preparation/common/jobOrder.ts
@@ -82,7 +82,8 @@
   return jobs.reduce((lowest, { job }) => Math.max(lowest, job.rank), 0)
 }
 
-function computeLatenessPenaltyMs ({ job, goalAt, deadlineAt }: JobState, lowestRank: number): number {
+function computeLatenessPenaltyMs ({ job, goalAt, deadlineAt, isReturn }: JobState, lowestRank: number): number {
+  if (isReturn) return 0
   const latenessPenaltyMs = LATE_GOAL_RATIO * Math.max(0, deadlineAt - goalAt)
   return job.rank < lowestRank ? Math.min(MAX_LATENESS_PENALTY_MS, latenessPenaltyMs) : latenessPenaltyMs
 }
--- a/src/services/preparation/test/capacityOutlook.test.ts
+++ b/src/services/preparation/test/capacityOutlook.test.ts
@@ -26,7 +26,7 @@
 })
 
 test('reserved work is queued from the time of its return, and is no obstacle before', () => {
-  const expectedWork = [{ at: 1200, pieces: [{ role: 'a', count: 900 }, { role: 'other', count: 5000 }] }]
+  const expectedWork = [{ at: 1200, pieces: new Map([['a', 900], ['other', 5000]]) }]
   assert.is(findReturnMs(createQuery({ queuedPieces: 1000 }, { expectedWork }), 0), 500)
   assert.is(findReturnMs(createQuery({ queuedPieces: 1800 }, { expectedWork }), 0), 2200)
 })
--- a/src/services/preparation/test/contendedAdmission.test.ts
+++ b/src/services/preparation/test/contendedAdmission.test.ts
@@ -86,6 +86,17 @@
   assert.is(planner.returnCounts.missed, 1)
 })
 
+test('no capacity is reserved for a less urgent rank while a more urgent one gets none', () => {
+  const refuse = (urgentReturnWithinMs: number) => {
+    const planner = createPlanner({ upstreams: { a: 1 }, hasContention: true })
+    addUntilRefused(planner, START)
+    planner.addJob(createCallersJob('urgent', { returnWithinMs: urgentReturnWithinMs }), START)
+    const refusal = planner.addJob(createCallersJob('patient', { rank: 2 }), START)
+    return refusal?.reason === 'overloaded' && refusal.isReserved === true
+  }
+  assert.equal([refuse(5000), refuse(50)], [true, false])
+})
+
 test('a waiting job that is refused before it has started gets a time of return', () => {
   const planner = createPlanner({ upstreams: { a: 2 }, hasContention: true })
   addUntilRefused(planner, START)
