Share the counts, pieces and grace time of reservations between their modules

Cause: the parts within a plan and across nodes were written side by side, and each defined the counts, the pieces by role and the grace time of its own. Change: one definition each.

--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -2,7 +2,7 @@
  * The metrics of a node. Labels only have values from small fixed sets; customers and routes are written to the log instead.
  */
 import { MetricsRegistry } from '../services/metrics/node/metricsServer.ts'
-import type { ReturnCounts } from '../services/preparation/node/returnLog.ts'
+import type { ReturnCounts } from '../services/preparation/common/returnReservations.ts'
 import type { CompletedRequest } from '../services/relay/node/relayServer.ts'
 import type { StatementKind } from '../services/upstream/common/upstreamStatement.ts'
 
--- a/src/services/preparation/common/contendedAdmission.ts
+++ b/src/services/preparation/common/contendedAdmission.ts
@@ -3,22 +3,23 @@
  */
 import { findReturnMs } from './capacityOutlook.ts'
 import type { RoleOutlook } from './capacityOutlook.ts'
+import { ForecastErrors } from './forecastErrors.ts'
 import { JobAdmission } from './jobAdmission.ts'
 import { computeRetryAfterMs, decideAdmission } from './jobForecast.ts'
 import type { JobForecast, RoleCapacity } from './jobForecast.ts'
-import { ForecastErrors } from './forecastErrors.ts'
 import { computeAdmissionMarginMs } from './jobOrder.ts'
 import type { JobState } from './jobState.ts'
+import { countPiecesByRole } from './preparationJob.ts'
 import type { AdmissionOptions, JobDecline, JobRefusal, JobStage, ReservationEntry } from './preparationJob.ts'
 import { ReturnReservations } from './returnReservations.ts'
 import type { ReturnCounts } from './returnReservations.ts'
 import { ScarceRoles } from './scarceRoles.ts'
 
+type Capacities = ReadonlyMap<string, RoleCapacity>
+
 /** Bounds the margin: a job that needs most of its goal for itself would never be admitted. */
 const MAX_MARGIN_RATIO = 0.35
 
-type Capacities = ReadonlyMap<string, RoleCapacity>
-
 export class ContendedAdmission extends JobAdmission {
   private readonly _reservations = new ReturnReservations()
   private readonly _errors = new ForecastErrors()
@@ -89,7 +90,7 @@
     const maxReturnMs = job.returnWithinMs * Math.max(0, state.deadlineAt - now) / Math.max(1, job.deadlineInMs)
     const returnMs = this._isOutranked(state, now) ? undefined : this._findReturnMs(state, capacities, maxReturnMs, now)
     if (returnMs === undefined) return { reason: 'overloaded', retryAfterMs: Math.round(maxReturnMs) }
-    const isReserved = this._reservations.add({ key: job.returnKey, at: now + returnMs, pieces: countPieces(job.stages) }, now)
+    const isReserved = this._reservations.add({ key: job.returnKey, at: now + returnMs, pieces: countPiecesByRole(job) }, now)
     return { reason: 'overloaded', retryAfterMs: returnMs, ...isReserved ? { isReserved } : {} }
   }
 
@@ -140,9 +141,3 @@
   }
   return longestRole
 }
-
-function countPieces (stages: readonly JobStage[]): ReservationEntry['pieces'] {
-  const counts = new Map<string, number>()
-  for (const { role, pieceCount } of stages) if (pieceCount > 0) counts.set(role, (counts.get(role) ?? 0) + pieceCount)
-  return [...counts].map(([role, count]) => ({ role, count }))
-}
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -110,3 +110,10 @@
   const needed = new Set(stages.flatMap(stage => stage.pieceCount > 0 ? stage.after : []))
   return stages.flatMap((stage, index) => stage.pieceCount > 0 && !needed.has(index) ? [index] : [])
 }
+
+/** Returns the number of pieces of a job by role, as its plan reserves them. */
+export function countPiecesByRole (job: PreparationJob): ReservationEntry['pieces'] {
+  const counts = new Map<string, number>()
+  for (const { role, pieceCount } of job.stages) if (pieceCount > 0) counts.set(role, (counts.get(role) ?? 0) + pieceCount)
+  return [...counts].map(([role, count]) => ({ role, count }))
+}
--- a/src/services/preparation/common/returnReservations.ts
+++ b/src/services/preparation/common/returnReservations.ts
@@ -3,6 +3,7 @@
  */
 import type { ExpectedWork } from './capacityOutlook.ts'
 import type { ReservationEntry } from './preparationJob.ts'
+import { RETURN_GRACE_MS } from './returnWindow.ts'
 
 /** The work of one refused caller. */
 export interface ReturnReservation extends Pick<ReservationEntry, 'key' | 'pieces'> {
@@ -31,8 +32,6 @@
 
 /** Bounds the memory of a plan, and what it sends to the next one. */
 const MAX_RESERVATIONS = 1000
-/** How long after the time told the capacity is kept free, for the way of the refusal and of the new attempt. */
-const LATE_TOLERANCE_MS = 400
 /** How long before that time a caller may return; without a limit, callers that return at once would be admitted before all others. */
 const EARLY_TOLERANCE_MS = 100
 /** Work is summed by intervals of this length, so that a decision does not go through all reservations. */
@@ -112,7 +111,7 @@
     if (existing !== undefined) this._delete(existing)
     if (this._byKey.size >= MAX_RESERVATIONS) return false
     this._byKey.set(reservation.key, reservation)
-    this._nextExpiryAt = Math.min(this._nextExpiryAt, reservation.at + LATE_TOLERANCE_MS)
+    this._nextExpiryAt = Math.min(this._nextExpiryAt, reservation.at + RETURN_GRACE_MS)
     const at = getIntervalEnd(reservation.at)
     const work = this._byInterval.get(at) ?? new IntervalWork(at)
     work.callers++
@@ -134,7 +133,7 @@
     if (now <= this._nextExpiryAt) return
     this._nextExpiryAt = Infinity
     for (const reservation of this._byKey.values()) {
-      const expiresAt = reservation.at + LATE_TOLERANCE_MS
+      const expiresAt = reservation.at + RETURN_GRACE_MS
       if (now <= expiresAt) {
         this._nextExpiryAt = Math.min(this._nextExpiryAt, expiresAt)
         continue
--- a/src/services/preparation/common/toldReservations.ts
+++ b/src/services/preparation/common/toldReservations.ts
@@ -3,7 +3,7 @@
  * another coordinator. Does no I/O and reads no clock.
  */
 import { MAX_RESERVATION_ENTRIES } from './preparationMessage.ts'
-import type { PreparationJob, ReservationEntry } from './preparationJob.ts'
+import type { ReservationEntry } from './preparationJob.ts'
 import { RETURN_GRACE_MS } from './returnWindow.ts'
 
 interface ToldReservation {
@@ -64,10 +64,3 @@
     if (told?.size === 0) this._byHall.delete(hall)
   }
 }
-
-/** Returns the number of pieces of a job by role, as its plan reserves them. */
-export function countPiecesByRole (job: PreparationJob): ReservationEntry['pieces'] {
-  const counts = new Map<string, number>()
-  for (const { role, pieceCount } of job.stages) if (pieceCount > 0) counts.set(role, (counts.get(role) ?? 0) + pieceCount)
-  return [...counts].map(([role, count]) => ({ role, count }))
-}
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -20,7 +20,7 @@
 import { PlanShard, TrackedJob } from './planShard.ts'
 import type { ReturningCaller } from './planShard.ts'
 import { addReturningJob, formatReturnKey, NO_RETURNS, ReturnLog, sumReturnCounts } from './returnLog.ts'
-import type { ReturnCounts } from './returnLog.ts'
+import type { ReturnCounts } from '../common/returnReservations.ts'
 
 export interface PreparationCoordinatorOptions {
   readonly clock: IClock
--- a/src/services/preparation/node/returnLog.ts
+++ b/src/services/preparation/node/returnLog.ts
@@ -4,15 +4,7 @@
  */
 import type { ILogService } from '../../log/node/logger.ts'
 import type { JobRefusal, PreparationJob } from '../common/preparationJob.ts'
-
-/** What became of the reservations of plans. */
-export interface ReturnCounts {
-  readonly reserved: number
-  readonly kept: number
-  readonly expired: number
-  /** Callers that returned as told and were refused. */
-  readonly missed: number
-}
+import type { ReturnCounts } from '../common/returnReservations.ts'
 
 export const NO_RETURNS: ReturnCounts = { reserved: 0, kept: 0, expired: 0, missed: 0 }
 
