Correct what the review of contended admission and its soak test found

Cause, by reading: reserved work was a one-shot iterator, so the outlook saw it for the first role of a job only and told any number of callers the same time. A learned margin could keep out all jobs of a depth, which are then not observed any more. Reopened and blocked jobs were recorded as forecast errors. Returns were measured against their deadline with the margin for admission. The window of a waiting job shrank by the route's patience, down to a Retry-After of 0, and was unbounded for callers with long deadlines. A plan on a node with a long uptime took that for time without arrivals. Jobs with home regions were not planned by capacity, and a hall without a role could be first.

The tests of ranks and of waiting jobs used a plan that was observed only by its uptime and a window of 50 ms, which relied on two of the faults; they now observe the plan and use a window of 400 ms within which the role is short, and check 50 ms as well.

Not changed: two callers with the same request share one reservation.

--- a/src/base/node/interval.ts
+++ b/src/base/node/interval.ts
@@ -23,9 +23,8 @@
   private _timer: NodeJS.Timeout | undefined
 
   add (periodMs: number, run: () => void): IDisposable {
-    // The first run comes at the first tick that is not too early.
     const task: PeriodicTask = { periodMs, run }
-    this._tasks.set(task, performance.now() + periodMs + TICK_MS / 2)
+    this._tasks.set(task, performance.now() + periodMs)
     this._timer ??= setInterval(() => this._runDueTasks(), TICK_MS).unref()
     return toDisposable(() => this._delete(task))
   }
@@ -33,10 +32,10 @@
   private _runDueTasks (): void {
     const now = performance.now()
     for (const [task, dueAt] of this._tasks) {
-      // Ticks deviate from their times, so the closest one counts.
-      if (now < dueAt - TICK_MS / 2) continue
+      // A task runs at the first tick that is not before its time, up to TICK_MS late.
+      if (now < dueAt) continue
       // After a pause of the process, missed runs are left out.
-      this._tasks.set(task, Math.max(dueAt, now - TICK_MS / 2) + task.periodMs)
+      this._tasks.set(task, Math.max(dueAt, now - TICK_MS) + task.periodMs)
       task.run()
     }
   }
--- a/src/services/preparation/common/capacityOutlook.ts
+++ b/src/services/preparation/common/capacityOutlook.ts
@@ -1,6 +1,7 @@
 /**
  * Projects the queues of the roles of a refused job, to find when its caller should return.
  */
+import { MAX_RETURN_MS } from './returnWindow.ts'
 
 /** The load of one role, in pieces and milliseconds. */
 export interface RoleOutlook {
@@ -22,14 +23,12 @@
 export interface ReturnQuery {
   /** The roles of the job. */
   readonly roles: ReadonlyMap<string, RoleOutlook>
-  readonly expectedWork: Iterable<ExpectedWork>
+  readonly expectedWork: readonly ExpectedWork[]
   /** The longest queue with which the job would meet its goal; a negative value if it cannot be met at all. */
   readonly maxQueueMs: number
   readonly maxReturnMs: number
 }
 
-/** Bounds the projection, whatever the caller accepts: an outlook further ahead says nothing. */
-const MAX_OUTLOOK_MS = 10_000
 const STEP_MS = 100
 /** Bursts last for seconds. */
 const ARRIVALS_HALF_LIFE_MS = 1500
@@ -37,7 +36,7 @@
 
 /** Returns the first time from now, in steps, at which the queues of all roles are short enough for the job; undefined if there is none. */
 export function findReturnMs ({ roles, expectedWork, maxQueueMs, maxReturnMs }: ReturnQuery, now: number): number | undefined {
-  const stepCount = Math.floor(Math.min(maxReturnMs, MAX_OUTLOOK_MS) / STEP_MS)
+  const stepCount = Math.floor(Math.min(maxReturnMs, MAX_RETURN_MS) / STEP_MS)
   if (maxQueueMs < 0 || stepCount < 1) return undefined
   const fits = new Uint8Array(stepCount + 1).fill(1)
   for (const [role, outlook] of roles) {
@@ -48,7 +47,7 @@
   return step === -1 ? undefined : step * STEP_MS
 }
 
-function sumByStep (expectedWork: Iterable<ExpectedWork>, role: string, stepCount: number, now: number): Float64Array {
+function sumByStep (expectedWork: readonly ExpectedWork[], role: string, stepCount: number, now: number): Float64Array {
   const sums = new Float64Array(stepCount + 1)
   for (const { at, pieces } of expectedWork) {
     const step = Math.max(0, Math.ceil((at - now) / STEP_MS))
--- a/src/services/preparation/common/contendedAdmission.ts
+++ b/src/services/preparation/common/contendedAdmission.ts
@@ -5,7 +5,8 @@
 import type { RoleOutlook } from './capacityOutlook.ts'
 import { ForecastErrors } from './forecastErrors.ts'
 import { JobAdmission } from './jobAdmission.ts'
-import { computeRetryAfterMs, decideAdmission } from './jobForecast.ts'
+import type { PlanContext } from './jobAdmission.ts'
+import { computeRetryAfterMs, decideAdmission, MIN_RETRY_MS } from './jobForecast.ts'
 import type { JobForecast, RoleCapacity } from './jobForecast.ts'
 import { computeAdmissionMarginMs } from './jobOrder.ts'
 import type { JobState } from './jobState.ts'
@@ -13,10 +14,12 @@
 import type { AdmissionOptions, JobDecline, JobRefusal, JobStage, ReservationEntry } from './preparationJob.ts'
 import { ReturnReservations } from './returnReservations.ts'
 import type { ReturnCounts } from './returnReservations.ts'
+import { computeRemainingReturnMs } from './returnWindow.ts'
 import { ScarceRoles } from './scarceRoles.ts'
 
 type Capacities = ReadonlyMap<string, RoleCapacity>
 
+const NO_JOBS: ReadonlySet<JobState> = new Set()
 /** Bounds the margin: a job that needs most of its goal for itself would never be admitted. */
 const MAX_MARGIN_RATIO = 0.35
 
@@ -40,13 +43,19 @@
   }
 
   override recordPrepared (state: JobState, now: number): void {
-    if (state.forecastEndAt !== undefined) this._errors.record(countDepth(state), now + state.expectedRequestMs - state.forecastEndAt)
+    if (state.forecastEndAt === undefined) return
+    this._errors.record(countDepth(state), now + state.expectedRequestMs - state.forecastEndAt, now)
+    // A job that is blocked or reopened after this says nothing more about its forecast.
+    state.forecastEndAt = undefined
   }
 
-  protected override refuseWaiting (forecast: JobForecast, now: number): JobRefusal {
+  override recordRefused (state: JobState): void {
+    if (state.isReturn) this._reservations.recordLaterRefusal()
+  }
+
+  protected override refuseWaiting (forecast: JobForecast, context: PlanContext, now: number): JobRefusal {
     const { state } = forecast
-    const capacities = this._options.pool.computeCapacities(now)
-    return this._refuseWithReturn(state, capacities, now) ?? { reason: 'overloaded', retryAfterMs: computeRetryAfterMs(forecast, state.deadlineAt) }
+    return this._refuseWithReturn(state, context, now) ?? { reason: 'overloaded', retryAfterMs: computeRetryAfterMs(forecast, state.deadlineAt) }
   }
 
   override listReservations (now: number): readonly ReservationEntry[] {
@@ -58,7 +67,7 @@
   }
 
   private _decideNew (state: JobState, capacities: Capacities, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
-    state.admissionMarginMs = Math.min(MAX_MARGIN_RATIO * state.job.goalInMs, this._errors.computeMarginMs(countDepth(state)))
+    state.admissionMarginMs = Math.min(MAX_MARGIN_RATIO * state.job.goalInMs, this._errors.computeMarginMs(countDepth(state), now))
     const reservedPieces = this._reservations.sumPieces(state.goalAt, now, state.job.returnKey)
     const forecast = this._forecastPieces(state, capacities, now, reservedPieces)
     if (forecast === undefined) return undefined
@@ -66,7 +75,7 @@
     const decision = decideAdmission(this._addTargetWait(forecast, now), capacities, now, options)
     // Reserved pieces do not help a caller whose request waits for a rate limited target.
     const lacksPieces = decision?.reason === 'overloaded' && decideAdmission(forecast, capacities, now)?.reason === 'overloaded'
-    return lacksPieces ? this._refuseWithReturn(state, capacities, now) ?? decision : decision
+    return lacksPieces ? this._refuseWithReturn(state, { capacities, leaving: NO_JOBS }, now) ?? decision : decision
   }
 
   /** Admits a caller that returned as told, also if it is late, unless it cannot be served before its deadline. */
@@ -75,31 +84,35 @@
     const pieceForecast = this._forecastPieces(state, capacities, now)
     const forecast = pieceForecast === undefined ? undefined : this._addTargetWait(pieceForecast, now)
     const decision = forecast === undefined ? undefined : decideAdmission(forecast, capacities, now)
-    const canMeetDeadline = forecast === undefined || forecast.endAt <= state.deadlineAt
+    // The margin for admission does not count against the deadline.
+    const canMeetDeadline = forecast === undefined || forecast.endAt - computeAdmissionMarginMs(state) <= state.deadlineAt
     const isAdmitted = decision === undefined || (canMeetDeadline && decision.reason !== 'noUpstream')
     this._reservations.recordReturn(returnKey, isAdmitted)
     return isAdmitted ? undefined : decision
   }
 
   /** Refuses a job with a time of return, if its caller accepts one. */
-  private _refuseWithReturn (state: JobState, capacities: Capacities, now: number): JobRefusal | undefined {
+  private _refuseWithReturn (state: JobState, context: PlanContext, now: number): JobRefusal | undefined {
     const { job } = state
     if (job.returnKey === undefined || job.returnWithinMs === undefined || state.isStarted || state.isReturn) return undefined
     const existing = this._reservations.find(job.returnKey, now)
-    if (existing !== undefined) return { reason: 'overloaded', retryAfterMs: Math.round(Math.max(0, existing.at - now)), isReserved: true }
-    const maxReturnMs = job.returnWithinMs * Math.max(0, state.deadlineAt - now) / Math.max(1, job.deadlineInMs)
-    const returnMs = this._isOutranked(state, now) ? undefined : this._findReturnMs(state, capacities, maxReturnMs, now)
+    if (existing !== undefined) return { reason: 'overloaded', retryAfterMs: Math.round(Math.max(MIN_RETRY_MS, existing.at - now)), isReserved: true }
+    const maxReturnMs = Math.max(MIN_RETRY_MS, computeRemainingReturnMs(job.returnWithinMs, now - state.arrivedAt))
+    const returnMs = this._isOutranked(state, now) ? undefined : this._findReturnMs(state, context, maxReturnMs, now)
     if (returnMs === undefined) return { reason: 'overloaded', retryAfterMs: Math.round(maxReturnMs) }
     const isReserved = this._reservations.add({ key: job.returnKey, at: now + returnMs, pieces: countPiecesByRole(job) }, now)
     return { reason: 'overloaded', retryAfterMs: returnMs, ...isReserved ? { isReserved } : {} }
   }
 
-  private _findReturnMs (state: JobState, capacities: Capacities, maxReturnMs: number, now: number): number | undefined {
+  private _findReturnMs (state: JobState, context: PlanContext, maxReturnMs: number, now: number): number | undefined {
     const { job } = state
-    const maxQueueMs = job.goalInMs - computeAdmissionMarginMs(state) - this._options.jobOrder.estimateRemainingMs(state, now)
-    const roles = this._viewRoles(job.stages, capacities, now)
+    // A caller returns within a third of the time that it has left, so twice that is left then.
+    const goalInMs = Math.min(job.goalInMs, 2 * maxReturnMs)
+    const maxQueueMs = goalInMs - computeAdmissionMarginMs(state) - this._options.jobOrder.estimateRemainingMs(state, now)
+    const roles = this._viewRoles(job.stages, context, now)
     const returnMs = findReturnMs({ roles, expectedWork: this._reservations.listWork(now), maxQueueMs, maxReturnMs }, now)
-    if (returnMs === undefined) this._scarceRoles.record(findLongestQueue(roles), job.rank, now)
+    // A job without time to spare finds no time of return on an empty plan either.
+    if (returnMs === undefined && maxQueueMs >= 0) this._scarceRoles.record(findLongestQueue(roles), job.rank, now)
     return returnMs
   }
 
@@ -108,11 +121,11 @@
     return job.stages.some(({ role, pieceCount }) => pieceCount > 0 && this._scarceRoles.isScarce(role, job.rank, now))
   }
 
-  private _viewRoles (stages: readonly JobStage[], capacities: Capacities, now: number): ReadonlyMap<string, RoleOutlook> {
+  private _viewRoles (stages: readonly JobStage[], { capacities, leaving }: PlanContext, now: number): ReadonlyMap<string, RoleOutlook> {
     const { jobs, pool } = this._options
     const queued = new Map<string, number>()
     for (const other of jobs.values()) {
-      if (!other.isActive) continue
+      if (!other.isActive || leaving.has(other)) continue
       other.job.stages.forEach(({ role }, index) => queued.set(role, (queued.get(role) ?? 0) + other.countOpen(index)))
     }
     return new Map(stages.filter(({ pieceCount }) => pieceCount > 0).map(({ role }) => {
@@ -134,7 +147,7 @@
   let longestRole = ''
   let longestMs = -Infinity
   for (const [role, { queuedPieces, piecesPerMs }] of roles) {
-    const queueMs = queuedPieces / piecesPerMs
+    const queueMs = queuedPieces === 0 ? 0 : queuedPieces / piecesPerMs
     if (queueMs <= longestMs) continue
     longestMs = queueMs
     longestRole = role
--- a/src/services/preparation/common/coordinatorChoice.ts
+++ b/src/services/preparation/common/coordinatorChoice.ts
@@ -34,14 +34,18 @@
   const halls = [...countsByHall.keys()]
   const fewest = Math.min(...counts.values())
   if (halls.length < 2 || fewest / halls.length < MIN_UPSTREAMS_PER_HALL) return ['']
-  if (roles.length === 0) return rankByRendezvous(key, halls)
-  return rankByWeightedRendezvous(key, new Map([...countsByHall].map(([hall, inHall]) => [hall, computeHallWeight(inHall, counts, roles)])))
+  return rankHalls(halls, { countsByHall, counts }, key, roles)
 }
 
 type RoleCounts = ReadonlyMap<string, number>
 
-/** Weight of a hall that has no upstream of one of the roles: its jobs use upstreams of other halls for that role. */
-const MISSING_ROLE_WEIGHT = 0.01
+function rankHalls (halls: readonly string[], { countsByHall, counts }: UpstreamCounts, key: string, roles: readonly string[]): readonly string[] {
+  if (roles.length === 0) return rankByRendezvous(key, halls)
+  const weights = new Map(halls.map(hall => [hall, computeHallWeight(countsByHall.get(hall) ?? new Map(), counts, roles)]))
+  // The plan of a hall uses no upstreams of other halls, so halls that lack a role come last.
+  const [complete, incomplete] = [halls.filter(hall => (weights.get(hall) ?? 0) > 0), halls.filter(hall => weights.get(hall) === 0)]
+  return [...rankByWeightedRendezvous(key, new Map(complete.map(hall => [hall, weights.get(hall) ?? 1]))), ...rankByRendezvous(key, incomplete)]
+}
 
 /**
  * Returns the smallest share that a hall has of the upstreams of any of the roles, since the role that is scarcest there
@@ -49,7 +53,7 @@
  */
 function computeHallWeight (inHall: RoleCounts, counts: RoleCounts, roles: readonly string[]): number {
   const shares = roles.filter(role => counts.has(role)).map(role => (inHall.get(role) ?? 0) / (counts.get(role) ?? 1))
-  return Math.max(MISSING_ROLE_WEIGHT, Math.min(1, ...shares))
+  return Math.min(1, ...shares)
 }
 
 interface UpstreamCounts {
@@ -76,9 +80,9 @@
 }
 
 /** Returns the plans for a job restricted to its home halls: only plans of single halls, since a plan of all halls would use others too. */
-export function listHomePlans (upstreams: readonly PlannedUpstream[], key: string, homeHalls: readonly string[]): readonly string[] {
-  const halls = new Set(upstreams.map(upstream => upstream.hall))
-  return rankByRendezvous(key, homeHalls.filter(hall => halls.has(hall)))
+export function listHomePlans (upstreams: readonly PlannedUpstream[], key: string, homeHalls: readonly string[], roles: readonly string[] = []): readonly string[] {
+  const upstreamCounts = countUpstreams(upstreams)
+  return rankHalls(homeHalls.filter(hall => upstreamCounts.countsByHall.has(hall)), upstreamCounts, key, roles)
 }
 
 /**
--- a/src/services/preparation/common/jobAdmission.ts
+++ b/src/services/preparation/common/jobAdmission.ts
@@ -17,6 +17,13 @@
   readonly jobs: ReadonlyMap<string, JobState>
 }
 
+/** The state of a plan for which several jobs are refused at once. */
+export interface PlanContext {
+  readonly capacities: ReadonlyMap<string, RoleCapacity>
+  /** Jobs that are about to leave the plan, so that their pieces no longer count. */
+  readonly leaving: ReadonlySet<JobState>
+}
+
 export abstract class JobAdmission {
   abstract readonly returnCounts: ReturnCounts
 
@@ -28,8 +35,11 @@
   /** Called when all results of a job are computed, so that later forecasts can be corrected. */
   recordPrepared (_state: JobState, _now: number): void {}
 
+  /** Called when a job that was admitted is refused. */
+  recordRefused (_state: JobState): void {}
+
   /** Returns the refusal of an admitted job that misses its deadline. */
-  protected abstract refuseWaiting (forecast: JobForecast, now: number): JobRefusal
+  protected abstract refuseWaiting (forecast: JobForecast, context: PlanContext, now: number): JobRefusal
 
   abstract listReservations (now: number): readonly ReservationEntry[]
 
@@ -41,13 +51,16 @@
    */
   updateForecasts (now: number): readonly { readonly state: JobState, readonly refusal: JobRefusal }[] {
     const { jobOrder, pool, jobs } = this._options
-    return jobOrder.forecast(jobs.values(), pool.computeCapacities(now), now).flatMap(forecast => {
+    const capacities = pool.computeCapacities(now)
+    const missed = jobOrder.forecast(jobs.values(), capacities, now).filter(forecast => {
       const { state } = forecast
       state.isLate = forecast.isLate
       const isUnstartedAndLate = forecast.endAt > state.deadlineAt && !state.isStarted
       const isInfeasible = now + jobOrder.estimateRemainingMs(state, now) > state.deadlineAt
-      return isUnstartedAndLate || isInfeasible ? [{ state, refusal: this.refuseWaiting(forecast, now) }] : []
+      return isUnstartedAndLate || isInfeasible
     })
+    const leaving = new Set(missed.map(({ state }) => state))
+    return missed.map(forecast => ({ state: forecast.state, refusal: this.refuseWaiting(forecast, { capacities, leaving }, now) }))
   }
 
   /** Forecasts the pieces of a new job behind the admitted ones and `reservedPieces`. */
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -52,7 +52,7 @@
  * jobs may exceed the share, since the forecast is not exact.
  */
 const ADMISSION_DEADLINE_RATIO = 0.75
-const MIN_RETRY_MS = 100
+export const MIN_RETRY_MS = 100
 const NO_UPSTREAM_RETRY_MS = 500
 /** Minimum share of a role's capacity for late jobs, whatever the arrival rate of jobs that can be in time: with less they would be refused. */
 const MIN_LATE_CAPACITY_RATIO = 0.3
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -267,11 +267,7 @@
   }
 
   describe (now: number): object {
-    return {
-      jobs: this._jobs.size,
-      calls: this._calls.size,
-      upstreams: [...this._upstreams.values()].map(upstream => upstream.describe(now))
-    }
+    return { jobs: this._jobs.size, calls: this._calls.size, upstreams: [...this._upstreams.values()].map(upstream => upstream.describe(now)) }
   }
 
   private _startCall (upstream: PieceUpstream, batch: readonly ReadyPiece[], leftWaiting: number, now: number): PlannedCall {
@@ -344,11 +340,11 @@
     if (state.pieces.some(stage => stage.some(piece => piece.hasFailedPermanently))) return this._refuse(state, { reason: 'interrupted', retryAfterMs: INTERRUPTED_RETRY_MS })
     for (const stage of state.listConsumedStages()) this._jobResults.freeStage(state, stage)
     if (!state.isDone || state.isDetached) return
+    this._admission.recordPrepared(state, now)
     if (this._targets.isBlocked(state, this._blockedJobs.size, now)) {
       this._blockedJobs.add(state)
       return
     }
-    this._admission.recordPrepared(state, now)
     state.isHandedOver = true
     const results = state.listFinalResults()
     this._targets.choose(state, now)
@@ -388,7 +384,10 @@
   }
 
   private _refuse (state: JobState, refusal: JobRefusal): void {
-    if (!state.isHandedOver) this._updates.push({ kind: 'refused', jobId: state.job.id, refusal })
+    if (!state.isHandedOver) {
+      this._updates.push({ kind: 'refused', jobId: state.job.id, refusal })
+      this._admission.recordRefused(state)
+    }
     this.releaseJob(state.job.id)
   }
 
--- a/src/services/preparation/common/returnReservations.ts
+++ b/src/services/preparation/common/returnReservations.ts
@@ -26,7 +26,7 @@
   readonly kept: number
   /** Did not return in time. */
   readonly expired: number
-  /** Returned and were refused. */
+  /** Returned and were refused, at once or after they had been admitted. */
   readonly missed: number
 }
 
@@ -82,6 +82,11 @@
     else this._counts.missed++
   }
 
+  /** Records that a caller was refused after it had returned and been admitted. */
+  recordLaterRefusal (): void {
+    this._counts.missed++
+  }
+
   list (now: number): readonly ReturnReservation[] {
     this._expire(now)
     return [...this._byKey.values()]
@@ -100,9 +105,9 @@
   }
 
   /** Returns all reserved work, each at the end of its interval. */
-  listWork (now: number): Iterable<ExpectedWork> {
+  listWork (now: number): readonly ExpectedWork[] {
     this._expire(now)
-    return this._byInterval.values()
+    return [...this._byInterval.values()]
   }
 
   private _set (reservation: ReturnReservation, now: number): boolean {
--- a/src/services/preparation/common/returnWindow.ts
+++ b/src/services/preparation/common/returnWindow.ts
@@ -7,8 +7,11 @@
 /** Reservations are kept this long after the time told, since the caller's retry still has to arrive. */
 export const RETURN_GRACE_MS = 400
 
+/** Bounds the window, whatever deadline the caller states: an outlook further ahead says nothing. */
+export const MAX_RETURN_MS = 10_000
+
 export function computeReturnWithinMs (callerTimeLeftMs: number): number {
-  return Math.max(0, callerTimeLeftMs) * RETURN_FRACTION
+  return Math.min(MAX_RETURN_MS, Math.max(0, callerTimeLeftMs) * RETURN_FRACTION)
 }
 
 /** Returns the window of a job that is submitted again later: of the time that has passed, the caller loses the same fraction. */
--- a/src/services/preparation/common/roleRate.ts
+++ b/src/services/preparation/common/roleRate.ts
@@ -15,7 +15,7 @@
 const PRIOR_MS = 400
 
 export class RoleRate {
-  private _observedAt = 0
+  private _observedAt: number | undefined
   private _backlogMs = 0
   private _completedPieces = 0
   /** By rank. */
@@ -72,6 +72,8 @@
   }
 
   private _advance (now: number): void {
+    // The process may have run for long before the first observation, which is not time without arrivals.
+    this._observedAt ??= now
     const elapsedMs = Math.max(0, now - this._observedAt)
     if (elapsedMs === 0) return
     this._observedAt = now
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -50,7 +50,7 @@
 export interface ReturningCaller {
   readonly returnKey?: string | undefined
   /** Whether the job took a reservation that its caller had been told. */
-  readonly isKept?: boolean
+  readonly hasReturned?: boolean
 }
 
 /** A job whose owner has not yet sent both its release and its report. */
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -198,9 +198,9 @@
     const { job } = ownedJob
     const upstreams = this._options.listPieceUpstreams()
     const key = job.request.shared.at(-1)?.key ?? job.returnKey ?? job.id
-    if (job.homeHalls !== undefined) return listHomePlans(upstreams, key, job.homeHalls)
     // Stages without pieces count too: requests of one route share prompts, and must prefer the same plan.
-    return listPlans(upstreams, key, this._options.weighsPlans === true ? job.stages.map(({ role }) => role) : [])
+    const roles = this._options.weighsPlans === true ? job.stages.map(({ role }) => role) : []
+    return job.homeHalls === undefined ? listPlans(upstreams, key, roles) : listHomePlans(upstreams, key, job.homeHalls, roles)
   }
 
   /** If a plan lacks capacity or upstreams, or would finish late, the job is submitted to another plan. */
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -127,13 +127,13 @@
       return listener({ kind: 'declined', jobId: job.id, endInMs: refusal.endInMs })
     }
     if (refusal !== undefined) {
-      this._removeRefusedJob(job.id, refusal, shard, { returnKey: job.returnKey, isKept: isMissed })
+      this._removeRefusedJob(job.id, refusal, shard, { returnKey: job.returnKey, hasReturned: isMissed })
       this._scheduleFrees(shard)
       return listener({ kind: 'refused', jobId: job.id, refusal })
     }
     this._listeners.set(job.id, listener)
     if (isKept) this._returnLog.recordKept(hall, job)
-    this._jobs.set(job.id, new TrackedJob(shard, link, { returnKey: job.returnKey, isKept }))
+    this._jobs.set(job.id, new TrackedJob(shard, link, { returnKey: job.returnKey, hasReturned: isKept }))
     this._scheduleDispatch(shard)
     this._scheduleSweep()
   }
@@ -348,10 +348,10 @@
     for (const jobId of shard.planner.removeIdleJobs()) this._notifyMoved(jobId)
   }
 
-  private _removeRefusedJob (jobId: string, refusal: JobRefusal, shard: PlanShard, { returnKey, isKept = false }: ReturningCaller = {}): void {
+  private _removeRefusedJob (jobId: string, refusal: JobRefusal, shard: PlanShard, { returnKey, hasReturned = false }: ReturningCaller = {}): void {
     this._jobs.delete(jobId)
     this._options.log.info('preparation_refused', { request: jobId, hall: shard.hall, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs, jobs: shard.planner.jobCount, ...formatReturnKey(returnKey) })
-    this._returnLog.recordRefusal(shard.hall, { id: jobId, returnKey }, refusal, isKept)
+    this._returnLog.recordRefusal(shard.hall, { id: jobId, returnKey }, refusal, hasReturned)
   }
 
   private _scheduleFrees (shard: PlanShard): void {
--- a/src/services/preparation/test/contendedAdmission.test.ts
+++ b/src/services/preparation/test/contendedAdmission.test.ts
@@ -6,15 +6,26 @@
 import * as assert from 'uvu/assert'
 import { generateContendedDeployment } from '../../../load/lab/labDeployment.ts'
 import { LabRun } from '../../../load/lab/labRun.ts'
+import { findReturnMs } from '../common/capacityOutlook.ts'
+import { ForecastErrors } from '../common/forecastErrors.ts'
 import type { JobDecline, JobRefusal, PreparationJob } from '../common/preparationJob.ts'
 import type { PreparationPlanner } from '../common/preparationPlanner.ts'
+import { ReturnReservations } from '../common/returnReservations.ts'
+import { computeReturnWithinMs } from '../common/returnWindow.ts'
 import { createJob, createPlanner, createStage } from './fakes.ts'
 
 const test = suite('contendedAdmission')
 
-/** The plan has existed for a while, so that it knows the usual rate of arrivals. */
 const START = 30_000
 
+/** Returns a planner that got one job long before START, so that it knows the usual rate of arrivals. */
+function createObservedPlanner (upstreams: Readonly<Record<string, number>>): PreparationPlanner {
+  const planner = createPlanner({ upstreams, hasContention: true })
+  planner.addJob(createJob('first', Object.keys(upstreams).map(role => createStage(role, 1))), 0)
+  planner.releaseJob('first')
+  return planner
+}
+
 function createCallersJob (id: string, options: Partial<PreparationJob> = {}): PreparationJob {
   return createJob(id, [createStage('a', 4)], { deadlineInMs: 1400, returnKey: id, returnWithinMs: 5000, ...options })
 }
@@ -88,17 +99,18 @@
 
 test('no capacity is reserved for a less urgent rank while a more urgent one gets none', () => {
   const refuse = (urgentReturnWithinMs: number) => {
-    const planner = createPlanner({ upstreams: { a: 1 }, hasContention: true })
+    const planner = createObservedPlanner({ a: 1 })
     addUntilRefused(planner, START)
     planner.addJob(createCallersJob('urgent', { returnWithinMs: urgentReturnWithinMs }), START)
     const refusal = planner.addJob(createCallersJob('patient', { rank: 2 }), START)
     return refusal?.reason === 'overloaded' && refusal.isReserved === true
   }
-  assert.equal([refuse(5000), refuse(50)], [true, false])
+  // Within 50 ms the caller would have no time for its job, which says nothing of the role.
+  assert.equal([refuse(5000), refuse(400), refuse(50)], [true, false, true])
 })
 
 test('a waiting job that is refused before it has started gets a time of return', () => {
-  const planner = createPlanner({ upstreams: { a: 2 }, hasContention: true })
+  const planner = createObservedPlanner({ a: 2 })
   addUntilRefused(planner, START)
   planner.dequeueUpdates()
   planner.setAcceptsWork('a-1', false)
@@ -118,4 +130,28 @@
   assert.equal([withKeys.listReservations(0), withKeys.returnCounts], [[], { reserved: 0, kept: 0, expired: 0, missed: 0 }])
 })
 
+// A one-shot iterator once hid reserved work from all roles but the first, so callers were told the same time without bound.
+test('reserved work of every role of a job counts in the outlook', () => {
+  const reservations = new ReturnReservations()
+  reservations.add({ key: 'k', at: 1200, pieces: [{ role: 'b', count: 900 }] }, 0)
+  const idle = { queuedPieces: 0, piecesPerMs: 1, arrivalsPerMs: 0, usualArrivalsPerMs: 0 }
+  const roles = new Map([['a', idle], ['b', { ...idle, queuedPieces: 1800 }]])
+  assert.is(findReturnMs({ roles, expectedWork: reservations.listWork(0), maxQueueMs: 500, maxReturnMs: 3000 }, 0), 2200)
+})
+
+// Jobs that the margin keeps out are not observed, so it would never shrink.
+test('a learned margin expires without new observations', () => {
+  const errors = new ForecastErrors()
+  for (let index = 0; index < 50; index++) errors.record(3, 400, index)
+  assert.ok(errors.computeMarginMs(3, 50) > 300)
+  assert.ok(errors.computeMarginMs(3, 30_000) < 5)
+  assert.is(errors.computeMarginMs(1, 50), 0)
+})
+
+test('the window for a return is bounded, whatever deadline a caller states', () => {
+  assert.is(computeReturnWithinMs(6000), 2000)
+  assert.is(computeReturnWithinMs(3_600_000), 10_000)
+  assert.is(computeReturnWithinMs(Infinity), 10_000)
+})
+
 test.run()
--- a/src/services/preparation/test/coordinatorChoice.test.ts
+++ b/src/services/preparation/test/coordinatorChoice.test.ts
@@ -44,6 +44,11 @@
   assert.ok(Math.abs(countFirst(['r', 't'], 'x') / 4000 - 0.25 / (0.25 + 2 / 3)) < 0.03)
 })
 
+test('a hall that lacks a role is tried last, since its plan uses no upstreams of other halls', () => {
+  const upstreams = [...createUpstreams(3), ...['x', 'y'].flatMap(hall => Array.from({ length: 4 }, () => ({ role: 't', hall })))]
+  for (let index = 0; index < 200; index++) assert.is(listPlans(upstreams, `prompt-${index}`, ['r', 't']).at(-1), 'z')
+})
+
 test('the loss of one upstream moves few prompts to another hall, so that prefix caches stay useful', () => {
   const before = [...createUpstreams(4), ...createUpstreams(4)]
   const after = before.slice(1)
