--- a/src/services/preparation/common/contendedAdmission.ts
+++ b/src/services/preparation/common/contendedAdmission.ts
@@ -1,5 +1,5 @@
 /**
- * Admission where capacity is scarce: a refused caller is told when it can be served in time, and capacity is reserved for it.
+ * Admission where capacity is scarce: a refused caller learns when it can be served in time, and capacity is reserved for it.
  */
 import { findReturnMs } from './capacityOutlook.ts'
 import type { RoleOutlook } from './capacityOutlook.ts'
@@ -78,7 +78,7 @@
     return lacksPieces ? this._refuseWithReturn(state, { capacities, leaving: NO_JOBS }, now) ?? decision : decision
   }
 
-  /** Admits a caller that returned as told, also if it is late, unless it cannot be served before its deadline. */
+  /** Admits a caller that returned at its reserved time, also if it is late, unless it cannot be served before its deadline. */
   private _decideReturn (state: JobState, returnKey: string, capacities: Capacities, now: number): JobRefusal | JobDecline | undefined {
     state.isReturn = true
     const pieceForecast = this._forecastPieces(state, capacities, now)
--- a/src/services/preparation/common/toldReservations.ts
+++ b/src/services/preparation/common/issuedReservations.ts
@@ -1,12 +1,12 @@
 /**
- * The reservations that an owner's callers were told, so that the owner can pass them on when the plan of a hall moves to
+ * The reservations that an owner has issued to its callers, so that the owner can pass them on when the plan of a hall moves to
  * another coordinator. Does no I/O and reads no clock.
  */
 import { MAX_RESERVATION_ENTRIES } from './preparationMessage.ts'
 import type { ReservationEntry } from './preparationJob.ts'
 import { RETURN_GRACE_MS } from './returnWindow.ts'
 
-interface ToldReservation {
+interface IssuedReservation {
   readonly pieces: ReservationEntry['pieces']
   /** When the caller returns, on this process's clock. */
   readonly returnAt: number
@@ -20,47 +20,47 @@
   readonly holder: object
 }
 
-export class ToldReservations {
-  /** By hall, then by key, the latest told last. */
-  private readonly _byHall = new Map<string, Map<string, ToldReservation>>()
+export class IssuedReservations {
+  /** By hall, then by key, the latest last. */
+  private readonly _byHall = new Map<string, Map<string, IssuedReservation>>()
 
   listHalls (): readonly string[] {
     return [...this._byHall.keys()]
   }
 
-  /** Records a reservation. Beyond the bound of one message, the one that was told first is dropped. */
+  /** Records a reservation. Beyond the bound of one message, the one that was issued first is dropped. */
   add ({ key, returnInMs, pieces }: ReservationEntry, { hall, holder }: ReservationPlace, now: number): void {
     this._expire(hall, now)
-    const told = this._byHall.get(hall) ?? new Map<string, ToldReservation>()
-    this._byHall.set(hall, told)
-    told.delete(key)
-    told.set(key, { pieces, returnAt: now + returnInMs, holder })
-    const [first] = told.keys()
-    if (told.size > MAX_RESERVATION_ENTRIES && first !== undefined) told.delete(first)
+    const issued = this._byHall.get(hall) ?? new Map<string, IssuedReservation>()
+    this._byHall.set(hall, issued)
+    issued.delete(key)
+    issued.set(key, { pieces, returnAt: now + returnInMs, holder })
+    const [first] = issued.keys()
+    if (issued.size > MAX_RESERVATION_ENTRIES && first !== undefined) issued.delete(first)
   }
 
   /** Removes the reservation of a caller whose retry has ended. */
   remove (key: string): void {
-    for (const [hall, told] of this._byHall) if (told.delete(key) && told.size === 0) this._byHall.delete(hall)
+    for (const [hall, issued] of this._byHall) if (issued.delete(key) && issued.size === 0) this._byHall.delete(hall)
   }
 
   /** Returns the reservations of a hall that the holder does not have yet, and records that it has them from now on. */
   take ({ hall, holder }: ReservationPlace, now: number): readonly ReservationEntry[] {
     this._expire(hall, now)
-    const missing = [...this._byHall.get(hall) ?? []].filter(([, told]) => told.holder !== holder)
-    for (const [key, told] of missing) this._byHall.get(hall)?.set(key, { ...told, holder })
+    const missing = [...this._byHall.get(hall) ?? []].filter(([, issued]) => issued.holder !== holder)
+    for (const [key, issued] of missing) this._byHall.get(hall)?.set(key, { ...issued, holder })
     return missing.map(([key, { pieces, returnAt }]) => ({ key, returnInMs: Math.max(0, returnAt - now), pieces }))
   }
 
   /** Records that the holder no longer has a plan of the hall. */
   forgetHolder ({ hall, holder }: ReservationPlace): void {
-    const told = this._byHall.get(hall)
-    for (const [key, reservation] of told ?? []) if (reservation.holder === holder) told?.set(key, { ...reservation, holder: undefined })
+    const issued = this._byHall.get(hall)
+    for (const [key, reservation] of issued ?? []) if (reservation.holder === holder) issued?.set(key, { ...reservation, holder: undefined })
   }
 
   private _expire (hall: string, now: number): void {
-    const told = this._byHall.get(hall)
-    for (const [key, { returnAt }] of told ?? []) if (now >= returnAt + RETURN_GRACE_MS) told?.delete(key)
-    if (told?.size === 0) this._byHall.delete(hall)
+    const issued = this._byHall.get(hall)
+    for (const [key, { returnAt }] of issued ?? []) if (now >= returnAt + RETURN_GRACE_MS) issued?.delete(key)
+    if (issued?.size === 0) this._byHall.delete(hall)
   }
 }
--- a/src/services/preparation/common/jobForecast.ts
+++ b/src/services/preparation/common/jobForecast.ts
@@ -59,7 +59,7 @@
 
 /**
  * Forecasts all jobs, given in scheduling order. A job that would miss its goal is placed behind those that can meet
- * theirs, so that it makes none of them late. A caller that returned as told keeps its place: it was promised the capacity.
+ * theirs, so that it makes none of them late. A caller that returned at its reserved time keeps its place, since it was promised the capacity.
  */
 export function forecastJobs (entries: readonly ForecastEntry[], capacities: ReadonlyMap<string, RoleCapacity>, now: number, { minLateCapacityRatio = MIN_LATE_CAPACITY_RATIO }: ForecastOptions = {}, newJob?: NewJobEntry): readonly JobForecast[] {
   const piecesAhead = new Map<string, number>()
--- a/src/services/preparation/common/jobOrder.ts
+++ b/src/services/preparation/common/jobOrder.ts
@@ -60,7 +60,7 @@
     })
   }
 
-  /** Returns the score of a job that can be in time; lower scores go first. A caller that returns as told has waited for its rank before. */
+  /** Returns the score of a job that can be in time; lower scores go first. A caller that returns at its reserved time has waited for its rank before. */
   private _scoreOnTime (state: JobState, now: number): number {
     return state.goalAt - this.estimateRemainingMs(state, now) + (state.isReturn ? 0 : state.job.rank * RANK_STEP_MS)
   }
--- a/src/services/preparation/common/jobState.ts
+++ b/src/services/preparation/common/jobState.ts
@@ -31,7 +31,7 @@
   admissionMarginMs = 0
   /** All results are computed, and the owner was notified. */
   isHandedOver = false
-  /** The caller returned when it was told to, and capacity was reserved for it. */
+  /** The caller returned at the time at which capacity was reserved for it. */
   isReturn = false
   /** The link to the job's owner is down. */
   isDetached = false
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -92,7 +92,7 @@
 export interface ReservationEntry {
   /** The `returnKey` of the caller's job. */
   readonly key: string
-  /** Time until the caller returns as told, in milliseconds. */
+  /** Time until the caller should return, in milliseconds. */
   readonly returnInMs: number
   /** Number of pieces by role. */
   readonly pieces: readonly { readonly role: string, readonly count: number }[]
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -131,7 +131,7 @@
     return undefined
   }
 
-  /** Returns the capacity that is reserved for callers that were told when to return. */
+  /** Returns the capacity that is reserved for refused callers. */
   listReservations (now: number): readonly ReservationEntry[] {
     return this._admission.listReservations(now)
   }
--- a/src/services/preparation/common/returnReservations.ts
+++ b/src/services/preparation/common/returnReservations.ts
@@ -1,5 +1,5 @@
 /**
- * Capacity of one plan that is reserved for callers that were refused and told when to return.
+ * Capacity of one plan that is reserved for the return of refused callers.
  */
 import type { ExpectedWork } from './capacityOutlook.ts'
 import type { ReservationEntry } from './preparationJob.ts'
@@ -7,7 +7,7 @@
 
 /** The work of one refused caller. */
 export interface ReturnReservation extends Pick<ReservationEntry, 'key' | 'pieces'> {
-  /** The time of return that the caller was told. */
+  /** The time of return in the refusal. */
   readonly at: number
 }
 
@@ -20,7 +20,7 @@
 }
 
 export interface ReturnCounts {
-  /** Callers that this plan told when to return. */
+  /** Refusals of this plan with a reservation. */
   readonly reserved: number
   /** Returned and were admitted. */
   readonly kept: number
@@ -48,7 +48,7 @@
     return this._counts
   }
 
-  /** Adds a reservation that a caller is told about. False if there are too many. */
+  /** Adds a reservation for a refusal. False if there are too many. */
   add (reservation: ReturnReservation, now: number): boolean {
     if (!this._set(reservation, now)) return false
     this._counts.reserved++
@@ -61,7 +61,7 @@
     if ((this.find(key, now)?.at ?? -Infinity) < at) this._set({ key, at, pieces }, now)
   }
 
-  /** Removes and returns the reservation of a caller that has returned as told; undefined if there is none, or if it is early. */
+  /** Removes and returns the reservation of a caller that has returned at its time; undefined if there is none, or if it is early. */
   take (key: string, now: number): ReturnReservation | undefined {
     const reservation = this.find(key, now)
     if (reservation === undefined || now < reservation.at - EARLY_TOLERANCE_MS) return undefined
--- a/src/services/preparation/common/returnWindow.ts
+++ b/src/services/preparation/common/returnWindow.ts
@@ -1,10 +1,10 @@
 /**
- * How far in the future a refused caller may be told to return, and how long a reservation outlasts that time.
+ * How far in the future a refused caller may be asked to return, and how long a reservation outlasts that time.
  */
 
 /** Callers honor `Retry-After` up to this fraction of the time that they have left. */
 const RETURN_FRACTION = 1 / 3
-/** Reservations are kept this long after the time told, since the caller's retry still has to arrive. */
+/** Reservations are kept this long after the time of return, since the caller's retry still has to arrive. */
 export const RETURN_GRACE_MS = 400
 
 /** Bounds the window, whatever deadline the caller states: an outlook further ahead says nothing. */
--- a/src/services/preparation/node/planShard.ts
+++ b/src/services/preparation/node/planShard.ts
@@ -49,7 +49,7 @@
 /** The caller of a job, over all its tries. */
 export interface ReturningCaller {
   readonly returnKey?: string | undefined
-  /** Whether the job took a reservation that its caller had been told. */
+  /** Whether the job took its caller's reservation. */
   readonly hasReturned?: boolean
 }
 
--- a/src/services/preparation/node/reservationTransfer.ts
+++ b/src/services/preparation/node/reservationTransfer.ts
@@ -1,12 +1,12 @@
 /**
- * Passes the reservations that this node's callers were told to the coordinator of their hall's plan, whenever that plan is
+ * Passes the reservations that this node has issued to the coordinator of their hall's plan, whenever that plan is
  * found where they are not known yet.
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { JobEnd } from '../common/plannedCall.ts'
 import { countPiecesByRole } from '../common/preparationJob.ts'
-import { ToldReservations } from '../common/toldReservations.ts'
+import { IssuedReservations } from '../common/issuedReservations.ts'
 import type { CoordinatorLink } from './coordinatorLink.ts'
 import type { CoordinatorLinks } from './coordinatorLinks.ts'
 import type { OwnedJob } from './ownedJob.ts'
@@ -30,7 +30,7 @@
  */
 export class ReservationTransfer {
   private readonly _options: ReservationTransferOptions
-  private readonly _told = new ToldReservations()
+  private readonly _issued = new IssuedReservations()
 
   constructor (options: ReservationTransferOptions) {
     this._options = options
@@ -39,22 +39,22 @@
   /** Records the reservation that a refusal states, or that the job no longer needs the one that it had. */
   recordEnd ({ job, link, search }: OwnedJob, update: JobEnd): void {
     if (job.returnKey === undefined) return
-    this._told.remove(job.returnKey)
+    this._issued.remove(job.returnKey)
     const hall = search.currentChoice?.hall
     if (hall === undefined || update.kind !== 'refused' || update.refusal.isReserved !== true) return
-    this._told.add({ key: job.returnKey, returnInMs: update.refusal.retryAfterMs, pieces: countPiecesByRole(job) }, { hall, holder: link ?? this._options.coordinator }, this._options.clock.now())
+    this._issued.add({ key: job.returnKey, returnInMs: update.refusal.retryAfterMs, pieces: countPiecesByRole(job) }, { hall, holder: link ?? this._options.coordinator }, this._options.clock.now())
   }
 
   /** The coordinator gave up its plan of the hall, together with the reservations. */
   recordMoved (hall: string, link: CoordinatorLink | undefined): void {
-    this._told.forgetHolder({ hall, holder: link ?? this._options.coordinator })
+    this._issued.forgetHolder({ hall, holder: link ?? this._options.coordinator })
   }
 
   /** Passes on what the coordinator of a hall does not know; without a link, that is this node's own one. */
   send (hall: string, link: CoordinatorLink | undefined): void {
     const { clock, log, coordinator, address, onWillAdopt } = this._options
     if (link === undefined && !coordinator.hasPlan(hall)) this.recordMoved(hall, undefined)
-    const entries = this._told.take({ hall, holder: link ?? coordinator }, clock.now())
+    const entries = this._issued.take({ hall, holder: link ?? coordinator }, clock.now())
     if (entries.length === 0) return
     log.info('reservations_sent', { hall, coordinator: link?.address ?? address, reservations: entries.length })
     if (link !== undefined) return link.send({ kind: 'reservations', hall, entries })
@@ -65,7 +65,7 @@
   /** Passes on the reservations of all halls whose coordinator is this node or has an open link; no link is opened for them. */
   sendAll (): void {
     const { address, links, findCoordinator } = this._options
-    for (const hall of this._told.listHalls()) {
+    for (const hall of this._issued.listHalls()) {
       const coordinatorAddress = findCoordinator(hall)
       const link = links.findOpen(coordinatorAddress)
       if (coordinatorAddress === address || link !== undefined) this.send(hall, link)
--- a/src/services/preparation/node/returnLog.ts
+++ b/src/services/preparation/node/returnLog.ts
@@ -1,5 +1,5 @@
 /**
- * Logs what becomes of refused callers that were told to return. The counters of a plan do not name requests, so each decision
+ * Logs what becomes of refused callers with a reservation. The counters of a plan do not name requests, so each decision
  * is derived from how they changed while the plan took one job in.
  */
 import type { ILogService } from '../../log/node/logger.ts'
@@ -23,7 +23,7 @@
 export class ReturnLog {
   constructor (private readonly _log: ILogService) {}
 
-  /** Logs the refusal of a job: whether its caller was told to return, and whether it had returned as told. */
+  /** Logs the refusal of a job: whether it has a reservation, and whether the caller had returned at its reserved time. */
   recordRefusal (hall: string, { id, returnKey }: Pick<PreparationJob, 'id' | 'returnKey'>, { reason, retryAfterMs, isReserved }: JobRefusal, hasReturned: boolean): void {
     if (returnKey === undefined) return
     const fields = { request: id, hall, ...formatReturnKey(returnKey) }
--- a/src/services/preparation/test/contendedAdmission.test.ts
+++ b/src/services/preparation/test/contendedAdmission.test.ts
@@ -1,6 +1,6 @@
 /**
  * Guards against the failures observed under contention (docs/CONTENTION.md): late work made other work late, and callers
- * were told to return at a time at which they were refused again.
+ * were asked to return at a time at which they were refused again.
  */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -52,7 +52,7 @@
   assert.ok(withSwitch > without, `${withSwitch} with, ${without} without`)
 })
 
-test('a refused caller is told when to return, and is admitted then although new jobs arrive all the time', () => {
+test('a refused caller gets a time of return, and is admitted then although new jobs arrive all the time', () => {
   const planner = createPlanner({ upstreams: { a: 1 }, hasContention: true })
   const { id, refusal } = addUntilRefused(planner, START)
   assert.equal({ ...refusal, retryAfterMs: 0 }, { reason: 'overloaded', retryAfterMs: 0, isReserved: true })
@@ -130,7 +130,7 @@
   assert.equal([withKeys.listReservations(0), withKeys.returnCounts], [[], { reserved: 0, kept: 0, expired: 0, missed: 0 }])
 })
 
-// A one-shot iterator once hid reserved work from all roles but the first, so callers were told the same time without bound.
+// A one-shot iterator once hid reserved work from all roles but the first, so callers got the same time without bound.
 test('reserved work of every role of a job counts in the outlook', () => {
   const reservations = new ReturnReservations()
   reservations.add({ key: 'k', at: 1200, pieces: [{ role: 'b', count: 900 }] }, 0)
--- a/src/services/preparation/test/reservationTransfer.test.ts
+++ b/src/services/preparation/test/reservationTransfer.test.ts
@@ -1,4 +1,4 @@
-// Guards against refusing callers that returned as they were told, because the plan that had told them moved to another node.
+// Guards against refusing callers that returned at their reserved time, because the plan with the reservation moved to another node.
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { DisposableStore } from '../../../base/common/disposable.ts'
@@ -8,7 +8,7 @@
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { ReservationEntry } from '../common/preparationJob.ts'
-import { ToldReservations } from '../common/toldReservations.ts'
+import { IssuedReservations } from '../common/issuedReservations.ts'
 import { CoordinatorLinks } from '../node/coordinatorLinks.ts'
 import { PreparationClient } from '../node/preparationClient.ts'
 import { PreparationCoordinator } from '../node/preparationCoordinator.ts'
@@ -96,11 +96,11 @@
 })
 
 test('the latest 200 reservations of a hall are remembered until 400 ms after their time, and each plan is told once', () => {
-  const told = new ToldReservations()
+  const issued = new IssuedReservations()
   const [made, next] = [{ hall: 'x', holder: {} }, { hall: 'x', holder: {} }]
-  for (let index = 0; index < 201; index++) told.add({ key: String(index), returnInMs: 300, pieces: PIECES }, made, 0)
-  assert.equal([told.take(made, 699).length, told.take(next, 699).length, told.take(next, 699).length], [0, 200, 0])
-  assert.equal([told.take(made, 700), told.listHalls()], [[], []])
+  for (let index = 0; index < 201; index++) issued.add({ key: String(index), returnInMs: 300, pieces: PIECES }, made, 0)
+  assert.equal([issued.take(made, 699).length, issued.take(next, 699).length, issued.take(next, 699).length], [0, 200, 0])
+  assert.equal([issued.take(made, 700), issued.listHalls()], [[], []])
 })
 
 test('each decision on a return is one line with the request and the key of its caller', () => {
--- a/src/services/rpc/common/schemaDecoder.ts
+++ b/src/services/rpc/common/schemaDecoder.ts
@@ -99,7 +99,7 @@
   }
 }
 
-/** Members are told apart by their literal kinds, or tried in their order. */
+/** Members are distinguished by their literal kinds, or tried in their order. */
 function createUnionDecode ({ types }: SchemaAST.Union): Decode | undefined {
   const kinds = types.map(findKind)
   const decodes = types.flatMap(type => createDecode(type) ?? [])
