--- a/src/services/preparation/common/plannedCall.ts
+++ b/src/services/preparation/common/plannedCall.ts
@@ -35,7 +35,8 @@
 
 export type PieceCallOutcome =
   | { readonly kind: 'answered', readonly pieces: readonly PieceOutcome[] }
-  | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' | 'withheld' }
+  /** `detail` tells why no connection could be opened. */
+  | { readonly kind: 'notRun', readonly reason: 'full' | 'otherUpstream' | 'unreachable' | 'refused' | 'withheld', readonly detail?: string }
   /** Nothing was sent: the upstream is rate limited, or requested a backoff. */
   | { readonly kind: 'notRun', readonly reason: 'limited' | 'backingOff', readonly retryInMs: number }
   /** The flag is set if the upstream did not crash: it sent an unexpected answer, or kept the connection open until the timeout. */
--- a/src/services/preparation/node/planLog.ts
+++ b/src/services/preparation/node/planLog.ts
@@ -32,6 +32,8 @@
       left_waiting: leftWaiting,
       free_kb: Math.round(freeBytes / BYTES_PER_KB),
       outcome: outcome.kind,
+      ...'reason' in outcome ? { reason: outcome.reason } : {},
+      ...'detail' in outcome ? { detail: outcome.detail } : {},
       made: outcomes.filter(piece => piece.kind === 'made').length,
       no_room: countFailed('noRoom'),
       input_gone: countFailed('inputGone'),
@@ -54,6 +56,11 @@
     this._log.info('preparation_declined', { request: jobId, hall, end_in_ms: Math.round(endInMs) })
   }
 
+  /** Failed requests at targets eject these from the plan for all nodes. */
+  recordFailedTarget (hall: string, jobId: string): void {
+    this._log.info('target_failed', { request: jobId, hall })
+  }
+
   recordPrepared ({ jobId, targetId, prefixSourceId, times }: JobEnd & { readonly kind: 'prepared' }): void {
     const { queuedMs, madeMs, betweenMs } = times
     this._log.info('preparation_done', { request: jobId, target: targetId, prefix_from: prefixSourceId, queued_ms: Math.round(queuedMs), made_ms: Math.round(madeMs), between_ms: Math.round(betweenMs) })
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -230,6 +230,7 @@
     const trackedJob = this._jobs.get(jobId)
     if (trackedJob === undefined) return
     trackedJob.isReported = true
+    if (report.outcome === 'failed') this._planLog.recordFailedTarget(trackedJob.shard.hall, jobId)
     trackedJob.shard.planner.reportTarget(jobId, report, this._options.clock.now())
     this._forgetIfFinished(jobId, trackedJob)
   }
--- a/src/services/relay/common/attemptDecision.ts
+++ b/src/services/relay/common/attemptDecision.ts
@@ -7,8 +7,8 @@
 export type AttemptOutcome =
   /** The complete answer was sent to the caller. */
   | { readonly kind: 'delivered' }
-  /** The upstream did not run the request. */
-  | { readonly kind: 'notRun', readonly reason: NotRunReason }
+  /** The upstream did not run the request. `detail` tells why no connection could be opened. */
+  | { readonly kind: 'notRun', readonly reason: NotRunReason, readonly detail?: string }
   /** The upstream ran the request and answered with an error status. */
   | { readonly kind: 'failed', readonly status: number }
   /** The request was sent and its outcome is unknown; the caller has received no part of an answer. */
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -88,7 +88,7 @@
 
   private _decideNoAnswer (start: Exclude<ExchangeStart, { readonly kind: 'response' }>): AttemptOutcome {
     if (this._options.signal.aborted) return { kind: 'cancelled' }
-    if (start.kind === 'notSent') return { kind: 'notRun', reason: start.isWithheld ? 'withheld' : 'unreachable' }
+    if (start.kind === 'notSent') return start.isWithheld ? { kind: 'notRun', reason: 'withheld' } : { kind: 'notRun', reason: 'unreachable', detail: start.reason }
     return { kind: 'lost', reason: this._hasTimedOut ? 'upstream timed out' : start.reason }
   }
 
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -370,6 +370,7 @@
       role: this._role,
       outcome: outcome.kind,
       reason,
+      ...'detail' in outcome ? { detail: outcome.detail } : {},
       next: decision.kind,
       sends: this._sendCount,
       may_have_run: this._runCount,
