Connect to upstreams by way of peers while a node is partitioned from them

Cause: a node had no way to upstreams but its own, and took each failed connection for the fault of the upstream.

A peer now opens the connection, and passes bytes on: owner, retries, quarantine and deadlines stay where they are, for requests, calls for pieces, results that are given back and health checks alike. A node takes itself for partitioned when its own connections to two upstreams fail without a success in between, and a peer reaches one of them: this comparison needs no vote, holds when most nodes are cut, and is not made for a role that is really gone. Until then, and for 5 s after a partition, peers are asked only where the node's own connection fails. Every 300 ms a partitioned node tries its own way along with a connection that it needs anyway. A fleet without such failures sends nothing more.

A refused probe of a lost upstream counts as a crash only if no peer reaches the upstream either, so a cut node does not publish that upstreams have ended, and does not report them to the plan.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,7 +9,7 @@
 const namingMessage = 'Begin a function\'s name with a verb of docs/NAMING.md.'
 const restrictedSyntax = [
   { selector: `FunctionDeclaration[id.name!=${verbPattern}]`, message: namingMessage },
-  { selector: `MethodDefinition[kind="method"][computed=false][key.name!=${verbPattern}]`, message: namingMessage },
+  { selector: `MethodDefinition[kind="method"][computed=false][override!=true][key.name!=${verbPattern}]`, message: namingMessage },
   { selector: `TSAbstractMethodDefinition[kind="method"][key.name!=${verbPattern}]`, message: namingMessage },
   { selector: `TSInterfaceBody > TSMethodSignature[key.name!=${verbPattern}][key.name!=/^on(Did|Will)?[A-Z]/]`, message: namingMessage },
   { selector: `VariableDeclarator[id.name!=${verbPattern}][id.name!=/^on[A-Z]/] > ArrowFunctionExpression.init`, message: namingMessage },
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -3,11 +3,11 @@
  * combines the functions of a gate and a steward in one process. The protocols of callers and upstreams and the sources
  * of configuration and upstreams are passed in.
  */
-import { Agent } from 'node:http'
+import type { Agent } from 'node:http'
 import { parseAddress } from '../base/common/address.ts'
 import type { ISuspendableClock } from '../base/common/clock.ts'
 import { DecayingCounter } from '../base/common/decayingCounter.ts'
-import { Disposable, toDisposable } from '../base/common/disposable.ts'
+import { Disposable } from '../base/common/disposable.ts'
 import { Emitter } from '../base/common/event.ts'
 import type { IRandom } from '../base/common/random.ts'
 import { startInterval, waitFor } from '../base/node/interval.ts'
@@ -50,6 +50,7 @@
 import { CallerDirectory } from './callerDirectory.ts'
 import { CoordinatorDirectory } from './coordinatorDirectory.ts'
 import { createNodeGauges } from './nodeGauges.ts'
+import { NodeConnections } from './nodeConnections.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
 import { NodeQuota } from './nodeQuota.ts'
 import { NodeStatusReporter } from './nodeStatusReporter.ts'
@@ -69,17 +70,15 @@
   readonly incarnation: number
   readonly callerProtocol: CallerProtocol
   readonly upstreamProtocol: UpstreamProtocol
-  readonly pieceProtocol: PieceProtocol
+  readonly createPieceProtocol: (agent: Agent) => PieceProtocol
   readonly configurationSource: ConfigurationSource
   readonly upstreamSource: UpstreamSource
   /** Without it, upstreams are not asked whether they are cold. */
-  readonly warmthProbe?: WarmthProbe
+  readonly createWarmthProbe?: (agent: Agent) => WarmthProbe
 }
 
 /** How often a node checks whether its own status has to be published again. */
 const STATUS_CHECK_PERIOD_MS = 200
-/** Idle connections are closed after this time, because the upstream may close them at any moment from then on. */
-const UPSTREAM_IDLE_TIMEOUT_MS = 3000
 /** How long a starting or resumed node waits for the source and its peers before it continues with the state it has. */
 const READINESS_TIMEOUT_MS = 3000
 /** Kept short: nodes that have not joined yet coordinate only their own jobs, and after a power loss they start in any order. */
@@ -103,6 +102,7 @@
   private readonly _recentRequestCount: DecayingCounter
   private readonly _metrics: NodeMetrics
   private readonly _quarantine: QuarantineService
+  private readonly _connections: NodeConnections
   private readonly _quota: NodeQuota
   private readonly _statements: NodeStatements
   private readonly _relayServer: RelayServer
@@ -176,6 +176,17 @@
       if (member !== undefined) this._fleetMember.membership.recordRestart(member, incarnation)
     }))
     const coordinatorAddress = coordinatorDirectory.formatCoordinatorAddress(settings.address)
+    this._connections = this._register(new NodeConnections({
+      clock,
+      log,
+      random,
+      registry: this._registry,
+      address: settings.address,
+      hall: settings.hall,
+      tunnelPort: settings.tunnel_port,
+      listMembers: () => this._fleetMember.membership.listLive(),
+      getBackoffs: () => this._statements.backoffs
+    }))
     this._quota = this._register(new NodeQuota({
       clock,
       log,
@@ -192,11 +203,11 @@
       coldRateMultiplier: settings.cold_share,
       extraColdRequestsPerS: settings.cold_spare,
       isSourceCurrent: () => options.upstreamSource.isCurrent,
-      warmthProbe: options.warmthProbe
+      warmthProbe: options.createWarmthProbe?.(this._connections.createAgent())
     }))
     this._statements = this._register(new NodeStatements({ clock, log, registry: this._registry, recordRateLimit: (upstream, perS) => this._quota.statedLimits.recordLimit(upstream, perS) }))
     const { backoffs, guard, loads } = this._statements
-    const pieceProtocol = new BackoffPieceCalls(new RateLimitedPieceCalls(options.pieceProtocol, this._quota.service), backoffs, clock)
+    const pieceProtocol = new BackoffPieceCalls(new RateLimitedPieceCalls(options.createPieceProtocol(this._connections.createAgent()), this._quota.service), backoffs, clock)
     this._register(pieceProtocol.onDidReceiveStatement(batch => this._statements.recordStatements(batch)))
     this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard, loads, handlesContention: settings.contention === 'on' }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log, (upstream, limit) => this._quota.acquireForPeer(upstream, limit), options.incarnation))
@@ -215,9 +226,7 @@
       listCoordinators: () => coordinatorDirectory.listCoordinators(),
       listPieceUpstreams: () => pieceUpstreams.list()
     }))
-    this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation }))
-    const agent = new Agent({ keepAlive: true, timeout: UPSTREAM_IDLE_TIMEOUT_MS, scheduling: 'lifo' })
-    this._register(toDisposable(() => agent.destroy()))
+    this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, probe: address => this._connections.probe(address) }))
     this._relayServer = this._register(new RelayServer({
       context: {
         clock,
@@ -226,7 +235,8 @@
         hall: settings.hall,
         handlesContention: settings.contention === 'on',
         regions: this._hallRegions,
-        agent,
+        agent: this._connections.createAgent(),
+        mayBePartitioned: () => this._connections.connector.isSuspect,
         upstreamProtocol: options.upstreamProtocol,
         registry: this._registry,
         pool: new RelayPool({ clock, registry: this._registry, router: new AffinityRouter({ random }), createHealth: () => new EjectingTracker(), countNodes: () => this.countNodes(), hasTerminated: id => this._quarantine.hasCrashed(id), quota: this._quota.service, backoffs, loads }),
@@ -278,6 +288,7 @@
     if (address === undefined || callers === undefined) throw new PepperwoodError({ name: 'settingsInvalid', message: 'bad address', place: 'address' })
     await this._fleetMember.listen(address)
     await this._preparationServer.listen(address.host, settings.preparation_port)
+    await this._connections.listen(address.host)
     await this._relayServer.listen(callers.host, callers.port)
     await this._serveMetrics(address.host)
     this._pauseRecovery.start()
@@ -315,11 +326,12 @@
     if (this._isDraining) return
     const { clock, log } = this._options
     const graceMs = this._settings.stop_grace_s * 1000
-    const shutdown = new GracefulShutdown({ clock, relay: this._relayServer, graceMs })
+    const shutdown = new GracefulShutdown({ clock, relay: this._relayServer, countRelayed: () => this._connections.relayedCount, graceMs })
     this._isDraining = true
     log.info('stopping', { open: this._relayServer.activeRequestCount, grace_ms: graceMs })
     this._statusReporter.reportIfChanged()
     this._relayServer.drain()
+    this._connections.drain()
     await this._fleetMember.leave()
     if (this._preparationClient.hasOtherCoordinator()) this._coordinator.drain()
     await shutdown.run()
--- a/src/entryNode/gracefulShutdown.ts
+++ b/src/entryNode/gracefulShutdown.ts
@@ -8,6 +8,8 @@
 export interface GracefulShutdownOptions {
   readonly clock: IClock
   readonly relay: RelayServer
+  /** Number of connections that the node carries for its peers. */
+  readonly countRelayed: () => number
   /** The process is killed after this time. */
   readonly graceMs: number
 }
@@ -33,8 +35,8 @@
 
   /** Resolves when no request is in progress any more, or the grace time is over. */
   async run (): Promise<void> {
-    const { relay, graceMs } = this._options
-    const isIdle = () => relay.activeRequestCount === 0
+    const { relay, countRelayed, graceMs } = this._options
+    const isIdle = () => relay.activeRequestCount === 0 && countRelayed() === 0
     await this._waitUntil(graceMs * ACCEPT_FRACTION)
     relay.refuseNew()
     await this._waitUntil(graceMs * REDIRECT_FRACTION)
--- a/src/entryNode/nodeSettings.ts
+++ b/src/entryNode/nodeSettings.ts
@@ -26,6 +26,8 @@
   readiness_address: AddressText,
   /** The port on which nodes accept preparation jobs from each other; the same on all nodes. */
   preparation_port: Port,
+  /** The port on which nodes connect to upstreams for each other; the same on all nodes. Without it they do not. */
+  tunnel_port: Schema.optional(Port),
   metrics_port: Schema.optional(Port),
   /** The fraction of a core that this host allots to the node. */
   core_share: Schema.Number.pipe(Schema.positive()),
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -30,6 +30,8 @@
   readonly regions?: HallRegions
   readonly localAddress?: string
   readonly agent: Agent
+  /** Whether failed connections may be the fault of this node's way to the upstreams. */
+  readonly mayBePartitioned?: () => boolean
   readonly upstreamProtocol: UpstreamProtocol
   readonly registry: UpstreamRegistry
   readonly pool: RelayPool
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -237,10 +237,15 @@
     // The upstream did not consume the results, so they stay available to the next attempt.
     if (result.outcome.kind === 'notRun') scheduledRelease?.dispose()
     this._inputs.recordOutcome(result.outcome)
-    if (isUpstreamFailure(result.outcome)) this._inputs.report(upstream, { outcome: 'failed', producedMs: 0 })
+    if (isUpstreamFailure(result.outcome) && !this._isOwnFailure(result.outcome)) this._inputs.report(upstream, { outcome: 'failed', producedMs: 0 })
     return result
   }
 
+  /** Other nodes would avoid an upstream that this node alone does not reach. */
+  private _isOwnFailure (outcome: AttemptOutcome): boolean {
+    return outcome.kind === 'notRun' && outcome.reason === 'unreachable' && this._context.mayBePartitioned?.() === true
+  }
+
   private _recordFirstOutput (inFlightRequest: InFlightRequest, upstream: UpstreamEntry): void {
     inFlightRequest.recordFirstOutput()
     this._firstOutputAt = this._context.clock.now()
--- /dev/null
+++ b/src/services/upstream/node/upstreamAgent.ts
@@ -0,0 +1,43 @@
+/**
+ * An HTTP agent whose connections to upstreams are opened directly or by way of a peer.
+ */
+import { Agent } from 'node:http'
+import type { AgentOptions } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import type { ConnectionListener, ConnectionTarget, UpstreamConnector } from './upstreamConnector.ts'
+import { TunnelSocket } from './tunnelSocket.ts'
+
+/** Idle connections are closed after this time, because the upstream may close them at any moment from then on. */
+const IDLE_TIMEOUT_MS = 3000
+
+/** Settings that all connections to upstreams share. */
+export const UPSTREAM_AGENT_OPTIONS: AgentOptions = { keepAlive: true, timeout: IDLE_TIMEOUT_MS, scheduling: 'lifo' }
+
+export class UpstreamAgent extends Agent {
+  private readonly _becameIdleAt = new WeakMap<object, number>()
+
+  constructor (private readonly _connector: UpstreamConnector, now: () => number) {
+    super(UPSTREAM_AGENT_OPTIONS)
+    this.on('free', (socket: object) => this._becameIdleAt.set(socket, now()))
+    _connector.onDidPartition(since => this._closeIdleSince(since))
+  }
+
+  /** Called by Node.js for each new connection. */
+  override createConnection (target: ConnectionTarget, onOpen: ConnectionListener): Socket | undefined {
+    return this._connector.open(target, onOpen)
+  }
+
+  /** Called by Node.js. A tunnel serves one request, so that the peer decides anew about each. */
+  override keepSocketAlive (socket: Duplex): boolean {
+    // The declaration lacks the result.
+    return !(socket instanceof TunnelSocket) && super.keepSocketAlive(socket) as unknown as boolean
+  }
+
+  /** Idle connections that have not been used during a partition may be silent; those that have been used are kept. */
+  private _closeIdleSince (since: number): void {
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of [...sockets ?? []]) if ((this._becameIdleAt.get(socket) ?? -Infinity) < since) socket.destroy()
+    }
+  }
+}
--- /dev/null
+++ b/src/services/upstream/node/upstreamConnector.ts
@@ -0,0 +1,247 @@
+/**
+ * Opens connections to upstreams, directly or by way of a peer. Each connection is also an observation from which the policy
+ * decides by which way the next ones are opened, so a node without a partition sends nothing more for it.
+ */
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import { parseAddress } from '../../../base/common/address.ts'
+import type { IClock } from '../../../base/common/clock.ts'
+import { Disposable } from '../../../base/common/disposable.ts'
+import { Emitter } from '../../../base/common/event.ts'
+import type { ILogService } from '../../log/node/logger.ts'
+import { PartitionDetector } from '../common/connectionPolicy.ts'
+import type { TunnelPeer, TunnelPeers } from '../common/tunnelPeers.ts'
+import { openTunnel } from './tunnelSocket.ts'
+import type { TunnelSocket, TunnelStart } from './tunnelSocket.ts'
+
+export interface UpstreamConnectorOptions {
+  readonly clock: IClock
+  readonly log: ILogService
+  readonly peers: TunnelPeers
+  readonly policy?: PartitionDetector
+  /** The halls of a peer that do not add a crossing of halls on the way to an upstream. */
+  readonly listHalls: (upstream: string) => readonly string[]
+}
+
+/** The options of an HTTP agent for a new connection. */
+export interface ConnectionTarget {
+  readonly host: string
+  readonly port: number
+}
+
+/** Receives the connection, or the reason why there is none. */
+export type ConnectionListener = (error: Error | null, socket?: Duplex) => void
+
+/** How long a direct connection may take before a peer is asked as well. Network latency between hosts is about 1 ms. */
+const DIRECT_HEAD_START_MS = 20
+/** A connection that is still not open after this time has failed. */
+const DIAL_TIMEOUT_MS = 400
+/** A connection that is abandoned earlier says nothing about the way, since its request may have been cancelled. */
+const MIN_SILENCE_MS = 300
+/** The next peer is asked as well if one has not answered after this time. */
+const PEER_STAGGER_MS = 40
+const TUNNEL_TIMEOUT_MS = 400
+
+export class UpstreamConnector extends Disposable {
+  private readonly _options: UpstreamConnectorOptions
+  private readonly _policy: PartitionDetector
+  private readonly _onDidPartition = this._register(new Emitter<number>())
+  /** Fired when the node turns out to be partitioned, with the time since which it has been. */
+  readonly onDidPartition = this._onDidPartition.event
+  private _tunnelCount = 0
+
+  constructor (options: UpstreamConnectorOptions) {
+    super()
+    this._options = options
+    this._policy = options.policy ?? new PartitionDetector()
+  }
+
+  /** Tunnels that peers have opened for this node since the process start. */
+  get tunnelCount (): number {
+    return this._tunnelCount
+  }
+
+  get isPartitioned (): boolean {
+    return this._policy.partitionedSince !== undefined
+  }
+
+  /** Whether failed connections may be the fault of this node's way, and not of the upstreams. */
+  get isSuspect (): boolean {
+    return this._policy.getMode(this._options.clock.now()) !== 'direct'
+  }
+
+  /** Opens a connection. A direct one is returned at once, while it is connecting; any other is passed to the listener. */
+  open (target: ConnectionTarget, onOpen: ConnectionListener): Socket | undefined {
+    const { clock } = this._options
+    const mode = this._policy.getMode(clock.now())
+    if (mode === 'direct') return this.dial(target)
+    const hasTrial = mode === 'fallback' || this._policy.tryAcquireTrial(clock.now())
+    new ConnectionRace({
+      dial: hasTrial ? () => this.dial(target) : undefined,
+      openByPeer: () => this.openByPeer(formatTarget(target)),
+      clock,
+      headStartMs: mode === 'fallback' ? DIRECT_HEAD_START_MS : 0,
+      onOpen
+    }).start()
+    return undefined
+  }
+
+  /** Opens a direct connection and observes whether it opens. */
+  dial (target: ConnectionTarget): Socket {
+    const { clock } = this._options
+    const upstream = formatTarget(target)
+    const startedAt = clock.now()
+    const socket = connect(target)
+    let isOpened = false
+    let hasFailed = false
+    socket.on('error', error => { hasFailed ||= (error as NodeJS.ErrnoException).syscall === 'connect' })
+    socket.once('connect', () => {
+      isOpened = true
+      this.recordDirect(upstream, true)
+    })
+    socket.once('close', () => { if (!isOpened && (hasFailed || clock.now() - startedAt >= MIN_SILENCE_MS)) this.recordDirect(upstream, false) })
+    return socket
+  }
+
+  dialAddress (upstream: string): Socket {
+    const { host, port } = parseAddress(upstream) ?? { host: '', port: 0 }
+    return this.dial({ host, port })
+  }
+
+  /** Records what a probe or a connection of this node found. */
+  recordDirect (upstream: string, isOpened: boolean): void {
+    this._record(upstream, () => this._policy.recordDirect(upstream, isOpened, this._options.clock.now()))
+  }
+
+  /** Whether a peer reaches an upstream; undefined if no peer could tell. */
+  async probeByPeer (upstream: string): Promise<boolean | undefined> {
+    const socket = await this.openByPeer(upstream)
+    socket?.destroy()
+    return socket !== undefined ? true : this._options.peers.choose([], this._options.clock.now()).length === 0 ? undefined : false
+  }
+
+  /** Asks one peer after the other; resolves with the first connection, or with undefined if none was opened. */
+  openByPeer (upstream: string): Promise<TunnelSocket | undefined> {
+    const { clock, log, peers, listHalls } = this._options
+    const startedAt = clock.now()
+    const candidates = peers.choose(listHalls(upstream), startedAt)
+    const results: string[] = []
+    return new Promise(resolve => {
+      let [asked, answered, isSettled] = [0, 0, false]
+      const settle = (socket?: TunnelSocket) => {
+        isSettled = true
+        log.info(socket === undefined ? 'tunnel_failed' : 'tunnel_opened', { upstream, peer: candidates[asked - 1]?.address ?? '', asked, refusals: results.join(), took_ms: Math.round(clock.now() - startedAt) })
+        resolve(socket)
+      }
+      const askNext = () => {
+        const peer = candidates[asked]
+        if (isSettled || peer === undefined) return
+        asked++
+        const timer = clock.schedule(PEER_STAGGER_MS, askNext)
+        void openTunnel({ peer: peer.address, upstream, timeoutMs: TUNNEL_TIMEOUT_MS }).then(start => {
+          timer.dispose()
+          answered++
+          this._recordPeer(upstream, peer, start)
+          if (start.kind !== 'opened') results.push(`${peer.address} ${start.reason}`)
+          if (isSettled) return start.kind === 'opened' ? start.socket.destroy() : undefined
+          if (start.kind === 'opened') return settle(start.socket)
+          askNext()
+          if (answered === asked) settle()
+        })
+      }
+      if (candidates.length === 0) resolve(undefined)
+      else askNext()
+    })
+  }
+
+  private _recordPeer (upstream: string, peer: TunnelPeer, start: TunnelStart): void {
+    const now = this._options.clock.now()
+    this._options.peers.record(peer, start.kind === 'opened', now)
+    if (start.kind === 'opened') this._tunnelCount++
+    const result = start.kind === 'opened' ? 'opened' : start.kind === 'refused' && start.reason === 'unreachable' ? 'unreachable' : undefined
+    if (result !== undefined) this._record(upstream, () => this._policy.recordPeerResult(upstream, result, now))
+  }
+
+  /** Logs and announces the begin and the end of a partition that an observation shows. */
+  private _record (upstream: string, record: () => void): void {
+    const { clock, log } = this._options
+    const before = this._policy.partitionedSince
+    record()
+    const since = this._policy.partitionedSince
+    if (since === before) return
+    if (since === undefined) {
+      log.warn('partition_ended', { upstream, lasted_ms: Math.round(clock.now() - (before ?? 0)) })
+    } else {
+      log.warn('partition_detected', { upstream, since_ms: Math.round(clock.now() - since) })
+      this._onDidPartition.fire(since)
+    }
+  }
+}
+
+interface ConnectionRaceOptions {
+  /** Opens a direct connection; undefined if this way is not tried. */
+  readonly dial: (() => Socket) | undefined
+  readonly openByPeer: () => Promise<TunnelSocket | undefined>
+  readonly clock: IClock
+  readonly headStartMs: number
+  readonly onOpen: ConnectionListener
+}
+
+/** Opens one connection by both ways and uses the first. */
+class ConnectionRace {
+  private _isSettled = false
+  private _hasAskedPeer = false
+  private _openWayCount = 0
+
+  constructor (private readonly _options: ConnectionRaceOptions) {}
+
+  start (): void {
+    const { dial, clock, headStartMs } = this._options
+    if (dial === undefined) return this._askPeer()
+    this._startDirect(dial)
+    if (headStartMs === 0) this._askPeer()
+    else clock.schedule(headStartMs, () => this._askPeer())
+  }
+
+  private _startDirect (dial: () => Socket): void {
+    this._openWayCount++
+    const socket = dial()
+    const timer = this._options.clock.schedule(DIAL_TIMEOUT_MS, () => socket.destroy())
+    const onClose = () => {
+      timer.dispose()
+      this._askPeer()
+      this._end(undefined)
+    }
+    socket.once('close', onClose)
+    socket.once('connect', () => {
+      timer.dispose()
+      socket.off('close', onClose)
+      this._end(socket)
+    })
+  }
+
+  private _askPeer (): void {
+    if (this._hasAskedPeer || this._isSettled) return
+    this._hasAskedPeer = true
+    this._openWayCount++
+    void this._options.openByPeer().then(socket => this._end(socket))
+  }
+
+  private _end (socket: Duplex | undefined): void {
+    this._openWayCount--
+    if (this._isSettled) {
+      socket?.destroy()
+    } else if (socket !== undefined) {
+      this._isSettled = true
+      this._options.onOpen(null, socket)
+    } else if (this._openWayCount === 0) {
+      this._isSettled = true
+      this._options.onOpen(new Error('unreachable, also by peers'))
+    }
+  }
+}
+
+function formatTarget ({ host, port }: ConnectionTarget): string {
+  return `${host}:${port}`
+}
