--- /dev/null
+++ b/src/services/upstream/test/tunnel.test.ts
@@ -0,0 +1,132 @@
+import { request } from 'node:http'
+import type { Agent } from 'node:http'
+import { connect } from 'node:net'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { SystemClock } from '../../../base/node/systemClock.ts'
+import { SeededRandom } from '../../../base/common/random.ts'
+import { DisposableStore, toDisposable } from '../../../base/common/disposable.ts'
+import { waitUntil } from '../../../base/test/polling.ts'
+import { LogService } from '../../log/node/logger.ts'
+import { answerWith, FakeUpstream } from '../../relay/test/fakes.ts'
+import type { UpstreamScript } from '../../relay/test/fakes.ts'
+import { PartitionDetector } from '../common/connectionPolicy.ts'
+import { TunnelPeers } from '../common/tunnelPeers.ts'
+import { readBody, startExchange } from '../node/httpExchange.ts'
+import type { ExchangeStart } from '../node/httpExchange.ts'
+import { TunnelServer } from '../node/tunnelServer.ts'
+import type { TunnelRefusal } from '../node/tunnelServer.ts'
+import { openTunnel } from '../node/tunnelSocket.ts'
+import { UpstreamAgent } from '../node/upstreamAgent.ts'
+import { UpstreamConnector } from '../node/upstreamConnector.ts'
+
+const test = suite('tunnel')
+
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody'
+const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody'
+const CLOSED_PORT = '127.0.0.1:1'
+
+interface Parts {
+  readonly upstream: FakeUpstream
+  readonly server: TunnelServer
+  readonly policy: PartitionDetector
+  /** Sends a request by the agent of a node whose peers are a dead one and the server. */
+  readonly send: (address?: string, signal?: AbortSignal) => Promise<ExchangeStart>
+}
+
+/** Runs a test with an upstream, a peer that reaches it, and a node that is partitioned from it. */
+async function runWith (script: UpstreamScript, run: (parts: Parts) => Promise<void>, obstacle?: TunnelRefusal): Promise<void> {
+  const store = new DisposableStore()
+  const log = new LogService({ program: 'test', silent: true })
+  const clock = new SystemClock()
+  const upstream = store.add(new FakeUpstream(script))
+  await upstream.listen()
+  const dial = (address: string) => connect(Number(address.split(':')[1]), '127.0.0.1').on('error', () => {})
+  const server = store.add(new TunnelServer({ log, dial, findObstacle: () => obstacle }))
+  const port = await server.listen('127.0.0.1', 0)
+  const policy = new PartitionDetector()
+  const peers = new TunnelPeers({ random: new SeededRandom(1), listPeers: () => [CLOSED_PORT, `127.0.0.1:${port}`].map(address => ({ address, hall: '' })) })
+  const connector = store.add(new UpstreamConnector({ clock, log, peers, policy, listHalls: () => [] }))
+  const agent: Agent = new UpstreamAgent(connector, () => clock.now())
+  store.add(toDisposable(() => agent.destroy()))
+  for (const address of ['x:1', 'y:1']) policy.recordDirect(address, false, clock.now())
+  policy.recordPeerResult('x:1', 'opened', clock.now())
+  assert.is(policy.getMode(clock.now()), 'peers')
+  // The node itself reaches nothing.
+  policy.tryAcquireTrial(clock.now())
+  try {
+    await run({ upstream, server, policy, send: (address = upstream.address, signal) => startExchange({ address, signal, method: 'POST', path: '/x', body: 'asked', agent, connectTimeoutMs: 400 }) })
+  } finally {
+    store.dispose()
+  }
+}
+
+async function readAnswer (start: ExchangeStart): Promise<string> {
+  if (start.kind !== 'response') return start.kind
+  const body = await readBody(start.response, 1000)
+  return start.exchange.hasConnectionFailed ? 'cut' : body ?? 'truncated'
+}
+
+test('a request and its answer pass unchanged, and the peer closes the connection after it', () => runWith(answerWith(FRAMED), async ({ upstream, server, send }) => {
+  assert.is(await readAnswer(await send()), 'body')
+  assert.match(upstream.requestHeads.join(''), /^POST \/x HTTP\/1\.1\r\n[\s\S]*asked/)
+  assert.ok(await waitUntil(() => server.openCount === 0 && upstream.closedCount === 1, 1000))
+}))
+
+test('an answer that ends with its connection is whole', () => runWith(answerWith(UNFRAMED, 'close'), async ({ send }) => {
+  assert.is(await readAnswer(await send()), 'body')
+}))
+
+test('an answer whose connection the upstream resets is not whole', () => runWith(answerWith(UNFRAMED, 'reset'), async ({ send }) => {
+  assert.not.equal(await readAnswer(await send()), 'body')
+}))
+
+test('an answer whose peer ends midway is not whole', () => runWith(answerWith(UNFRAMED), async ({ server, send }) => {
+  const start = await send()
+  server.dispose()
+  assert.not.equal(await readAnswer(start), 'body')
+}))
+
+test('a caller that leaves ends the work at the upstream', () => runWith(() => {}, async ({ upstream, server, send }) => {
+  const controller = new AbortController()
+  const pending = send(undefined, controller.signal)
+  assert.ok(await waitUntil(() => upstream.requestHeads.length === 1, 1000))
+  assert.is(server.openCount, 1)
+  controller.abort()
+  assert.is((await pending).kind, 'lost')
+  assert.ok(await waitUntil(() => upstream.closedCount === 1, 1000))
+}))
+
+test('an upstream that peers do not reach either was sent nothing', () => runWith(answerWith(FRAMED), async ({ send }) => {
+  assert.is((await send(CLOSED_PORT)).kind, 'notSent')
+}))
+
+for (const obstacle of ['unknown', 'full', 'draining', 'partitioned', 'backingOff'] as const) {
+  test(`a peer that refuses a tunnel as ${obstacle} opens no connection`, () => runWith(answerWith(FRAMED), async ({ upstream, send, policy }) => {
+    assert.is((await send()).kind, 'notSent')
+    assert.is(upstream.requestHeads.length, 0)
+    assert.is(policy.getMode(performance.now()), 'peers')
+  }, obstacle))
+}
+
+test('a draining peer refuses further tunnels and completes open ones', () => runWith(answerWith(FRAMED), async ({ server, send }) => {
+  const start = await send()
+  server.drain()
+  assert.is(await readAnswer(start), 'body')
+  assert.is((await send()).kind, 'notSent')
+}))
+
+test('requests that are no tunnel are refused', () => runWith(answerWith(FRAMED), async ({ server }) => {
+  const port = await server.listen('127.0.0.1', 0)
+  for (const path of ['/', '/tunnel', '/other/127.0.0.1:1', `/tunnel/${'9'.repeat(4000)}`]) {
+    const status = await new Promise(resolve => { request({ port, path, method: 'POST', agent: false }, response => resolve(response.statusCode)).end() })
+    assert.is(status, 503)
+  }
+}, 'unknown'))
+
+test('a peer that does not answer counts as failed', async () => {
+  assert.is((await openTunnel({ peer: CLOSED_PORT, upstream: CLOSED_PORT, timeoutMs: 100 })).kind, 'failed')
+  assert.is((await openTunnel({ peer: 'nonsense', upstream: CLOSED_PORT, timeoutMs: 100 })).kind, 'failed')
+})
+
+test.run()
