--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -255,7 +255,7 @@
       findReadinessError: () => this._findReadinessError(),
       estimateReadinessDelayMs: () => estimateReadyMs({ isOutage: this._fleetMember.isReady && this._relayTable === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, quarantine: this._quarantine, pauseDetector: this._pauseDetector }))
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, pauseDetector: this._pauseDetector }))
     this._register(this._statements.onDidRecordStatement(kind => this._metrics.countStatement(kind)))
     this._statusReporter = new NodeStatusReporter({
       clock,
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -8,6 +8,7 @@
 import type { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
 import type { RelayServer } from '../services/relay/node/relayServer.ts'
 import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
+import type { NodeConnections } from './nodeConnections.ts'
 import type { NodeGauges } from './nodeMetrics.ts'
 import type { NodeQuota } from './nodeQuota.ts'
 import type { NodeStatements } from './nodeStatements.ts'
@@ -20,11 +21,12 @@
   readonly coordinator: PreparationCoordinator
   readonly quota: NodeQuota
   readonly statements: NodeStatements
+  readonly connections: NodeConnections
   readonly quarantine: QuarantineService
   readonly pauseDetector: PauseDetector
 }
 
-export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, quarantine, pauseDetector }: NodeGaugeSources): NodeGauges {
+export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, connections, quarantine, pauseDetector }: NodeGaugeSources): NodeGauges {
   const { backoffs, guard } = statements
   return {
     countOpenRequests: () => relay.activeRequestCount,
@@ -45,6 +47,9 @@
     countInvalidStatements: () => statements.invalidCount,
     getReturnCounts: () => coordinator.returnCounts,
     countInvalidLoads: () => statements.invalidLoadCount,
+    getPartitionState: () => connections.connector.isPartitioned ? 1 : 0,
+    countTunnels: () => connections.connector.tunnelCount,
+    countRelayedConnections: () => connections.relayedCount,
     countPauses: () => pauseDetector.pauseCount,
     getBytesSent: () => member.traffic.sent
   }
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -25,6 +25,10 @@
   readonly countWithheldSends: () => number
   readonly countQuotaDenials: () => number
   readonly getReturnCounts: () => ReturnCounts
+  /** 1 while the node is partitioned from upstreams, otherwise 0. */
+  readonly getPartitionState: () => number
+  readonly countTunnels: () => number
+  readonly countRelayedConnections: () => number
   readonly countPauses: () => number
   readonly getBytesSent: () => number
 }
@@ -61,6 +65,9 @@
     this.metrics.createGauge('node_expired_returns_total', 'Reservations whose callers did not return', () => gauges.getReturnCounts().expired)
     this.metrics.createGauge('node_missed_returns_total', 'Callers that returned at their reserved time and were refused', () => gauges.getReturnCounts().missed)
     this.metrics.createGauge('node_invalid_loads_total', 'Loads stated by upstreams that could not be read', gauges.countInvalidLoads)
+    this.metrics.createGauge('node_partitioned', '1 while this node reaches upstreams by way of peers only', gauges.getPartitionState)
+    this.metrics.createGauge('node_tunnels_total', 'Connections to upstreams that peers opened for this node', gauges.countTunnels)
+    this.metrics.createGauge('node_relayed_connections', 'Connections to upstreams that this node carries for peers', gauges.countRelayedConnections)
     this.metrics.createGauge('node_pauses_total', 'Pauses of the process that were noticed', gauges.countPauses)
     this.metrics.createGauge('node_control_bytes_sent', 'Bytes sent to other nodes', gauges.getBytesSent)
   }
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -25,6 +25,9 @@
     countWithheldSends: getZero,
     countQuotaDenials: getZero,
     getReturnCounts: () => ({ reserved: 9, kept: 5, expired: 3, missed: 1 }),
+    getPartitionState: () => 1,
+    countTunnels: () => 8,
+    countRelayedConnections: getZero,
     countPauses: getZero,
     getBytesSent: getZero
   })
@@ -36,6 +39,8 @@
   assert.match(text, /pepperwood_node_requests_total\{result="overloaded"\} 1/)
   assert.match(text, /pepperwood_node_attempts_total 2/)
   assert.match(text, /pepperwood_node_prepared_ms_count 1/)
+  assert.match(text, /pepperwood_node_partitioned 1/)
+  assert.match(text, /pepperwood_node_tunnels_total 8/)
   assert.match(text, /pepperwood_node_configuration_version 41/)
   assert.match(text, /pepperwood_node_known_age_ms 250/)
   assert.match(text, /pepperwood_node_cold_upstreams 4/)
