--- a/src/entryNode/nodeConnections.ts
+++ b/src/entryNode/nodeConnections.ts
@@ -75,7 +75,7 @@
     if (result === 'accepted') this.connector.recordDirect(address, true)
     if (result !== 'refused') return result
     this.connector.recordDirect(address, false)
-    return await this.connector.probeByPeer(address) === true ? 'accepted' : result
+    return await this.connector.probeByPeer(address) ? 'accepted' : result
   }
 
   private _listPeers (): readonly TunnelPeer[] {
--- a/src/services/upstream/node/tunnelServer.ts
+++ b/src/services/upstream/node/tunnelServer.ts
@@ -26,6 +26,8 @@
 /** A connection without a byte in either direction for this time is closed: the peer may have lost its power. */
 const IDLE_TIMEOUT_MS = 60_000
 const KEEP_ALIVE_MS = 1000
+/** More than the tunnels that are accepted, so that a peer is told why one is refused. */
+const MAX_CONNECTIONS = 512
 const OK = 200
 const UNAVAILABLE = 503
 
@@ -49,6 +51,7 @@
     const server = createServer((request, response) => this._accept(request, response))
     // The body of a tunnel ends with the connection that it carries.
     server.requestTimeout = 0
+    server.maxConnections = MAX_CONNECTIONS
     server.on('connection', socket => socket.setKeepAlive(true, KEEP_ALIVE_MS))
     this._register(toDisposable(() => {
       server.close()
--- a/src/services/upstream/node/upstreamConnector.ts
+++ b/src/services/upstream/node/upstreamConnector.ts
@@ -114,53 +114,39 @@
     this._record(upstream, () => this._policy.recordDirect(upstream, isOpened, this._options.clock.now()))
   }
 
-  /** Whether a peer reaches an upstream; undefined if no peer could tell. */
-  async probeByPeer (upstream: string): Promise<boolean | undefined> {
+  /** Whether a peer reaches an upstream. */
+  async probeByPeer (upstream: string): Promise<boolean> {
     const socket = await this.openByPeer(upstream)
     socket?.destroy()
-    return socket !== undefined ? true : this._options.peers.choose([], this._options.clock.now()).length === 0 ? undefined : false
+    return socket !== undefined
   }
 
   /** Asks one peer after the other; resolves with the first connection, or with undefined if none was opened. */
-  openByPeer (upstream: string): Promise<TunnelSocket | undefined> {
+  async openByPeer (upstream: string): Promise<TunnelSocket | undefined> {
     const { clock, log, peers, listHalls } = this._options
     const startedAt = clock.now()
     const candidates = peers.choose(listHalls(upstream), startedAt)
-    const results: string[] = []
-    return new Promise(resolve => {
-      let [asked, answered, isSettled] = [0, 0, false]
-      const settle = (socket?: TunnelSocket) => {
-        isSettled = true
-        log.info(socket === undefined ? 'tunnel_failed' : 'tunnel_opened', { upstream, peer: candidates[asked - 1]?.address ?? '', asked, refusals: results.join(), took_ms: Math.round(clock.now() - startedAt) })
-        resolve(socket)
-      }
-      const askNext = () => {
-        const peer = candidates[asked]
-        if (isSettled || peer === undefined) return
-        asked++
-        const timer = clock.schedule(PEER_STAGGER_MS, askNext)
-        void openTunnel({ peer: peer.address, upstream, timeoutMs: TUNNEL_TIMEOUT_MS }).then(start => {
-          timer.dispose()
-          answered++
-          this._recordPeer(upstream, peer, start)
-          if (start.kind !== 'opened') results.push(`${peer.address} ${start.reason}`)
-          if (isSettled) return start.kind === 'opened' ? start.socket.destroy() : undefined
-          if (start.kind === 'opened') return settle(start.socket)
-          askNext()
-          if (answered === asked) settle()
-        })
+    const refusals: string[] = []
+    const opened = await openFirst({
+      clock,
+      candidates,
+      open: peer => openTunnel({ peer: peer.address, upstream, timeoutMs: TUNNEL_TIMEOUT_MS }),
+      onDidAnswer: (peer, start) => {
+        this._recordPeer(upstream, peer, start)
+        if (start.kind !== 'opened') refusals.push(`${peer.address} ${start.reason}`)
       }
-      if (candidates.length === 0) resolve(undefined)
-      else askNext()
     })
+    log.info(opened === undefined ? 'tunnel_failed' : 'tunnel_opened', { upstream, peer: opened?.peer.address ?? '', refusals: refusals.join(), took_ms: Math.round(clock.now() - startedAt) })
+    return opened?.socket
   }
 
   private _recordPeer (upstream: string, peer: TunnelPeer, start: TunnelStart): void {
     const now = this._options.clock.now()
     this._options.peers.record(peer, start.kind === 'opened', now)
     if (start.kind === 'opened') this._tunnelCount++
-    const result = start.kind === 'opened' ? 'opened' : start.kind === 'refused' && start.reason === 'unreachable' ? 'unreachable' : undefined
-    if (result !== undefined) this._record(upstream, () => this._policy.recordPeerResult(upstream, result, now))
+    if (start.kind === 'opened') this._record(upstream, () => this._policy.recordPeerResult(upstream, 'opened', now))
+    // Any other refusal is about the peer, and not about the upstream.
+    else if (start.kind === 'refused' && start.reason === 'unreachable') this._record(upstream, () => this._policy.recordPeerResult(upstream, 'unreachable', now))
   }
 
   /** Logs and announces the begin and the end of a partition that an observation shows. */
@@ -179,6 +165,46 @@
   }
 }
 
+interface PeerQuery {
+  readonly clock: IClock
+  /** In the order in which they are asked. */
+  readonly candidates: readonly TunnelPeer[]
+  readonly open: (peer: TunnelPeer) => Promise<TunnelStart>
+  readonly onDidAnswer: (peer: TunnelPeer, start: TunnelStart) => void
+}
+
+interface OpenedTunnel {
+  readonly peer: TunnelPeer
+  readonly socket: TunnelSocket
+}
+
+/** Asks the next peer when one has refused or has not answered for a while; resolves with the first tunnel that is open. */
+function openFirst ({ clock, candidates, open, onDidAnswer }: PeerQuery): Promise<OpenedTunnel | undefined> {
+  return new Promise(resolve => {
+    let [asked, answered, isSettled] = [0, 0, false]
+    const settle = (opened: OpenedTunnel | undefined) => {
+      isSettled = true
+      resolve(opened)
+    }
+    const askNext = () => {
+      const peer = candidates[asked]
+      if (isSettled || peer === undefined) return
+      asked++
+      const timer = clock.schedule(PEER_STAGGER_MS, askNext)
+      void open(peer).then(start => {
+        timer.dispose()
+        answered++
+        onDidAnswer(peer, start)
+        if (start.kind === 'opened') return isSettled ? start.socket.destroy() : settle({ peer, socket: start.socket })
+        askNext()
+        if (answered === asked && !isSettled) settle(undefined)
+      })
+    }
+    if (candidates.length === 0) settle(undefined)
+    else askNext()
+  })
+}
+
 interface ConnectionRaceOptions {
   /** Opens a direct connection; undefined if this way is not tried. */
   readonly dial: (() => Socket) | undefined
