--- a/src/services/upstream/common/connectionPolicy.ts
+++ b/src/services/upstream/common/connectionPolicy.ts
@@ -15,6 +15,8 @@
 export type PeerResult = 'opened' | 'unreachable'
 
 export abstract class ConnectionPolicy {
+  /** When the first connection failed that the partition explains; undefined if there is no partition. */
+  abstract get partitionedSince (): number | undefined
   abstract getMode (now: number): ConnectionMode
   /** Records whether this node's own connection to an upstream was opened. */
   abstract recordDirect (upstream: string, isOpened: boolean, now: number): void
@@ -25,6 +27,8 @@
 
 /** Baseline for comparisons: every upstream is reached directly or not at all. */
 export class DirectConnectionPolicy extends ConnectionPolicy {
+  readonly partitionedSince = undefined
+
   getMode (): ConnectionMode {
     return 'direct'
   }
@@ -72,7 +76,6 @@
     this._refutedMs = refutedMs
   }
 
-  /** When the first connection failed that the partition explains; undefined if there is no partition. */
   get partitionedSince (): number | undefined {
     return this._partitionedSince
   }
--- a/src/services/upstream/node/upstreamAgent.ts
+++ b/src/services/upstream/node/upstreamAgent.ts
@@ -5,8 +5,9 @@
 import type { AgentOptions } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import type { ConnectionListener, ConnectionTarget, UpstreamConnector } from './upstreamConnector.ts'
+import type { ConnectionListener } from './connectionRace.ts'
 import { TunnelSocket } from './tunnelSocket.ts'
+import type { ConnectionTarget, UpstreamConnector } from './upstreamConnector.ts'
 
 /** Idle connections are closed after this time, because the upstream may close them at any moment from then on. */
 const IDLE_TIMEOUT_MS = 3000
--- a/src/services/upstream/node/upstreamConnector.ts
+++ b/src/services/upstream/node/upstreamConnector.ts
@@ -4,14 +4,17 @@
  */
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
-import type { Duplex } from 'node:stream'
 import { parseAddress } from '../../../base/common/address.ts'
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import { PartitionDetector } from '../common/connectionPolicy.ts'
+import type { ConnectionPolicy } from '../common/connectionPolicy.ts'
 import type { TunnelPeer, TunnelPeers } from '../common/tunnelPeers.ts'
+import { ConnectionRace } from './connectionRace.ts'
+import type { ConnectionListener } from './connectionRace.ts'
+import { openFirst } from './peerQuery.ts'
 import { openTunnel } from './tunnelSocket.ts'
 import type { TunnelSocket, TunnelStart } from './tunnelSocket.ts'
 
@@ -19,7 +22,8 @@
   readonly clock: IClock
   readonly log: ILogService
   readonly peers: TunnelPeers
-  readonly policy?: PartitionDetector
+  /** By default, peers are used while the node is partitioned. */
+  readonly policy?: ConnectionPolicy
   /** The halls of a peer that do not add a crossing of halls on the way to an upstream. */
   readonly listHalls: (upstream: string) => readonly string[]
 }
@@ -30,22 +34,15 @@
   readonly port: number
 }
 
-/** Receives the connection, or the reason why there is none. */
-export type ConnectionListener = (error: Error | null, socket?: Duplex) => void
-
 /** How long a direct connection may take before a peer is asked as well. Network latency between hosts is about 1 ms. */
 const DIRECT_HEAD_START_MS = 20
-/** A connection that is still not open after this time has failed. */
-const DIAL_TIMEOUT_MS = 400
 /** A connection that is abandoned earlier says nothing about the way, since its request may have been cancelled. */
 const MIN_SILENCE_MS = 300
-/** The next peer is asked as well if one has not answered after this time. */
-const PEER_STAGGER_MS = 40
 const TUNNEL_TIMEOUT_MS = 400
 
 export class UpstreamConnector extends Disposable {
   private readonly _options: UpstreamConnectorOptions
-  private readonly _policy: PartitionDetector
+  private readonly _policy: ConnectionPolicy
   private readonly _onDidPartition = this._register(new Emitter<number>())
   /** Fired when the node turns out to be partitioned, with the time since which it has been. */
   readonly onDidPartition = this._onDidPartition.event
@@ -165,109 +162,6 @@
   }
 }
 
-interface PeerQuery {
-  readonly clock: IClock
-  /** In the order in which they are asked. */
-  readonly candidates: readonly TunnelPeer[]
-  readonly open: (peer: TunnelPeer) => Promise<TunnelStart>
-  readonly onDidAnswer: (peer: TunnelPeer, start: TunnelStart) => void
-}
-
-interface OpenedTunnel {
-  readonly peer: TunnelPeer
-  readonly socket: TunnelSocket
-}
-
-/** Asks the next peer when one has refused or has not answered for a while; resolves with the first tunnel that is open. */
-function openFirst ({ clock, candidates, open, onDidAnswer }: PeerQuery): Promise<OpenedTunnel | undefined> {
-  return new Promise(resolve => {
-    let [asked, answered, isSettled] = [0, 0, false]
-    const settle = (opened: OpenedTunnel | undefined) => {
-      isSettled = true
-      resolve(opened)
-    }
-    const askNext = () => {
-      const peer = candidates[asked]
-      if (isSettled || peer === undefined) return
-      asked++
-      const timer = clock.schedule(PEER_STAGGER_MS, askNext)
-      void open(peer).then(start => {
-        timer.dispose()
-        answered++
-        onDidAnswer(peer, start)
-        if (start.kind === 'opened') return isSettled ? start.socket.destroy() : settle({ peer, socket: start.socket })
-        askNext()
-        if (answered === asked && !isSettled) settle(undefined)
-      })
-    }
-    if (candidates.length === 0) settle(undefined)
-    else askNext()
-  })
-}
-
-interface ConnectionRaceOptions {
-  /** Opens a direct connection; undefined if this way is not tried. */
-  readonly dial: (() => Socket) | undefined
-  readonly openByPeer: () => Promise<TunnelSocket | undefined>
-  readonly clock: IClock
-  readonly headStartMs: number
-  readonly onOpen: ConnectionListener
-}
-
-/** Opens one connection by both ways and uses the first. */
-class ConnectionRace {
-  private _isSettled = false
-  private _hasAskedPeer = false
-  private _openWayCount = 0
-
-  constructor (private readonly _options: ConnectionRaceOptions) {}
-
-  start (): void {
-    const { dial, clock, headStartMs } = this._options
-    if (dial === undefined) return this._askPeer()
-    this._startDirect(dial)
-    if (headStartMs === 0) this._askPeer()
-    else clock.schedule(headStartMs, () => this._askPeer())
-  }
-
-  private _startDirect (dial: () => Socket): void {
-    this._openWayCount++
-    const socket = dial()
-    const timer = this._options.clock.schedule(DIAL_TIMEOUT_MS, () => socket.destroy())
-    const onClose = () => {
-      timer.dispose()
-      this._askPeer()
-      this._end(undefined)
-    }
-    socket.once('close', onClose)
-    socket.once('connect', () => {
-      timer.dispose()
-      socket.off('close', onClose)
-      this._end(socket)
-    })
-  }
-
-  private _askPeer (): void {
-    if (this._hasAskedPeer || this._isSettled) return
-    this._hasAskedPeer = true
-    this._openWayCount++
-    void this._options.openByPeer().then(socket => this._end(socket))
-  }
-
-  private _end (socket: Duplex | undefined): void {
-    this._openWayCount--
-    if (this._isSettled) {
-      socket?.destroy()
-    } else if (socket !== undefined) {
-      this._isSettled = true
-      this._options.onOpen(null, socket)
-    } else if (this._openWayCount === 0) {
-      this._isSettled = true
-      this._options.onOpen(new Error('unreachable, also by peers'))
-    }
-  }
-}
-
 function formatTarget ({ host, port }: ConnectionTarget): string {
   return `${host}:${port}`
 }
