--- a/src/services/upstream/common/connectionPolicy.ts
+++ b/src/services/upstream/common/connectionPolicy.ts
@@ -1,8 +1,8 @@
 /**
- * Decides by which way this node connects to upstreams. A failed connection may be the fault of the upstream or of the way from
- * this node. The two are told apart by comparison: an upstream that this node fails to reach while a peer reaches it shows that
- * the way is lost. Neither failures alone nor a vote of nodes is proof, since a whole role may have ended, and most nodes may be
- * partitioned at once.
+ * Decides whether this node connects to upstreams directly or through peers. A failed connection may be caused by the upstream or
+ * by the network between it and this node. If a peer reaches an upstream that this node cannot reach, the network is the cause.
+ * Failures alone prove nothing, because all upstreams of a role may have ended, and neither does a majority of nodes, because most
+ * nodes may be partitioned at once.
  */
 
 /**
--- a/src/services/upstream/node/tunnelServer.ts
+++ b/src/services/upstream/node/tunnelServer.ts
@@ -26,7 +26,7 @@
 /** A connection without a byte in either direction for this time is closed: the peer may have lost its power. */
 const IDLE_TIMEOUT_MS = 60_000
 const KEEP_ALIVE_MS = 1000
-/** More than the tunnels that are accepted, so that a peer is told why one is refused. */
+/** Higher than the maximum number of tunnels, so that a further request is answered with the reason of its refusal. */
 const MAX_CONNECTIONS = 512
 const OK = 200
 const UNAVAILABLE = 503
