--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -176,17 +176,7 @@
       if (member !== undefined) this._fleetMember.membership.recordRestart(member, incarnation)
     }))
     const coordinatorAddress = coordinatorDirectory.formatCoordinatorAddress(settings.address)
-    this._connections = this._register(new NodeConnections({
-      clock,
-      log,
-      random,
-      registry: this._registry,
-      address: settings.address,
-      hall: settings.hall,
-      tunnelPort: settings.tunnel_port,
-      listMembers: () => this._fleetMember.membership.listLive(),
-      getBackoffs: () => this._statements.backoffs
-    }))
+    this._connections = this._register(new NodeConnections({ clock, log, random, registry: this._registry, settings, listMembers: () => this._fleetMember.membership.listLive(), getBackoffs: () => this._statements.backoffs }))
     this._quota = this._register(new NodeQuota({
       clock,
       log,
--- a/src/entryNode/nodeConnections.ts
+++ b/src/entryNode/nodeConnections.ts
@@ -18,17 +18,15 @@
 import type { TunnelRefusal } from '../services/upstream/node/tunnelServer.ts'
 import { UpstreamAgent } from '../services/upstream/node/upstreamAgent.ts'
 import { UpstreamConnector } from '../services/upstream/node/upstreamConnector.ts'
+import type { NodeSettings } from './nodeSettings.ts'
 
 export interface NodeConnectionsOptions {
   readonly clock: IClock
   readonly log: ILogService
   readonly random: IRandom
   readonly registry: UpstreamRegistry
-  /** The address of this node. */
-  readonly address: string
-  readonly hall: string
-  /** The port on which nodes accept tunnels, the same on all; without it this node neither opens nor accepts any. */
-  readonly tunnelPort: number | undefined
+  /** Without a tunnel port, this node neither opens nor accepts tunnels. */
+  readonly settings: Pick<NodeSettings, 'address' | 'hall' | 'tunnel_port'>
   readonly listMembers: () => readonly Member[]
   readonly getBackoffs: () => Pick<IBackoffService, 'getWaitMs'>
 }
@@ -41,7 +39,7 @@
   constructor (options: NodeConnectionsOptions) {
     super()
     this._options = options
-    const { clock, log, random, hall } = options
+    const { clock, log, random, settings: { hall } } = options
     const peers = new TunnelPeers({ random, listPeers: () => this._listPeers() })
     this.connector = this._register(new UpstreamConnector({ clock, log, peers, listHalls: upstream => [hall, this._findEntry(upstream)?.hall ?? hall] }))
     this._server = this._register(new TunnelServer({ log, dial: upstream => this.connector.dialAddress(upstream), findObstacle: upstream => this._findObstacle(upstream) }))
@@ -60,7 +58,7 @@
   }
 
   async listen (host: string): Promise<void> {
-    const { tunnelPort } = this._options
+    const { tunnel_port: tunnelPort } = this._options.settings
     if (tunnelPort !== undefined) await this._server.listen(host, tunnelPort)
   }
 
@@ -79,7 +77,7 @@
   }
 
   private _listPeers (): readonly TunnelPeer[] {
-    const { address: own, tunnelPort, listMembers } = this._options
+    const { settings: { address: own, tunnel_port: tunnelPort }, listMembers } = this._options
     if (tunnelPort === undefined) return []
     return listMembers().filter(({ address }) => address !== own).map(({ address, hall }) => ({ address: `${parseAddress(address)?.host ?? ''}:${tunnelPort}`, hall }))
   }
