Say in the field's words how connections reach upstreams

Comments spoke of ways that are lost and found, and ConnectionRace counted open ways where it counts connections that are still pending. Comments and one private name change, nothing else.

--- a/src/entryNode/nodeConnections.ts
+++ b/src/entryNode/nodeConnections.ts
@@ -1,5 +1,5 @@
 /**
- * Connects a node to upstreams, by way of peers while the node is partitioned from them, and does the same for its peers.
+ * Connects a node to upstreams, through peers while the node is partitioned from them, and relays connections of its peers.
  */
 import type { Agent } from 'node:http'
 import { parseAddress } from '../base/common/address.ts'
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -30,7 +30,7 @@
   readonly regions?: HallRegions
   readonly localAddress?: string
   readonly agent: Agent
-  /** Whether failed connections may be the fault of this node's way to the upstreams. */
+  /** Whether connections may fail because this node is partitioned from the upstreams. */
   readonly mayBePartitioned?: () => boolean
   readonly upstreamProtocol: UpstreamProtocol
   readonly registry: UpstreamRegistry
--- a/src/services/upstream/common/connectionPolicy.ts
+++ b/src/services/upstream/common/connectionPolicy.ts
@@ -7,7 +7,7 @@
 
 /**
  * `direct`: this node connects to upstreams itself. `fallback`: it also uses peers where its own connection fails. `peers`: this
- * node is partitioned from the upstreams, and connects by way of its peers.
+ * node is partitioned from the upstreams, and connects through its peers.
  */
 export type ConnectionMode = 'direct' | 'fallback' | 'peers'
 
@@ -21,7 +21,7 @@
   /** Records whether this node's own connection to an upstream was opened. */
   abstract recordDirect (upstream: string, isOpened: boolean, now: number): void
   abstract recordPeerResult (upstream: string, result: PeerResult, now: number): void
-  /** Whether a partitioned node should try its own way again, along with the next connection. Limits the rate of these trials. */
+  /** Whether a partitioned node should also try a direct connection now. Limits the rate of these trials. */
   abstract tryAcquireTrial (now: number): boolean
 }
 
@@ -115,7 +115,7 @@
     return true
   }
 
-  /** The results of both ways to one upstream arrive in any order. */
+  /** The direct result and the peer's result for one upstream arrive in any order. */
   private _compare (upstream: string, now: number): void {
     this._expire(now)
     if (this._partitionedSince !== undefined || !this._failedAt.has(upstream) || !this._openedByPeerAt.has(upstream)) return
--- a/src/services/upstream/common/tunnelPeers.ts
+++ b/src/services/upstream/common/tunnelPeers.ts
@@ -28,7 +28,7 @@
     this._options = options
   }
 
-  /** Returns the peers to ask, in order. Bytes cross halls once at most by way of a peer in one of the preferred halls. */
+  /** Returns the peers to ask, in order. A peer in a preferred hall adds no traffic between halls. */
   choose (preferredHalls: readonly string[], now: number): readonly TunnelPeer[] {
     this._expire(now)
     const shuffled = this._options.listPeers().map(peer => ({ peer, rank: this._computeRank(peer, preferredHalls) + this._options.random.next() }))
--- a/src/services/upstream/node/connectionRace.ts
+++ b/src/services/upstream/node/connectionRace.ts
@@ -1,5 +1,5 @@
 /**
- * Opens one connection to an upstream by two ways, directly and by way of a peer, and uses the one that is open first.
+ * Opens a connection to an upstream both directly and through a peer, and uses the one that opens first.
  */
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
@@ -13,7 +13,7 @@
 const DIAL_TIMEOUT_MS = 400
 
 export interface ConnectionRaceOptions {
-  /** Opens a direct connection; undefined if this way is not tried. */
+  /** Opens a direct connection; undefined if only peers are asked. */
   readonly dial: (() => Socket) | undefined
   readonly openByPeer: () => Promise<TunnelSocket | undefined>
   readonly clock: IClock
@@ -25,7 +25,7 @@
 export class ConnectionRace {
   private _isSettled = false
   private _hasAskedPeer = false
-  private _openWayCount = 0
+  private _pendingCount = 0
 
   constructor (private readonly _options: ConnectionRaceOptions) {}
 
@@ -38,7 +38,7 @@
   }
 
   private _startDirect (dial: () => Socket): void {
-    this._openWayCount++
+    this._pendingCount++
     const socket = dial()
     const timer = this._options.clock.schedule(DIAL_TIMEOUT_MS, () => socket.destroy())
     const onClose = () => {
@@ -57,18 +57,18 @@
   private _askPeer (): void {
     if (this._hasAskedPeer || this._isSettled) return
     this._hasAskedPeer = true
-    this._openWayCount++
+    this._pendingCount++
     void this._options.openByPeer().then(socket => this._end(socket))
   }
 
   private _end (socket: Duplex | undefined): void {
-    this._openWayCount--
+    this._pendingCount--
     if (this._isSettled) {
       socket?.destroy()
     } else if (socket !== undefined) {
       this._isSettled = true
       this._options.onOpen(null, socket)
-    } else if (this._openWayCount === 0) {
+    } else if (this._pendingCount === 0) {
       this._isSettled = true
       this._options.onOpen(new Error('unreachable, also by peers'))
     }
--- a/src/services/upstream/node/upstreamAgent.ts
+++ b/src/services/upstream/node/upstreamAgent.ts
@@ -1,5 +1,5 @@
 /**
- * An HTTP agent whose connections to upstreams are opened directly or by way of a peer.
+ * An HTTP agent whose connections to upstreams are opened directly or through a peer.
  */
 import { Agent } from 'node:http'
 import type { AgentOptions } from 'node:http'
--- a/src/services/upstream/node/upstreamConnector.ts
+++ b/src/services/upstream/node/upstreamConnector.ts
@@ -1,6 +1,6 @@
 /**
- * Opens connections to upstreams, directly or by way of a peer. Each connection is also an observation from which the policy
- * decides by which way the next ones are opened, so a node without a partition sends nothing more for it.
+ * Opens connections to upstreams, directly or through a peer. The policy learns from the result of each connection how to open
+ * the next ones, so no extra messages are sent while there is no partition.
  */
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
@@ -24,7 +24,7 @@
   readonly peers: TunnelPeers
   /** By default, peers are used while the node is partitioned. */
   readonly policy?: ConnectionPolicy
-  /** The halls of a peer that do not add a crossing of halls on the way to an upstream. */
+  /** The halls in which a peer adds no traffic between halls to a connection to this upstream. */
   readonly listHalls: (upstream: string) => readonly string[]
 }
 
@@ -36,7 +36,7 @@
 
 /** How long a direct connection may take before a peer is asked as well. Network latency between hosts is about 1 ms. */
 const DIRECT_HEAD_START_MS = 20
-/** A connection that is abandoned earlier says nothing about the way, since its request may have been cancelled. */
+/** A connection that is closed earlier does not count as failed, because its request may have been cancelled. */
 const MIN_SILENCE_MS = 300
 const TUNNEL_TIMEOUT_MS = 400
 
@@ -63,7 +63,7 @@
     return this._policy.partitionedSince !== undefined
   }
 
-  /** Whether failed connections may be the fault of this node's way, and not of the upstreams. */
+  /** Whether connections may fail because of a partition, and not because of the upstreams. */
   get isSuspect (): boolean {
     return this._policy.getMode(this._options.clock.now()) !== 'direct'
   }
@@ -146,7 +146,7 @@
     else if (start.kind === 'refused' && start.reason === 'unreachable') this._record(upstream, () => this._policy.recordPeerResult(upstream, 'unreachable', now))
   }
 
-  /** Logs and announces the begin and the end of a partition that an observation shows. */
+  /** Applies an observation to the policy; logs and announces a partition that begins or ends with it. */
   private _record (upstream: string, record: () => void): void {
     const { clock, log } = this._options
     const before = this._policy.partitionedSince
