Log how far a lost answer had come and which parts its prompt shares

It names the stage of the answer (none, head, output), the duration of output and the shared parts now.

--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -27,6 +27,8 @@
   readonly signal: AbortSignal
   /** Called once the connection is open, right before the request is written; false withholds the request. */
   readonly onWillSend: () => boolean
+  /** Called when the head of an answer arrived, other than a statement that the request does not run. */
+  readonly onDidBeginAnswer: () => void
   /** Receives what the upstream states about itself in the head of its answer. */
   readonly onDidReadStatements: (statements: readonly UpstreamStatement[]) => void
   /** Called when the first event of a stream, or the whole answer, has arrived. */
@@ -107,6 +109,7 @@
       this._drainResponse(response, exchange)
       return { outcome: { kind: 'notRun', reason: verdict.reason } }
     }
+    this._options.onDidBeginAnswer()
     // The upstream answered before it read the whole request; closing stops sending the rest.
     if (!exchange.wasRequestWritten) response.once('end', () => exchange.cancel())
     if (verdict.isSuccess && this._options.isStream) return { outcome: await this._forwardStream(response, exchange, verdict) }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -6,13 +6,12 @@
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { ResultName } from '../../result/common/resultCodes.ts'
-import { NO_CRASHES } from '../../quarantine/common/quarantineTracker.ts'
 import type { RegistryFreshness, UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
-import type { LostPieces } from '../../preparation/common/preparationService.ts'
 import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { computeResponseTimeoutMs, computePauseTimeoutMs } from '../common/attemptTimeouts.ts'
 import { decideAfterAttempt, isUpstreamFailure, isConnectionLost, isAccepted, isWithheld } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
+import { AttemptProgress } from '../common/attemptProgress.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { ReturningCaller } from '../common/preparationNeed.ts'
 import type { InFlightRequest } from '../common/relayPool.ts'
@@ -23,7 +22,7 @@
 import type { AttemptResult } from './relayAttempt.ts'
 import type { RelayContext } from './relayContext.ts'
 import { RequestInputs } from './requestInputs.ts'
-import { RequestFingerprint } from './requestFingerprint.ts'
+import { RequestQuarantine } from './requestQuarantine.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
 import { UpstreamSelector } from './upstreamSelector.ts'
 
@@ -44,8 +43,8 @@
 /** Time that must be left for a further attempt, also after waiting for an upstream. */
 const MIN_ATTEMPT_MS = 50
 const DEFAULT_RETRY_MS = 300
-/** A crash that comes longer than this after the attempt's first output is not attributed to the request. */
-const CRASH_ATTRIBUTION_MS = 1000
+/** Shared parts of a prompt that are named in one log line. */
+const MAX_LOGGED_PARTS = 8
 
 export class RelayRun {
   private _sendCount = 0
@@ -56,16 +55,10 @@
   private _producedMs = 0
   private _lastUpstream = ''
   private _registryAge: RegistryFreshness
-  /** When the current attempt was sent, and when its first output arrived; Infinity before that. */
-  private _sentAt = 0
-  private _firstOutputAt = Infinity
-  /** Upstreams that crashed during attempts of this run. */
-  private _crashCount = 0
-  private _quarantineState = NO_CRASHES
-  private readonly _fingerprint: RequestFingerprint
+  /** Of the current or last attempt. */
+  private _progress = new AttemptProgress(0)
+  private readonly _quarantine: RequestQuarantine
   private readonly _inputs: RequestInputs
-  /** Resolves once each upstream that was lost while computing the request's pieces is known to have crashed or not. */
-  private _lossesRecorded: Promise<unknown> = Promise.resolve()
   private readonly _triedUpstreams = new Set<string>()
   private readonly _abortController = new AbortController()
   private readonly _preparationAbort = new AbortController()
@@ -77,11 +70,11 @@
     const { route, request, arrivedAt } = _accepted
     this._deadlineAt = arrivedAt + Math.min(route.timeoutMs, request.timeLeftMs ?? Infinity)
     this._lastEventId = request.lastEventId
-    this._fingerprint = new RequestFingerprint({ ...request, customer: _accepted.customer, body: _accepted.body })
+    this._quarantine = new RequestQuarantine(_context, _accepted)
     this._inputs = new RequestInputs({
       context: _context,
       signals: [this._abortController.signal, this._preparationAbort.signal],
-      onDidLosePieces: lost => { this._lossesRecorded = Promise.all([this._lossesRecorded, this._recordLostPieces(lost)]) }
+      onDidLosePieces: lost => this._quarantine.recordLostPieces(lost, () => this._preparationAbort.abort())
     })
     this._role = pickTarget(route.targets, _context.random)
     this._selector = new UpstreamSelector({ context: _context, accepted: _accepted, role: this._role, inputs: this._inputs, tried: this._triedUpstreams, signal: this._abortController.signal })
@@ -124,10 +117,10 @@
         const preparationRefusal = await this._prepareAgain()
         if (preparationRefusal !== undefined) return preparationRefusal
       }
-      const upstream = await this._selector.acquire({ suspectKey: this._quarantineState.crashCount > 0 ? this._fingerprint.getDigest() : undefined, timeLeftMs: this._getTimeLeft() - MIN_ATTEMPT_MS })
+      const upstream = await this._selector.acquire({ suspectKey: this._quarantine.suspectKey, timeLeftMs: this._getTimeLeft() - MIN_ATTEMPT_MS })
       if (upstream === undefined) return this._refuseWithoutUpstream()
       const result = await this._tryUpstream(upstream)
-      await this._recordAttemptEnd(upstream, result)
+      await this._quarantine.recordAttemptEnd(upstream, result, this._progress)
       const decision = this._decide(result.outcome, upstream)
       this._logAttempt(upstream, result.outcome, decision)
       if (decision.kind === 'retry' && this._acquireRetry(result.outcome)) {
@@ -146,7 +139,7 @@
 
   private async _prepare (): Promise<ResultName | undefined> {
     const { request, route } = this._accepted
-    const isSuspect = this._quarantineState.crashCount > 0
+    const { isSuspect } = this._quarantine
     // Prepared results would be discarded: no upstream accepts the request in time.
     if (!this._selector.canPrepare(Math.max(0, this._getTimeLeft() - MIN_ATTEMPT_MS))) return this._refuseWithoutUpstream()
     const job = createPreparationJob({ request, route, role: this._role, priority: this._accepted.priority, homeHalls: this._accepted.homeHalls, excludedTargets: this._selector.listBackingOff().map(({ id }) => id), deadlineInMs: this._getTimeLeft(), returningCaller: this._findReturningCaller(), isSuspect })
@@ -157,7 +150,7 @@
   private _findReturningCaller (): ReturningCaller | undefined {
     const { request, route, arrivedAt } = this._accepted
     if (this._context.handlesContention !== true) return undefined
-    return { request: this._fingerprint, timeLeftMs: arrivedAt + (request.timeLeftMs ?? route.timeoutMs) - this._context.clock.now() }
+    return { request: this._quarantine.fingerprint, timeLeftMs: arrivedAt + (request.timeLeftMs ?? route.timeoutMs) - this._context.clock.now() }
   }
 
   private async _prepareAgain (): Promise<ResultName | undefined> {
@@ -167,20 +160,10 @@
 
   private async _handlePreparation (refusal: JobRefusal | undefined): Promise<ResultName | undefined> {
     if (refusal === undefined) return undefined
-    await this._lossesRecorded
+    await this._quarantine.waitForLosses()
     return this._refuseQuarantined() ?? this._refusePreparation(refusal)
   }
 
-  /** Aborts preparation as soon as the request is quarantined for crashing the upstreams that compute its pieces. */
-  private async _recordLostPieces ({ upstreamId, sentAt, endedAt }: LostPieces): Promise<void> {
-    const { registry, log } = this._context
-    const upstream = registry.get(upstreamId)
-    if (upstream === undefined) return
-    const hasCrashed = await this._recordLostConnection(upstream, sentAt, endedAt)
-    log.info('pieces_lost', { request: this._accepted.request.id, upstream: upstreamId, digest: this._fingerprint.getDigest(), ended: hasCrashed, ends: this._quarantineState.crashCount })
-    if (this._quarantineState.isQuarantined) this._preparationAbort.abort()
-  }
-
   private async _tryUpstream (upstream: UpstreamEntry): Promise<AttemptResult> {
     const { context, accepted } = { context: this._context, accepted: this._accepted }
     const { request, route } = accepted
@@ -188,11 +171,11 @@
     this._sendCount++
     this._lastUpstream = upstream.id
     this._triedUpstreams.add(upstream.id)
-    const inFlightRequest = context.pool.begin(upstream, { prompt: request.prompt, isSuspect: this._quarantineState.crashCount > 0 })
+    const inFlightRequest = context.pool.begin(upstream, { prompt: request.prompt, isSuspect: this._quarantine.isSuspect })
     const timeLeftMs = this._getTimeLeft()
-    this._sentAt = context.clock.now()
-    this._firstOutputAt = Infinity
-    this._registryAge = context.registry.computeFreshness(this._sentAt)
+    const progress = new AttemptProgress(context.clock.now())
+    this._progress = progress
+    this._registryAge = context.registry.computeFreshness(progress.sentAt)
     let scheduledRelease: IDisposable | undefined
     let writtenAt: number | undefined
     this._isAttemptActive = true
@@ -223,6 +206,7 @@
         scheduledRelease = this._inputs.scheduleRelease()
         return true
       },
+      onDidBeginAnswer: () => progress.recordHead(context.clock.now()),
       onDidReadStatements: statements => context.recordStatements({ upstream: upstream.id, statements }),
       onDidReceiveFirstOutput: () => {
         if (writtenAt !== undefined) context.backoffs.recordSendResult(upstream.id, writtenAt, true)
@@ -231,6 +215,7 @@
       localAddress: context.localAddress
     }).run()
     this._isAttemptActive = false
+    progress.recordEnd(context.clock.now())
     if (isWithheld(result.outcome)) this._withdrawSend(upstream)
     if (writtenAt !== undefined) context.backoffs.recordSendResult(upstream.id, writtenAt, isAccepted(result.outcome))
     inFlightRequest.end(result.outcome)
@@ -248,38 +233,18 @@
 
   private _recordFirstOutput (inFlightRequest: InFlightRequest, upstream: UpstreamEntry): void {
     inFlightRequest.recordFirstOutput()
-    this._firstOutputAt = this._context.clock.now()
-    this._inputs.report(upstream, { outcome: 'produced', producedMs: this._firstOutputAt - this._sentAt })
+    this._progress.recordFirstOutput(this._context.clock.now())
+    this._inputs.report(upstream, { outcome: 'produced', producedMs: this._progress.firstOutputAt - this._progress.sentAt })
     if (this._producedMs === 0) this._producedMs = this._context.clock.now() - this._accepted.arrivedAt - this._inputs.preparedMs
     this._inputs.release()
   }
 
-  /**
-   * Reports the attempt to the quarantine service and waits until it knows whether the upstream crashed. Neither a
-   * further attempt nor an immediate retry by the caller may be sent before that is known.
-   */
-  private async _recordAttemptEnd (upstream: UpstreamEntry, { outcome, hasTimedOut = false }: AttemptResult): Promise<void> {
-    const { clock, quarantine } = this._context
-    const endedAt = clock.now()
-    if (outcome.kind === 'delivered') return quarantine.recordServed(this._fingerprint)
-    if (!isConnectionLost(outcome) || hasTimedOut || endedAt - this._firstOutputAt > CRASH_ATTRIBUTION_MS) return
-    if (await this._recordLostConnection(upstream, this._sentAt, endedAt)) this._crashCount++
-  }
-
-  private async _recordLostConnection (upstream: UpstreamEntry, sentAt: number, endedAt: number): Promise<boolean> {
-    const { quarantine } = this._context
-    const hasCrashed = await quarantine.recordLostRun({ digest: this._fingerprint.getDigest(), bodyBytes: this._fingerprint.bodyBytes, upstream: upstream.id, address: upstream.address, sentAt, endedAt })
-    this._quarantineState = quarantine.getCrashRecord(this._fingerprint)
-    return hasCrashed
-  }
-
   /** Refuses a request that has crashed too many upstreams; all nodes share the quarantine. */
   private _refuseQuarantined (): ResultName | undefined {
-    const { quarantine } = this._context
-    this._quarantineState = quarantine.getCrashRecord(this._fingerprint)
-    if (!this._quarantineState.isQuarantined) return undefined
-    quarantine.reportRefusal(this._accepted.request.id, this._fingerprint, this._quarantineState)
-    return this._refuse('requestQuarantined', `${this._quarantineState.crashCount} upstreams crashed while running this request`, this._runCount === 0)
+    const record = this._quarantine.findQuarantine()
+    if (record === undefined) return undefined
+    this._context.quarantine.reportRefusal(this._accepted.request.id, this._quarantine.fingerprint, record)
+    return this._refuse('requestQuarantined', `${record.crashCount} upstreams crashed while running this request`, this._runCount === 0)
   }
 
   /** Nothing was written, so the attempt does not count as sent. */
@@ -298,8 +263,7 @@
       isResumable: route.isResumable,
       runCount: this._runCount,
       sendCount: this._sendCount,
-      // The quarantine's count includes crashes of this run, except those that were not reported to it.
-      crashCount: Math.max(this._quarantineState.crashCount, this._crashCount),
+      crashCount: this._quarantine.crashCount,
       maxAttempts: route.maxAttempts,
       timeLeftMs: this._getTimeLeft(),
       minTimeMs: MIN_ATTEMPT_MS
@@ -380,10 +344,21 @@
       sends: this._sendCount,
       may_have_run: this._runCount,
       left_ms: Math.round(this._getTimeLeft()),
-      ...isConnectionLost(outcome) ? { digest: this._fingerprint.getDigest() } : {}
+      ...isConnectionLost(outcome) ? this._describeLostAnswer() : {}
     })
   }
 
+  /** What tells the run that crashed an upstream from those that ran beside it. */
+  private _describeLostAnswer (): object {
+    const parts = this._accepted.request.prompt?.parts.slice(0, -1) ?? []
+    return {
+      digest: this._quarantine.fingerprint.getDigest(),
+      answer: this._progress.stage,
+      output_ms: Math.round(this._progress.outputMs),
+      shared_parts: parts.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id).join()
+    }
+  }
+
   private _getTimeLeft (): number {
     return Math.max(0, this._deadlineAt - this._context.clock.now())
   }
--- /dev/null
+++ b/src/services/relay/node/requestQuarantine.ts
@@ -0,0 +1,87 @@
+/**
+ * The quarantine from the point of view of one request: what is known against it, its runs that were lost, and its answers.
+ */
+import { NO_CRASHES } from '../../quarantine/common/quarantineTracker.ts'
+import type { CrashRecord } from '../../quarantine/common/quarantineTracker.ts'
+import type { LostPieces } from '../../preparation/common/preparationService.ts'
+import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
+import { isConnectionLost } from '../common/attemptDecision.ts'
+import type { AttemptProgress } from '../common/attemptProgress.ts'
+import type { AcceptedRequest } from './acceptedRequest.ts'
+import type { AttemptResult } from './relayAttempt.ts'
+import type { RelayContext } from './relayContext.ts'
+import { RequestFingerprint } from './requestFingerprint.ts'
+
+/** A crash that comes longer than this after the attempt's first output is not attributed to the request. */
+const CRASH_ATTRIBUTION_MS = 1000
+
+export class RequestQuarantine {
+  readonly fingerprint: RequestFingerprint
+  private _record = NO_CRASHES
+  /** Upstreams that crashed during attempts of this request. */
+  private _ownCrashCount = 0
+  /** Resolves once each upstream that was lost while computing the request's pieces is known to have crashed or not. */
+  private _lossesRecorded: Promise<unknown> = Promise.resolve()
+
+  constructor (private readonly _context: RelayContext, private readonly _accepted: AcceptedRequest) {
+    this.fingerprint = new RequestFingerprint({ ..._accepted.request, customer: _accepted.customer, body: _accepted.body })
+  }
+
+  /** Whether upstreams have crashed while they ran the request. */
+  get isSuspect (): boolean {
+    return this._record.crashCount > 0
+  }
+
+  /** Identifies a suspect when an upstream is selected for it; undefined for other requests. */
+  get suspectKey (): string | undefined {
+    return this.isSuspect ? this.fingerprint.getDigest() : undefined
+  }
+
+  /** The quarantine's count includes crashes of this request's attempts, except those that were not reported to it. */
+  get crashCount (): number {
+    return Math.max(this._record.crashCount, this._ownCrashCount)
+  }
+
+  /** Reads what all nodes know by now; returns undefined unless the request must not be sent. */
+  findQuarantine (): CrashRecord | undefined {
+    this._record = this._context.quarantine.getCrashRecord(this.fingerprint)
+    return this._record.isQuarantined ? this._record : undefined
+  }
+
+  /**
+   * Reports an attempt and waits until it is known whether the upstream crashed. Neither a further attempt nor an immediate
+   * retry by the caller may be sent before that.
+   */
+  async recordAttemptEnd (upstream: UpstreamEntry, { outcome, hasTimedOut = false }: AttemptResult, progress: AttemptProgress): Promise<void> {
+    const { quarantine } = this._context
+    if (outcome.kind === 'delivered') return quarantine.recordServed(this.fingerprint)
+    if (!isConnectionLost(outcome) || hasTimedOut || progress.outputMs > CRASH_ATTRIBUTION_MS) return
+    if (await this._recordLostConnection(upstream, progress.sentAt, progress.endedAt)) this._ownCrashCount++
+  }
+
+  /** Calls `onDidQuarantine` if the request is then quarantined for crashing the upstreams that compute its pieces. */
+  recordLostPieces (lost: LostPieces, onDidQuarantine: () => void): void {
+    this._lossesRecorded = Promise.all([this._lossesRecorded, this._recordLostPieces(lost, onDidQuarantine)])
+  }
+
+  /** Resolves once the losses that were reported so far are known to be crashes or not. */
+  async waitForLosses (): Promise<void> {
+    await this._lossesRecorded
+  }
+
+  private async _recordLostPieces ({ upstreamId, sentAt, endedAt }: LostPieces, onDidQuarantine: () => void): Promise<void> {
+    const { registry, log } = this._context
+    const upstream = registry.get(upstreamId)
+    if (upstream === undefined) return
+    const hasCrashed = await this._recordLostConnection(upstream, sentAt, endedAt)
+    log.info('pieces_lost', { request: this._accepted.request.id, upstream: upstreamId, digest: this.fingerprint.getDigest(), ended: hasCrashed, ends: this._record.crashCount })
+    if (this._record.isQuarantined) onDidQuarantine()
+  }
+
+  private async _recordLostConnection (upstream: UpstreamEntry, sentAt: number, endedAt: number): Promise<boolean> {
+    const { quarantine } = this._context
+    const hasCrashed = await quarantine.recordLostRun({ digest: this.fingerprint.getDigest(), bodyBytes: this.fingerprint.bodyBytes, upstream: upstream.id, address: upstream.address, sentAt, endedAt })
+    this._record = quarantine.getCrashRecord(this.fingerprint)
+    return hasCrashed
+  }
+}
--- a/src/services/relay/test/relayServer.test.ts
+++ b/src/services/relay/test/relayServer.test.ts
@@ -184,7 +184,7 @@
   await harness.call('a')
   const lines = harness.logLines.filter(line => line.includes('request=a '))
   assert.is(lines.length, 2)
-  assert.match(lines[0] ?? '', /event=attempt_ended request=a upstream=u0 role=u outcome=lost reason="(?:read ECONNRESET|socket hang up)" next=refuse sends=1 may_have_run=1 left_ms=\d+ digest=[0-9a-f]{32}$/)
+  assert.match(lines[0] ?? '', /event=attempt_ended request=a upstream=u0 role=u outcome=lost reason="(?:read ECONNRESET|socket hang up)" next=refuse sends=1 may_have_run=1 left_ms=\d+ digest=[0-9a-f]{32} answer=none output_ms=0 shared_parts=""$/)
   assert.match(lines[1] ?? '', /event=request_refused request=a code=304 result=outcomeUnknown reason="[^"]+" place=u not_run=false retry_after_ms=0 configuration="1\.7 for 20 ms"$/)
 }))
 
