--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -39,7 +39,7 @@
 import { RelayServer } from '../node/relayServer.ts'
 import type { CompletedRequest } from '../node/relayServer.ts'
 
-/** Requests have the headers id and, optionally, key, time and pieces; the rest is plain HTTP. */
+/** Requests have the headers id and, optionally, key, time, pieces and parts of the prompt; the rest is plain HTTP. */
 class FakeCallerProtocol extends CallerProtocol {
   readRequest ({ method, target, headers }: MessageHead): Either<PepperwoodError, RelayRequest> {
     const id = headers.id
@@ -51,7 +51,7 @@
       host: 'h',
       key: typeof headers.key === 'string' ? headers.key : undefined,
       timeLeftMs: typeof headers.time === 'string' ? Number(headers.time) : undefined,
-      prompt: undefined,
+      prompt: typeof headers.parts === 'string' ? { model: 'm', inputTokens: 10, maxOutputTokens: 10, parts: headers.parts.split(',').map(part => ({ id: part, tokens: 5 })) } : undefined,
       preparation: typeof headers.pieces === 'string' ? { pieceCounts: headers.pieces.split(',').map(Number), key: 'k' } : undefined,
       lastEventId: undefined,
       headers: []
@@ -74,6 +74,7 @@
       { name: 'Host', value: upstream.address },
       { name: 'Id', value: request.id },
       { name: 'Inputs', value: inputs.join(',') },
+      ...request.prompt === undefined ? [] : [{ name: 'Parts', value: request.prompt.parts.map(part => part.id).join() }],
       ...lastEventId === undefined ? [] : [{ name: 'Last-Event-Id', value: lastEventId }],
       { name: 'Content-Length', value: String(bodyBytes) }
     ]
