--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -16,6 +16,7 @@
   readonly countJobs: () => number
   readonly getConfigurationVersion: () => number
   readonly countQuarantinedRequests: () => number
+  readonly countQuarantinedParts: () => number
   readonly countQuarantineRefusals: () => number
   readonly countLimitedUpstreams: () => number
   readonly countInvalidStatements: () => number
@@ -53,6 +54,7 @@
     this.metrics.createGauge('node_jobs', 'Jobs that this node coordinates', gauges.countJobs)
     this.metrics.createGauge('node_configuration_version', 'Version of the configuration in force', gauges.getConfigurationVersion)
     this.metrics.createGauge('node_quarantined_requests', 'Requests that are no longer sent, since upstreams ended under them', gauges.countQuarantinedRequests)
+    this.metrics.createGauge('node_quarantined_parts', 'Parts of prompts, or sets of them, whose requests are no longer sent', gauges.countQuarantinedParts)
     this.metrics.createGauge('node_quarantine_refusals_total', 'Tries of such requests that were refused', gauges.countQuarantineRefusals)
     this.metrics.createGauge('node_limited_upstreams', 'Upstreams that state a limit of the rate that they accept', gauges.countLimitedUpstreams)
     this.metrics.createGauge('node_quota_denials_total', 'Requests for limited upstreams that this node did not give out', gauges.countQuotaDenials)
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -16,6 +16,7 @@
     countJobs: getZero,
     getConfigurationVersion: () => 41,
     countQuarantinedRequests: getZero,
+    countQuarantinedParts: getZero,
     countQuarantineRefusals: () => 6,
     countLimitedUpstreams: () => 2,
     countInvalidStatements: getZero,
--- a/src/services/facts/common/fact.ts
+++ b/src/services/facts/common/fact.ts
@@ -58,6 +58,10 @@
   /** The digest that all attempts of one request share. */
   readonly digest: string
   readonly bodyBytes: number
+  /** Ids of the parts of its prompt that other requests may share; missing if there are none, or from earlier versions. */
+  readonly parts?: readonly string[] | undefined
+  /** Whether the upstream had just begun its answer; missing if not, or from earlier versions. */
+  readonly isStarting?: boolean | undefined
   /** How long before the crash the run was sent, in milliseconds. */
   readonly sentBeforeMs: number
 }
@@ -69,11 +73,15 @@
   readonly runs: readonly InterruptedRun[]
 }
 
-/** Crashes of upstreams before this fact no longer count as evidence against a request. */
+/** Parts of a prompt that are reported for one run. */
+export const MAX_REPORTED_PARTS = 32
+
+/** Crashes of upstreams before this fact no longer count as evidence against a request, or against a part of prompts. */
 export interface ClearedFact {
   readonly kind: 'cleared'
+  /** The digest of the request, or the key of the part. */
   readonly digest: string
-  /** True if an upstream has answered the request; otherwise an operator cleared it. */
+  /** True if an upstream has answered; otherwise an operator cleared it. */
   readonly isServed?: boolean
 }
 
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -4,6 +4,7 @@
 import { Schema } from 'effect'
 import type { Either } from 'purify-ts'
 import type { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import { MAX_REPORTED_PARTS } from './fact.ts'
 import { createMessageValidator, listKinds, readKind } from '../../rpc/common/messageValidator.ts'
 
 const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative())
@@ -43,7 +44,13 @@
   Schema.Struct({
     kind: Schema.Literal('ended'),
     upstream: Name,
-    runs: Schema.Array(Schema.Struct({ digest: Name, bodyBytes: Count, sentBeforeMs: Count }))
+    runs: Schema.Array(Schema.Struct({
+      digest: Name,
+      bodyBytes: Count,
+      parts: Schema.optional(Schema.Array(Name).pipe(Schema.maxItems(MAX_REPORTED_PARTS))),
+      isStarting: Schema.optional(Schema.Boolean),
+      sentBeforeMs: Count
+    }))
   }),
   Schema.Struct({ kind: Schema.Literal('cleared'), digest: Name, isServed: Schema.optional(Schema.Boolean) }),
   Schema.Struct({ kind: Schema.Literal('evacuation'), hall: Name, isEvacuated: Schema.Boolean }),
--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -1,9 +1,10 @@
 /**
- * Determines which requests crash the upstreams that run them, from the runs that were in flight when upstreams crashed.
- * Pure functions.
+ * Determines what crashes upstreams, from the runs that were in flight when they crashed. Pure functions.
  *
- * A single crash proves little, because every run in flight there was lost with it. A request is considered the cause when
- * it was in flight at several crashes that no other crashing request explains.
+ * A single crash proves little, because every run in flight there was lost with it. A cause is what runs at several crashes
+ * had in common, if no other cause explains those crashes: a whole request, or parts of its prompt that other requests
+ * share. Several parts that have always come together are one cause; only requests that have all of them are affected, so
+ * that requests with one of them are still sent, and clear it if they are answered.
  */
 
 /** A run that was in flight at an upstream when the upstream crashed. */
@@ -11,6 +12,10 @@
   /** Identical for all attempts of one request. */
   readonly digest: string
   readonly bodyBytes: number
+  /** Keys of the parts of its prompt that other requests may share. */
+  readonly partKeys?: readonly string[]
+  /** Whether the upstream had just begun its answer. */
+  readonly isStarting?: boolean
   /** The id of the upstream instance that crashed. */
   readonly upstream: string
   /** `sentAt` and `crashedAt` are in milliseconds on this process's clock. */
@@ -18,6 +23,24 @@
   readonly crashedAt: number
 }
 
+/** The runs that are evidence against each key, which is the digest of a request or the key of a part. */
+export type Evidence = ReadonlyMap<string, ReadonlySet<CrashedRun>>
+
+export interface CrashCause {
+  /** What a request must have to be affected: all of these keys. */
+  readonly keys: readonly string[]
+  readonly runs: ReadonlySet<CrashedRun>
+  readonly crashCount: number
+}
+
+export interface CrashAnalysis {
+  readonly causes: readonly CrashCause[]
+  /** Parts that may turn out to be a cause after a further crash. */
+  readonly suspectedParts: readonly CrashCause[]
+  /** Upstreams whose crash is attributed to a cause; they do not count against other requests. */
+  readonly explainedUpstreams: ReadonlySet<string>
+}
+
 /** Crashes after which a request is no longer sent. Each further crash would lose every run in flight at that upstream. */
 export const MAX_CRASHES = 3
 /**
@@ -27,14 +50,18 @@
 const MAX_CRASHES_IF_SERVED = 2 * MAX_CRASHES
 /** Times received from other nodes are rounded to milliseconds and delayed by the network. */
 const CLOCK_TOLERANCE_MS = 5
-/** With this many crashes a request is considered the cause even if another request was in flight at all of them. */
+/** With this many crashes a cause is accepted even if a request without it was in flight at all of them. */
 const MAX_SHARED_CRASHES = 4
+/** A single crash says too little about parts, which popular requests have. */
+const MIN_SUSPECT_CRASHES = 2
+/** Crashes that a narrower cause must leave unexplained before a wider one replaces it; one may be a coincidence. */
+const MIN_UNEXPLAINED_CRASHES = 2
 
 /**
  * Counts crashes that followed one another, each run having been sent after the previous crash. A request that many callers
  * send concurrently may be in flight at several upstreams that lose power together; this counts as one crash.
  */
-export function countSeparateCrashes (runs: readonly CrashedRun[]): number {
+export function countSeparateCrashes (runs: Iterable<CrashedRun>): number {
   let count = 0
   let lastCrashAt = -Infinity
   for (const run of [...runs].sort((a, b) => a.crashedAt - b.crashedAt)) {
@@ -45,64 +72,88 @@
   return count
 }
 
-/** The result for all digests that were in flight at a crash. */
-export interface CrashAnalysis {
-  readonly crashingDigests: ReadonlySet<string>
-  /** Upstreams whose crash is attributed to a crashing request; they do not count against other requests. */
-  readonly explainedUpstreams: ReadonlySet<string>
-}
-
-/** Which requests are considered as a cause, and how many crashes are required. */
-interface CandidateRule {
-  readonly isCandidate: (digest: string) => boolean
-  readonly minCrashes: number
-}
-
-type Evidence = ReadonlyMap<string, readonly CrashedRun[]>
-
-/** The runs at upstreams whose crash is not attributed to a crashing request. */
-export function listUnexplainedRuns (runs: readonly CrashedRun[], explainedUpstreams: ReadonlySet<string>): readonly CrashedRun[] {
-  return runs.filter(run => !explainedUpstreams.has(run.upstream))
+/** The runs at upstreams whose crash is not attributed to a cause. */
+export function listUnexplainedRuns (runs: Iterable<CrashedRun>, explainedUpstreams: ReadonlySet<string>): readonly CrashedRun[] {
+  return [...runs].filter(run => !explainedUpstreams.has(run.upstream))
 }
 
 /**
- * Identifies one crashing request at a time, the one with the most crashes first, because each one found explains crashes of
- * others. Requests that were answered after a crash come last: a frequent request may be in flight at more crashes than any
- * request that causes them.
+ * Identifies one cause at a time, the one with the most crashes first, because each one found explains crashes of others.
+ * Keys that were answered after a crash come last: a popular request or part may be in flight at more crashes than any that
+ * causes them.
  */
-export function findCrashingRequests (evidence: Evidence, served: ReadonlySet<string> = new Set()): CrashAnalysis {
-  const crashingDigests = new Set<string>()
+export function findCrashCauses (evidence: Evidence, served: ReadonlySet<string> = new Set()): CrashAnalysis {
+  const causes: CrashCause[] = []
   const explainedUpstreams = new Set<string>()
   for (;;) {
-    const isSuspect = (digest: string) => !crashingDigests.has(digest) && !served.has(digest)
-    const isServed = (digest: string) => !crashingDigests.has(digest) && served.has(digest)
-    const analysis = { crashingDigests, explainedUpstreams }
-    const next = findLikeliestCause(evidence, analysis, { isCandidate: isSuspect, minCrashes: MAX_CRASHES }) ?? findLikeliestCause(evidence, analysis, { isCandidate: isServed, minCrashes: MAX_CRASHES_IF_SERVED })
-    if (next === undefined) return { crashingDigests, explainedUpstreams }
-    crashingDigests.add(next)
-    for (const run of evidence.get(next) ?? []) explainedUpstreams.add(run.upstream)
+    const unexplained = listUnexplainedEvidence(evidence, explainedUpstreams)
+    const cause = findLikeliestCause(unexplained, key => !served.has(key), MAX_CRASHES) ?? findLikeliestCause(unexplained, key => served.has(key), MAX_CRASHES_IF_SERVED)
+    if (cause === undefined) return { causes, suspectedParts: listSuspectedParts(unexplained, served), explainedUpstreams }
+    causes.push(cause)
+    for (const run of cause.runs) explainedUpstreams.add(run.upstream)
   }
 }
 
-function findLikeliestCause (evidence: Evidence, { crashingDigests, explainedUpstreams }: CrashAnalysis, { isCandidate, minCrashes }: CandidateRule): string | undefined {
-  let best: { readonly digest: string, readonly crashCount: number } | undefined
-  for (const [digest, allRuns] of evidence) {
-    if (!isCandidate(digest)) continue
+function listUnexplainedEvidence (evidence: Evidence, explainedUpstreams: ReadonlySet<string>): Evidence {
+  if (explainedUpstreams.size === 0) return evidence
+  const remaining = new Map<string, ReadonlySet<CrashedRun>>()
+  for (const [key, allRuns] of evidence) {
     const runs = listUnexplainedRuns(allRuns, explainedUpstreams)
+    if (runs.length > 0) remaining.set(key, new Set(runs))
+  }
+  return remaining
+}
+
+function findLikeliestCause (evidence: Evidence, isCandidate: (key: string) => boolean, minCrashes: number): CrashCause | undefined {
+  const candidates = listCandidates(evidence, isCandidate, minCrashes).filter(candidate => candidate.crashCount >= MAX_SHARED_CRASHES || !hasOtherSuspect(candidate, evidence))
+  return candidates.reduce<CrashCause | undefined>((best, candidate) => best === undefined || candidate.crashCount > best.crashCount ? candidate : best, undefined)
+}
+
+function listSuspectedParts (evidence: Evidence, served: ReadonlySet<string>): readonly CrashCause[] {
+  const digests = new Set([...evidence.values()].flatMap(runs => [...runs].map(run => run.digest)))
+  return listCandidates(evidence, key => !served.has(key), MIN_SUSPECT_CRASHES).filter(({ keys }) => !keys.some(key => digests.has(key)))
+}
+
+/** Returns the possible causes, without those for which a narrower one explains all but a crash that may be a coincidence. */
+function listCandidates (evidence: Evidence, isCandidate: (key: string) => boolean, minCrashes: number): readonly CrashCause[] {
+  const candidates: CrashCause[] = []
+  for (const [key, runs] of evidence) {
+    if (runs.size < minCrashes || !isCandidate(key)) continue
     const crashCount = countSeparateCrashes(runs)
-    if (crashCount < minCrashes || (best !== undefined && crashCount <= best.crashCount)) continue
-    if (crashCount >= MAX_SHARED_CRASHES || !hasOtherSuspect(digest, runs, evidence, crashingDigests)) best = { digest, crashCount }
+    if (crashCount >= minCrashes) candidates.push({ keys: listCommonKeys(key, runs, evidence), runs, crashCount })
   }
-  return best?.digest
+  return candidates.filter(wide => !candidates.some(narrow => isNarrower(narrow, wide) && countSeparateCrashes(listOtherRuns(wide, narrow)) < MIN_UNEXPLAINED_CRASHES))
+}
+
+/** Returns the keys against which all of these runs are evidence, the given one included. */
+function listCommonKeys (key: string, runs: ReadonlySet<CrashedRun>, evidence: Evidence): readonly string[] {
+  const [first] = runs
+  const others = first === undefined ? [] : [first.digest, ...first.partKeys ?? []].filter(other => other !== key)
+  return [key, ...others.filter(other => {
+    const otherRuns = evidence.get(other)
+    return otherRuns !== undefined && [...runs].every(run => otherRuns.has(run))
+  })]
+}
+
+function isNarrower (narrow: CrashCause, wide: CrashCause): boolean {
+  return narrow.runs.size < wide.runs.size && [...narrow.runs].every(run => wide.runs.has(run))
 }
 
-/** Whether another request was in flight at all of the same crashes, so that either may be the cause. */
-function hasOtherSuspect (digest: string, runs: readonly CrashedRun[], evidence: Evidence, crashingDigests: ReadonlySet<string>): boolean {
-  const upstreams = runs.map(run => run.upstream)
+function listOtherRuns (wide: CrashCause, narrow: CrashCause): readonly CrashedRun[] {
+  return [...wide.runs].filter(run => !narrow.runs.has(run))
+}
+
+/**
+ * Whether something else was in flight at all of the same crashes, so that either may be the cause. If the answers of the
+ * cause's runs had just begun at each of them, the same must hold for the other.
+ */
+function hasOtherSuspect ({ keys, runs }: CrashCause, evidence: Evidence): boolean {
+  const upstreams = new Set([...runs].map(run => run.upstream))
+  const wasStarting = [...runs].every(run => run.isStarting === true)
   for (const [other, otherRuns] of evidence) {
-    if (other === digest || crashingDigests.has(other)) continue
-    const otherUpstreams = new Set(otherRuns.map(run => run.upstream))
-    if (upstreams.every(upstream => otherUpstreams.has(upstream))) return true
+    if (otherRuns.size < upstreams.size || keys.includes(other)) continue
+    const otherUpstreams = new Set([...otherRuns].filter(run => !wasStarting || run.isStarting === true).map(run => run.upstream))
+    if ([...upstreams].every(upstream => otherUpstreams.has(upstream))) return true
   }
   return false
 }
--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -8,6 +8,10 @@
 export interface LostRun {
   readonly digest: string
   readonly bodyBytes: number
+  /** Keys of the parts of its prompt that other requests may share. */
+  readonly partKeys: readonly string[]
+  /** Whether the upstream had just begun its answer. */
+  readonly isStarting: boolean
   /** The id of the upstream instance that the run was sent to. */
   readonly upstream: string
   readonly address: string
@@ -16,18 +20,22 @@
   readonly endedAt: number
 }
 
-/** A request whose digest is computed on demand, because hashing the body is expensive and rarely needed. */
-export interface IRequestDigest {
+/** What identifies a request. Computed on demand, because hashing the body is expensive and rarely needed. */
+export interface IRequestIdentity {
   readonly bodyBytes: number
   getDigest (): string
+  /** Keys of the parts of its prompt that other requests may share. */
+  getPartKeys (): readonly string[]
 }
 
 export interface IQuarantineService {
-  getCrashRecord (requestDigest: IRequestDigest): CrashRecord
+  getCrashRecord (request: IRequestIdentity): CrashRecord
   /** Resolves to whether the upstream is known to have crashed, within the time of one connection attempt to it. */
   recordLostRun (run: LostRun): Promise<boolean>
   /** Counts a refused request and logs the evidence for it. */
-  reportRefusal (requestId: string, requestDigest: IRequestDigest, record: CrashRecord): void
-  /** An upstream answered the request completely, so the request does not crash upstreams. */
-  recordServed (requestDigest: IRequestDigest): void
+  reportRefusal (requestId: string, request: IRequestIdentity, record: CrashRecord): void
+  /** An upstream answered the request completely, so neither the request nor a part of its prompt crashes upstreams. */
+  recordServed (request: IRequestIdentity, sentAt: number): void
+  /** An upstream has been producing its answer for a while, so the parts of the prompt do not crash upstreams. */
+  recordProducing (request: IRequestIdentity, sentAt: number): void
 }
--- a/src/services/quarantine/common/quarantineTracker.ts
+++ b/src/services/quarantine/common/quarantineTracker.ts
@@ -1,26 +1,31 @@
 /**
- * Tracks requests that were in flight when upstreams crashed, from this node's own runs and from its peers. The number of
- * requests is bounded, and evidence expires.
+ * Tracks what was in flight when upstreams crashed, from this node's own runs and from its peers. The number of requests is
+ * bounded, and evidence expires.
  */
-import { countSeparateCrashes, findCrashingRequests, listUnexplainedRuns } from './crashEvidence.ts'
-import type { CrashedRun, CrashAnalysis } from './crashEvidence.ts'
+import { countSeparateCrashes, findCrashCauses, listUnexplainedRuns } from './crashEvidence.ts'
+import type { CrashAnalysis, CrashCause, CrashedRun, Evidence } from './crashEvidence.ts'
+import { isPartKey, parsePartKey } from './partKey.ts'
+import type { IRequestIdentity } from './quarantine.ts'
 
 /** The crashes counted against one request. */
 export interface CrashRecord {
-  /** Successive crashes while the request was in flight that are not attributed to another request. */
+  /** Successive crashes while the request was in flight that are not attributed to another cause. */
   readonly crashCount: number
   /** Whether the request is no longer sent. */
   readonly isQuarantined: boolean
+  /** The parts of its prompt that the crashes are attributed to; empty if they are attributed to the request as a whole. */
+  readonly parts: readonly string[]
   readonly upstreams: readonly string[]
   /** Time of the last of these crashes, in milliseconds on this process's clock. */
   readonly lastCrashAt: number
 }
 
-export const NO_CRASHES: CrashRecord = { crashCount: 0, isQuarantined: false, upstreams: [], lastCrashAt: -Infinity }
+export const NO_CRASHES: CrashRecord = { crashCount: 0, isQuarantined: false, parts: [], upstreams: [], lastCrashAt: -Infinity }
 
-/** A quarantined request, as listed for operators. */
-export interface QuarantinedRequest extends CrashRecord {
-  readonly digest: string
+/** A quarantined request, or parts of prompts that requests are quarantined for, as listed for operators. */
+export interface QuarantineEntry extends CrashRecord {
+  /** Undefined for parts of prompts. */
+  readonly digest: string | undefined
 }
 
 /**
@@ -29,15 +34,21 @@
  */
 export const EVIDENCE_RETENTION_MS = 600_000
 /** Maximum number of tracked requests. Each entry requires a crashed upstream, so many different bodies alone cannot fill it. */
-const MAX_DIGESTS = 2000
+const MAX_REQUESTS = 2000
+/** An answer to a part publishes a fact, which is worthwhile only if the part may become a suspect. */
+const MIN_CLEARED_CRASHES = 2
 
 export class QuarantineTracker {
+  /** Runs of the same request, by its digest and the parts of its prompt, which are not in the digest. */
   private readonly _runs = new Map<string, readonly CrashedRun[]>()
   private readonly _clearedAt = new Map<string, number>()
-  /** Requests that an upstream answered after a crash; an entry expires together with its `_clearedAt` entry. */
+  /** Requests and parts that an upstream answered after a crash; an entry expires together with its `_clearedAt` entry. */
   private readonly _served = new Set<string>()
   private _bodySizes: ReadonlySet<number> | undefined
+  private _evidence: Evidence | undefined
   private _analysis: CrashAnalysis | undefined
+  /** Groups of runs that are the evidence for the causes of the latest analysis. */
+  private _retainedGroups: ReadonlySet<string> = new Set()
 
   get isEmpty (): boolean {
     return this._runs.size === 0
@@ -51,73 +62,154 @@
   }
 
   addRun (run: CrashedRun): void {
-    if (run.crashedAt <= (this._clearedAt.get(run.digest) ?? -Infinity)) return
-    const known = this._runs.get(run.digest) ?? []
+    if (listKeys(run).every(key => this._isCleared(key, run))) return
+    const group = formatGroup(run)
+    const known = this._runs.get(group) ?? []
     if (known.some(other => other.upstream === run.upstream)) return
-    if (known.length === 0 && this._runs.size >= MAX_DIGESTS) this._evictLeastEvidence()
-    this._runs.set(run.digest, [...known, run])
+    if (known.length === 0 && this._runs.size >= MAX_REQUESTS) this._evictLeastEvidence()
+    this._runs.set(group, [...known, run])
     this._invalidateCaches()
   }
 
-  /** Discards the evidence against a request up to `at`, including evidence that is reported only later. */
-  clear (digest: string, at: number, { isServed = false } = {}): void {
-    this._clearedAt.set(digest, at)
-    if (isServed) this._served.add(digest)
-    const runs = this._runs.get(digest)
-    if (runs !== undefined) this._setRuns(digest, runs.filter(run => run.crashedAt > at))
+  /** Discards the evidence against a request or part up to `at`, including evidence that is reported only later. */
+  clear (key: string, at: number, { isServed = false } = {}): void {
+    this._clearedAt.set(key, Math.max(at, this._clearedAt.get(key) ?? -Infinity))
+    if (isServed) this._served.add(key)
+    const evidence = this._getEvidence().get(key) ?? []
+    for (const group of new Set([...evidence].map(formatGroup))) {
+      this._setRuns(group, (this._runs.get(group) ?? []).filter(run => !listKeys(run).every(other => this._isCleared(other, run))))
+    }
+    this._invalidateCaches()
+  }
+
+  /** Whether an answer to a request that was sent at `sentAt` disproves evidence against a part of its prompt. */
+  isClearedBy (partKey: string, sentAt: number): boolean {
+    const runs = this._getEvidence().get(partKey)
+    return runs !== undefined && [...runs].some(run => run.crashedAt < sentAt) && countSeparateCrashes(runs) >= MIN_CLEARED_CRASHES
+  }
+
+  hasEvidence (key: string): boolean {
+    return this._getEvidence().has(key)
+  }
+
+  /** What is known against a request, as a whole or for parts of its prompt. */
+  findRecord (request: IRequestIdentity): CrashRecord {
+    if (this.isEmpty) return NO_CRASHES
+    const { causes, suspectedParts } = this._getAnalysis()
+    const cause = causes.find(({ keys }) => this._hasAllKeys(request, keys))
+    if (cause !== undefined) return createRecord(cause, true)
+    const record = this.hasBodySize(request.bodyBytes) ? this.getCrashRecord(request.getDigest()) : NO_CRASHES
+    const suspected = suspectedParts.find(({ keys }) => this._hasAllKeys(request, keys))
+    return suspected === undefined || suspected.crashCount <= record.crashCount ? record : createRecord(suspected, false)
   }
 
+  /** What is known against the request with this digest as a whole. */
   getCrashRecord (digest: string): CrashRecord {
-    const runs = this._runs.get(digest)
+    const runs = this._getEvidence().get(digest)
     if (runs === undefined) return NO_CRASHES
-    const { crashingDigests, explainedUpstreams } = this._getAnalysis()
-    const isQuarantined = crashingDigests.has(digest)
-    const countedRuns = isQuarantined ? runs : listUnexplainedRuns(runs, explainedUpstreams)
-    return {
-      crashCount: countSeparateCrashes(countedRuns),
-      isQuarantined,
-      upstreams: countedRuns.map(run => run.upstream),
-      lastCrashAt: Math.max(-Infinity, ...countedRuns.map(run => run.crashedAt))
-    }
+    const { causes, explainedUpstreams } = this._getAnalysis()
+    const cause = causes.find(({ keys }) => keys.includes(digest))
+    if (cause !== undefined) return createRecord(cause, true)
+    const unexplained = listUnexplainedRuns(runs, explainedUpstreams)
+    return createRecord({ keys: [digest], runs: new Set(unexplained), crashCount: countSeparateCrashes(unexplained) }, false)
   }
 
-  listQuarantined (): readonly QuarantinedRequest[] {
-    return [...this._getAnalysis().crashingDigests].map(digest => ({ digest, ...this.getCrashRecord(digest) }))
+  listQuarantined (): readonly QuarantineEntry[] {
+    return this._getAnalysis().causes.map(cause => ({ digest: cause.keys.find(key => !isPartKey(key)), ...createRecord(cause, true) }))
   }
 
   /** Removes requests without a recent crash. */
   expire (now: number): void {
-    for (const [digest, runs] of [...this._runs]) if (runs.every(run => now - run.crashedAt > EVIDENCE_RETENTION_MS)) this._setRuns(digest, [])
-    for (const [digest, at] of [...this._clearedAt]) if (now - at > EVIDENCE_RETENTION_MS) this._removeCleared(digest)
+    for (const [group, runs] of [...this._runs]) if (runs.every(run => now - run.crashedAt > EVIDENCE_RETENTION_MS)) this._setRuns(group, [])
+    for (const [key, at] of [...this._clearedAt]) if (now - at > EVIDENCE_RETENTION_MS) this._removeCleared(key)
+  }
+
+  private _hasAllKeys (request: IRequestIdentity, keys: readonly string[]): boolean {
+    const partKeys = request.getPartKeys()
+    return keys.every(key => isPartKey(key) ? partKeys.includes(key) : this.hasBodySize(request.bodyBytes) && request.getDigest() === key)
   }
 
-  private _removeCleared (digest: string): void {
-    this._clearedAt.delete(digest)
-    this._served.delete(digest)
+  private _removeCleared (key: string): void {
+    this._clearedAt.delete(key)
+    this._served.delete(key)
     this._invalidateCaches()
   }
 
-  private _setRuns (digest: string, runs: readonly CrashedRun[]): void {
-    if (runs.length === 0) this._runs.delete(digest)
-    else this._runs.set(digest, runs)
+  private _isCleared (key: string, { crashedAt }: CrashedRun): boolean {
+    return crashedAt <= (this._clearedAt.get(key) ?? -Infinity)
+  }
+
+  private _setRuns (group: string, runs: readonly CrashedRun[]): void {
+    if (runs.length === 0) this._runs.delete(group)
+    else this._runs.set(group, runs)
     this._invalidateCaches()
   }
 
-  /** Evicts the oldest of the requests with the fewest crashes, so that quarantined ones are evicted last. */
+  /** Evicts the oldest of the requests with the fewest crashes, those behind the latest causes only if there is no other. */
   private _evictLeastEvidence (): void {
-    const fewest = Math.min(...[...this._runs.values()].map(runs => runs.length))
-    for (const [digest, runs] of this._runs) {
-      if (runs.length === fewest) return this._setRuns(digest, [])
-    }
+    const others = [...this._runs].filter(([group]) => !this._retainedGroups.has(group))
+    const candidates = others.length > 0 ? others : [...this._runs]
+    const fewest = Math.min(...candidates.map(([, runs]) => runs.length))
+    const evicted = candidates.find(([, runs]) => runs.length === fewest)
+    if (evicted !== undefined) this._setRuns(evicted[0], [])
   }
 
   private _invalidateCaches (): void {
     this._bodySizes = undefined
+    this._evidence = undefined
     this._analysis = undefined
   }
 
   private _getAnalysis (): CrashAnalysis {
-    this._analysis ??= findCrashingRequests(this._runs, this._served)
+    if (this._analysis === undefined) {
+      this._analysis = findCrashCauses(this._getEvidence(), this._served)
+      this._retainedGroups = new Set(this._analysis.causes.flatMap(({ runs }) => [...runs].map(formatGroup)))
+    }
     return this._analysis
   }
+
+  private _getEvidence (): Evidence {
+    this._evidence ??= this._collectEvidence()
+    return this._evidence
+  }
+
+  /**
+   * A run is evidence against its request and the parts of its prompt, unless they were cleared since. An upstream
+   * crashes on a part when it begins to answer, so runs that had not come so far, or were past it, count against their parts
+   * only if no other run was at that point.
+   */
+  private _collectEvidence (): Evidence {
+    const evidence = new Map<string, Set<CrashedRun>>()
+    const runs = [...this._runs.values()].flat()
+    const startingAt = new Set(runs.filter(run => run.isStarting === true).map(run => run.upstream))
+    const append = (key: string, run: CrashedRun) => {
+      const known = evidence.get(key)
+      if (known === undefined) evidence.set(key, new Set([run]))
+      else known.add(run)
+    }
+    for (const run of runs) {
+      const isBystander = run.isStarting !== true && startingAt.has(run.upstream)
+      for (const key of isBystander ? [run.digest] : listKeys(run)) if (!this._isCleared(key, run)) append(key, run)
+    }
+    return evidence
+  }
+}
+
+function listKeys ({ digest, partKeys = [] }: CrashedRun): readonly string[] {
+  return [digest, ...partKeys]
+}
+
+function formatGroup (run: CrashedRun): string {
+  return listKeys(run).join()
+}
+
+function createRecord ({ keys, runs, crashCount }: CrashCause, isQuarantined: boolean): CrashRecord {
+  const isWholeRequest = keys.some(key => !isPartKey(key))
+  return {
+    crashCount,
+    isQuarantined,
+    parts: isWholeRequest ? [] : keys.flatMap(key => parsePartKey(key) ?? []),
+    upstreams: [...new Set([...runs].map(run => run.upstream))],
+    lastCrashAt: Math.max(-Infinity, ...[...runs].map(run => run.crashedAt))
+  }
 }
--- a/src/services/quarantine/node/quarantineHandler.ts
+++ b/src/services/quarantine/node/quarantineHandler.ts
@@ -1,5 +1,5 @@
 /**
- * Operator endpoint that lists quarantined requests and releases them.
+ * Operator endpoint that lists what is quarantined and releases it.
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import type { OperatorHandler } from '../../metrics/node/metricsServer.ts'
@@ -7,18 +7,18 @@
 
 export const QUARANTINE_PATH = '/quarantine'
 
-/** GET lists quarantined requests; DELETE with a digest discards the evidence against that request at all nodes. */
+/** GET lists what is quarantined; DELETE with a digest, or with `part/` and the id of a part, discards the evidence at all nodes. */
 export function createQuarantineHandler (quarantine: QuarantineService, clock: IClock): OperatorHandler {
   return {
     path: QUARANTINE_PATH,
     answer: (method, rest) => {
       if (method === 'GET' && rest === '') return listRequests(quarantine, clock.now())
-      if (method === 'DELETE' && quarantine.clear(rest, 'operator')) return { cleared: rest }
+      if (method === 'DELETE' && quarantine.clear(rest)) return { cleared: rest }
       return undefined
     }
   }
 }
 
 function listRequests (quarantine: QuarantineService, now: number): readonly object[] {
-  return quarantine.listQuarantined().map(({ digest, crashCount: ends, upstreams, lastCrashAt }) => ({ digest, ends, upstreams, last_end_age_ms: Math.round(now - lastCrashAt) }))
+  return quarantine.listQuarantined().map(({ digest, parts, crashCount: ends, upstreams, lastCrashAt }) => ({ ...digest === undefined ? { parts } : { digest }, ends, upstreams, last_end_age_ms: Math.round(now - lastCrashAt) }))
 }
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -1,5 +1,5 @@
 /**
- * Prevents requests that crash upstreams from being sent again by any node. Each node publishes the runs that it lost at a
+ * Prevents requests that crash upstreams, as a whole or by a part of their prompts, from being sent again by any node. Each node publishes the runs that it lost at a
  * crashed upstream as one fact per node and upstream, so that the observations of all nodes add up. Every node then decides
  * independently from the same facts.
  */
@@ -11,9 +11,10 @@
 import type { FactStore, StoredFact } from '../../facts/common/factStore.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
-import type { IQuarantineService, IRequestDigest, LostRun } from '../common/quarantine.ts'
-import { NO_CRASHES, QuarantineTracker } from '../common/quarantineTracker.ts'
-import type { CrashRecord, QuarantinedRequest } from '../common/quarantineTracker.ts'
+import { formatPartKey, parsePartKey } from '../common/partKey.ts'
+import type { IQuarantineService, IRequestIdentity, LostRun } from '../common/quarantine.ts'
+import { QuarantineTracker } from '../common/quarantineTracker.ts'
+import type { CrashRecord, QuarantineEntry } from '../common/quarantineTracker.ts'
 import { probeUpstream } from './upstreamProbe.ts'
 import type { ProbeResult } from './upstreamProbe.ts'
 
@@ -47,6 +48,8 @@
 const MAX_REPORTED_RUNS = 16
 const EXPIRE_PERIOD_MS = 10_000
 const MAX_LOGGED_DIGESTS = 4
+/** A part may be held against for as long as upstreams crash, so the upstreams of one line are bounded. */
+const MAX_LOGGED_UPSTREAMS = 8
 
 export class QuarantineService extends Disposable implements IQuarantineService {
   private readonly _options: QuarantineServiceOptions
@@ -54,8 +57,8 @@
   private readonly _lostUpstreams = new Map<string, LostUpstream>()
   private readonly _crashedAtByUpstream = new Map<string, number>()
   private readonly _reportTimes: number[] = []
-  /** Digests of the requests whose quarantine was logged. */
-  private _loggedDigests: ReadonlySet<string> = new Set()
+  /** Descriptions of the entries that were logged. */
+  private _loggedEntries: ReadonlySet<string> = new Set()
   private _isLogScheduled = false
   private _refusedCount = 0
 
@@ -66,7 +69,7 @@
     this._register(startInterval(EXPIRE_PERIOD_MS, () => this._expire()))
   }
 
-  /** Requests refused since process start because they are quarantined. */
+  /** Requests refused since process start because of the quarantine. */
   get refusedCount (): number {
     return this._refusedCount
   }
@@ -76,8 +79,8 @@
     return this._crashedAtByUpstream.has(upstream)
   }
 
-  getCrashRecord (requestDigest: IRequestDigest): CrashRecord {
-    return this._tracker.hasBodySize(requestDigest.bodyBytes) ? this._tracker.getCrashRecord(requestDigest.getDigest()) : NO_CRASHES
+  getCrashRecord (request: IRequestIdentity): CrashRecord {
+    return this._tracker.findRecord(request)
   }
 
   async recordLostRun (run: LostRun): Promise<boolean> {
@@ -85,35 +88,50 @@
     // An upstream that leaves as planned may stop with runs in flight.
     if (entry === undefined || entry.isLeaving) return false
     const lost = this._getLostUpstream(run)
-    lost.runs.push({ digest: run.digest, bodyBytes: run.bodyBytes, sentBeforeMs: Math.max(0, Math.round(lost.endedAt - run.sentAt)) })
+    const parts = run.partKeys.flatMap(key => parsePartKey(key) ?? [])
+    lost.runs.push({ digest: run.digest, bodyBytes: run.bodyBytes, ...parts.length > 0 ? { parts } : {}, ...run.isStarting ? { isStarting: true } : {}, sentBeforeMs: Math.max(0, Math.round(lost.endedAt - run.sentAt)) })
     const isCrashed = await lost.crashCheck
     if (isCrashed && !this._isDisposed) this._publishCrash(run.upstream, lost)
     return isCrashed
   }
 
-  recordServed (requestDigest: IRequestDigest): void {
-    const digest = this._tracker.hasBodySize(requestDigest.bodyBytes) ? requestDigest.getDigest() : undefined
-    if (digest !== undefined && this._tracker.getCrashRecord(digest).upstreams.length > 0) this.clear(digest, 'served')
+  recordServed (request: IRequestIdentity, sentAt: number): void {
+    if (this._tracker.isEmpty) return
+    const digest = this._tracker.hasBodySize(request.bodyBytes) ? request.getDigest() : undefined
+    if (digest !== undefined && this._tracker.getCrashRecord(digest).upstreams.length > 0) this._publishCleared(digest, 'served', 0)
+    this.recordProducing(request, sentAt)
   }
 
-  reportRefusal (requestId: string, requestDigest: IRequestDigest, { crashCount: ends, upstreams, lastCrashAt }: CrashRecord): void {
+  recordProducing (request: IRequestIdentity, sentAt: number): void {
+    if (this._tracker.isEmpty) return
+    // Only crashes before the request was sent are disproved: an upstream may crash on a part from some moment on.
+    const ageMs = Math.max(0, Math.ceil(this._options.clock.now() - sentAt))
+    for (const key of request.getPartKeys()) if (this._tracker.isClearedBy(key, sentAt)) this._publishCleared(key, 'served', ageMs)
+  }
+
+  reportRefusal (requestId: string, request: IRequestIdentity, { crashCount: ends, parts, upstreams, lastCrashAt }: CrashRecord): void {
     this._refusedCount++
     const evidenceAgeMs = Math.round(this._options.clock.now() - lastCrashAt)
-    this._options.log.warn('request_quarantined', { request: requestId, digest: requestDigest.getDigest(), ends, upstreams: upstreams.join(), evidence_age_ms: evidenceAgeMs })
+    const cause: Readonly<Record<string, string>> = parts.length > 0 ? { parts: parts.join() } : { digest: request.getDigest() }
+    this._options.log.warn('request_quarantined', { request: requestId, ...cause, ends, upstreams: formatUpstreams(upstreams), evidence_age_ms: evidenceAgeMs })
   }
 
-  listQuarantined (): readonly QuarantinedRequest[] {
+  listQuarantined (): readonly QuarantineEntry[] {
     return this._tracker.listQuarantined()
   }
 
-  /** Discards the evidence against a request at all nodes; returns false if there is none. */
-  clear (digest: string, reason: 'served' | 'operator'): boolean {
+  /** Discards the evidence against a request's digest or a part's key at all nodes; returns false if there is none. */
+  clear (key: string): boolean {
+    return this._tracker.hasEvidence(key) && this._publishCleared(key, 'operator', 0)
+  }
+
+  /** The evidence is discarded up to `ageMs` ago. */
+  private _publishCleared (key: string, reason: 'served' | 'operator', ageMs: number): boolean {
     const { facts, log } = this._options
-    if (this._tracker.getCrashRecord(digest).upstreams.length === 0) return false
-    const subject = formatClearedSubject(digest)
+    const subject = formatClearedSubject(key)
     const held = facts.get(subject)
-    log.info('evidence_cleared', { digest, reason })
-    return facts.merge({ subject, incarnation: 1, counter: (held?.counter ?? 0) + 1, value: { kind: 'cleared', digest, isServed: reason === 'served' }, ageMs: 0 })
+    log.info('evidence_cleared', { digest: key, reason, up_to_ms_ago: ageMs })
+    return facts.merge({ subject, incarnation: 1, counter: (held?.counter ?? 0) + 1, value: { kind: 'cleared', digest: key, isServed: reason === 'served' }, ageMs })
   }
 
   private _getLostUpstream (run: LostRun): LostUpstream {
@@ -143,7 +161,8 @@
 
   private _publishCrash (upstream: string, { endedAt, runs }: LostUpstream): void {
     const { clock, facts, log, node, incarnation } = this._options
-    const reported = runs.slice(-MAX_REPORTED_RUNS)
+    // Runs whose answer had just begun say the most about the cause.
+    const reported = [...runs.filter(run => run.isStarting !== true), ...runs.filter(run => run.isStarting === true)].slice(-MAX_REPORTED_RUNS)
     const subject = formatEndedSubject(upstream, node)
     const isKnown = facts.get(subject) !== undefined
     if (!isKnown && !this._acquireReportSlot()) return
@@ -164,8 +183,8 @@
     this._scheduleQuarantineLog()
     if (value.kind === 'cleared') return this._tracker.clear(value.digest, observedAt, { isServed: value.isServed })
     this._crashedAtByUpstream.set(value.upstream, observedAt)
-    for (const { digest, bodyBytes, sentBeforeMs } of value.runs) {
-      this._tracker.addRun({ digest, bodyBytes, upstream: value.upstream, sentAt: observedAt - sentBeforeMs, crashedAt: observedAt })
+    for (const { digest, bodyBytes, parts, isStarting, sentBeforeMs } of value.runs) {
+      this._tracker.addRun({ digest, bodyBytes, partKeys: parts?.map(formatPartKey), isStarting, upstream: value.upstream, sentAt: observedAt - sentBeforeMs, crashedAt: observedAt })
     }
   }
 
@@ -183,11 +202,12 @@
   }
 
   private _logQuarantined (): void {
-    const requests = this._tracker.listQuarantined()
-    for (const { digest, crashCount: ends, upstreams } of requests) {
-      if (!this._loggedDigests.has(digest)) this._options.log.warn('quarantine_began', { digest, ends, upstreams: upstreams.join() })
+    const entries = this._tracker.listQuarantined().map(entry => ({ ...entry, key: entry.digest ?? entry.parts.join() }))
+    for (const { key, digest, parts, crashCount: ends, upstreams } of entries) {
+      const cause: Readonly<Record<string, string>> = digest === undefined ? { parts: parts.join() } : { digest }
+      if (!this._loggedEntries.has(key)) this._options.log.warn('quarantine_began', { ...cause, ends, upstreams: formatUpstreams(upstreams) })
     }
-    this._loggedDigests = new Set(requests.map(request => request.digest))
+    this._loggedEntries = new Set(entries.map(({ key }) => key))
   }
 
   private _expire (): void {
@@ -197,3 +217,7 @@
     for (const [upstream, at] of [...this._crashedAtByUpstream]) if (now - at > MAX_LIST_DELAY_MS) this._crashedAtByUpstream.delete(upstream)
   }
 }
+
+function formatUpstreams (upstreams: readonly string[]): string {
+  return upstreams.slice(-MAX_LOGGED_UPSTREAMS).join()
+}
--- a/src/services/quarantine/node/requestDigest.ts
+++ b/src/services/quarantine/node/requestDigest.ts
@@ -4,7 +4,7 @@
  */
 import { hashParts } from '../../../base/node/digest.ts'
 
-export interface RequestIdentity {
+export interface DigestInput {
   readonly method: string
   readonly host: string
   /** Path and query, as sent. */
@@ -16,6 +16,6 @@
 /** Hexadecimal digits, 128 bits: a caller cannot construct a request with the digest of another's request. */
 const DIGEST_DIGITS = 32
 
-export function digestRequest ({ method, host, target, customer = '', body }: RequestIdentity): string {
+export function digestRequest ({ method, host, target, customer = '', body }: DigestInput): string {
   return hashParts([method, host, target, customer, body]).slice(0, DIGEST_DIGITS)
 }
--- a/src/services/quarantine/test/crashEvidence.test.ts
+++ b/src/services/quarantine/test/crashEvidence.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { countSeparateCrashes, findCrashingRequests } from '../common/crashEvidence.ts'
+import { countSeparateCrashes, findCrashCauses } from '../common/crashEvidence.ts'
 import type { CrashedRun } from '../common/crashEvidence.ts'
 
 const test = suite('crashEvidence')
@@ -17,11 +17,11 @@
 
 /** Like `findCrashing`, with requests that were answered after a crash. */
 function findCrashingWithServed (served: string, ...crashes: readonly string[]): string {
-  const evidence = new Map<string, CrashedRun[]>()
+  const evidence = new Map<string, ReadonlySet<CrashedRun>>()
   for (const [index, digests] of crashes.entries()) {
-    for (const digest of digests) evidence.set(digest, [...evidence.get(digest) ?? [], createRun(digest, `u${index}`, index, index + 0.5)])
+    for (const digest of digests) evidence.set(digest, new Set([...evidence.get(digest) ?? [], createRun(digest, `u${index}`, index, index + 0.5)]))
   }
-  return [...findCrashingRequests(evidence, new Set(served)).crashingDigests].sort().join('')
+  return findCrashCauses(evidence, new Set(served)).causes.flatMap(cause => cause.keys).sort().join('')
 }
 
 test('a request in flight at three successive crashes is found to cause them; other requests in flight there are not', () => {
@@ -65,4 +65,54 @@
   assert.is(countSeparateCrashes([...runs].reverse()), 3)
 })
 
+/**
+ * Each string lists the runs in flight at one crash, separated by spaces; each run has a request of its own and the parts that
+ * its letters name. Returns the parts of each cause, separated by spaces.
+ */
+function findCrashingParts (served: string, ...crashes: readonly string[]): string {
+  const evidence = new Map<string, ReadonlySet<CrashedRun>>()
+  for (const [index, runs] of crashes.entries()) {
+    for (const [number, parts] of runs.split(' ').entries()) {
+      const run = { ...createRun(`${index}.${number}`, `u${index}`, index, index + 0.5), partKeys: [...parts] }
+      for (const key of [run.digest, ...run.partKeys]) evidence.set(key, new Set([...evidence.get(key) ?? [], run]))
+    }
+  }
+  return findCrashCauses(evidence, new Set(served)).causes.map(cause => [...cause.keys].sort().join('')).sort().join(' ')
+}
+
+test('different requests with a part in common are found by the part', () => {
+  assert.is(findCrashingParts('', 'g', 'ag', 'gb'), 'g')
+  assert.is(findCrashingParts('', 'g', 'a', 'b'), '')
+})
+
+test('parts that always came together are one cause, until crashes with one of them alone', () => {
+  assert.is(findCrashingParts('', 'ag', 'agb', 'agc'), 'ag')
+  assert.is(findCrashingParts('', 'ag', 'agb', 'agc', 'g'), 'ag', 'one may be a coincidence')
+  assert.is(findCrashingParts('', 'ag', 'agb', 'agc', 'g', 'g'), 'g')
+})
+
+test('a popular part in flight at one crash more is not the cause, and one at two crashes more is', () => {
+  assert.is(findCrashingParts('', 'ag', 'ag', 'ag', 'a'), 'ag')
+  assert.is(findCrashingParts('', 'ag', 'ag', 'ag', 'a', 'a'), 'a')
+})
+
+test('a part that several narrower groups of requests have explains all of their crashes', () => {
+  assert.is(findCrashingParts('', 'gx', 'gx', 'gx', 'gy', 'gz'), 'g')
+})
+
+test('a repeated request is the cause as a whole, not by its parts', () => {
+  const runs = [0, 1, 2].map(index => ({ ...createRun('d', `u${index}`, index, index + 0.5), partKeys: ['a'] }))
+  const { causes } = findCrashCauses(new Map([['d', new Set(runs)], ['a', new Set(runs)]]))
+  assert.equal(causes.map(cause => cause.keys), [['d', 'a']])
+})
+
+test('two crashes make a part a suspect, and one does not', () => {
+  const listSuspects = (count: number) => {
+    const runs = Array.from({ length: count }, (_item, index) => ({ ...createRun(`d${index}`, `u${index}`, index, index + 0.5), partKeys: ['g'] }))
+    return findCrashCauses(new Map([...runs.map(run => [run.digest, new Set([run])] as const), ['g', new Set(runs)]])).suspectedParts.map(({ keys }) => keys)
+  }
+  assert.equal(listSuspects(1), [])
+  assert.equal(listSuspects(2), [['g']])
+})
+
 test.run()
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -7,12 +7,13 @@
 import { FactStore } from '../../facts/common/factStore.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { IRequestIdentity } from '../common/quarantine.ts'
 import { QuarantineService } from '../node/quarantineService.ts'
 import type { ProbeResult } from '../node/upstreamProbe.ts'
 
 const test = suite('quarantineService')
 
-const REQUEST_DIGEST = { bodyBytes: 9, getDigest: () => 'g' }
+const REQUEST: IRequestIdentity = { bodyBytes: 9, getDigest: () => 'g', getPartKeys: () => [] }
 
 /** Two nodes with facts of their own, which exchange them only on `sendFacts`. */
 class Fleet extends Disposable {
@@ -38,7 +39,7 @@
     registry.update({ id: upstream, role: 'u', address: 'h:1', hall: '', slots: 1, isLeaving }, 'test')
     const sentAt = this.clock.now()
     this.clock.advance(50)
-    const isCrashed = await service.recordLostRun({ digest: 'g', bodyBytes: 9, upstream, address: 'h:1', sentAt, endedAt: this.clock.now() })
+    const isCrashed = await service.recordLostRun({ digest: 'g', bodyBytes: 9, partKeys: [], isStarting: false, upstream, address: 'h:1', sentAt, endedAt: this.clock.now() })
     this.clock.advance(50)
     return isCrashed
   }
@@ -69,11 +70,11 @@
   await fleet.killUpstream(0, 'u1')
   await fleet.killUpstream(1, 'u2')
   await fleet.killUpstream(0, 'u3')
-  assert.not(fleet.getNode(0).service.getCrashRecord(REQUEST_DIGEST).isQuarantined)
+  assert.not(fleet.getNode(0).service.getCrashRecord(REQUEST).isQuarantined)
   fleet.sendFacts(0)
   fleet.sendFacts(1)
   for (const { service } of fleet.nodes) {
-    const record = service.getCrashRecord(REQUEST_DIGEST)
+    const record = service.getCrashRecord(REQUEST)
     assert.ok(record.isQuarantined)
     assert.equal([...record.upstreams].sort(), ['u1', 'u2', 'u3'])
     assert.ok(service.hasCrashed('u2'))
@@ -86,38 +87,38 @@
   for (const upstream of ['u1', 'u2', 'u3']) await fleet.killUpstream(0, upstream)
   const { facts, service } = fleet.getNode(0)
   const ends = facts.listSince(0, '')
-  service.recordServed(REQUEST_DIGEST)
+  service.recordServed(REQUEST, fleet.clock.now())
   for (const fact of [...ends, ...facts.listSince(facts.sequence - 1, '')]) fleet.getNode(1).facts.merge(fact, 'peer')
   await fleet.flush()
-  assert.not(fleet.getNode(1).service.getCrashRecord(REQUEST_DIGEST).isQuarantined)
+  assert.not(fleet.getNode(1).service.getCrashRecord(REQUEST).isQuarantined)
   assert.is(fleet.lines.filter(line => line.includes('event=quarantine_began')).length, 1)
 }))
 
 test('an answer clears the evidence against a request at all nodes, and so does an operator', () => runFleet(async fleet => {
   for (const upstream of ['u1', 'u2', 'u3']) await fleet.killUpstream(0, upstream)
   fleet.sendFacts(0)
-  fleet.getNode(1).service.recordServed(REQUEST_DIGEST)
+  fleet.getNode(1).service.recordServed(REQUEST, fleet.clock.now())
   fleet.sendFacts(1)
   // Old evidence that is received again has no effect.
   fleet.sendFacts(0)
-  for (const { service } of fleet.nodes) assert.is(service.getCrashRecord(REQUEST_DIGEST).crashCount, 0)
+  for (const { service } of fleet.nodes) assert.is(service.getCrashRecord(REQUEST).crashCount, 0)
   for (const upstream of ['u4', 'u5', 'u6']) await fleet.killUpstream(0, upstream)
-  assert.not(fleet.getNode(0).service.getCrashRecord(REQUEST_DIGEST).isQuarantined)
+  assert.not(fleet.getNode(0).service.getCrashRecord(REQUEST).isQuarantined)
   fleet.clock.advance(2000)
   for (const upstream of ['u7', 'u8', 'u9']) await fleet.killUpstream(0, upstream)
-  assert.ok(fleet.getNode(0).service.getCrashRecord(REQUEST_DIGEST).isQuarantined)
+  assert.ok(fleet.getNode(0).service.getCrashRecord(REQUEST).isQuarantined)
   await fleet.flush()
   assert.is(fleet.lines.filter(line => line.includes('event=quarantine_began')).length, 2, 'once at one node, and again there')
-  assert.ok(fleet.getNode(0).service.clear('g', 'operator'))
-  assert.not(fleet.getNode(0).service.clear('other', 'operator'))
+  assert.ok(fleet.getNode(0).service.clear('g'))
+  assert.not(fleet.getNode(0).service.clear('other'))
   fleet.sendFacts(0)
-  for (const { service } of fleet.nodes) assert.is(service.getCrashRecord(REQUEST_DIGEST).crashCount, 0)
+  for (const { service } of fleet.nodes) assert.is(service.getCrashRecord(REQUEST).crashCount, 0)
 }))
 
 test('after an answer all nodes require more crashes, after an operator\'s clearing they do not', () => runFleet(async fleet => {
   const clearings = [
-    { clear: () => fleet.getNode(0).service.recordServed(REQUEST_DIGEST), isQuarantined: false },
-    { clear: () => fleet.getNode(0).service.clear('g', 'operator'), isQuarantined: true }
+    { clear: () => fleet.getNode(0).service.recordServed(REQUEST, fleet.clock.now()), isQuarantined: false },
+    { clear: () => fleet.getNode(0).service.clear('g'), isQuarantined: true }
   ]
   let count = 0
   const loseRuns = async () => { for (let run = 0; run < 3; run++) await fleet.killUpstream(0, `u${count++}`) }
@@ -128,7 +129,7 @@
     clear()
     await loseRuns()
     fleet.sendFacts(0)
-    for (const { service } of fleet.nodes) assert.is(service.getCrashRecord(REQUEST_DIGEST).isQuarantined, isQuarantined)
+    for (const { service } of fleet.nodes) assert.is(service.getCrashRecord(REQUEST).isQuarantined, isQuarantined)
   }
 }))
 
@@ -137,10 +138,10 @@
   for (const upstream of ['u1', 'u2', 'u3']) assert.not(await fleet.killUpstream(0, upstream))
   fleet.probeResult = 'refused'
   for (const upstream of ['u4', 'u5', 'u6']) assert.not(await fleet.killUpstream(0, upstream, true))
-  assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST_DIGEST).crashCount, 0)
+  assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST).crashCount, 0)
   // The same upstream may crash later.
   assert.ok(await fleet.killUpstream(0, 'u1'))
-  assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST_DIGEST).crashCount, 1)
+  assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST).crashCount, 1)
 }))
 
 test('if an upstream\'s host does not answer, its removal from the list of upstreams counts as a crash', () => runFleet(async fleet => {
@@ -149,7 +150,56 @@
     assert.not(await fleet.killUpstream(0, upstream))
     fleet.getNode(0).registry.remove(upstream, 'removed')
   }
-  assert.ok(fleet.getNode(0).service.getCrashRecord(REQUEST_DIGEST).isQuarantined)
+  assert.ok(fleet.getNode(0).service.getCrashRecord(REQUEST).isQuarantined)
 }))
 
+/** Crashes an upstream while one node has several runs there, the last of which had just begun its answer. */
+async function killUnderPart (fleet: Fleet, node: number, upstream: string, runCount = 1): Promise<void> {
+  const { registry, service } = fleet.getNode(node)
+  registry.update({ id: upstream, role: 'u', address: 'h:1', hall: '', slots: 1, isLeaving: false }, 'test')
+  const sentAt = fleet.clock.now()
+  fleet.clock.advance(50)
+  const lostRuns = Array.from({ length: runCount }, (_item, index) => service.recordLostRun({ digest: `${upstream}.${index}`, bodyBytes: 9, partKeys: index === 0 ? ['part/g'] : [], isStarting: index === 0, upstream, address: 'h:1', sentAt, endedAt: fleet.clock.now() }))
+  await Promise.all(lostRuns)
+  fleet.clock.advance(200)
+}
+
+const PART_REQUEST: IRequestIdentity = { bodyBytes: 1, getDigest: () => 'other', getPartKeys: () => ['part/g'] }
+
+test('crashes under different requests with one part add up at all nodes, however many other runs were lost there', () => runFleet(async fleet => {
+  await killUnderPart(fleet, 0, 'u1', 40)
+  await killUnderPart(fleet, 1, 'u2')
+  await killUnderPart(fleet, 0, 'u3')
+  fleet.sendFacts(0)
+  fleet.sendFacts(1)
+  for (const { service } of fleet.nodes) assert.equal(service.getCrashRecord(PART_REQUEST).parts, ['g'])
+  await fleet.flush()
+  assert.is(fleet.lines.filter(line => line.includes('event=quarantine_began parts=g ends=3')).length, 2)
+  assert.ok(fleet.getNode(1).service.clear('part/g'))
+  fleet.sendFacts(1)
+  for (const { service } of fleet.nodes) assert.not(service.getCrashRecord(PART_REQUEST).isQuarantined)
+}))
+
+test('an answer clears a part at all nodes up to when its request was sent, and counts against later crashes', () => runFleet(async fleet => {
+  await killUnderPart(fleet, 0, 'u1')
+  await killUnderPart(fleet, 0, 'u2')
+  const sentAt = fleet.clock.now()
+  await killUnderPart(fleet, 0, 'u3')
+  assert.ok(fleet.getNode(0).service.getCrashRecord(PART_REQUEST).isQuarantined)
+  fleet.sendFacts(0)
+  fleet.getNode(1).service.recordProducing(PART_REQUEST, sentAt)
+  fleet.sendFacts(1)
+  for (const { service } of fleet.nodes) assert.not(service.getCrashRecord(PART_REQUEST).isQuarantined)
+  for (const upstream of ['u4', 'u5']) await killUnderPart(fleet, 0, upstream)
+  assert.not(fleet.getNode(0).service.getCrashRecord(PART_REQUEST).isQuarantined, 'three crashes since')
+}))
+
+test('nodes of the earlier version accept runs with parts, and their runs without parts are accepted', () => {
+  const run = { digest: 'g', bodyBytes: 9, sentBeforeMs: 50 }
+  const createMessage = (runs: readonly object[]) => ({ kind: 'facts', facts: [{ subject: 'ended/u/a', incarnation: 1, counter: 1, value: { kind: 'ended', upstream: 'u', runs }, ageMs: 0 }] })
+  assert.ok(checkMessage(createMessage([run])).isRight())
+  assert.ok(checkMessage(createMessage([{ ...run, parts: ['g'], isStarting: true, later: 1 }])).isRight(), 'unknown fields are ignored')
+  assert.ok(checkMessage(createMessage([{ ...run, parts: Array.from({ length: 33 }, String) }])).isLeft())
+})
+
 test.run()
--- a/src/services/quarantine/test/quarantineTracker.test.ts
+++ b/src/services/quarantine/test/quarantineTracker.test.ts
@@ -1,5 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import type { CrashedRun } from '../common/crashEvidence.ts'
 import { EVIDENCE_RETENTION_MS, QuarantineTracker } from '../common/quarantineTracker.ts'
 
 const test = suite('quarantineTracker')
@@ -50,4 +51,57 @@
   assert.is(tracker.getCrashRecord('flood0-').crashCount, 0)
 })
 
+const GUILTY = 'part/g'
+const POPULAR = 'part/a'
+
+/** Crashes under different requests that share parts, 100 ms apart. */
+function addPartCrashes (tracker: QuarantineTracker, count: number, run: Partial<CrashedRun> = {}): QuarantineTracker {
+  for (let index = 0; index < count; index++) tracker.addRun({ digest: `d${index}`, bodyBytes: 9, partKeys: [POPULAR, GUILTY], upstream: `u${index}`, sentAt: index * 100, crashedAt: index * 100 + 50, ...run })
+  return tracker
+}
+
+function findRecord (tracker: QuarantineTracker, ...partKeys: readonly string[]) {
+  return tracker.findRecord({ bodyBytes: 1, getDigest: () => assert.unreachable('the digest is not needed') as never, getPartKeys: () => partKeys })
+}
+
+test('only requests with all parts that always came together are quarantined, and with an answer to one of them the others', () => {
+  const tracker = addPartCrashes(new QuarantineTracker(), 3)
+  assert.ok(findRecord(tracker, 'part/b', GUILTY, POPULAR).isQuarantined)
+  assert.not(findRecord(tracker, POPULAR).isQuarantined)
+  assert.not(findRecord(tracker, GUILTY).isQuarantined)
+  assert.ok(tracker.isClearedBy(POPULAR, 100))
+  tracker.clear(POPULAR, 100, { isServed: true })
+  assert.ok(findRecord(tracker, GUILTY).isQuarantined)
+  assert.equal(findRecord(tracker, GUILTY).parts, ['g'])
+  assert.not(findRecord(tracker, POPULAR).isQuarantined)
+})
+
+test('an answer to a request that was sent before the first crash clears nothing', () => {
+  const tracker = addPartCrashes(new QuarantineTracker(), 3)
+  assert.not(tracker.isClearedBy(GUILTY, 50))
+  assert.not(tracker.isClearedBy('part/unknown', 1000))
+})
+
+test('clearing a request keeps the evidence against the parts of its prompt', () => {
+  const tracker = addPartCrashes(new QuarantineTracker(), 3, { digest: 'same' })
+  tracker.clear('same', 1000, { isServed: true })
+  assert.ok(findRecord(tracker, GUILTY, POPULAR).isQuarantined)
+  assert.is(tracker.getCrashRecord('same').crashCount, 0)
+})
+
+test('a run whose answer had not begun is no evidence against its parts if that of another had', () => {
+  const tracker = addPartCrashes(new QuarantineTracker(), 3, { isStarting: true })
+  addPartCrashes(tracker, 3, { digest: 'beside', partKeys: ['part/b'] })
+  assert.not(findRecord(tracker, 'part/b').isQuarantined)
+  assert.ok(findRecord(tracker, GUILTY, POPULAR).isQuarantined)
+  assert.ok(findRecord(addPartCrashes(new QuarantineTracker(), 3), GUILTY, POPULAR).isQuarantined, 'where no answer had begun, all count')
+})
+
+test('many parts with one crash each do not evict a quarantined one', () => {
+  const tracker = addPartCrashes(new QuarantineTracker(), 3)
+  assert.ok(findRecord(tracker, GUILTY, POPULAR).isQuarantined)
+  for (let index = 0; index < 5000; index++) tracker.addRun({ digest: `f${index}`, bodyBytes: 9, partKeys: [`part/f${index}`], upstream: `v${index}`, sentAt: index, crashedAt: index + 1 })
+  assert.ok(findRecord(tracker, GUILTY, POPULAR).isQuarantined)
+})
+
 test.run()
--- a/src/services/relay/common/attemptProgress.ts
+++ b/src/services/relay/common/attemptProgress.ts
@@ -40,6 +40,10 @@
     return this._firstOutputAt === Infinity ? 0 : this._endedAt - this._firstOutputAt
   }
 
+  get hasEnded (): boolean {
+    return this._endedAt !== Infinity
+  }
+
   get endedAt (): number {
     return this._endedAt
   }
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -5,13 +5,13 @@
 import { MAX_EXCLUDED_TARGETS } from '../../preparation/common/preparationMessage.ts'
 import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
 import { computeReturnWithinMs } from '../../preparation/common/returnWindow.ts'
-import type { IRequestDigest } from '../../quarantine/common/quarantine.ts'
+import type { IRequestIdentity } from '../../quarantine/common/quarantine.ts'
 import { listSharedPrefixes } from './relayRequest.ts'
 import type { RelayRequest } from './relayRequest.ts'
 
 export interface ReturningCaller {
   /** The same for all tries of the caller. */
-  readonly request: IRequestDigest
+  readonly request: Pick<IRequestIdentity, 'getDigest'>
   /** By the caller's own deadline: it decides how long the caller waits before it returns. */
   readonly timeLeftMs: number
 }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -201,7 +201,8 @@
       pauseTimeoutMs: computePauseTimeoutMs(route),
       signal: this._abortController.signal,
       onWillSend: () => {
-        if (!context.guard.maySend(upstream.id, request.id)) return false
+        // The cause of a crash may have become known while the request waited for quota and a connection.
+        if (!context.guard.maySend(upstream.id, request.id) || this._quarantine.findQuarantine() !== undefined) return false
         writtenAt = context.clock.now()
         scheduledRelease = this._inputs.scheduleRelease()
         return true
@@ -234,6 +235,7 @@
   private _recordFirstOutput (inFlightRequest: InFlightRequest, upstream: UpstreamEntry): void {
     inFlightRequest.recordFirstOutput()
     this._progress.recordFirstOutput(this._context.clock.now())
+    this._quarantine.recordFirstOutput(this._progress)
     this._inputs.report(upstream, { outcome: 'produced', producedMs: this._progress.firstOutputAt - this._progress.sentAt })
     if (this._producedMs === 0) this._producedMs = this._context.clock.now() - this._accepted.arrivedAt - this._inputs.preparedMs
     this._inputs.release()
@@ -244,7 +246,8 @@
     const record = this._quarantine.findQuarantine()
     if (record === undefined) return undefined
     this._context.quarantine.reportRefusal(this._accepted.request.id, this._quarantine.fingerprint, record)
-    return this._refuse('requestQuarantined', `${record.crashCount} upstreams crashed while running this request`, this._runCount === 0)
+    const cause = record.parts.length > 0 ? `requests with these parts of the prompt: ${record.parts.slice(0, MAX_LOGGED_PARTS).join()}` : 'this request'
+    return this._refuse('requestQuarantined', `${record.crashCount} upstreams crashed while running ${cause}`, this._runCount === 0)
   }
 
   /** Nothing was written, so the attempt does not count as sent. */
--- a/src/services/relay/node/requestQuarantine.ts
+++ b/src/services/relay/node/requestQuarantine.ts
@@ -2,6 +2,7 @@
  * The quarantine from the point of view of one request: what is known against it, its runs that were lost, and its answers.
  */
 import { NO_CRASHES } from '../../quarantine/common/quarantineTracker.ts'
+import type { LostRun } from '../../quarantine/common/quarantine.ts'
 import type { CrashRecord } from '../../quarantine/common/quarantineTracker.ts'
 import type { LostPieces } from '../../preparation/common/preparationService.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
@@ -14,6 +15,8 @@
 
 /** A crash that comes longer than this after the attempt's first output is not attributed to the request. */
 const CRASH_ATTRIBUTION_MS = 1000
+/** An upstream that crashes on a part of a prompt does so within this time after its first output, if it has any. */
+const STARTING_MS = 250
 
 export class RequestQuarantine {
   readonly fingerprint: RequestFingerprint
@@ -24,7 +27,7 @@
   private _lossesRecorded: Promise<unknown> = Promise.resolve()
 
   constructor (private readonly _context: RelayContext, private readonly _accepted: AcceptedRequest) {
-    this.fingerprint = new RequestFingerprint({ ..._accepted.request, customer: _accepted.customer, body: _accepted.body })
+    this.fingerprint = new RequestFingerprint({ ..._accepted.request, customer: _accepted.customer, body: _accepted.body }, _accepted.request.prompt)
   }
 
   /** Whether upstreams have crashed while they ran the request. */
@@ -32,9 +35,10 @@
     return this._record.crashCount > 0
   }
 
-  /** Identifies a suspect when an upstream is selected for it; undefined for other requests. */
+  /** Identifies a suspect when an upstream is selected for it, the same for all that share a cause; undefined for other requests. */
   get suspectKey (): string | undefined {
-    return this.isSuspect ? this.fingerprint.getDigest() : undefined
+    if (!this.isSuspect) return undefined
+    return this._record.parts.length > 0 ? this._record.parts.join() : this.fingerprint.getDigest()
   }
 
   /** The quarantine's count includes crashes of this request's attempts, except those that were not reported to it. */
@@ -54,9 +58,17 @@
    */
   async recordAttemptEnd (upstream: UpstreamEntry, { outcome, hasTimedOut = false }: AttemptResult, progress: AttemptProgress): Promise<void> {
     const { quarantine } = this._context
-    if (outcome.kind === 'delivered') return quarantine.recordServed(this.fingerprint)
+    if (outcome.kind === 'delivered') return quarantine.recordServed(this.fingerprint, progress.sentAt)
     if (!isConnectionLost(outcome) || hasTimedOut || progress.outputMs > CRASH_ATTRIBUTION_MS) return
-    if (await this._recordLostConnection(upstream, progress.sentAt, progress.endedAt)) this._ownCrashCount++
+    if (await this._recordLostConnection(upstream, { sentAt: progress.sentAt, endedAt: progress.endedAt, isStarting: isStarting(progress) })) this._ownCrashCount++
+  }
+
+  /** Clears the parts of the prompt once the upstream has produced output for longer than a crashing part would let it. */
+  recordFirstOutput (progress: AttemptProgress): void {
+    const { clock, quarantine } = this._context
+    clock.schedule(CRASH_ATTRIBUTION_MS, () => {
+      if (!progress.hasEnded) quarantine.recordProducing(this.fingerprint, progress.sentAt)
+    })
   }
 
   /** Calls `onDidQuarantine` if the request is then quarantined for crashing the upstreams that compute its pieces. */
@@ -73,15 +85,19 @@
     const { registry, log } = this._context
     const upstream = registry.get(upstreamId)
     if (upstream === undefined) return
-    const hasCrashed = await this._recordLostConnection(upstream, sentAt, endedAt)
+    const hasCrashed = await this._recordLostConnection(upstream, { sentAt, endedAt, isStarting: false })
     log.info('pieces_lost', { request: this._accepted.request.id, upstream: upstreamId, digest: this.fingerprint.getDigest(), ended: hasCrashed, ends: this._record.crashCount })
     if (this._record.isQuarantined) onDidQuarantine()
   }
 
-  private async _recordLostConnection (upstream: UpstreamEntry, sentAt: number, endedAt: number): Promise<boolean> {
+  private async _recordLostConnection (upstream: UpstreamEntry, times: Pick<LostRun, 'sentAt' | 'endedAt' | 'isStarting'>): Promise<boolean> {
     const { quarantine } = this._context
-    const hasCrashed = await quarantine.recordLostRun({ digest: this.fingerprint.getDigest(), bodyBytes: this.fingerprint.bodyBytes, upstream: upstream.id, address: upstream.address, sentAt, endedAt })
+    const hasCrashed = await quarantine.recordLostRun({ digest: this.fingerprint.getDigest(), bodyBytes: this.fingerprint.bodyBytes, partKeys: this.fingerprint.getPartKeys(), upstream: upstream.id, address: upstream.address, ...times })
     this._record = quarantine.getCrashRecord(this.fingerprint)
     return hasCrashed
   }
 }
+
+function isStarting ({ stage, outputMs }: AttemptProgress): boolean {
+  return stage === 'head' || (stage === 'output' && outputMs <= STARTING_MS)
+}
--- a/src/services/relay/test/crashingPromptPart.test.ts
+++ b/src/services/relay/test/crashingPromptPart.test.ts
@@ -92,7 +92,8 @@
 
 const QUARANTINED = /^HTTP\/1\.1 503 .*requestQuarantined$/s
 const isQuarantined = (text: string) => QUARANTINED.test(text)
-const isServed = (text: string) => text.startsWith('HTTP/1.1 200') && text.endsWith(EVENT + EVENT)
+/** Two events and the end of a chunked body. */
+const isServed = (text: string) => text.startsWith('HTTP/1.1 200') && text.split(EVENT).length === 3 && text.endsWith('0\r\n\r\n')
 
 test('requests that share a crashing part reach no fourth upstream, and requests with their other parts are served', () => runFleet({}, async fleet => {
   const refused: string[] = []
