Take an unframed answer for whole only if its upstream still runs

What callers saw: an upstream that crashed after the head, or between two events, of an answer with neither a length nor chunks left them with a whole 200 that lacked the rest; the same request crashed 19 of 20 upstreams.

Cause: such an answer ends with its connection, and a crash closes connections in order too. It counted as delivered, which also cleared the evidence against the request. The class: the absence of an error is taken for a proof.

Change: the upstream is dialled before the end of an unframed answer is passed on; if it refuses, the attempt is lost or broken like others. Framed answers cost nothing new. Upstreams that leave may stop after their last answer and are not dialled.

--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -30,6 +30,11 @@
 
 export interface IQuarantineService {
   getCrashRecord (request: IRequestIdentity): CrashRecord
+  /**
+   * Checks an upstream that ended its connection where nothing else marks the end of an answer. Resolves to whether it still
+   * runs, or leaves and may have stopped after the answer.
+   */
+  confirmRunning (upstream: Pick<LostRun, 'upstream' | 'address'>): Promise<boolean>
   /** Resolves to whether the upstream is known to have crashed, within the time of one connection attempt to it. */
   recordLostRun (run: LostRun): Promise<boolean>
   /** Counts a refused request and logs the evidence for it. */
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -83,6 +83,15 @@
     return this._tracker.findRecord(request)
   }
 
+  async confirmRunning ({ upstream, address }: Pick<LostRun, 'upstream' | 'address'>): Promise<boolean> {
+    const { registry, log } = this._options
+    const entry = registry.get(upstream)
+    if (entry === undefined || entry.isLeaving) return true
+    const result = await this._probe(address)
+    if (result !== 'accepted') log.info('unframed_answer_ended', { upstream, address, connection: result })
+    return result !== 'refused'
+  }
+
   async recordLostRun (run: LostRun): Promise<boolean> {
     const entry = this._options.registry.get(run.upstream)
     // An upstream that leaves as planned may stop with runs in flight.
@@ -143,12 +152,16 @@
   }
 
   private async _detectCrash ({ upstream, address }: LostRun): Promise<boolean> {
-    const result = await (this._options.probe ?? probeUpstream)(address)
+    const result = await this._probe(address)
     this._options.log.info('upstream_lost', { upstream, address, connection: result })
     if (result === 'silent' && !this._isDisposed) this._watchRegistry(upstream)
     return result === 'refused'
   }
 
+  private _probe (address: string): Promise<ProbeResult> {
+    return (this._options.probe ?? probeUpstream)(address)
+  }
+
   /** A host without power does not refuse connections; its upstream is removed from the list some time later. */
   private _watchRegistry (upstream: string): void {
     const { clock, registry } = this._options
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -144,6 +144,20 @@
   assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST).crashCount, 1)
 }))
 
+test('an upstream that refuses connections after an answer without framing has crashed, unless it was leaving', () => runFleet(async fleet => {
+  const { registry, service } = fleet.getNode(0)
+  const confirm = async (probeResult: ProbeResult, isLeaving = false) => {
+    fleet.probeResult = probeResult
+    registry.update({ id: `u-${isLeaving}`, role: 'u', address: 'h:1', hall: '', slots: 1, isLeaving }, 'test')
+    return await service.confirmRunning({ upstream: `u-${isLeaving}`, address: 'h:1' })
+  }
+  assert.ok(await confirm('accepted'))
+  assert.ok(await confirm('silent'))
+  assert.not(await confirm('refused'))
+  assert.ok(await confirm('refused', true))
+  assert.is(fleet.lines.filter(line => line.includes('event=unframed_answer_ended')).length, 2)
+}))
+
 test('if an upstream\'s host does not answer, its removal from the list of upstreams counts as a crash', () => runFleet(async fleet => {
   fleet.probeResult = 'silent'
   for (const upstream of ['u1', 'u2', 'u3']) {
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -33,6 +33,8 @@
   readonly onDidReadStatements: (statements: readonly UpstreamStatement[]) => void
   /** Called when the first event of a stream, or the whole answer, has arrived. */
   readonly onDidReceiveFirstOutput: () => void
+  /** Checks the upstream after the end of an answer without framing; false if it crashed. */
+  readonly confirmRunning: () => Promise<boolean>
   readonly localAddress?: string
 }
 
@@ -140,7 +142,7 @@
     } catch {
       return { outcome: this._decideIncomplete() }
     }
-    if (!isComplete(response, exchange)) return { outcome: this._decideIncomplete() }
+    if (!await this._isComplete(response, exchange)) return { outcome: this._decideIncomplete() }
     onDidReceiveFirstOutput()
     const bufferedAnswer = { status, headers: verdict.headers, body: Buffer.concat(parts), isFramed: isFramed(response) }
     if (!verdict.isSuccess) return { outcome: { kind: 'failed', status }, failure: bufferedAnswer }
@@ -186,7 +188,7 @@
     } catch {
       return this._decideBrokenStream(lastEventId)
     }
-    if (!isComplete(response, exchange) || splitter.pendingBytes > 0) {
+    if (splitter.pendingBytes > 0 || !await this._isComplete(response, exchange)) {
       exchange.cancel()
       return this._decideBrokenStream(lastEventId)
     }
@@ -202,6 +204,15 @@
     return this._options.answer.hasBegun ? { kind: 'broken', lastEventId, reason } : { kind: 'lost', reason }
   }
 
+  /**
+   * Without framing, the end of the connection is the only end of the body. The system closes the connections of a process
+   * that crashed in the same way, so the answer is complete only if the upstream still runs.
+   */
+  private async _isComplete (response: IncomingMessage, exchange: IExchange): Promise<boolean> {
+    if (!response.complete) return false
+    return isFramed(response) || (!exchange.hasConnectionFailed && await this._options.confirmRunning())
+  }
+
   private _startTimeout (timeoutMs: number, onTimeout: () => void): void {
     this._timer?.dispose()
     this._timer = this._options.clock.schedule(Math.min(timeoutMs, MAX_TIMER_MS), () => {
@@ -215,8 +226,3 @@
 function isFramed (response: IncomingMessage): boolean {
   return response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
 }
-
-/** A body that is delimited by the end of its connection is complete only if the connection was closed, not reset. */
-function isComplete (response: IncomingMessage, exchange: IExchange): boolean {
-  return response.complete && (isFramed(response) || !exchange.hasConnectionFailed)
-}
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -213,6 +213,7 @@
         if (writtenAt !== undefined) context.backoffs.recordSendResult(upstream.id, writtenAt, true)
         this._recordFirstOutput(inFlightRequest, upstream)
       },
+      confirmRunning: () => context.quarantine.confirmRunning({ upstream: upstream.id, address: upstream.address }),
       localAddress: context.localAddress
     }).run()
     this._isAttemptActive = false
