Do not take popular parts of prompts for the cause of other requests' crashes

Cause, from the nodes' logs: with one crash every 60 to 100 ms at the start, a part that is in every prompt was in flight at three of them before an answer cleared it. An answer after a single crash cleared nothing; a run that was sent to a crashed upstream before its crash was noticed there counted as a second crash of that upstream; and runs without any answer counted as much as those whose answer had just begun.

Change: answers clear parts from the first crash on; an upstream counts once; where no answer had begun, a part needs five crashes, within the bound of the users. Requests as a whole are judged as before.

New tests of the analysis and the tracker.

--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -52,6 +52,11 @@
 const CLOCK_TOLERANCE_MS = 5
 /** With this many crashes a cause is accepted even if a request without it was in flight at all of them. */
 const MAX_SHARED_CRASHES = 4
+/**
+ * Further crashes that are required for parts if the runs had not begun their answers. A popular part is in flight at several
+ * crashes within a moment, before any request with it could be answered.
+ */
+const EXTRA_WEAK_CRASHES = 2
 /** A single crash says too little about parts, which popular requests have. */
 const MIN_SUSPECT_CRASHES = 2
 /** Crashes that a narrower cause must leave unexplained before a wider one replaces it; one may be a coincidence. */
@@ -59,17 +64,19 @@
 
 /**
  * Counts crashes that followed one another, each run having been sent after the previous crash. A request that many callers
- * send concurrently may be in flight at several upstreams that lose power together; this counts as one crash.
+ * send concurrently may be in flight at several upstreams that lose power together; this counts as one crash. So do the runs at
+ * one upstream, whose crash some nodes notice later than others.
  */
 export function countSeparateCrashes (runs: Iterable<CrashedRun>): number {
-  let count = 0
+  const counted = new Set<string>()
   let lastCrashAt = -Infinity
   for (const run of [...runs].sort((a, b) => a.crashedAt - b.crashedAt)) {
-    if (run.sentAt < lastCrashAt - CLOCK_TOLERANCE_MS || run.crashedAt <= lastCrashAt + CLOCK_TOLERANCE_MS) continue
-    count++
+    const isSeparate = run.sentAt >= lastCrashAt - CLOCK_TOLERANCE_MS && run.crashedAt > lastCrashAt + CLOCK_TOLERANCE_MS
+    if (!isSeparate || counted.has(run.upstream)) continue
+    counted.add(run.upstream)
     lastCrashAt = run.crashedAt
   }
-  return count
+  return counted.size
 }
 
 /** The runs at upstreams whose crash is not attributed to a cause. */
@@ -110,8 +117,7 @@
 }
 
 function listSuspectedParts (evidence: Evidence, served: ReadonlySet<string>): readonly CrashCause[] {
-  const digests = new Set([...evidence.values()].flatMap(runs => [...runs].map(run => run.digest)))
-  return listCandidates(evidence, key => !served.has(key), MIN_SUSPECT_CRASHES).filter(({ keys }) => !keys.some(key => digests.has(key)))
+  return listCandidates(evidence, key => !served.has(key), MIN_SUSPECT_CRASHES).filter(candidate => !isWholeRequest(candidate))
 }
 
 /** Returns the possible causes, without those for which a narrower one explains all but a crash that may be a coincidence. */
@@ -120,11 +126,19 @@
   for (const [key, runs] of evidence) {
     if (runs.size < minCrashes || !isCandidate(key)) continue
     const crashCount = countSeparateCrashes(runs)
-    if (crashCount >= minCrashes) candidates.push({ keys: listCommonKeys(key, runs, evidence), runs, crashCount })
+    if (crashCount < minCrashes) continue
+    const candidate = { keys: listCommonKeys(key, runs, evidence), runs, crashCount }
+    if (crashCount >= minCrashes + EXTRA_WEAK_CRASHES || isWholeRequest(candidate) || countSeparateCrashes([...runs].filter(run => run.isStarting)) >= minCrashes) candidates.push(candidate)
   }
   return candidates.filter(wide => !candidates.some(narrow => isNarrower(narrow, wide) && countSeparateCrashes(listOtherRuns(wide, narrow)) < MIN_UNEXPLAINED_CRASHES))
 }
 
+/** Whether all runs are of one request, so that its digest is among what they have in common. */
+function isWholeRequest ({ keys, runs }: CrashCause): boolean {
+  const [first] = runs
+  return first !== undefined && keys.includes(first.digest)
+}
+
 /** Returns the keys against which all of these runs are evidence, the given one included. */
 function listCommonKeys (key: string, runs: ReadonlySet<CrashedRun>, evidence: Evidence): readonly string[] {
   const [first] = runs
--- a/src/services/quarantine/common/quarantineTracker.ts
+++ b/src/services/quarantine/common/quarantineTracker.ts
@@ -35,8 +35,6 @@
 export const EVIDENCE_RETENTION_MS = 600_000
 /** Maximum number of tracked requests. Each entry requires a crashed upstream, so many different bodies alone cannot fill it. */
 const MAX_REQUESTS = 2000
-/** An answer to a part publishes a fact, which is worthwhile only if the part may become a suspect. */
-const MIN_CLEARED_CRASHES = 2
 
 export class QuarantineTracker {
   /** Runs of the same request, by its digest and the parts of its prompt, which are not in the digest. */
@@ -84,8 +82,7 @@
 
   /** Whether an answer to a request that was sent at `sentAt` disproves evidence against a part of its prompt. */
   isClearedBy (partKey: string, sentAt: number): boolean {
-    const runs = this._getEvidence().get(partKey)
-    return runs !== undefined && [...runs].some(run => run.crashedAt < sentAt) && countSeparateCrashes(runs) >= MIN_CLEARED_CRASHES
+    return [...this._getEvidence().get(partKey) ?? []].some(run => run.crashedAt < sentAt)
   }
 
   hasEvidence (key: string): boolean {
--- a/src/services/quarantine/test/crashEvidence.test.ts
+++ b/src/services/quarantine/test/crashEvidence.test.ts
@@ -59,6 +59,11 @@
   assert.is(countSeparateCrashes([...together, createRun('p', 'e', 2.1, 3)]), 2)
 })
 
+test('runs at one upstream count once, even if a node sent to it after another had noticed its crash', () => {
+  const runs = [createRun('a', 'u', 0, 1), createRun('b', 'u', 1.01, 1.03), createRun('c', 'v', 1.1, 2)]
+  assert.is(countSeparateCrashes(runs), 2)
+})
+
 test('overlapping attempts count once, in whatever order they are reported', () => {
   const runs = [createRun('g', 'a', 0, 1), createRun('g', 'b', 0.5, 1.2), createRun('g', 'c', 1.1, 2), createRun('g', 'd', 2, 3)]
   assert.is(countSeparateCrashes(runs), 3)
@@ -66,14 +71,18 @@
 })
 
 /**
- * Each string lists the runs in flight at one crash, separated by spaces; each run has a request of its own and the parts that
- * its letters name. Returns the parts of each cause, separated by spaces.
+ * Each string lists the runs in flight at one crash, separated by spaces; each run has a request of its own, whose answer had
+ * just begun unless `isStarting` is false, and the parts that its letters name. Returns the parts of each cause, separated by spaces.
  */
 function findCrashingParts (served: string, ...crashes: readonly string[]): string {
+  return findPartsWith({ served, isStarting: true }, crashes)
+}
+
+function findPartsWith ({ served, isStarting }: { readonly served: string, readonly isStarting: boolean }, crashes: readonly string[]): string {
   const evidence = new Map<string, ReadonlySet<CrashedRun>>()
   for (const [index, runs] of crashes.entries()) {
     for (const [number, parts] of runs.split(' ').entries()) {
-      const run = { ...createRun(`${index}.${number}`, `u${index}`, index, index + 0.5), partKeys: [...parts] }
+      const run = { ...createRun(`${index}.${number}`, `u${index}`, index, index + 0.5), partKeys: [...parts], isStarting }
       for (const key of [run.digest, ...run.partKeys]) evidence.set(key, new Set([...evidence.get(key) ?? [], run]))
     }
   }
@@ -100,6 +109,11 @@
   assert.is(findCrashingParts('', 'gx', 'gx', 'gx', 'gy', 'gz'), 'g')
 })
 
+test('if no answer had begun, a part needs two crashes more', () => {
+  assert.is(findPartsWith({ served: '', isStarting: false }, ['ag', 'bg', 'cg', 'dg']), '')
+  assert.is(findPartsWith({ served: '', isStarting: false }, ['ag', 'bg', 'cg', 'dg', 'eg']), 'g')
+})
+
 test('a repeated request is the cause as a whole, not by its parts', () => {
   const runs = [0, 1, 2].map(index => ({ ...createRun('d', `u${index}`, index, index + 0.5), partKeys: ['a'] }))
   const { causes } = findCrashCauses(new Map([['d', new Set(runs)], ['a', new Set(runs)]]))
@@ -108,7 +122,7 @@
 
 test('two crashes make a part a suspect, and one does not', () => {
   const listSuspects = (count: number) => {
-    const runs = Array.from({ length: count }, (_item, index) => ({ ...createRun(`d${index}`, `u${index}`, index, index + 0.5), partKeys: ['g'] }))
+    const runs = Array.from({ length: count }, (_item, index) => ({ ...createRun(`d${index}`, `u${index}`, index, index + 0.5), partKeys: ['g'], isStarting: true }))
     return findCrashCauses(new Map([...runs.map(run => [run.digest, new Set([run])] as const), ['g', new Set(runs)]])).suspectedParts.map(({ keys }) => keys)
   }
   assert.equal(listSuspects(1), [])
--- a/src/services/quarantine/test/quarantineTracker.test.ts
+++ b/src/services/quarantine/test/quarantineTracker.test.ts
@@ -54,9 +54,9 @@
 const GUILTY = 'part/g'
 const POPULAR = 'part/a'
 
-/** Crashes under different requests that share parts, 100 ms apart. */
+/** Crashes under different requests that share parts and whose answers had just begun, 100 ms apart. */
 function addPartCrashes (tracker: QuarantineTracker, count: number, run: Partial<CrashedRun> = {}): QuarantineTracker {
-  for (let index = 0; index < count; index++) tracker.addRun({ digest: `d${index}`, bodyBytes: 9, partKeys: [POPULAR, GUILTY], upstream: `u${index}`, sentAt: index * 100, crashedAt: index * 100 + 50, ...run })
+  for (let index = 0; index < count; index++) tracker.addRun({ digest: `d${index}`, bodyBytes: 9, partKeys: [POPULAR, GUILTY], isStarting: true, upstream: `u${index}`, sentAt: index * 100, crashedAt: index * 100 + 50, ...run })
   return tracker
 }
 
@@ -76,6 +76,14 @@
   assert.not(findRecord(tracker, POPULAR).isQuarantined)
 })
 
+test('an answer after a single crash clears a part, so that a popular one is considered last', () => {
+  const tracker = addPartCrashes(new QuarantineTracker(), 1, { partKeys: [POPULAR] })
+  assert.ok(tracker.isClearedBy(POPULAR, 51))
+  tracker.clear(POPULAR, 51, { isServed: true })
+  for (let index = 0; index < 4; index++) tracker.addRun({ digest: `e${index}`, bodyBytes: 9, partKeys: [POPULAR], upstream: `v${index}`, sentAt: 100 + index * 100, crashedAt: 150 + index * 100 })
+  assert.not(findRecord(tracker, POPULAR).isQuarantined)
+})
+
 test('an answer to a request that was sent before the first crash clears nothing', () => {
   const tracker = addPartCrashes(new QuarantineTracker(), 3)
   assert.not(tracker.isClearedBy(GUILTY, 50))
@@ -90,11 +98,11 @@
 })
 
 test('a run whose answer had not begun is no evidence against its parts if that of another had', () => {
-  const tracker = addPartCrashes(new QuarantineTracker(), 3, { isStarting: true })
-  addPartCrashes(tracker, 3, { digest: 'beside', partKeys: ['part/b'] })
+  const tracker = addPartCrashes(new QuarantineTracker(), 5)
+  addPartCrashes(tracker, 5, { digest: 'beside', partKeys: ['part/b'], isStarting: false })
   assert.not(findRecord(tracker, 'part/b').isQuarantined)
   assert.ok(findRecord(tracker, GUILTY, POPULAR).isQuarantined)
-  assert.ok(findRecord(addPartCrashes(new QuarantineTracker(), 3), GUILTY, POPULAR).isQuarantined, 'where no answer had begun, all count')
+  assert.ok(findRecord(addPartCrashes(new QuarantineTracker(), 5, { isStarting: false }), GUILTY, POPULAR).isQuarantined, 'where no answer had begun, all count')
 })
 
 test('many parts with one crash each do not evict a quarantined one', () => {
