Make all nodes pause for a brittle upstream that refused one of them

Cause: an upstream that says it is brittle fails if it has to refuse more than some requests in a second, those of all nodes together. The statement was read by nobody; each node knew its own refusals only, and tried again at once.

Change: a refusal by such an upstream becomes a fact, and each node pauses for a time that it draws and returns with one trial request. Nothing changes where no upstream states it. Invalid values are reported like others.

--- a/src/entryNode/nodeStatements.ts
+++ b/src/entryNode/nodeStatements.ts
@@ -1,11 +1,14 @@
 /**
- * Applies the statements that upstreams send about themselves (rate limit, leaving, backoff, load) with any kind of answer.
+ * Applies the statements that upstreams send about themselves (rate limit, leaving, backoff, brittleness, load) with any kind of answer.
  */
 import { BoundedSet } from '../base/common/boundedSet.ts'
 import type { IClock } from '../base/common/clock.ts'
 import { Disposable } from '../base/common/disposable.ts'
 import { Emitter } from '../base/common/event.ts'
+import type { IRandom } from '../base/common/random.ts'
 import { BackoffService } from '../services/backoff/node/backoffService.ts'
+import { SharedRefusals } from '../services/backoff/node/sharedRefusals.ts'
+import type { FactStore } from '../services/facts/common/factStore.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { StatedLoads } from '../services/upstream/common/statedLoads.ts'
 import { dispatchStatements } from '../services/upstream/common/upstreamStatement.ts'
@@ -17,7 +20,11 @@
 export interface NodeStatementsOptions {
   readonly clock: IClock
   readonly log: ILogService
+  readonly random: IRandom
+  readonly facts: FactStore
   readonly registry: UpstreamRegistry
+  /** Number of nodes that send to the same upstreams, this one included. */
+  readonly countNodes: () => number
   /** Records the rate that an upstream accepts, in requests per second; undefined means that it has no limit. */
   readonly recordRateLimit: (upstream: string, perS: number | undefined) => void
 }
@@ -51,11 +58,13 @@
     this._options = options
     const { registry, recordRateLimit } = options
     this.backoffs = this._register(new BackoffService(options))
+    const refusals = this._register(new SharedRefusals({ ...options, backoffs: this.backoffs }))
     this.guard = new SendGuard({ ...options, backoffs: this.backoffs })
     this._receivers = {
       rate: (upstream, { perS }) => recordRateLimit(upstream, perS),
       leaving: upstream => registry.markLeaving(upstream, ANSWER_SIGNAL),
       backoff: (upstream, { forMs }) => this.backoffs.recordBackoff(upstream, forMs),
+      brittleRefusal: (upstream, { maxPerS }) => refusals.recordRefusal(upstream, maxPerS),
       load: (upstream, { load }) => this._recordLoad(upstream, load),
       invalidLoad: (upstream, statement) => this._recordInvalidLoad(upstream, statement),
       invalid: (upstream, statement) => this._recordInvalidStatement(upstream, statement)
--- a/src/entryNode/test/nodeStatements.test.ts
+++ b/src/entryNode/test/nodeStatements.test.ts
@@ -1,6 +1,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { VirtualClock } from '../../base/common/clock.ts'
+import { SeededRandom } from '../../base/common/random.ts'
+import { FactStore } from '../../services/facts/common/factStore.ts'
 import { LogService } from '../../services/log/node/logger.ts'
 import type { UpstreamStatement } from '../../services/upstream/common/upstreamStatement.ts'
 import { UpstreamRegistry } from '../../services/upstream/common/upstreamRegistry.ts'
@@ -16,7 +18,7 @@
   const clock = new VirtualClock()
   const registry = new UpstreamRegistry()
   registry.update({ id: 'u', role: 'r', address: '127.0.0.1:9', hall: 'x', slots: 1, isLeaving: false }, 'test')
-  const node = new NodeStatements({ clock, log, registry, recordRateLimit: (_upstream, perS) => rates.push(perS) })
+  const node = new NodeStatements({ clock, log, random: new SeededRandom(1), facts: new FactStore(clock), registry, countNodes: () => 1, recordRateLimit: (_upstream, perS) => rates.push(perS) })
   const kinds: string[] = []
   node.onDidRecordStatement(kind => kinds.push(kind))
   node.recordStatements({ upstream: 'u', statements })
--- a/src/services/backoff/node/backoffService.ts
+++ b/src/services/backoff/node/backoffService.ts
@@ -28,14 +28,14 @@
     this._register(options.registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._table.forget(entry.id) }))
   }
 
-  /** Records that an upstream requested a backoff of some duration, starting now. */
-  recordBackoff (upstream: string, forMs: number): void {
+  /** Records that nothing must be sent to an upstream for some time, starting now; `source` is logged. */
+  recordBackoff (upstream: string, forMs: number, source = 'asked'): void {
     const { clock, log, registry } = this._options
     if (forMs <= 0 || registry.get(upstream) === undefined) return
     const now = clock.now()
     const leftBeforeMs = this._table.getWaitMs(upstream, now)
     this._table.record(upstream, forMs, now)
-    log.info('backoff_asked', { upstream, for_ms: Math.round(forMs), left_before_ms: Math.round(leftBeforeMs) })
+    log.info('backoff_asked', { upstream, for_ms: Math.round(forMs), left_before_ms: Math.round(leftBeforeMs), source })
   }
 
   get isEmpty (): boolean {
--- a/src/services/facts/common/fact.ts
+++ b/src/services/facts/common/fact.ts
@@ -100,7 +100,15 @@
   readonly perS?: number | undefined
 }
 
-export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact | EndedFact | ClearedFact | EvacuationFact | LimitFact
+/** A brittle upstream refused a request of some node for want of room. */
+export interface RefusalFact {
+  readonly kind: 'refusal'
+  readonly upstream: string
+  /** Refusals in one second that the upstream tolerates, those of all nodes together. */
+  readonly maxPerS: number
+}
+
+export type FactValue = MemberFact | GateFact | LoadFact | LeavingFact | EndedFact | ClearedFact | EvacuationFact | LimitFact | RefusalFact
 
 export interface Fact {
   readonly subject: string
@@ -147,6 +155,10 @@
   return `limit/${upstream}/${node}`
 }
 
+export function formatRefusalSubject (upstream: string): string {
+  return `refusal/${upstream}`
+}
+
 export function formatClearedSubject (digest: string): string {
   return `cleared/${digest}`
 }
--- a/src/services/facts/common/factStore.ts
+++ b/src/services/facts/common/factStore.ts
@@ -30,7 +30,7 @@
 
 /** The subjects of some kinds are short-lived. Facts of these kinds expire after this time, and older ones are not accepted from peers. */
 const MAX_FACT_AGE_MS = 600_000
-const EXPIRING_KINDS = ['gate', 'ended', 'cleared', 'limit'] as const
+const EXPIRING_KINDS = ['gate', 'ended', 'cleared', 'limit', 'refusal'] as const
 /** Room for 1000 crashes of upstreams, each reported by a few nodes, and for the facts that clear them; more would displace members. */
 const MAX_EVIDENCE_FACTS = 4000
 /** Far more than a fleet of the target size needs; protects against a faulty sender. */
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -54,7 +54,8 @@
   }),
   Schema.Struct({ kind: Schema.Literal('cleared'), digest: Name, isServed: Schema.optional(Schema.Boolean) }),
   Schema.Struct({ kind: Schema.Literal('evacuation'), hall: Name, isEvacuated: Schema.Boolean }),
-  Schema.Struct({ kind: Schema.Literal('limit'), upstream: Name, perS: Schema.optional(Schema.Number.pipe(Schema.finite(), Schema.nonNegative())) })
+  Schema.Struct({ kind: Schema.Literal('limit'), upstream: Name, perS: Schema.optional(Schema.Number.pipe(Schema.finite(), Schema.nonNegative())) }),
+  Schema.Struct({ kind: Schema.Literal('refusal'), upstream: Name, maxPerS: Schema.Number.pipe(Schema.finite(), Schema.positive()) })
 )
 
 const FactSchema = Schema.Struct({
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -195,7 +195,7 @@
     }))
     const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1 }))
     const limits = this._register(new RateLimitService({ clock, log, facts, node: 'n', incarnation: 1 }))
-    const statements = this._register(new NodeStatements({ clock, log, registry: this.registry, recordRateLimit: (upstream, perS) => limits.recordLimit(upstream, perS) }))
+    const statements = this._register(new NodeStatements({ clock, log, random: new SeededRandom(2), facts, registry: this.registry, countNodes: () => 1, recordRateLimit: (upstream, perS) => limits.recordLimit(upstream, perS) }))
     const { backoffs, guard } = statements
     const stated = new StatedLimits(upstream => limits.findLimit(upstream))
     const links = this._register(new CoordinatorLinks({ clock, log }))
--- a/src/services/upstream/common/upstreamStatement.ts
+++ b/src/services/upstream/common/upstreamStatement.ts
@@ -11,6 +11,8 @@
   | { readonly kind: 'leaving' }
   /** The upstream refused a request of this node and asks it to send nothing for this time. */
   | { readonly kind: 'backoff', readonly forMs: number }
+  /** The upstream refused a request of this node, and fails if it has to refuse more than this in a second from all nodes. */
+  | { readonly kind: 'brittleRefusal', readonly maxPerS: number }
   /** The upstream's load when it answered; a hint for this node's choices. */
   | { readonly kind: 'load', readonly load: StatedLoad }
   /** A load that cannot be read; it has no effect. Apart from other invalid statements, because nearly every answer may have one. */
