Bound the time to analyse many crashes

With 2,000 tracked runs of four keys each, one analysis took 12.7 ms (median of 60, on a machine under load), after each batch of facts that a request follows. Keys with a single run, the most by far, cannot be a cause and are left out before causes are looked for: 4.4 ms under more load; 0.2 ms with 60 runs. What a request costs otherwise is 0.4 to 2.2 us (median of 5,000), with and without tracked parts.

--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -101,12 +101,13 @@
   }
 }
 
+/** Leaves out keys with a single run, which cannot be a cause and are the most by far. */
 function listUnexplainedEvidence (evidence: Evidence, explainedUpstreams: ReadonlySet<string>): Evidence {
-  if (explainedUpstreams.size === 0) return evidence
   const remaining = new Map<string, ReadonlySet<CrashedRun>>()
   for (const [key, allRuns] of evidence) {
-    const runs = listUnexplainedRuns(allRuns, explainedUpstreams)
-    if (runs.length > 0) remaining.set(key, new Set(runs))
+    if (allRuns.size < MIN_SUSPECT_CRASHES) continue
+    const runs = explainedUpstreams.size === 0 ? allRuns : new Set(listUnexplainedRuns(allRuns, explainedUpstreams))
+    if (runs.size >= MIN_SUSPECT_CRASHES) remaining.set(key, runs)
   }
   return remaining
 }
--- a/src/services/quarantine/common/quarantineTracker.ts
+++ b/src/services/quarantine/common/quarantineTracker.ts
@@ -185,8 +185,9 @@
       else known.add(run)
     }
     for (const run of runs) {
+      if (!this._isCleared(run.digest, run)) append(run.digest, run)
       const isBystander = run.isStarting !== true && startingAt.has(run.upstream)
-      for (const key of isBystander ? [run.digest] : listKeys(run)) if (!this._isCleared(key, run)) append(key, run)
+      if (!isBystander) for (const key of run.partKeys ?? []) if (!this._isCleared(key, run)) append(key, run)
     }
     return evidence
   }
