--- a/src/services/relay/test/crashingRequest.test.ts
+++ b/src/services/relay/test/crashingRequest.test.ts
@@ -5,13 +5,14 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { runFleet } from './crashingFleet.ts'
+import type { CrashingFleet, CrashingFleetOptions } from './crashingFleet.ts'
 import { FakeUpstream, RelayHarness } from './fakes.ts'
 import type { RelayHarnessOptions } from './fakes.ts'
 
 const test = suite('crashingRequest')
 
 const CRASHING = 'crash'
-const UPSTREAM_COUNT = 6
 const TRIES = 20
 /** Number of upstreams that a request may crash before it is quarantined. */
 const MAX_CRASHES = 3
@@ -19,50 +20,16 @@
 const EVENT = 'id: 1\ndata: x\n\n'
 const CRASH_MS = 10
 
-/** Upstreams that crash on a certain request body, each of which is replaced by a new instance. */
-class CrashingFleet {
-  readonly crashes: string[] = []
-  readonly harness: RelayHarness
-
-  constructor (route: RelayHarnessOptions['route']) {
-    this.harness = new RelayHarness({ upstreams: [], route: { timeoutMs: 1000, ...route } })
-  }
-
-  async start (): Promise<void> {
-    await this.harness.start()
-    for (let index = 0; index < UPSTREAM_COUNT; index++) await this._addUpstream()
-  }
-
-  private async _addUpstream (): Promise<void> {
-    const upstream: FakeUpstream = new FakeUpstream((socket, head) => {
-      const id = /^Id: (.+)\r$/m.exec(head)?.[1]
-      if (head.endsWith(CRASHING)) setTimeout(() => this._endUpstream(upstream, upstreamId), CRASH_MS)
-      else setTimeout(() => { if (!socket.destroyed) socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: ${EVENT.length}\r\n\r\n${EVENT}`) }, RUN_MS)
-    })
-    const upstreamId = await this.harness.addUpstream(upstream)
-  }
-
-  private _endUpstream (upstream: FakeUpstream, upstreamId: string): void {
-    if (this.crashes.includes(upstreamId)) return
-    this.crashes.push(upstreamId)
-    upstream.stop()
-    void this._addUpstream()
-    // The list of upstreams is updated with a delay.
-    setTimeout(() => this.harness.registry.remove(upstreamId, 'test'), RUN_MS * 5)
-  }
-}
-
-async function runFleet (route: RelayHarnessOptions['route'], run: (fleet: CrashingFleet) => Promise<void>): Promise<void> {
-  const fleet = new CrashingFleet(route)
-  try {
-    await fleet.start()
-    await run(fleet)
-  } finally {
-    fleet.harness.dispose()
+/** Upstreams that crash on a certain request body. */
+function runWithRoute (route: RelayHarnessOptions['route'], run: (fleet: CrashingFleet) => Promise<void>): Promise<void> {
+  const answer: CrashingFleetOptions['answer'] = ({ id, text, socket }, crash) => {
+    if (text.endsWith(CRASHING)) setTimeout(crash, CRASH_MS)
+    else setTimeout(() => { if (!socket.destroyed) socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: ${EVENT.length}\r\n\r\n${EVENT}`) }, RUN_MS)
   }
+  return runFleet({ route: { timeoutMs: 1000, ...route }, answer }, run)
 }
 
-test('a request that crashed three upstreams does not reach a fourth, and concurrent requests are not quarantined', () => runFleet({ kind: RouteKind.STREAM, maxAttempts: 1 }, async ({ harness, crashes }) => {
+test('a request that crashed three upstreams does not reach a fourth, and concurrent requests are not quarantined', () => runWithRoute({ kind: RouteKind.STREAM, maxAttempts: 1 }, async ({ harness, crashes }) => {
   const refused: string[] = []
   const concurrent: string[] = []
   for (let index = 0; index < TRIES; index++) {
@@ -77,7 +44,7 @@
   assert.ok(concurrent.slice(TRIES * 2).every(text => text.startsWith('HTTP/1.1 200')))
 }))
 
-test('a try with many allowed attempts crashes two upstreams, and the next try a third', () => runFleet({ kind: RouteKind.REPEATABLE, maxAttempts: 5 }, async ({ harness, crashes }) => {
+test('a try with many allowed attempts crashes two upstreams, and the next try a third', () => runWithRoute({ kind: RouteKind.REPEATABLE, maxAttempts: 5 }, async ({ harness, crashes }) => {
   const counts: number[] = []
   for (let index = 0; index < 4; index++) {
     await harness.submit(`try${index}`, CRASHING)
