Keep the parts of a prompt out of what crashes upstreams that compute pieces

An upstream that computes pieces does not see the prompt, but its crash counted against the parts of the requests whose pieces it had; with five such crashes a part could have been refused. The request as a whole counts as before. The timer that clears parts by long output is not set while nothing is held against any request.

--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -29,6 +29,8 @@
 }
 
 export interface IQuarantineService {
+  /** False while nothing is held against any request, so that nothing has to be cleared. */
+  readonly hasEvidence: boolean
   getCrashRecord (request: IRequestIdentity): CrashRecord
   /**
    * Checks an upstream that ended its connection where nothing else marks the end of an answer. Resolves to whether it still
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -1,7 +1,7 @@
 /**
- * Prevents requests that crash upstreams, as a whole or by a part of their prompts, from being sent again by any node. Each node publishes the runs that it lost at a
- * crashed upstream as one fact per node and upstream, so that the observations of all nodes add up. Every node then decides
- * independently from the same facts.
+ * Prevents requests that crash upstreams, as a whole or by a part of their prompts, from being sent again by any node. Each
+ * node publishes the runs that it lost at a crashed upstream as one fact per node and upstream, so that the observations of all
+ * nodes add up. Every node then decides independently from the same facts.
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
@@ -48,7 +48,7 @@
 const MAX_REPORTED_RUNS = 16
 const EXPIRE_PERIOD_MS = 10_000
 const MAX_LOGGED_DIGESTS = 4
-/** A part may be held against for as long as upstreams crash, so the upstreams of one line are bounded. */
+/** A cause may be in flight at many crashes before it is known everywhere. */
 const MAX_LOGGED_UPSTREAMS = 8
 
 export class QuarantineService extends Disposable implements IQuarantineService {
@@ -74,6 +74,10 @@
     return this._refusedCount
   }
 
+  get hasEvidence (): boolean {
+    return !this._tracker.isEmpty
+  }
+
   /** Whether any node has observed that this upstream instance crashed, although it may still be listed. */
   hasCrashed (upstream: string): boolean {
     return this._crashedAtByUpstream.has(upstream)
--- a/src/services/relay/node/requestQuarantine.ts
+++ b/src/services/relay/node/requestQuarantine.ts
@@ -60,12 +60,13 @@
     const { quarantine } = this._context
     if (outcome.kind === 'delivered') return quarantine.recordServed(this.fingerprint, progress.sentAt)
     if (!isConnectionLost(outcome) || hasTimedOut || progress.outputMs > CRASH_ATTRIBUTION_MS) return
-    if (await this._recordLostConnection(upstream, { sentAt: progress.sentAt, endedAt: progress.endedAt, isStarting: isStarting(progress) })) this._ownCrashCount++
+    if (await this._recordLostConnection(upstream, { sentAt: progress.sentAt, endedAt: progress.endedAt, isStarting: isStarting(progress), partKeys: this.fingerprint.getPartKeys() })) this._ownCrashCount++
   }
 
   /** Clears the parts of the prompt once the upstream has produced output for longer than a crashing part would let it. */
   recordFirstOutput (progress: AttemptProgress): void {
     const { clock, quarantine } = this._context
+    if (!quarantine.hasEvidence) return
     clock.schedule(CRASH_ATTRIBUTION_MS, () => {
       if (!progress.hasEnded) quarantine.recordProducing(this.fingerprint, progress.sentAt)
     })
@@ -85,14 +86,15 @@
     const { registry, log } = this._context
     const upstream = registry.get(upstreamId)
     if (upstream === undefined) return
-    const hasCrashed = await this._recordLostConnection(upstream, { sentAt, endedAt, isStarting: false })
+    // The upstream computed pieces and did not see the prompt.
+    const hasCrashed = await this._recordLostConnection(upstream, { sentAt, endedAt, isStarting: false, partKeys: [] })
     log.info('pieces_lost', { request: this._accepted.request.id, upstream: upstreamId, digest: this.fingerprint.getDigest(), ended: hasCrashed, ends: this._record.crashCount })
     if (this._record.isQuarantined) onDidQuarantine()
   }
 
-  private async _recordLostConnection (upstream: UpstreamEntry, times: Pick<LostRun, 'sentAt' | 'endedAt' | 'isStarting'>): Promise<boolean> {
+  private async _recordLostConnection (upstream: UpstreamEntry, run: Pick<LostRun, 'sentAt' | 'endedAt' | 'isStarting' | 'partKeys'>): Promise<boolean> {
     const { quarantine } = this._context
-    const hasCrashed = await quarantine.recordLostRun({ digest: this.fingerprint.getDigest(), bodyBytes: this.fingerprint.bodyBytes, partKeys: this.fingerprint.getPartKeys(), upstream: upstream.id, address: upstream.address, ...times })
+    const hasCrashed = await quarantine.recordLostRun({ digest: this.fingerprint.getDigest(), bodyBytes: this.fingerprint.bodyBytes, upstream: upstream.id, address: upstream.address, ...run })
     this._record = quarantine.getCrashRecord(this.fingerprint)
     return hasCrashed
   }
