--- a/src/services/relay/common/attemptProgress.ts
+++ b/src/services/relay/common/attemptProgress.ts
@@ -6,9 +6,10 @@
 export type AnswerStage = 'none' | 'head' | 'output'
 
 export class AttemptProgress {
-  /** When the head of the answer and its first output arrived; Infinity before that. */
-  private _headAt = Infinity
+  private _hasHead = false
+  /** Infinity until it has arrived. */
   private _firstOutputAt = Infinity
+  /** Infinity until the attempt has ended. */
   private _endedAt = Infinity
 
   /** `sentAt`, like all times of this class, is in milliseconds on this process's clock. */
@@ -20,11 +21,11 @@
 
   get stage (): AnswerStage {
     if (this._firstOutputAt !== Infinity) return 'output'
-    return this._headAt === Infinity ? 'none' : 'head'
+    return this._hasHead ? 'head' : 'none'
   }
 
-  recordHead (now: number): void {
-    this._headAt = now
+  recordHead (): void {
+    this._hasHead = true
   }
 
   recordFirstOutput (now: number): void {
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -207,7 +207,7 @@
         scheduledRelease = this._inputs.scheduleRelease()
         return true
       },
-      onDidBeginAnswer: () => progress.recordHead(context.clock.now()),
+      onDidBeginAnswer: () => progress.recordHead(),
       onDidReadStatements: statements => context.recordStatements({ upstream: upstream.id, statements }),
       onDidReceiveFirstOutput: () => {
         if (writtenAt !== undefined) context.backoffs.recordSendResult(upstream.id, writtenAt, true)
