Prefer the crashing part to a popular one whose answers had begun beside it

Cause: a wider cause replaced a narrower one where its other runs had been lost at two crashes, even if these were the narrower one's own crashes; and of two causes with as many crashes the first one met was taken. So three crashes with sound requests just being answered beside the crashing one quarantined the popular first part, until an answer cleared it. Found by reading.

Change: only crashes at which the narrower cause had no run count for the wider one; among causes of as many crashes, the one of fewer runs goes first.

Evidence: two new tests of crashEvidence.test.ts failed before ("a" in place of "ag", "b" in place of "g") and pass.

--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -114,7 +114,12 @@
 
 function findLikeliestCause (evidence: Evidence, isCandidate: (key: string) => boolean, minCrashes: number): CrashCause | undefined {
   const candidates = listCandidates(evidence, isCandidate, minCrashes).filter(candidate => candidate.crashCount >= MAX_SHARED_CRASHES || !hasOtherSuspect(candidate, evidence))
-  return candidates.reduce<CrashCause | undefined>((best, candidate) => best === undefined || candidate.crashCount > best.crashCount ? candidate : best, undefined)
+  return candidates.reduce<CrashCause | undefined>((best, candidate) => best === undefined || isLikelier(candidate, best) ? candidate : best, undefined)
+}
+
+/** What is in flight more often is so more often by coincidence. */
+function isLikelier (a: CrashCause, b: CrashCause): boolean {
+  return a.crashCount > b.crashCount || (a.crashCount === b.crashCount && a.runs.size < b.runs.size)
 }
 
 function listSuspectedParts (evidence: Evidence, served: ReadonlySet<string>): readonly CrashCause[] {
@@ -131,7 +136,7 @@
     const candidate = { keys: listCommonKeys(key, runs, evidence), runs, crashCount }
     if (crashCount >= minCrashes + EXTRA_WEAK_CRASHES || isWholeRequest(candidate) || countSeparateCrashes([...runs].filter(run => run.isStarting)) >= minCrashes) candidates.push(candidate)
   }
-  return candidates.filter(wide => !candidates.some(narrow => isNarrower(narrow, wide) && countSeparateCrashes(listOtherRuns(wide, narrow)) < MIN_UNEXPLAINED_CRASHES))
+  return candidates.filter(wide => !candidates.some(narrow => isNarrower(narrow, wide) && countSeparateCrashes(listUnexplainedRuns(wide.runs, listUpstreams(narrow.runs))) < MIN_UNEXPLAINED_CRASHES))
 }
 
 /** Whether all runs are of one request, so that its digest is among what they have in common. */
@@ -154,8 +159,8 @@
   return narrow.runs.size < wide.runs.size && [...narrow.runs].every(run => wide.runs.has(run))
 }
 
-function listOtherRuns (wide: CrashCause, narrow: CrashCause): readonly CrashedRun[] {
-  return [...wide.runs].filter(run => !narrow.runs.has(run))
+function listUpstreams (runs: ReadonlySet<CrashedRun>): ReadonlySet<string> {
+  return new Set([...runs].map(run => run.upstream))
 }
 
 /**
@@ -163,7 +168,7 @@
  * cause's runs had just begun at each of them, the same must hold for the other.
  */
 function hasOtherSuspect ({ keys, runs }: CrashCause, evidence: Evidence): boolean {
-  const upstreams = new Set([...runs].map(run => run.upstream))
+  const upstreams = listUpstreams(runs)
   const wasStarting = [...runs].every(run => run.isStarting === true)
   for (const [other, otherRuns] of evidence) {
     if (otherRuns.size < upstreams.size || keys.includes(other)) continue
--- a/src/services/quarantine/test/crashEvidence.test.ts
+++ b/src/services/quarantine/test/crashEvidence.test.ts
@@ -105,6 +105,16 @@
   assert.is(findCrashingParts('', 'ag', 'ag', 'ag', 'a', 'a'), 'a')
 })
 
+test('a popular part of requests whose answers had just begun beside the crashing ones is not the cause', () => {
+  assert.is(findCrashingParts('', 'ag a', 'ag a', 'ag a'), 'ag')
+  assert.is(findCrashingParts('', 'ag a ab', 'ag a', 'ag a a', 'a'), 'ag')
+})
+
+test('of two parts at the same crashes, the one of fewer requests is the cause', () => {
+  assert.is(findCrashingParts('', 'b b g', 'b g', 'b b g'), '')
+  assert.is(findCrashingParts('', 'b b g', 'b g', 'b b g', 'b b g'), 'g')
+})
+
 test('a part that several narrower groups of requests have explains all of their crashes', () => {
   assert.is(findCrashingParts('', 'gx', 'gx', 'gx', 'gy', 'gz'), 'g')
 })
