Split the conditions on causes of crashes, and end a circle by types

quarantine.ts and quarantineTracker.ts took types from each other; IRequestIdentity has a file of its own. The conditions for a candidate and for a wider cause are functions with names.

--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -131,12 +131,22 @@
   const candidates: CrashCause[] = []
   for (const [key, runs] of evidence) {
     if (runs.size < minCrashes || !isCandidate(key)) continue
-    const crashCount = countSeparateCrashes(runs)
-    if (crashCount < minCrashes) continue
-    const candidate = { keys: listCommonKeys(key, runs, evidence), runs, crashCount }
-    if (crashCount >= minCrashes + EXTRA_WEAK_CRASHES || isWholeRequest(candidate) || countSeparateCrashes([...runs].filter(run => run.isStarting)) >= minCrashes) candidates.push(candidate)
+    const candidate = { keys: listCommonKeys(key, runs, evidence), runs, crashCount: countSeparateCrashes(runs) }
+    if (hasEnoughCrashes(candidate, minCrashes)) candidates.push(candidate)
   }
-  return candidates.filter(wide => !candidates.some(narrow => isNarrower(narrow, wide) && countSeparateCrashes(listUnexplainedRuns(wide.runs, listUpstreams(narrow.runs))) < MIN_UNEXPLAINED_CRASHES))
+  return candidates.filter(wide => !candidates.some(narrow => isNarrower(narrow, wide) && hasFewUnexplained(narrow, wide)))
+}
+
+function hasEnoughCrashes (candidate: CrashCause, minCrashes: number): boolean {
+  const { runs, crashCount } = candidate
+  if (crashCount < minCrashes) return false
+  if (isWholeRequest(candidate) || crashCount >= minCrashes + EXTRA_WEAK_CRASHES) return true
+  return countSeparateCrashes([...runs].filter(run => run.isStarting)) >= minCrashes
+}
+
+function hasFewUnexplained (narrow: CrashCause, wide: CrashCause): boolean {
+  const unexplained = listUnexplainedRuns(wide.runs, listUpstreams(narrow.runs))
+  return countSeparateCrashes(unexplained) < MIN_UNEXPLAINED_CRASHES
 }
 
 /** Whether all runs are of one request, so that its digest is among what they have in common. */
--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -3,6 +3,7 @@
  * a request.
  */
 import type { CrashRecord } from './quarantineTracker.ts'
+import type { IRequestIdentity } from './requestIdentity.ts'
 
 /** A run whose connection was closed before its answer was complete. */
 export interface LostRun {
@@ -20,14 +21,6 @@
   readonly endedAt: number
 }
 
-/** What identifies a request. Computed on demand, because hashing the body is expensive and rarely needed. */
-export interface IRequestIdentity {
-  readonly bodyBytes: number
-  getDigest (): string
-  /** Keys of the parts of its prompt that other requests may share. */
-  getPartKeys (): readonly string[]
-}
-
 export interface IQuarantineService {
   /** False while nothing is held against any request, so that nothing has to be cleared. */
   readonly hasEvidence: boolean
--- a/src/services/quarantine/common/quarantineTracker.ts
+++ b/src/services/quarantine/common/quarantineTracker.ts
@@ -5,7 +5,7 @@
 import { countSeparateCrashes, findCrashCauses, listUnexplainedRuns } from './crashEvidence.ts'
 import type { CrashAnalysis, CrashCause, CrashedRun, Evidence } from './crashEvidence.ts'
 import { isPartKey, parsePartKey } from './partKey.ts'
-import type { IRequestIdentity } from './quarantine.ts'
+import type { IRequestIdentity } from './requestIdentity.ts'
 
 /** The crashes counted against one request. */
 export interface CrashRecord {
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -7,7 +7,7 @@
 import { FactStore } from '../../facts/common/factStore.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
-import type { IRequestIdentity } from '../common/quarantine.ts'
+import type { IRequestIdentity } from '../common/requestIdentity.ts'
 import { QuarantineService } from '../node/quarantineService.ts'
 import type { ProbeResult } from '../node/upstreamProbe.ts'
 
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -5,7 +5,7 @@
 import { MAX_EXCLUDED_TARGETS } from '../../preparation/common/preparationMessage.ts'
 import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
 import { computeReturnWithinMs } from '../../preparation/common/returnWindow.ts'
-import type { IRequestIdentity } from '../../quarantine/common/quarantine.ts'
+import type { IRequestIdentity } from '../../quarantine/common/requestIdentity.ts'
 import { listSharedPrefixes } from './relayRequest.ts'
 import type { RelayRequest } from './relayRequest.ts'
 
--- a/src/services/relay/node/requestFingerprint.ts
+++ b/src/services/relay/node/requestFingerprint.ts
@@ -3,8 +3,8 @@
  */
 import { hashSha256 } from '../../../base/node/digest.ts'
 import { MAX_REPORTED_PARTS } from '../../facts/common/fact.ts'
-import type { IRequestIdentity } from '../../quarantine/common/quarantine.ts'
 import { formatPartKey } from '../../quarantine/common/partKey.ts'
+import type { IRequestIdentity } from '../../quarantine/common/requestIdentity.ts'
 import { digestRequest } from '../../quarantine/node/requestDigest.ts'
 import type { DigestInput } from '../../quarantine/node/requestDigest.ts'
 import type { PromptShape } from '../common/relayRequest.ts'
