--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -205,8 +205,9 @@
   }
 
   /**
-   * Without framing, the end of the connection is the only end of the body. The system closes the connections of a process
-   * that crashed in the same way, so the answer is complete only if the upstream still runs.
+   * Without framing, the end of the connection is the only end of the body, and the connection must have been closed, not
+   * reset. The system closes the connections of a process that crashed in the same way, so the answer is complete only if
+   * the upstream still runs.
    */
   private async _isComplete (response: IncomingMessage, exchange: IExchange): Promise<boolean> {
     if (!response.complete) return false
