Log and count what the budget of retries decides

What operators saw: `attempt_ended` said `next=retry` before the budget was asked, also if it then refused, and no line or metric told what had been used, what was allowed, or among how many nodes.

Cause: the budget returned a boolean after the line was written.

Change: it returns its decision with its inputs, which `attempt_ended` gives with the further attempt that is really made; three gauges count granted and refused retries and the node's share. The retries of a request move out of RelayRun, and the budget's wiring out of EntryNode. No decision changes.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -44,7 +44,6 @@
 import { RelayServer } from '../services/relay/node/relayServer.ts'
 import type { CompletedRequest } from '../services/relay/node/relayServer.ts'
 import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
-import { WindowedRetryBudget } from '../services/retry/common/windowedRetryBudget.ts'
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 import { CallerDirectory } from './callerDirectory.ts'
@@ -53,6 +52,7 @@
 import { NodeConnections } from './nodeConnections.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
 import { NodeQuota } from './nodeQuota.ts'
+import { NodeRetries } from './nodeRetries.ts'
 import { NodeStatusReporter } from './nodeStatusReporter.ts'
 import type { NodeSettings } from './nodeSettings.ts'
 import { NodeStatements } from './nodeStatements.ts'
@@ -84,8 +84,6 @@
 /** Kept short: nodes that have not joined yet coordinate only their own jobs, and after a power loss they start in any order. */
 const SEED_CONTACT_PERIOD_MS = 200
 const LOAD_TIME_CONSTANT_MS = 5000
-/** Fraction of the fleet-wide retry budget that nodes use; the rest covers differences between the nodes' views of the fleet. */
-const RETRY_BUDGET_FRACTION = 0.8
 /** Gossip takes three hops of about 50 ms each to reach 195 nodes, and a document must be in force within 2 s. */
 const MISSED_DOCUMENT_TIMEOUT_MS = 600
 /** Membership changes within this time are combined into one reassignment of jobs. */
@@ -104,6 +102,7 @@
   private readonly _quarantine: QuarantineService
   private readonly _connections: NodeConnections
   private readonly _quota: NodeQuota
+  private readonly _retries: NodeRetries
   private readonly _statements: NodeStatements
   private readonly _relayServer: RelayServer
   private readonly _coordinator: PreparationCoordinator
@@ -217,6 +216,7 @@
       listPieceUpstreams: () => pieceUpstreams.list()
     }))
     this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, probe: address => this._connections.probe(address) }))
+    this._retries = new NodeRetries({ clock, settings, countNodes: () => this.countNodes() })
     this._relayServer = this._register(new RelayServer({
       context: {
         clock,
@@ -234,7 +234,7 @@
         backoffs,
         recordStatements: batch => this._statements.recordStatements(batch),
         quota: this._quota.service,
-        retry: new WindowedRetryBudget({ clock, windowMs: settings.retry_window_s * 1000, retryRatio: settings.retry_share * RETRY_BUDGET_FRACTION, getBaseRetries: () => settings.retry_spare * RETRY_BUDGET_FRACTION / this.countNodes() }),
+        retry: this._retries.budget,
         preparation: this._preparationClient,
         releaseDelay: new ReleaseDelay(),
         quarantine: this._quarantine
@@ -245,7 +245,7 @@
       findReadinessError: () => this._findReadinessError(),
       estimateReadinessDelayMs: () => estimateReadyMs({ isOutage: this._fleetMember.isReady && this._relayTable === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, pauseDetector: this._pauseDetector }))
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, retries: this._retries, pauseDetector: this._pauseDetector }))
     this._register(this._statements.onDidRecordStatement(kind => this._metrics.countStatement(kind)))
     this._statusReporter = new NodeStatusReporter({
       clock,
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -11,6 +11,7 @@
 import type { NodeConnections } from './nodeConnections.ts'
 import type { NodeGauges } from './nodeMetrics.ts'
 import type { NodeQuota } from './nodeQuota.ts'
+import type { NodeRetries } from './nodeRetries.ts'
 import type { NodeStatements } from './nodeStatements.ts'
 
 export interface NodeGaugeSources {
@@ -23,10 +24,11 @@
   readonly statements: NodeStatements
   readonly connections: NodeConnections
   readonly quarantine: QuarantineService
+  readonly retries: NodeRetries
   readonly pauseDetector: PauseDetector
 }
 
-export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, connections, quarantine, pauseDetector }: NodeGaugeSources): NodeGauges {
+export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, connections, quarantine, retries, pauseDetector }: NodeGaugeSources): NodeGauges {
   const { backoffs, guard } = statements
   return {
     countOpenRequests: () => relay.activeRequestCount,
@@ -40,6 +42,9 @@
     countQuarantinedRequests: () => quarantine.listQuarantined().filter(({ digest }) => digest !== undefined).length,
     countQuarantinedParts: () => quarantine.listQuarantined().filter(({ digest }) => digest === undefined).length,
     countQuarantineRefusals: () => quarantine.refusedCount,
+    countGrantedRetries: () => retries.budget.grantedCount,
+    countRefusedRetries: () => retries.budget.refusedCount,
+    getRetryAllowance: () => retries.computeShare().baseRetries,
     countLimitedUpstreams: () => quota.statedLimits.listLimits().length,
     countQuotaDenials: () => quota.deniedCount,
     countLeavingUpstreams: () => registry.list().filter(({ isLeaving }) => isLeaving).length,
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -23,6 +23,8 @@
 import type { RelayContext } from './relayContext.ts'
 import { RequestInputs } from './requestInputs.ts'
 import { RequestQuarantine } from './requestQuarantine.ts'
+import { RequestRetries, describeNextAttempt } from './requestRetries.ts'
+import type { NextAttempt } from './requestRetries.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
 import { UpstreamSelector } from './upstreamSelector.ts'
 
@@ -65,6 +67,7 @@
   private readonly _deadlineAt: number
   private readonly _role: string
   private readonly _selector: UpstreamSelector
+  private readonly _retries: RequestRetries
 
   constructor (private readonly _context: RelayContext, private readonly _accepted: AcceptedRequest) {
     const { route, request, arrivedAt } = _accepted
@@ -78,6 +81,7 @@
     })
     this._role = pickTarget(route.targets, _context.random)
     this._selector = new UpstreamSelector({ context: _context, accepted: _accepted, role: this._role, inputs: this._inputs, tried: this._triedUpstreams, signal: this._abortController.signal })
+    this._retries = new RequestRetries({ policy: _context.retry, role: this._role, isAborted: () => this._abortController.signal.aborted })
     this._registryAge = _context.registry.computeFreshness(arrivedAt)
   }
 
@@ -87,7 +91,7 @@
     // Enforces the route's timeout in every phase: preparation, waiting for an upstream, and attempts.
     const deadlineTimer = this._context.clock.schedule(this._deadlineAt - ANSWER_MARGIN_MS - this._context.clock.now(), () => this._abortController.abort())
     try {
-      this._context.retry.recordFirstAttempt(this._role)
+      this._retries.recordFirstAttempt()
       return this._createOutcome(await this._runAttempts())
     } finally {
       deadlineTimer.dispose()
@@ -121,19 +125,15 @@
       if (upstream === undefined) return this._refuseWithoutUpstream()
       const result = await this._tryUpstream(upstream)
       await this._quarantine.recordAttemptEnd(upstream, result, this._progress)
-      const decision = this._decide(result.outcome, upstream)
-      this._logAttempt(upstream, result.outcome, decision)
-      if (decision.kind === 'retry' && this._acquireRetry(result.outcome)) {
-        if (decision.isResume && result.outcome.kind === 'broken') this._lastEventId = result.outcome.lastEventId
-        continue
-      }
-      if (decision.kind === 'prepareAgain' && this._acquireRetry(result.outcome)) {
+      const next = this._retries.acquire(this._decide(result.outcome, upstream), result.outcome)
+      this._logAttempt(upstream, result.outcome, next)
+      if (!next.isAllowed) return this._finish(result)
+      if (next.decision.kind === 'retry' && next.decision.isResume && result.outcome.kind === 'broken') this._lastEventId = result.outcome.lastEventId
+      if (next.decision.kind === 'prepareAgain') {
         this._triedUpstreams.delete(upstream.id)
         const preparationRefusal = await this._prepareAgain()
         if (preparationRefusal !== undefined) return preparationRefusal
-        continue
       }
-      return this._finish(result)
     }
   }
 
@@ -274,13 +274,6 @@
     })
   }
 
-  /** Takes a retry from the budget. An attempt that was never written did not reach an upstream and costs nothing. */
-  private _acquireRetry (outcome: AttemptOutcome): boolean {
-    if (this._abortController.signal.aborted) return false
-    if (isWithheld(outcome) || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')) return true
-    return this._context.retry.tryAcquireRetry(this._role)
-  }
-
   private _finish (result: AttemptResult): RelayOutcome['result'] {
     const { outcome, failure } = result
     if (outcome.kind === 'delivered') return 'delivered'
@@ -333,7 +326,7 @@
     return name
   }
 
-  private _logAttempt (upstream: UpstreamEntry, outcome: AttemptOutcome, decision: AttemptDecision): void {
+  private _logAttempt (upstream: UpstreamEntry, outcome: AttemptOutcome, next: NextAttempt): void {
     if (outcome.kind === 'delivered') return
     const { request } = this._accepted
     const reason = 'reason' in outcome ? outcome.reason : 'status' in outcome ? String(outcome.status) : ''
@@ -344,7 +337,7 @@
       outcome: outcome.kind,
       reason,
       ...'detail' in outcome ? { detail: outcome.detail } : {},
-      next: decision.kind,
+      ...describeNextAttempt(next),
       sends: this._sendCount,
       may_have_run: this._runCount,
       left_ms: Math.round(this._getTimeLeft()),
--- /dev/null
+++ b/src/services/relay/node/requestRetries.ts
@@ -0,0 +1,64 @@
+/**
+ * The retries of one request: takes each one from the budget of its role and tells the log what the budget decided.
+ */
+import type { RetryDecision, RetryPolicy } from '../../retry/common/retryPolicy.ts'
+import type { LogFields } from '../../log/node/logger.ts'
+import { isWithheld } from '../common/attemptDecision.ts'
+import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
+
+export interface RequestRetriesOptions {
+  readonly policy: RetryPolicy
+  readonly role: string
+  /** Whether the request has been aborted, so that no attempt follows. */
+  readonly isAborted: () => boolean
+}
+
+/** What follows an attempt: the decision, and whether the budget allows the further attempt that it asks for. */
+export interface NextAttempt {
+  readonly decision: AttemptDecision
+  readonly isAllowed: boolean
+  /** The budget's decision; undefined if it was not asked. */
+  readonly budget?: RetryDecision
+}
+
+export class RequestRetries {
+  private readonly _options: RequestRetriesOptions
+
+  constructor (options: RequestRetriesOptions) {
+    this._options = options
+  }
+
+  recordFirstAttempt (): void {
+    this._options.policy.recordFirstAttempt(this._options.role)
+  }
+
+  /** Takes a retry from the budget if the decision needs one. An attempt that was never written did not reach an upstream and costs nothing. */
+  acquire (decision: AttemptDecision, outcome: AttemptOutcome): NextAttempt {
+    const { policy, role, isAborted } = this._options
+    if (!isFurtherAttempt(decision) || isAborted()) return { decision, isAllowed: false }
+    if (isWithheld(outcome) || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')) return { decision, isAllowed: true }
+    const budget = policy.acquireRetry(role)
+    return { decision, isAllowed: budget.isGranted, budget }
+  }
+}
+
+/** Log fields about a further attempt: whether it is made, and what the budget allowed and had granted before. */
+export function describeNextAttempt ({ decision, isAllowed, budget }: NextAttempt): LogFields {
+  if (!isFurtherAttempt(decision)) return { next: decision.kind }
+  if (budget === undefined) return isAllowed ? { next: decision.kind, budget: 'free' } : { next: 'end' }
+  return {
+    next: isAllowed ? decision.kind : 'end',
+    budget: isAllowed ? 'granted' : 'refused',
+    retries_used: budget.usedCount,
+    retries_allowed: formatCount(budget.allowedCount),
+    ...budget.share === undefined ? {} : { retries_base: formatCount(budget.share.baseRetries), retry_nodes: budget.share.nodeCount }
+  }
+}
+
+function formatCount (count: number): number {
+  return Number(count.toFixed(2))
+}
+
+function isFurtherAttempt ({ kind }: AttemptDecision): boolean {
+  return kind === 'retry' || kind === 'prepareAgain'
+}
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -4,16 +4,34 @@
  */
 export abstract class RetryPolicy {
   abstract recordFirstAttempt (role: string): void
-  /** Consumes one retry of the budget. Returns false if none is left. */
-  abstract tryAcquireRetry (role: string): boolean
+  /** Consumes one retry of the budget, if one is left. */
+  abstract acquireRetry (role: string): RetryDecision
+}
+
+/** Whether a retry was granted, and the state of the budget that decided it. */
+export interface RetryDecision {
+  readonly isGranted: boolean
+  /** Retries that count against the budget, without this one. */
+  readonly usedCount: number
+  /** Retries that the budget allowed, a fraction of one included. */
+  readonly allowedCount: number
+  /** This process's share of the retries that the fleet may make; undefined if the budget is not shared. */
+  readonly share?: RetryShare
+}
+
+/** A node's share of the retries that all nodes together may make in a window regardless of the number of first attempts. */
+export interface RetryShare {
+  readonly baseRetries: number
+  /** The nodes among which these are divided. */
+  readonly nodeCount: number
 }
 
 /** Baseline for comparison: allows as many retries as fit within the deadline. */
 export class UnlimitedRetries extends RetryPolicy {
   recordFirstAttempt (): void {}
 
-  tryAcquireRetry (): boolean {
-    return true
+  acquireRetry (): RetryDecision {
+    return { isGranted: true, usedCount: 0, allowedCount: Infinity }
   }
 }
 
@@ -40,11 +58,11 @@
     this._balances.set(role, Math.min(this._getMaxBalance(), this._getBalance(role) + this._retryRatio))
   }
 
-  tryAcquireRetry (role: string): boolean {
+  acquireRetry (role: string): RetryDecision {
     const balance = this._getBalance(role)
-    if (balance < 1) return false
-    this._balances.set(role, balance - 1)
-    return true
+    const isGranted = balance >= 1
+    if (isGranted) this._balances.set(role, balance - 1)
+    return { isGranted, usedCount: 0, allowedCount: balance }
   }
 
   private _getBalance (role: string): number {
--- a/src/services/retry/common/windowedRetryBudget.ts
+++ b/src/services/retry/common/windowedRetryBudget.ts
@@ -5,14 +5,14 @@
 import type { IClock } from '../../../base/common/clock.ts'
 import { SlidingWindowCounter } from '../../../base/common/slidingWindowCounter.ts'
 import { RetryPolicy } from './retryPolicy.ts'
+import type { RetryDecision, RetryShare } from './retryPolicy.ts'
 
 export interface WindowedRetryBudgetOptions {
   readonly clock: IClock
   readonly windowMs: number
   /** Retries allowed for each first attempt within the window. */
   readonly retryRatio: number
-  /** Returns this node's share of the retries that are allowed in a window regardless of the number of first attempts. */
-  readonly getBaseRetries: () => number
+  readonly getShare: () => RetryShare
 }
 
 /** First attempts are counted by slices of the window; a slice that is only partly within the window does not count. */
@@ -23,6 +23,8 @@
   /** The number of first attempts by role and index of the slice. */
   private readonly _firstAttempts = new Map<string, Map<number, number>>()
   private readonly _retries: SlidingWindowCounter
+  private _grantedCount = 0
+  private _refusedCount = 0
 
   constructor (options: WindowedRetryBudgetOptions) {
     super()
@@ -37,12 +39,30 @@
     for (const oldSlice of attempts.keys()) if (oldSlice <= slice - SLICES_PER_WINDOW) attempts.delete(oldSlice)
   }
 
-  tryAcquireRetry (role: string): boolean {
-    const { clock, retryRatio, getBaseRetries } = this._options
+  /** Retries since the process start that the budget refused, of all roles. */
+  get refusedCount (): number {
+    return this._refusedCount
+  }
+
+  /** Retries since the process start that it granted. */
+  get grantedCount (): number {
+    return this._grantedCount
+  }
+
+  acquireRetry (role: string): RetryDecision {
+    const { clock, retryRatio, getShare } = this._options
     const now = clock.now()
-    if (this._retries.count(role, now) + 1 > getBaseRetries() + retryRatio * this._countFirstAttempts(role)) return false
-    this._retries.add(role, now)
-    return true
+    const usedCount = this._retries.count(role, now)
+    const share = getShare()
+    const allowedCount = share.baseRetries + retryRatio * this._countFirstAttempts(role)
+    const isGranted = usedCount + 1 <= allowedCount
+    if (isGranted) {
+      this._retries.add(role, now)
+      this._grantedCount++
+    } else {
+      this._refusedCount++
+    }
+    return { isGranted, usedCount, allowedCount, share }
   }
 
   private _countFirstAttempts (role: string): number {
--- a/src/services/retry/test/lostUpstreams.test.ts
+++ b/src/services/retry/test/lostUpstreams.test.ts
@@ -24,7 +24,7 @@
 const STEP_MS = 100
 
 function createPolicy (clock: VirtualClock): RetryPolicy {
-  return new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO * 0.8, getBaseRetries: () => BASE_RETRIES * 0.8 / NODES })
+  return new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO * 0.8, getShare: () => ({ baseRetries: BASE_RETRIES * 0.8 / NODES, nodeCount: NODES }) })
 }
 
 test('runs at several upstreams that are lost together are retried within the budget of the fleet', () => {
@@ -37,7 +37,7 @@
     clock.advance(STEP_MS)
   }
   let retried = 0
-  for (let run = 0; run < LOST_RUNS; run++) if (pick()?.tryAcquireRetry('model') === true) retried++
+  for (let run = 0; run < LOST_RUNS; run++) if (pick()?.acquireRetry('model').isGranted === true) retried++
   assert.ok(retried <= BASE_RETRIES + RETRY_RATIO * REQUESTS_PER_S * WINDOW_MS / 1000)
   assert.ok(retried >= LOST_RUNS * 0.95, `${retried} of ${LOST_RUNS}`)
 })
@@ -46,7 +46,7 @@
   const event = fc.record({ afterMs: fc.integer({ min: 0, max: 3000 }), firsts: fc.integer({ min: 0, max: 20 }), retries: fc.integer({ min: 0, max: 10 }) })
   fc.assert(fc.property(fc.array(event, { maxLength: 40 }), events => {
     const clock = new VirtualClock(1234)
-    const policy = new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO, getBaseRetries: () => 2 })
+    const policy = new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO, getShare: () => ({ baseRetries: 2, nodeCount: 1 }) })
     const firstsAt: number[] = []
     const retriedAt: number[] = []
     for (const { afterMs, firsts, retries } of events) {
@@ -55,7 +55,7 @@
         policy.recordFirstAttempt('model')
         firstsAt.push(clock.now())
       }
-      for (let count = 0; count < retries; count++) if (policy.tryAcquireRetry('model')) retriedAt.push(clock.now())
+      for (let count = 0; count < retries; count++) if (policy.acquireRetry('model').isGranted) retriedAt.push(clock.now())
       const countInWindow = (times: readonly number[]) => times.filter(at => clock.now() - at < WINDOW_MS).length
       assert.ok(countInWindow(retriedAt) <= 2 + RETRY_RATIO * countInWindow(firstsAt))
     }
