Add failing tests of the retry budget of a fleet whose nodes restart or are cut off

What callers and upstreams saw: repeated requests beyond the users' budget.

Cause: not mended here. The tests run the real memberships and budgets of up to six nodes on a virtual clock, through kills, planned stops and cuts that overlap, and count as the users' rule does, in every window of 10 s.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -216,7 +216,7 @@
       listPieceUpstreams: () => pieceUpstreams.list()
     }))
     this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, probe: address => this._connections.probe(address) }))
-    this._retries = new NodeRetries({ clock, settings, countNodes: () => this.countNodes() })
+    this._retries = new NodeRetries({ clock, settings, membership: this._fleetMember.membership })
     this._relayServer = this._register(new RelayServer({
       context: {
         clock,
--- a/src/entryNode/nodeRetries.ts
+++ b/src/entryNode/nodeRetries.ts
@@ -2,6 +2,7 @@
  * Sets up the retry budget of a node from its settings and the nodes that share the budget of the fleet.
  */
 import type { IClock } from '../base/common/clock.ts'
+import type { MembershipTable } from '../services/membership/common/membershipTable.ts'
 import type { RetryShare } from '../services/retry/common/retryPolicy.ts'
 import { WindowedRetryBudget } from '../services/retry/common/windowedRetryBudget.ts'
 import type { NodeSettings } from './nodeSettings.ts'
@@ -9,7 +10,7 @@
 export interface NodeRetriesOptions {
   readonly clock: IClock
   readonly settings: Pick<NodeSettings, 'retry_share' | 'retry_spare' | 'retry_window_s'>
-  readonly countNodes: () => number
+  readonly membership: MembershipTable
 }
 
 /** Fraction of the fleet-wide retry budget that nodes use; the rest covers differences between the nodes' views of the fleet. */
@@ -32,8 +33,8 @@
   }
 
   computeShare (): RetryShare {
-    const { settings, countNodes } = this._options
-    const nodeCount = countNodes()
+    const { settings, membership } = this._options
+    const nodeCount = membership.countLive()
     return { baseRetries: settings.retry_spare * RETRY_BUDGET_FRACTION / nodeCount, nodeCount }
   }
 }
--- /dev/null
+++ b/src/entryNode/test/retriesBeyondBudget.test.ts
@@ -0,0 +1,65 @@
+/**
+ * Guards against retries beyond the budget of the fleet while nodes restart or are cut off from each other: a node divided
+ * the budget by the nodes that it took for alive, and a restarted process forgot what the earlier one had used.
+ */
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { RetryFleet } from './retryFleet.ts'
+import type { FleetEvent, FleetScenario } from './retryFleet.ts'
+
+const test = suite('retriesBeyondBudget')
+
+const NODES = 6
+const ALL = 2 ** NODES - 1
+const SCENARIO: FleetScenario = { nodeCount: NODES, requestsPerS: 40, budget: { ratio: 0.2, base: 52 }, events: [], seed: 1, failingFromMs: 4000 }
+
+function assertWithinBudget (events: readonly FleetEvent[], scenario: FleetScenario = SCENARIO): void {
+  const fleet = new RetryFleet({ ...scenario, events })
+  fleet.run()
+  assert.ok(fleet.retries.length > 0)
+  assert.ok(fleet.computeExcess() <= 0, `${fleet.computeExcess().toFixed(1)} retries too many`)
+}
+
+test('a fleet in which all processes run makes most of the retries of its budget, and none too many', () => {
+  const fleet = new RetryFleet(SCENARIO)
+  fleet.run()
+  assert.ok(fleet.computeExcess() <= 0)
+  assert.ok(fleet.computeExcess() > -0.25 * (52 + 0.2 * 400))
+})
+
+test('all nodes are restarted as planned, twice within a window', () => {
+  assertWithinBudget([6000, 6500, 12_000, 12_500].map((atMs, index) => ({ kind: 'stop', atMs, nodes: index % 2 === 0 ? ALL >> 3 : ALL >> 3 << 3, forMs: 500 })))
+})
+
+test('all nodes are killed twice within a window', () => {
+  assertWithinBudget([8000, 12_000].map(atMs => ({ kind: 'kill', atMs, nodes: ALL, forMs: 1000 })))
+})
+
+test('nodes that are cut off from all others go on with their callers', () => {
+  assertWithinBudget([{ kind: 'cut', atMs: 7000, nodes: 0b1111, forMs: 8000 }])
+  assertWithinBudget([{ kind: 'cut', atMs: 1000, nodes: ALL, forMs: 30_000 }])
+})
+
+test('a node that restarts three times within a window has its share once', () => {
+  assertWithinBudget([5000, 8000, 11_000].map(atMs => ({ kind: 'kill', atMs, nodes: 0b111, forMs: 300 })))
+})
+
+test('any series of kills, stops and cuts that overlap', () => {
+  const event = fc.record({ kind: fc.constantFrom('kill' as const, 'stop' as const, 'cut' as const), atMs: fc.integer({ min: 0, max: 30_000 }), nodes: fc.integer({ min: 1, max: ALL }), forMs: fc.integer({ min: 300, max: 15_000 }) })
+  const scenario = fc.record({
+    nodeCount: fc.integer({ min: 1, max: NODES }),
+    requestsPerS: fc.integer({ min: 2, max: 8 }).map(tens => tens * 10),
+    base: fc.integer({ min: 20, max: 80 }),
+    events: fc.array(event, { maxLength: 8 }),
+    seed: fc.integer({ min: 1, max: 1000 }),
+    failingFromMs: fc.integer({ min: 0, max: 20_000 })
+  })
+  fc.assert(fc.property(scenario, ({ base, events, ...rest }) => {
+    const fleet = new RetryFleet({ ...rest, budget: { ratio: 0.2, base }, events })
+    fleet.run()
+    assert.ok(fleet.computeExcess() <= 0, `${fleet.computeExcess().toFixed(1)} retries too many`)
+  }), { seed: 20261204, numRuns: 60 })
+})
+
+test.run()
