--- a/src/entryNode/test/retriesBeyondBudget.test.ts
+++ b/src/entryNode/test/retriesBeyondBudget.test.ts
@@ -14,7 +14,7 @@
 const ALL = 2 ** NODES - 1
 const SCENARIO: FleetScenario = { nodeCount: NODES, requestsPerS: 40, budget: { ratio: 0.2, base: 52 }, events: [], seed: 1, failingFromMs: 4000 }
 
-function assertWithinBudget (events: readonly FleetEvent[], scenario: FleetScenario = SCENARIO): void {
+function checkBudget (events: readonly FleetEvent[], scenario: FleetScenario = SCENARIO): void {
   const fleet = new RetryFleet({ ...scenario, events })
   fleet.run()
   assert.ok(fleet.retries.length > 0)
@@ -29,20 +29,20 @@
 })
 
 test('all nodes are restarted as planned, twice within a window', () => {
-  assertWithinBudget([6000, 6500, 12_000, 12_500].map((atMs, index) => ({ kind: 'stop', atMs, nodes: index % 2 === 0 ? ALL >> 3 : ALL >> 3 << 3, forMs: 500 })))
+  checkBudget([6000, 6500, 12_000, 12_500].map((atMs, index) => ({ kind: 'stop', atMs, nodes: index % 2 === 0 ? ALL >> 3 : ALL >> 3 << 3, forMs: 500 })))
 })
 
 test('all nodes are killed twice within a window', () => {
-  assertWithinBudget([8000, 12_000].map(atMs => ({ kind: 'kill', atMs, nodes: ALL, forMs: 1000 })))
+  checkBudget([8000, 12_000].map(atMs => ({ kind: 'kill', atMs, nodes: ALL, forMs: 1000 })))
 })
 
 test('nodes that are cut off from all others go on with their callers', () => {
-  assertWithinBudget([{ kind: 'cut', atMs: 7000, nodes: 0b1111, forMs: 8000 }])
-  assertWithinBudget([{ kind: 'cut', atMs: 1000, nodes: ALL, forMs: 30_000 }])
+  checkBudget([{ kind: 'cut', atMs: 7000, nodes: 0b1111, forMs: 8000 }])
+  checkBudget([{ kind: 'cut', atMs: 1000, nodes: ALL, forMs: 30_000 }])
 })
 
 test('a node that restarts three times within a window has its share once', () => {
-  assertWithinBudget([5000, 8000, 11_000].map(atMs => ({ kind: 'kill', atMs, nodes: 0b111, forMs: 300 })))
+  checkBudget([5000, 8000, 11_000].map(atMs => ({ kind: 'kill', atMs, nodes: 0b111, forMs: 300 })))
 })
 
 test('any series of kills, stops and cuts that overlap', () => {
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -36,10 +36,17 @@
   readonly started?: number | undefined
 }
 
+/** The state of a member, and when it began, in milliseconds on the local clock. */
+export interface MemberStateChange {
+  readonly state: MemberState
+  readonly since: number
+}
+
 /** Member lists derived from facts, with the list of facts they were derived from. */
 interface MemberSnapshot {
   readonly facts: readonly StoredFactOf<'member'>[]
   readonly members: readonly Member[]
+  readonly states: readonly MemberStateChange[]
   readonly live: readonly Member[]
   readonly peers: readonly Member[]
   readonly peerAddresses: readonly string[]
@@ -62,7 +69,7 @@
   private _probeOrder: readonly string[] = []
   private _suspicionCount = 0
   private _digest: { readonly facts: readonly StoredFactOf<'member'>[], readonly value: number } = { facts: [], value: 0 }
-  private _snapshot: MemberSnapshot = { facts: [], members: [], live: [], peers: [], peerAddresses: [] }
+  private _snapshot: MemberSnapshot = { facts: [], members: [], states: [], live: [], peers: [], peerAddresses: [] }
 
   constructor (options: MembershipOptions) {
     super()
@@ -89,6 +96,11 @@
     return this._deriveSnapshot().members
   }
 
+  /** The states of all known members, this one included, and when each began, on the local clock. */
+  listStates (): readonly MemberStateChange[] {
+    return this._deriveSnapshot().states
+  }
+
   /** Members that are alive or suspect, this one included. */
   listLive (): readonly Member[] {
     return this._deriveSnapshot().live
@@ -106,7 +118,8 @@
     const members = facts.map(({ value, incarnation }) => ({ address: value.address, hall: value.hall, state: value.state, incarnation, weight: value.weight, started: value.started }))
     const live = members.filter(member => !isDeadOrLeft(member.state))
     const peers = live.filter(member => member.address !== this._options.address)
-    this._snapshot = { facts, members, live, peers, peerAddresses: peers.map(member => member.address) }
+    const states = facts.map(({ value, observedAt }) => ({ state: value.state, since: observedAt }))
+    this._snapshot = { facts, members, states, live, peers, peerAddresses: peers.map(member => member.address) }
     return this._snapshot
   }
 
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -19,11 +19,14 @@
   readonly share?: RetryShare
 }
 
-/** A node's share of the retries that all nodes together may make in a window regardless of the number of first attempts. */
+/** A node's share of the retries that all nodes together may make. */
 export interface RetryShare {
+  /** Retries in a window regardless of the number of first attempts. */
   readonly baseRetries: number
   /** The nodes among which these are divided. */
   readonly nodeCount: number
+  /** The fraction of the usual retries that a first attempt earns now. */
+  readonly earningFactor: number
 }
 
 /** Baseline for comparison: allows as many retries as fit within the deadline. */
--- a/src/services/retry/common/windowedRetryBudget.ts
+++ b/src/services/retry/common/windowedRetryBudget.ts
@@ -15,13 +15,13 @@
   readonly getShare: () => RetryShare
 }
 
-/** First attempts are counted by slices of the window; a slice that is only partly within the window does not count. */
+/** Earned retries are summed by slices of the window; a slice that is only partly within the window does not count. */
 const SLICES_PER_WINDOW = 20
 
 export class WindowedRetryBudget extends RetryPolicy {
   private readonly _options: WindowedRetryBudgetOptions
-  /** The number of first attempts by role and index of the slice. */
-  private readonly _firstAttempts = new Map<string, Map<number, number>>()
+  /** Earned retries by role and index of the slice. */
+  private readonly _earnedRetries = new Map<string, Map<number, number>>()
   private readonly _retries: SlidingWindowCounter
   private _grantedCount = 0
   private _refusedCount = 0
@@ -33,10 +33,11 @@
   }
 
   recordFirstAttempt (role: string): void {
-    const attempts = this._getFirstAttempts(role)
+    const { retryRatio, getShare } = this._options
+    const earned = this._getEarnedRetries(role)
     const slice = this._computeSlice()
-    attempts.set(slice, (attempts.get(slice) ?? 0) + 1)
-    for (const oldSlice of attempts.keys()) if (oldSlice <= slice - SLICES_PER_WINDOW) attempts.delete(oldSlice)
+    earned.set(slice, (earned.get(slice) ?? 0) + retryRatio * getShare().earningFactor)
+    for (const oldSlice of earned.keys()) if (oldSlice <= slice - SLICES_PER_WINDOW) earned.delete(oldSlice)
   }
 
   /** Retries since the process start that the budget refused, of all roles. */
@@ -50,11 +51,11 @@
   }
 
   acquireRetry (role: string): RetryDecision {
-    const { clock, retryRatio, getShare } = this._options
+    const { clock, getShare } = this._options
     const now = clock.now()
     const usedCount = this._retries.count(role, now)
     const share = getShare()
-    const allowedCount = share.baseRetries + retryRatio * this._countFirstAttempts(role)
+    const allowedCount = share.baseRetries + this._sumEarnedRetries(role)
     const isGranted = usedCount + 1 <= allowedCount
     if (isGranted) {
       this._retries.add(role, now)
@@ -65,11 +66,11 @@
     return { isGranted, usedCount, allowedCount, share }
   }
 
-  private _countFirstAttempts (role: string): number {
+  private _sumEarnedRetries (role: string): number {
     const oldestSlice = this._computeSlice() - SLICES_PER_WINDOW
-    let count = 0
-    for (const [slice, attemptsInSlice] of this._getFirstAttempts(role)) if (slice > oldestSlice) count += attemptsInSlice
-    return count
+    let sum = 0
+    for (const [slice, earned] of this._getEarnedRetries(role)) if (slice > oldestSlice) sum += earned
+    return sum
   }
 
   private _computeSlice (): number {
@@ -77,12 +78,12 @@
     return Math.floor(clock.now() * SLICES_PER_WINDOW / windowMs)
   }
 
-  private _getFirstAttempts (role: string): Map<number, number> {
-    let attempts = this._firstAttempts.get(role)
-    if (attempts === undefined) {
-      attempts = new Map()
-      this._firstAttempts.set(role, attempts)
+  private _getEarnedRetries (role: string): Map<number, number> {
+    let earned = this._earnedRetries.get(role)
+    if (earned === undefined) {
+      earned = new Map()
+      this._earnedRetries.set(role, earned)
     }
-    return attempts
+    return earned
   }
 }
