Let callers that come from lost nodes earn no more retries than they would there

What callers and upstreams saw: repeated requests beyond the users' budget.

Change: a node remembers how many first attempts it had in a window while all known nodes ran. Up to that number they earn in full whatever happens, beyond it by the share of nodes that are present, until all have been there for a window. So nodes that keep their callers through a partition lose nothing.

--- a/src/entryNode/test/retryFleet.ts
+++ b/src/entryNode/test/retryFleet.ts
@@ -76,7 +76,7 @@
   constructor (scenario: FleetScenario) {
     this._scenario = scenario
     this._random = new SeededRandom(scenario.seed)
-    this._seeds = [0, 1, 2].map(formatAddress)
+    this._seeds = [0, 1, 2].slice(0, scenario.nodeCount).map(formatAddress)
     this._processes = Array.from({ length: scenario.nodeCount }, (_, index) => this._createProcess(index))
   }
 
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -38,6 +38,7 @@
 
 /** The state of a member, and when it began, in milliseconds on the local clock. */
 export interface MemberStateChange {
+  readonly address: string
   readonly state: MemberState
   readonly since: number
 }
@@ -55,6 +56,8 @@
 /** The precedence of the states within one incarnation; it is the counter of the member's fact. */
 const STATE_PRECEDENCE: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, dead: 2, left: 3 }
 
+/** How long members that are dead or have left stay in the table by default. */
+export const MEMBER_RETENTION_MS = 600_000
 /** How long dead and left members are included when two members compare their facts: by then all have received the fact. */
 const DEPARTED_SYNC_MS = 60_000
 
@@ -75,7 +78,7 @@
     super()
     this._options = options
     this._suspicionTimeoutMs = options.suspicionTimeoutMs ?? 2000
-    this._retentionMs = options.retentionMs ?? 600_000
+    this._retentionMs = options.retentionMs ?? MEMBER_RETENTION_MS
     this._incarnation = options.incarnation
     this._started = options.incarnation
     this._register(options.facts.onDidChange(fact => this._handleFact(fact)))
@@ -118,7 +121,7 @@
     const members = facts.map(({ value, incarnation }) => ({ address: value.address, hall: value.hall, state: value.state, incarnation, weight: value.weight, started: value.started }))
     const live = members.filter(member => !isDeadOrLeft(member.state))
     const peers = live.filter(member => member.address !== this._options.address)
-    const states = facts.map(({ value, observedAt }) => ({ state: value.state, since: observedAt }))
+    const states = facts.map(({ value, observedAt }) => ({ address: value.address, state: value.state, since: observedAt }))
     this._snapshot = { facts, members, states, live, peers, peerAddresses: peers.map(member => member.address) }
     return this._snapshot
   }
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -25,8 +25,15 @@
   readonly baseRetries: number
   /** The nodes among which these are divided. */
   readonly nodeCount: number
-  /** The fraction of the usual retries that a first attempt earns now. */
+  /** Whether all nodes have run and seen each other for a window, so that callers of none have come to others. */
+  readonly isFleetStable: boolean
+  /** The fraction of the ratio that a first attempt earns now. */
   readonly earningFactor: number
+  /**
+   * The fraction that first attempts earn beyond their number while the fleet was stable. Callers of lost nodes come to the
+   * others, while the retries that were earned with the lost nodes still count in the window.
+   */
+  readonly addedEarningFactor: number
 }
 
 /** Baseline for comparison: allows as many retries as fit within the deadline. */
--- a/src/services/retry/common/retryShare.ts
+++ b/src/services/retry/common/retryShare.ts
@@ -18,18 +18,20 @@
   readonly windowMs: number
   /** How long a node that leaves as planned may continue its requests. */
   readonly drainMs: number
-  /** All known members in any state, this node included. */
+  /** All known nodes in any state, this one included. */
   readonly members: readonly MemberStateAge[]
-  /** Nodes that are known from the settings. They count while no other member is known. */
-  readonly configuredNodeCount: number
 }
 
-/** Callers of lost nodes come to the others; first attempts earn no less than this while that is under way. */
-const MIN_EARNING_FACTOR = 0.25
-
-export function computeRetryShare ({ fleetRetries, windowMs, drainMs, members, configuredNodeCount }: RetryShareInputs): RetryShare {
-  const nodeCount = Math.max(members.length > 1 ? 1 : configuredNodeCount, members.filter(member => mayUseShare(member, windowMs + drainMs)).length)
-  return { baseRetries: fleetRetries / nodeCount, nodeCount, earningFactor: computeEarningFactor(members, windowMs) }
+export function computeRetryShare ({ fleetRetries, windowMs, drainMs, members }: RetryShareInputs): RetryShare {
+  const sharers = members.filter(member => mayUseShare(member, windowMs + drainMs))
+  const nodeCount = Math.max(1, sharers.length)
+  return {
+    baseRetries: fleetRetries / nodeCount,
+    nodeCount,
+    isFleetStable: sharers.every(({ state, ageMs }) => state === 'alive' && ageMs >= windowMs),
+    earningFactor: 1,
+    addedEarningFactor: sharers.filter(({ state }) => state === 'alive').length / nodeCount
+  }
 }
 
 /**
@@ -39,14 +41,3 @@
 function mayUseShare ({ state, ageMs }: MemberStateAge, releaseAfterMs: number): boolean {
   return state !== 'left' || ageMs < releaseAfterMs
 }
-
-/**
- * Callers of a node that was lost or has left send their first attempts to the others, while the retries that earlier
- * first attempts earned there still count in the window. The others together earn what they would have earned without
- * these callers.
- */
-function computeEarningFactor (members: readonly MemberStateAge[], windowMs: number): number {
-  const presentCount = members.filter(({ state }) => state === 'alive').length
-  const recentlyLostCount = members.filter(({ state, ageMs }) => state !== 'alive' && ageMs < windowMs).length
-  return recentlyLostCount === 0 ? 1 : Math.max(MIN_EARNING_FACTOR, presentCount / (presentCount + recentlyLostCount))
-}
--- a/src/services/retry/common/windowedRetryBudget.ts
+++ b/src/services/retry/common/windowedRetryBudget.ts
@@ -3,6 +3,7 @@
  * that runs that are lost together can be retried together, before their deadlines pass.
  */
 import type { IClock } from '../../../base/common/clock.ts'
+import { SlicedWindowSum } from '../../../base/common/slicedWindowSum.ts'
 import { SlidingWindowCounter } from '../../../base/common/slidingWindowCounter.ts'
 import { RetryPolicy } from './retryPolicy.ts'
 import type { RetryDecision, RetryShare } from './retryPolicy.ts'
@@ -15,31 +16,24 @@
   readonly getShare: () => RetryShare
 }
 
-/** Earned retries are summed by slices of the window; a slice that is only partly within the window does not count. */
-const SLICES_PER_WINDOW = 20
-
 export class WindowedRetryBudget extends RetryPolicy {
   private readonly _options: WindowedRetryBudgetOptions
-  /** Earned retries by role and index of the slice. */
-  private readonly _earnedRetries = new Map<string, Map<number, number>>()
+  private readonly _firstAttempts: SlicedWindowSum
+  private readonly _earnedRetries: SlicedWindowSum
   private readonly _retries: SlidingWindowCounter
+  /** First attempts in a window by role, when the fleet was last stable. */
+  private readonly _usualFirstAttempts = new Map<string, number>()
   private _grantedCount = 0
   private _refusedCount = 0
 
   constructor (options: WindowedRetryBudgetOptions) {
     super()
     this._options = options
+    this._firstAttempts = new SlicedWindowSum(options.windowMs)
+    this._earnedRetries = new SlicedWindowSum(options.windowMs)
     this._retries = new SlidingWindowCounter(options.windowMs)
   }
 
-  recordFirstAttempt (role: string): void {
-    const { retryRatio, getShare } = this._options
-    const earned = this._getEarnedRetries(role)
-    const slice = this._computeSlice()
-    earned.set(slice, (earned.get(slice) ?? 0) + retryRatio * getShare().earningFactor)
-    for (const oldSlice of earned.keys()) if (oldSlice <= slice - SLICES_PER_WINDOW) earned.delete(oldSlice)
-  }
-
   /** Retries since the process start that the budget refused, of all roles. */
   get refusedCount (): number {
     return this._refusedCount
@@ -50,12 +44,23 @@
     return this._grantedCount
   }
 
+  recordFirstAttempt (role: string): void {
+    const { clock, retryRatio, getShare } = this._options
+    const now = clock.now()
+    const { isFleetStable, earningFactor, addedEarningFactor } = getShare()
+    this._firstAttempts.add(role, 1, now)
+    const count = this._firstAttempts.sum(role, now)
+    if (isFleetStable) this._usualFirstAttempts.set(role, count)
+    const isUsual = count <= (this._usualFirstAttempts.get(role) ?? 0)
+    this._earnedRetries.add(role, retryRatio * (isUsual ? earningFactor : addedEarningFactor), now)
+  }
+
   acquireRetry (role: string): RetryDecision {
     const { clock, getShare } = this._options
     const now = clock.now()
     const usedCount = this._retries.count(role, now)
     const share = getShare()
-    const allowedCount = share.baseRetries + this._sumEarnedRetries(role)
+    const allowedCount = share.baseRetries + this._earnedRetries.sum(role, now)
     const isGranted = usedCount + 1 <= allowedCount
     if (isGranted) {
       this._retries.add(role, now)
@@ -65,25 +70,4 @@
     }
     return { isGranted, usedCount, allowedCount, share }
   }
-
-  private _sumEarnedRetries (role: string): number {
-    const oldestSlice = this._computeSlice() - SLICES_PER_WINDOW
-    let sum = 0
-    for (const [slice, earned] of this._getEarnedRetries(role)) if (slice > oldestSlice) sum += earned
-    return sum
-  }
-
-  private _computeSlice (): number {
-    const { clock, windowMs } = this._options
-    return Math.floor(clock.now() * SLICES_PER_WINDOW / windowMs)
-  }
-
-  private _getEarnedRetries (role: string): Map<number, number> {
-    let earned = this._earnedRetries.get(role)
-    if (earned === undefined) {
-      earned = new Map()
-      this._earnedRetries.set(role, earned)
-    }
-    return earned
-  }
 }
