Give a restarted process no share of the retry budget that an earlier one may have used

Cause: what a process has used and earned is forgotten with it. The next one at the same address began with a whole share, and earned by its new first attempts as if nothing had been used within the same window.

No process can tell a first start from a restart after all nodes were killed, so the first window after the first start of a fleet is treated alike.

--- a/src/entryNode/nodeRetries.ts
+++ b/src/entryNode/nodeRetries.ts
@@ -62,6 +62,7 @@
       fleetRetries: fleetRetries * RETRY_BUDGET_FRACTION,
       windowMs: this._windowMs,
       drainMs: drainS * MS_PER_S,
+      uptimeMs: now - this._startedAt,
       members: this._listMembers(now)
     })
   }
--- a/src/services/retry/common/retryShare.ts
+++ b/src/services/retry/common/retryShare.ts
@@ -18,13 +18,23 @@
   readonly windowMs: number
   /** How long a node that leaves as planned may continue its requests. */
   readonly drainMs: number
+  /** How long this process has run. */
+  readonly uptimeMs: number
   /** All known nodes in any state, this one included. */
   readonly members: readonly MemberStateAge[]
 }
 
-export function computeRetryShare ({ fleetRetries, windowMs, drainMs, members }: RetryShareInputs): RetryShare {
+/**
+ * The fraction of the usual retries that first attempts earn in a new process. If all processes are new, and the earlier
+ * ones had just used all that they had earned, the nodes earn 1.25 times the ratio in that window.
+ */
+const NEW_PROCESS_EARNING_FACTOR = 0.25
+
+export function computeRetryShare ({ fleetRetries, windowMs, drainMs, uptimeMs, members }: RetryShareInputs): RetryShare {
   const sharers = members.filter(member => mayUseShare(member, windowMs + drainMs))
   const nodeCount = Math.max(1, sharers.length)
+  // An earlier process at this address may have used its whole share within the window.
+  if (uptimeMs < windowMs) return { baseRetries: 0, nodeCount, isFleetStable: false, earningFactor: NEW_PROCESS_EARNING_FACTOR, addedEarningFactor: NEW_PROCESS_EARNING_FACTOR }
   return {
     baseRetries: fleetRetries / nodeCount,
     nodeCount,
