Count a retry from when it is sent, and give back one that is not

What callers and upstreams saw: nothing that was traced to it; found by reading.

Cause: a retry was counted when it was decided. It may wait up to a second for an upstream, or longer for inputs that are prepared again, and arrives in a later window than the one that it was counted in; one that finds no upstream was spent for nothing.

Change: the budget grants a permit. It counts until it is sent, for a window from then on, and is given back if the run ends without sending it.

--- a/src/entryNode/test/retryFleet.ts
+++ b/src/entryNode/test/retryFleet.ts
@@ -7,6 +7,7 @@
 import { SeededRandom } from '../../base/common/random.ts'
 import { FactStore } from '../../services/facts/common/factStore.ts'
 import { MembershipTable } from '../../services/membership/common/membershipTable.ts'
+import type { RetryPermit } from '../../services/retry/common/retryPolicy.ts'
 import { NodeRetries } from '../nodeRetries.ts'
 
 /** The users' budget: retries of all nodes in any window, as a ratio of the first attempts and a base number. */
@@ -162,10 +163,19 @@
   }
 
   private _sendRetries (at: number): void {
-    for (const process of this._processes) while (process?.retries.budget.acquireRetry(ROLE).isGranted === true) this.retries.push(at)
+    for (const process of this._processes) {
+      for (let permit = acquire(process); permit !== undefined; permit = acquire(process)) {
+        permit.recordSent()
+        this.retries.push(at)
+      }
+    }
   }
 }
 
+function acquire (process: FleetProcess | undefined): RetryPermit | undefined {
+  return process?.retries.budget.acquireRetry(ROLE).permit
+}
+
 function formatAddress (index: number): string {
   return `10.0.0.${index + 1}:7000`
 }
--- a/src/services/pipeline/node/stageRunner.ts
+++ b/src/services/pipeline/node/stageRunner.ts
@@ -224,7 +224,7 @@
     })
     if (decision.kind === 'queue') return Effect.sleep(decision.waitMs)
     if (decision.kind !== 'again') return Effect.fail(createStageFailure(job, outcome.error, decision.kind === 'giveUp' ? decision.reason : 'stageFailed'))
-    if (!retries.acquireRetry(job.stage.role).isGranted) {
+    if (retries.acquireRetry(job.stage.role).permit === undefined) {
       this._recordDecision(job, 'retry', 'refused', 'the retry budget is exhausted', '')
       return Effect.fail(createStageFailure(job, outcome.error, 'stageFailed'))
     }
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -97,6 +97,7 @@
       deadlineTimer.dispose()
       disconnectListener.dispose()
       this._inputs.end()
+      this._retries.dispose()
     }
   }
 
@@ -204,6 +205,7 @@
         // The cause of a crash may have become known while the request waited for quota and a connection.
         if (!context.guard.maySend(upstream.id, request.id) || this._quarantine.findQuarantine() !== undefined) return false
         writtenAt = context.clock.now()
+        this._retries.recordSent()
         scheduledRelease = this._inputs.scheduleRelease()
         return true
       },
--- a/src/services/relay/node/requestRetries.ts
+++ b/src/services/relay/node/requestRetries.ts
@@ -1,7 +1,8 @@
 /**
  * The retries of one request: takes each one from the budget of its role and tells the log what the budget decided.
  */
-import type { RetryDecision, RetryPolicy } from '../../retry/common/retryPolicy.ts'
+import type { IDisposable } from '../../../base/common/disposable.ts'
+import type { RetryDecision, RetryPermit, RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import type { LogFields } from '../../log/node/logger.ts'
 import { isWithheld } from '../common/attemptDecision.ts'
 import type { AttemptDecision, AttemptOutcome } from '../common/attemptDecision.ts'
@@ -21,8 +22,10 @@
   readonly budget?: RetryDecision
 }
 
-export class RequestRetries {
+export class RequestRetries implements IDisposable {
   private readonly _options: RequestRetriesOptions
+  /** The retry that was granted last, until it is sent. */
+  private _permit: RetryPermit | undefined
 
   constructor (options: RequestRetriesOptions) {
     this._options = options
@@ -38,7 +41,18 @@
     if (!isFurtherAttempt(decision) || isAborted()) return { decision, isAllowed: false }
     if (isWithheld(outcome) || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')) return { decision, isAllowed: true }
     const budget = policy.acquireRetry(role)
-    return { decision, isAllowed: budget.isGranted, budget }
+    this._permit = budget.permit
+    return { decision, isAllowed: budget.permit !== undefined, budget }
+  }
+
+  /** Called when an attempt is written to its upstream. */
+  recordSent (): void {
+    this._permit?.recordSent()
+  }
+
+  /** Gives back a retry that was granted and not sent. */
+  dispose (): void {
+    this._permit?.dispose()
   }
 }
 
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -2,15 +2,40 @@
  * Decides whether a failed stage may be retried. Retries add load when the system is already overloaded, so their number
  * is limited in proportion to the first attempts.
  */
+import type { IDisposable } from '../../../base/common/disposable.ts'
+
 export abstract class RetryPolicy {
   abstract recordFirstAttempt (role: string): void
-  /** Consumes one retry of the budget, if one is left. */
+  /** Reserves one retry of the budget, if one is left. */
   abstract acquireRetry (role: string): RetryDecision
 }
 
+/** A retry that is reserved until it is sent. Disposing gives it back if it was not. */
+export abstract class RetryPermit implements IDisposable {
+  private _isPending = true
+
+  /** Called when the retry is written to its upstream. */
+  recordSent (): void {
+    if (!this._isPending) return
+    this._isPending = false
+    this.complete()
+  }
+
+  dispose (): void {
+    if (!this._isPending) return
+    this._isPending = false
+    this.withdraw()
+  }
+
+  protected abstract complete (): void
+
+  protected abstract withdraw (): void
+}
+
 /** Whether a retry was granted, and the state of the budget that decided it. */
 export interface RetryDecision {
-  readonly isGranted: boolean
+  /** Undefined if the budget refused. */
+  readonly permit: RetryPermit | undefined
   /** Retries that count against the budget, without this one. */
   readonly usedCount: number
   /** Retries that the budget allowed, a fraction of one included. */
@@ -36,12 +61,30 @@
   readonly addedEarningFactor: number
 }
 
+class UnlimitedPermit extends RetryPermit {
+  protected override complete (): void {}
+
+  protected override withdraw (): void {}
+}
+
 /** Baseline for comparison: allows as many retries as fit within the deadline. */
 export class UnlimitedRetries extends RetryPolicy {
   recordFirstAttempt (): void {}
 
   acquireRetry (): RetryDecision {
-    return { isGranted: true, usedCount: 0, allowedCount: Infinity }
+    return { permit: new UnlimitedPermit(), usedCount: 0, allowedCount: Infinity }
+  }
+}
+
+class BalancePermit extends RetryPermit {
+  constructor (private readonly _onDidWithdraw: () => void) {
+    super()
+  }
+
+  protected override complete (): void {}
+
+  protected override withdraw (): void {
+    this._onDidWithdraw()
   }
 }
 
@@ -70,9 +113,10 @@
 
   acquireRetry (role: string): RetryDecision {
     const balance = this._getBalance(role)
-    const isGranted = balance >= 1
-    if (isGranted) this._balances.set(role, balance - 1)
-    return { isGranted, usedCount: 0, allowedCount: balance }
+    if (balance < 1) return { permit: undefined, usedCount: 0, allowedCount: balance }
+    this._balances.set(role, balance - 1)
+    const permit = new BalancePermit(() => this._balances.set(role, Math.min(this._getMaxBalance(), this._getBalance(role) + 1)))
+    return { permit, usedCount: 0, allowedCount: balance }
   }
 
   private _getBalance (role: string): number {
--- a/src/services/retry/common/windowedRetryBudget.ts
+++ b/src/services/retry/common/windowedRetryBudget.ts
@@ -5,7 +5,7 @@
 import type { IClock } from '../../../base/common/clock.ts'
 import { SlicedWindowSum } from '../../../base/common/slicedWindowSum.ts'
 import { SlidingWindowCounter } from '../../../base/common/slidingWindowCounter.ts'
-import { RetryPolicy } from './retryPolicy.ts'
+import { RetryPermit, RetryPolicy } from './retryPolicy.ts'
 import type { RetryDecision, RetryShare } from './retryPolicy.ts'
 
 export interface WindowedRetryBudgetOptions {
@@ -16,6 +16,20 @@
   readonly getShare: () => RetryShare
 }
 
+class WindowedRetryPermit extends RetryPermit {
+  constructor (private readonly _onDidEnd: (isSent: boolean) => void) {
+    super()
+  }
+
+  protected override complete (): void {
+    this._onDidEnd(true)
+  }
+
+  protected override withdraw (): void {
+    this._onDidEnd(false)
+  }
+}
+
 export class WindowedRetryBudget extends RetryPolicy {
   private readonly _options: WindowedRetryBudgetOptions
   private readonly _firstAttempts: SlicedWindowSum
@@ -23,6 +37,8 @@
   private readonly _retries: SlidingWindowCounter
   /** First attempts in a window by role, when the fleet was last stable. */
   private readonly _usualFirstAttempts = new Map<string, number>()
+  /** Retries by role that were granted and are not sent yet. Each counts until it is, since only then its window begins. */
+  private readonly _pendingCounts = new Map<string, number>()
   private _grantedCount = 0
   private _refusedCount = 0
 
@@ -58,16 +74,23 @@
   acquireRetry (role: string): RetryDecision {
     const { clock, getShare } = this._options
     const now = clock.now()
-    const usedCount = this._retries.count(role, now)
     const share = getShare()
+    const usedCount = this._retries.count(role, now) + this._getPendingCount(role)
     const allowedCount = share.baseRetries + this._earnedRetries.sum(role, now)
-    const isGranted = usedCount + 1 <= allowedCount
-    if (isGranted) {
-      this._retries.add(role, now)
-      this._grantedCount++
-    } else {
+    if (usedCount + 1 > allowedCount) {
       this._refusedCount++
+      return { permit: undefined, usedCount, allowedCount, share }
     }
-    return { isGranted, usedCount, allowedCount, share }
+    this._grantedCount++
+    this._pendingCounts.set(role, this._getPendingCount(role) + 1)
+    const permit = new WindowedRetryPermit(isSent => {
+      this._pendingCounts.set(role, this._getPendingCount(role) - 1)
+      if (isSent) this._retries.add(role, clock.now())
+    })
+    return { permit, usedCount, allowedCount, share }
+  }
+
+  private _getPendingCount (role: string): number {
+    return this._pendingCounts.get(role) ?? 0
   }
 }
--- a/src/services/retry/test/lostUpstreams.test.ts
+++ b/src/services/retry/test/lostUpstreams.test.ts
@@ -27,6 +27,13 @@
   return new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO * 0.8, getShare: () => ({ baseRetries: BASE_RETRIES * 0.8 / NODES, nodeCount: NODES, isFleetStable: true, earningFactor: 1, addedEarningFactor: 1 }) })
 }
 
+/** Sends a retry if the policy allows it. */
+function tryRetry (policy: RetryPolicy | undefined): boolean {
+  const permit = policy?.acquireRetry('model').permit
+  permit?.recordSent()
+  return permit !== undefined
+}
+
 test('runs at several upstreams that are lost together are retried within the budget of the fleet', () => {
   const clock = new VirtualClock()
   const random = new SeededRandom(1)
@@ -37,7 +44,7 @@
     clock.advance(STEP_MS)
   }
   let retried = 0
-  for (let run = 0; run < LOST_RUNS; run++) if (pick()?.acquireRetry('model').isGranted === true) retried++
+  for (let run = 0; run < LOST_RUNS; run++) if (tryRetry(pick())) retried++
   assert.ok(retried <= BASE_RETRIES + RETRY_RATIO * REQUESTS_PER_S * WINDOW_MS / 1000)
   assert.ok(retried >= LOST_RUNS * 0.95, `${retried} of ${LOST_RUNS}`)
 })
@@ -55,7 +62,7 @@
         policy.recordFirstAttempt('model')
         firstsAt.push(clock.now())
       }
-      for (let count = 0; count < retries; count++) if (policy.acquireRetry('model').isGranted) retriedAt.push(clock.now())
+      for (let count = 0; count < retries; count++) if (tryRetry(policy)) retriedAt.push(clock.now())
       const countInWindow = (times: readonly number[]) => times.filter(at => clock.now() - at < WINDOW_MS).length
       assert.ok(countInWindow(retriedAt) <= 2 + RETRY_RATIO * countInWindow(firstsAt))
     }
