Divide tolerated refusals and promised returns by all nodes that are known

What upstreams saw: by reading, a brittle upstream, which fails if it has to refuse too many requests in a second, is tried again by the nodes on each side of a partition as often as it tolerates from all of them; and callers that all nodes tell when to return to a limited upstream come back faster than it accepts.

Change: both are divided by the members that have not left as planned, as cold limits were already. The estimate of an upstream's load keeps the live nodes: it is no allowance.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -194,7 +194,7 @@
       isSourceCurrent: () => options.upstreamSource.isCurrent,
       warmthProbe: options.createWarmthProbe?.(this._connections.createAgent())
     }))
-    this._statements = this._register(new NodeStatements({ clock, log, random, facts: this._fleetMember.facts, registry: this._registry, countNodes: () => this.countNodes(), recordRateLimit: (upstream, perS) => this._quota.statedLimits.recordLimit(upstream, perS) }))
+    this._statements = this._register(new NodeStatements({ clock, log, random, facts: this._fleetMember.facts, registry: this._registry, countNodes: () => this._fleetMember.membership.countKnown(), recordRateLimit: (upstream, perS) => this._quota.statedLimits.recordLimit(upstream, perS) }))
     const { backoffs, guard, loads } = this._statements
     const pieceProtocol = new BackoffPieceCalls(new RateLimitedPieceCalls(options.createPieceProtocol(this._connections.createAgent()), this._quota.service), backoffs, clock)
     this._register(pieceProtocol.onDidReceiveStatement(batch => this._statements.recordStatements(batch)))
--- a/src/entryNode/nodeQuota.ts
+++ b/src/entryNode/nodeQuota.ts
@@ -7,7 +7,7 @@
 import type { FactStore } from '../services/facts/common/factStore.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import type { CoordinatorLinks } from '../services/preparation/node/coordinatorLinks.ts'
-import type { Member, MembershipTable } from '../services/membership/common/membershipTable.ts'
+import type { MembershipTable } from '../services/membership/common/membershipTable.ts'
 import { CombinedLimits, ColdStartLimits, StatedLimits } from '../services/quota/common/rateLimitSource.ts'
 import { QuotaOwner } from '../services/quota/common/quotaOwner.ts'
 import type { QuotaDecision } from '../services/quota/common/quotaOwner.ts'
@@ -57,7 +57,6 @@
   private readonly _options: NodeQuotaOptions
   private readonly _quotaOwner: QuotaOwner
   private readonly _peerReportedLimits: PeerReportedLimits
-  private _knownNodes: { readonly members: readonly Member[], readonly count: number } = { members: [], count: 0 }
   readonly statedLimits: RateLimitService
   readonly limits: CombinedLimits
   readonly service: QuotaService
@@ -67,7 +66,7 @@
     this._options = options
     const { clock, registry, membership } = options
     const countLiveNodes = () => membership.countLive()
-    const countKnownNodes = () => this._countKnownNodes()
+    const countKnownNodes = () => membership.countKnown()
     this.statedLimits = this._register(new RateLimitService(options))
     this._peerReportedLimits = new PeerReportedLimits(clock)
     this._register(registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._peerReportedLimits.remove(entry.id) }))
@@ -80,7 +79,7 @@
     if (options.warmthProbe !== undefined) {
       this._register(new WarmthProbes({ ...options, probe: options.warmthProbe, owner: this._quotaOwner, findHealthPath: role => options.getTable()?.getRole(role)?.healthPath ?? '' }))
     }
-    this.service = this._register(new QuotaService({ ...options, limits: this.limits, localLimits, unconfirmed, owner: this._quotaOwner, findOwnerAddress: hall => this._findOwnerAddress(hall), countNodes: countLiveNodes }))
+    this.service = this._register(new QuotaService({ ...options, limits: this.limits, localLimits, unconfirmed, owner: this._quotaOwner, findOwnerAddress: hall => this._findOwnerAddress(hall), countNodes: countKnownNodes }))
     this._register(startInterval(OWNERSHIP_REFRESH_PERIOD_MS, () => this._quotaOwner.refreshOwnership(new Set(registry.list().map(({ hall }) => hall)))))
   }
 
@@ -102,13 +101,6 @@
     this._quotaOwner.resetOwnership()
   }
 
-  /** Counted again only if a member has changed: the limits of all upstreams are looked up for every request. */
-  private _countKnownNodes (): number {
-    const members = this._options.membership.listMembers()
-    if (members !== this._knownNodes.members) this._knownNodes = { members, count: members.filter(({ state }) => state !== 'left').length }
-    return this._knownNodes.count
-  }
-
   /** Requests per second that all nodes together may send one cold upstream of a role; Infinity if there is no limit. */
   private _computeColdStartLimit (role: string): number {
     const { coldRateMultiplier, extraColdRequestsPerS = 0, getTable } = this._options
--- a/src/services/backoff/node/sharedRefusals.ts
+++ b/src/services/backoff/node/sharedRefusals.ts
@@ -16,7 +16,7 @@
   readonly random: IRandom
   readonly facts: FactStore
   readonly backoffs: BackoffService
-  /** Number of nodes that send to the same upstreams, this one included. */
+  /** Number of nodes that send to the same upstreams, this one and those that cannot be reached included. */
   readonly countNodes: () => number
 }
 
--- a/src/services/backoff/test/sharedRefusals.test.ts
+++ b/src/services/backoff/test/sharedRefusals.test.ts
@@ -27,6 +27,7 @@
   readonly clock = new VirtualClock(10_000)
   readonly refusedAt: number[] = []
   servedCount = 0
+  isCut = false
   private readonly _nodes = Array.from({ length: NODE_COUNT }, (_item, index) => {
     const { clock } = this
     const registry = this._register(new UpstreamRegistry())
@@ -51,7 +52,7 @@
           refusals.recordRefusal(UPSTREAM, MAX_PER_S)
         }
       }
-      if (ms % GOSSIP_MS === 0) this._exchangeFacts()
+      if (ms % GOSSIP_MS === 0 && !this.isCut) this._exchangeFacts()
     }
   }
 
@@ -83,6 +84,15 @@
   assert.ok(fleet.countMostRefusedInASecond() <= MAX_PER_S, `${fleet.countMostRefusedInASecond()} in a second`)
 }))
 
+// Nodes that were cut off from each other divided the tolerated refusals by those that they still reached.
+test('nodes that are cut off from each other try again no more often than the upstream tolerates', () => runFleet(fleet => {
+  fleet.run(SECOND_MS, true)
+  fleet.isCut = true
+  fleet.refusedAt.length = 0
+  fleet.run(60_000, true)
+  assert.ok(fleet.refusedAt.length / 60 <= MAX_PER_S, `${fleet.refusedAt.length / 60} per second`)
+}))
+
 test('an upstream that has room again is used by all nodes within some seconds', () => runFleet(fleet => {
   fleet.run(3000, true)
   fleet.run(6000, false)
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -48,6 +48,7 @@
   readonly facts: readonly StoredFactOf<'member'>[]
   readonly members: readonly Member[]
   readonly states: readonly MemberStateChange[]
+  readonly knownCount: number
   readonly live: readonly Member[]
   readonly peers: readonly Member[]
   readonly peerAddresses: readonly string[]
@@ -72,7 +73,7 @@
   private _probeOrder: readonly string[] = []
   private _suspicionCount = 0
   private _digest: { readonly facts: readonly StoredFactOf<'member'>[], readonly value: number } = { facts: [], value: 0 }
-  private _snapshot: MemberSnapshot = { facts: [], members: [], states: [], live: [], peers: [], peerAddresses: [] }
+  private _snapshot: MemberSnapshot = { facts: [], members: [], states: [], knownCount: 0, live: [], peers: [], peerAddresses: [] }
 
   constructor (options: MembershipOptions) {
     super()
@@ -114,6 +115,14 @@
     return Math.max(1, this.listLive().length)
   }
 
+  /**
+   * The number of members that have not left as planned, this one included. Those that cannot be reached are counted: they may
+   * run on the other side of a partition. Allowances of the fleet that nodes divide among themselves are divided by this number.
+   */
+  countKnown (): number {
+    return Math.max(1, this._deriveSnapshot().knownCount)
+  }
+
   /** Derives the lists again only if a member fact has changed. */
   private _deriveSnapshot (): MemberSnapshot {
     const facts = this._listFacts()
@@ -122,7 +131,8 @@
     const live = members.filter(member => !isDeadOrLeft(member.state))
     const peers = live.filter(member => member.address !== this._options.address)
     const states = facts.map(({ value, observedAt }) => ({ address: value.address, state: value.state, since: observedAt }))
-    this._snapshot = { facts, members, states, live, peers, peerAddresses: peers.map(member => member.address) }
+    const knownCount = members.filter(({ state }) => state !== 'left').length
+    this._snapshot = { facts, members, states, knownCount, live, peers, peerAddresses: peers.map(member => member.address) }
     return this._snapshot
   }
 
--- a/src/services/membership/test/membershipTable.test.ts
+++ b/src/services/membership/test/membershipTable.test.ts
@@ -84,6 +84,7 @@
   a.table.expireMembers()
   assert.is(a.findState('b'), 'dead')
   assert.equal(a.table.listPeers(), [])
+  assert.equal([a.table.countLive(), a.table.countKnown()], [1, 2])
   clock.advance(5000)
   a.table.expireMembers()
   assert.is(a.findState('b'), undefined)
--- a/src/services/quota/node/quotaService.ts
+++ b/src/services/quota/node/quotaService.ts
@@ -30,6 +30,7 @@
   readonly links: CoordinatorLinks
   /** Returns the address of the owner of a hall's quotas, or undefined if that is this node. */
   readonly findOwnerAddress: (hall: string) => string | undefined
+  /** Counts the nodes that tell callers when to return, including those that cannot be reached. */
   readonly countNodes: () => number
 }
 
