Survive a reload that is requested while a node loads

What operators saw: a node that is sent SIGHUP within the first moments after its start ended, and its host started it again.

Cause: the handler is registered once the program has been loaded; until then the signal has its default effect.

Change: the loader ignores the signal. The settings are read later anyway. The time until Node.js runs the loader cannot be covered from here.

Measured: startCached.test.ts, with a bundle that signals its own process while it is loaded, fails without the change and passes with it.

--- a/scripts/startCached.cjs
+++ b/scripts/startCached.cjs
@@ -4,6 +4,9 @@
 const { join } = require('node:path')
 const { Script } = require('node:vm')
 
+// Without a handler the signal ends the process. A reload that is requested before the settings are read needs nothing else.
+process.on('SIGHUP', () => {})
+
 const bundlePath = join(__dirname, 'pepperwood-node.bundle.cjs')
 const cachePath = join(__dirname, 'pepperwood-node.cache')
 const isCreatingCache = process.argv.includes('--make-cache')
--- a/scripts/test/startCached.test.ts
+++ b/scripts/test/startCached.test.ts
@@ -36,4 +36,11 @@
   })
 }
 
+test('a reload that is requested while the program loads does not end it', () => {
+  const folder = createFolder()
+  writeFileSync(join(folder, 'pepperwood-node.bundle.cjs'), `process.kill(process.pid, 'SIGHUP'); ${BUNDLE}`)
+  assert.is(runLoader(folder), 'started function\n')
+  rmSync(folder, { recursive: true })
+})
+
 test.run()
