Send no further attempt of a stage that its deadline would interrupt

What callers saw: a request that every upstream refused without running it was sometimes refused as one that may have run, and so not sent again by its caller.

Cause: a further attempt was decided with 50 ms left at least, since the deadline could interrupt it otherwise and nobody could know whether it ran. It then waits, up to a quarter of the time left, in the queue and for a connection, and was sent with whatever was left by then.

Change: the time left is checked again before the first byte is written.

Measured: requestRunner.test.ts with an upstream that is busy 60 ms before the deadline and silent after that: mayHaveRun before, notRun now.

--- a/src/services/pipeline/common/outcomeDecision.ts
+++ b/src/services/pipeline/common/outcomeDecision.ts
@@ -26,10 +26,10 @@
 
 const MAX_RESUMES = 2
 /**
- * No further attempt starts with less time left than this. A busy upstream answers within this time. If the deadline
+ * No further attempt is decided or sent with less time left than this. A busy upstream answers within this time. If the deadline
  * interrupts an attempt of an unrepeatable request, the caller cannot know whether the request ran.
  */
-const MIN_TIME_LEFT_MS = 50
+export const MIN_TIME_LEFT_MS = 50
 const INITIAL_BACKOFF_MS = 10
 const MAX_BACKOFF_MS = 250
 const MAX_BACKOFF_DOUBLINGS = 10
--- a/src/services/pipeline/node/stageRunner.ts
+++ b/src/services/pipeline/node/stageRunner.ts
@@ -14,7 +14,7 @@
 import type { RequestRun } from '../../session/common/requestRun.ts'
 import type { UpstreamAdapter, UpstreamOutcome } from '../../upstream/common/upstreamAdapter.ts'
 import { computeSilenceTimeoutMs } from '../common/silenceTimeout.ts'
-import { decideAfterOutcome } from '../common/outcomeDecision.ts'
+import { decideAfterOutcome, MIN_TIME_LEFT_MS } from '../common/outcomeDecision.ts'
 import { formatStageKey, isStageUnrepeatable } from '../common/requestPlan.ts'
 import type { RequestPlan } from '../common/requestPlan.ts'
 import { runAttempt } from './attemptRunner.ts'
@@ -178,7 +178,7 @@
       produced: offset > 0 && !isResume ? progress.receivedTexts.join('') : '',
       isResume,
       isUnrepeatable,
-      onWillSend: () => this._tryMarkSent(job, attemptId, isResume),
+      onWillSend: () => this._tryMarkSent(job, attemptId, isResume, progress.attemptCount > 1),
       onDidReceiveText: text => {
         if (run.outcome !== undefined) return
         progress.receivedTexts.push(text)
@@ -188,9 +188,11 @@
   }
 
   /** Called before the first byte is written. Returns false if the call must not be sent; otherwise the attempt counts as `sent` from here on. */
-  private _tryMarkSent (job: StageJob, attemptId: string, isResume: boolean): boolean {
+  private _tryMarkSent (job: StageJob, attemptId: string, isResume: boolean, isFurtherAttempt: boolean): boolean {
     const now = this._options.clock.now()
-    if (!this._options.canSend() || now >= job.plan.deadlineAt || job.run.outcome !== undefined) return false
+    // Time has passed since the attempt was decided: the stage waited in the queue and for a connection.
+    const lastSendAt = job.plan.deadlineAt - (isFurtherAttempt ? MIN_TIME_LEFT_MS : 0)
+    if (!this._options.canSend() || now >= lastSendAt || job.run.outcome !== undefined) return false
     if (!isResume) job.run.attemptLog.update(attemptId, 'sent', now)
     return true
   }
--- a/src/services/pipeline/test/requestRunner.test.ts
+++ b/src/services/pipeline/test/requestRunner.test.ts
@@ -105,6 +105,20 @@
   assert.not(harness.adapter.ran.some(attempt => attempt.startsWith(`${started[19]?.run.requestId}/`)))
 })
 
+// The wait before a further attempt left too little time for an answer, and the refusal said that the request may have run.
+test('a refused request is not sent again if its deadline could interrupt the attempt', async () => {
+  const harness = createHarness([{ role: 'work', unrepeatable: true }])
+  harness.adapter.script = call => call.attemptId.endsWith('/1') ? 'busy' : 'hang'
+  const { run, done } = startRequest(harness, true, 60)
+  for (let step = 0; step < 12; step++) {
+    await runPendingTasks()
+    harness.clock.advance(5)
+  }
+  await done
+  assert.is(run.outcome?.kind === 'refused' ? run.outcome.execution : run.outcome?.kind, 'notRun')
+  assert.is(harness.adapter.ran.length, 0)
+})
+
 test('an answer that arrives after the run has finished is ignored', async () => {
   const harness = createHarness(SINGLE_STAGE)
   let sendLateAnswer = () => {}
