Make the permit of a retry one class, and let the gate's path record its retries as sent

The read-through found three subclasses of RetryPermit that differed in what their end does, and a gate whose permits were neither sent nor given back: its budget counts a retry at once, so nothing came of it.

Change: a permit has a callback for its end. The gate records its retries as sent. No decision changes.

--- a/src/services/pipeline/node/stageRunner.ts
+++ b/src/services/pipeline/node/stageRunner.ts
@@ -226,10 +226,12 @@
     })
     if (decision.kind === 'queue') return Effect.sleep(decision.waitMs)
     if (decision.kind !== 'again') return Effect.fail(createStageFailure(job, outcome.error, decision.kind === 'giveUp' ? decision.reason : 'stageFailed'))
-    if (retries.acquireRetry(job.stage.role).permit === undefined) {
+    const { permit } = retries.acquireRetry(job.stage.role)
+    if (permit === undefined) {
       this._recordDecision(job, 'retry', 'refused', 'the retry budget is exhausted', '')
       return Effect.fail(createStageFailure(job, outcome.error, 'stageFailed'))
     }
+    permit.recordSent()
     this._recordDecision(job, 'retry', 'again', outcome.error.message, '')
     return Effect.void
   }
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -11,25 +11,26 @@
 }
 
 /** A retry that is reserved until it is sent. Disposing gives it back if it was not. */
-export abstract class RetryPermit implements IDisposable {
+export class RetryPermit implements IDisposable {
   private _isPending = true
 
+  /** The callback is called once, when the retry is sent or given back. */
+  constructor (private readonly _onDidEnd: (isSent: boolean) => void) {}
+
   /** Called when the retry is written to its upstream. */
   recordSent (): void {
-    if (!this._isPending) return
-    this._isPending = false
-    this.complete()
+    this._end(true)
   }
 
   dispose (): void {
+    this._end(false)
+  }
+
+  private _end (isSent: boolean): void {
     if (!this._isPending) return
     this._isPending = false
-    this.withdraw()
+    this._onDidEnd(isSent)
   }
-
-  protected abstract complete (): void
-
-  protected abstract withdraw (): void
 }
 
 /** Whether a retry was granted, and the state of the budget that decided it. */
@@ -61,30 +62,12 @@
   readonly addedEarningFactor: number
 }
 
-class UnlimitedPermit extends RetryPermit {
-  protected override complete (): void {}
-
-  protected override withdraw (): void {}
-}
-
 /** Baseline for comparison: allows as many retries as fit within the deadline. */
 export class UnlimitedRetries extends RetryPolicy {
   recordFirstAttempt (): void {}
 
   acquireRetry (): RetryDecision {
-    return { permit: new UnlimitedPermit(), usedCount: 0, allowedCount: Infinity }
-  }
-}
-
-class BalancePermit extends RetryPermit {
-  constructor (private readonly _onDidWithdraw: () => void) {
-    super()
-  }
-
-  protected override complete (): void {}
-
-  protected override withdraw (): void {
-    this._onDidWithdraw()
+    return { permit: new RetryPermit(() => {}), usedCount: 0, allowedCount: Infinity }
   }
 }
 
@@ -115,7 +98,9 @@
     const balance = this._getBalance(role)
     if (balance < 1) return { permit: undefined, usedCount: 0, allowedCount: balance }
     this._balances.set(role, balance - 1)
-    const permit = new BalancePermit(() => this._balances.set(role, Math.min(this._getMaxBalance(), this._getBalance(role) + 1)))
+    const permit = new RetryPermit(isSent => {
+      if (!isSent) this._balances.set(role, Math.min(this._getMaxBalance(), this._getBalance(role) + 1))
+    })
     return { permit, usedCount: 0, allowedCount: balance }
   }
 
--- a/src/services/retry/common/windowedRetryBudget.ts
+++ b/src/services/retry/common/windowedRetryBudget.ts
@@ -16,20 +16,6 @@
   readonly getShare: () => RetryShare
 }
 
-class WindowedRetryPermit extends RetryPermit {
-  constructor (private readonly _onDidEnd: (isSent: boolean) => void) {
-    super()
-  }
-
-  protected override complete (): void {
-    this._onDidEnd(true)
-  }
-
-  protected override withdraw (): void {
-    this._onDidEnd(false)
-  }
-}
-
 export class WindowedRetryBudget extends RetryPolicy {
   private readonly _options: WindowedRetryBudgetOptions
   private readonly _firstAttempts: SlicedWindowSum
@@ -83,7 +69,7 @@
     }
     this._grantedCount++
     this._pendingCounts.set(role, this._getPendingCount(role) + 1)
-    const permit = new WindowedRetryPermit(isSent => {
+    const permit = new RetryPermit(isSent => {
       this._pendingCounts.set(role, this._getPendingCount(role) - 1)
       if (isSent) this._retries.add(role, clock.now())
     })
