--- a/src/services/relay/node/requestRetries.ts
+++ b/src/services/relay/node/requestRetries.ts
@@ -35,7 +35,10 @@
     this._options.policy.recordFirstAttempt(this._options.role)
   }
 
-  /** Takes a retry from the budget if the decision needs one. An attempt that was never written did not reach an upstream and costs nothing. */
+  /**
+   * Takes a retry from the budget if the decision needs one. An attempt that was never written did not reach an upstream, so
+   * that the one after it costs nothing.
+   */
   acquire (decision: AttemptDecision, outcome: AttemptOutcome): NextAttempt {
     const { policy, role, isAborted } = this._options
     if (!isFurtherAttempt(decision) || isAborted()) return { decision, isAllowed: false }
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -51,7 +51,7 @@
   readonly baseRetries: number
   /** The nodes among which these are divided. */
   readonly nodeCount: number
-  /** Whether all nodes have run and seen each other for a window, so that callers of none have come to others. */
+  /** Whether all known nodes are alive and have been for a window, so that no callers of lost nodes have come to this one. */
   readonly isFleetStable: boolean
   /** The fraction of the ratio that a first attempt earns now. */
   readonly earningFactor: number
