--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -20,7 +20,7 @@
     countQuarantineRefusals: () => 6,
     countGrantedRetries: () => 12,
     countRefusedRetries: () => 13,
-    getRetryAllowance: () => 1.5,
+    getBaseRetries: () => 1.5,
     countLimitedUpstreams: () => 2,
     countInvalidStatements: getZero,
     countInvalidLoads: () => 7,
@@ -54,7 +54,7 @@
   assert.match(text, /pepperwood_node_quarantine_refusals_total 6/)
   assert.match(text, /pepperwood_node_retries_granted_total 12/)
   assert.match(text, /pepperwood_node_retries_refused_total 13/)
-  assert.match(text, /pepperwood_node_retry_allowance 1\.5/)
+  assert.match(text, /pepperwood_node_retry_base 1\.5/)
   for (const line of ['reserved_returns_total 9', 'kept_returns_total 5', 'expired_returns_total 3', 'missed_returns_total 1']) assert.match(text, new RegExp(`pepperwood_node_${line}\n`))
 })
 
--- a/src/services/membership/common/membershipTable.ts
+++ b/src/services/membership/common/membershipTable.ts
@@ -117,7 +117,8 @@
 
   /**
    * The number of members that have not left as planned, this one included. Those that cannot be reached are counted: they may
-   * run on the other side of a partition. Allowances of the fleet that nodes divide among themselves are divided by this number.
+   * run on the other side of a partition. Allowances of the fleet that nodes divide among themselves are divided by this number. It is
+   * read with every request, and counted again only if a member fact has changed.
    */
   countKnown (): number {
     return Math.max(1, this._deriveSnapshot().knownCount)
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -56,8 +56,8 @@
   /** The fraction of the ratio that a first attempt earns now. */
   readonly earningFactor: number
   /**
-   * The fraction that first attempts earn beyond their number while the fleet was stable. Callers of lost nodes come to the
-   * others, while the retries that were earned with the lost nodes still count in the window.
+   * The fraction earned by first attempts in excess of the number in a window while the fleet was stable. Callers of lost nodes
+   * come to the others, while retries that they earned at the lost nodes still count in the window.
    */
   readonly addedEarningFactor: number
 }
