--- a/src/base/common/random.ts
+++ b/src/base/common/random.ts
@@ -1,7 +1,7 @@
 /**
  * Seeded random numbers, so that tests can reproduce decisions.
  */
-import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
+import { mersenne, unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
 import type { RandomGenerator } from 'pure-rand'
 
 const RESOLUTION = 0x3fffffff
@@ -13,10 +13,11 @@
 
 /** Generates the same numbers for the same seed. */
 export class SeededRandom implements IRandom {
-  private readonly _generator: RandomGenerator
+  constructor (seed: number, private readonly _generator: RandomGenerator = xoroshiro128plus(seed)) {}
 
-  constructor (seed: number) {
-    this._generator = xoroshiro128plus(seed)
+  /** Creates a generator whose first numbers for close seeds are unrelated; those of the default generator hardly differ. */
+  static createMixed (seed: number): SeededRandom {
+    return new SeededRandom(seed, mersenne(seed))
   }
 
   next (): number {
