Let callers that move earn no retries twice, whichever way they move

Callers saw nothing; upstreams could be sent more retries than the users' budget allows. Cause: a node earned retries for every first attempt as soon as all nodes were known to be alive.

Evidence: the property test had no such moves.

Change: first attempts in excess of those in the window before earn a quarter of the ratio. This covers callers that move of their own accord, callers of lost nodes and restarted processes alike, so what was computed from the states of members for it is gone: whether the fleet is stable, two earning factors, and the usual number of first attempts. If all callers move, the nodes earn 1.25 x 0.8 of the ratio.

Nodes that are frozen and continue were not in the test either.

--- a/src/base/common/slicedWindowSum.ts
+++ b/src/base/common/slicedWindowSum.ts
@@ -8,20 +8,22 @@
   /** Sums by key and index of the slice. */
   private readonly _slices = new Map<string, Map<number, number>>()
 
-  constructor (private readonly _windowMs: number) {}
+  /** Keeps the amounts of the current window and of so many before it. */
+  constructor (private readonly _windowMs: number, private readonly _earlierWindows = 0) {}
 
   add (key: string, amount: number, now: number): void {
     const slices = this._slices.get(key) ?? new Map<number, number>()
     this._slices.set(key, slices)
     const current = this._computeSlice(now)
     slices.set(current, (slices.get(current) ?? 0) + amount)
-    for (const slice of slices.keys()) if (slice <= current - SLICES_PER_WINDOW) slices.delete(slice)
+    for (const slice of slices.keys()) if (slice <= current - SLICES_PER_WINDOW * (1 + this._earlierWindows)) slices.delete(slice)
   }
 
-  sum (key: string, now: number): number {
-    const oldestSlice = this._computeSlice(now) - SLICES_PER_WINDOW
+  /** Sums the window that ends now, or one that ended so many windows ago. */
+  sum (key: string, now: number, windowsAgo = 0): number {
+    const newestSlice = this._computeSlice(now) - SLICES_PER_WINDOW * windowsAgo
     let sum = 0
-    for (const [slice, amount] of this._slices.get(key) ?? []) if (slice > oldestSlice) sum += amount
+    for (const [slice, amount] of this._slices.get(key) ?? []) if (slice <= newestSlice && slice > newestSlice - SLICES_PER_WINDOW) sum += amount
     return sum
   }
 
--- a/src/entryNode/test/retriesBeyondBudget.test.ts
+++ b/src/entryNode/test/retriesBeyondBudget.test.ts
@@ -45,8 +45,18 @@
   checkBudget([5000, 8000, 11_000].map(atMs => ({ kind: 'kill', atMs, nodes: 0b111, forMs: 300 })))
 })
 
-test('any series of kills, stops and cuts that overlap', () => {
-  const event = fc.record({ kind: fc.constantFrom('kill' as const, 'stop' as const, 'cut' as const), atMs: fc.integer({ min: 0, max: 30_000 }), nodes: fc.integer({ min: 1, max: ALL }), forMs: fc.integer({ min: 300, max: 15_000 }) })
+test('callers that move between nodes of which none is lost take no earned retries along', () => {
+  const scenario = { ...SCENARIO, requestsPerS: 80, budget: { ratio: 0.2, base: 20 }, failingFromMs: 15_900 }
+  checkBudget([{ kind: 'move', atMs: 16_000, nodes: ALL >> 1, forMs: 20_000 }], scenario)
+  checkBudget(Array.from({ length: 8 }, (_item, index) => ({ kind: 'move', atMs: index * 5000, nodes: ALL ^ 1 << index % NODES, forMs: 5000 })), scenario)
+})
+
+test('nodes that are frozen and continue use their shares once', () => {
+  checkBudget([0b111, 0b111000, ALL].map((nodes, index) => ({ kind: 'freeze', atMs: 6000 + index * 3000, nodes, forMs: 4000 })))
+})
+
+test('any series of kills, stops, cuts, freezes and moves that overlap', () => {
+  const event = fc.record({ kind: fc.constantFrom('kill' as const, 'stop' as const, 'cut' as const, 'freeze' as const, 'move' as const), atMs: fc.integer({ min: 0, max: 30_000 }), nodes: fc.integer({ min: 1, max: ALL }), forMs: fc.integer({ min: 300, max: 15_000 }) })
   const scenario = fc.record({
     nodeCount: fc.integer({ min: 1, max: NODES }),
     requestsPerS: fc.integer({ min: 2, max: 8 }).map(tens => tens * 10),
@@ -59,7 +69,7 @@
     const fleet = new RetryFleet({ ...rest, budget: { ratio: 0.2, base }, events })
     fleet.run()
     assert.ok(fleet.computeExcess() <= 0, `${fleet.computeExcess().toFixed(1)} retries too many`)
-  }), { seed: 20261204, numRuns: 60 })
+  }), { seed: 20261204, numRuns: 100 })
 })
 
 test.run()
--- a/src/entryNode/test/retryFleet.ts
+++ b/src/entryNode/test/retryFleet.ts
@@ -1,6 +1,6 @@
 /**
  * Test harness: nodes of a fleet with their retry budgets and memberships, on a virtual clock. Processes start, are killed
- * and stop, links are cut, and every process makes each retry that its budget allows, the moment it is allowed.
+ * and stop, are frozen and continue, links are cut, callers move, and every process makes each retry that its budget allows, the moment it is allowed.
  */
 import { VirtualClock } from '../../base/common/clock.ts'
 import { DisposableStore } from '../../base/common/disposable.ts'
@@ -16,14 +16,15 @@
   readonly base: number
 }
 
-export type FleetEventKind = 'kill' | 'stop' | 'cut'
+/** With `move`, callers use the other nodes for a while; nothing else happens to the nodes that they leave. */
+export type FleetEventKind = 'kill' | 'stop' | 'cut' | 'freeze' | 'move'
 
 /** Something that happens to a set of nodes, given by the bits of `nodes`. */
 export interface FleetEvent {
   readonly kind: FleetEventKind
   readonly atMs: number
   readonly nodes: number
-  /** How long a process is away, or links are cut. */
+  /** How long a process is away or frozen, links are cut, or callers are elsewhere. */
   readonly forMs: number
 }
 
@@ -43,6 +44,8 @@
 const LEAD_MS = 12_000
 const DRAIN_MS = 4000
 const SUSPECT_AFTER_MS = 1000
+/** A request that waited longer for a frozen process is not sent. */
+const DEADLINE_MS = 4000
 const ROLE = 'model'
 
 class FleetProcess {
@@ -51,6 +54,9 @@
   readonly retries: NodeRetries
   readonly facts: FactStore
   drainsUntil: number | undefined
+  frozenUntil = -Infinity
+  /** When the requests were sent that reached the process while it was frozen. */
+  readonly waiting: number[] = []
 
   constructor (clock: VirtualClock, index: number, budget: FleetBudget, seeds: readonly string[]) {
     const address = formatAddress(index)
@@ -69,6 +75,7 @@
   private readonly _processes: Array<FleetProcess | undefined>
   private readonly _restartAt = new Map<number, number>()
   private readonly _cutUntil = new Map<number, number>()
+  private readonly _movedUntil = new Map<number, number>()
   private readonly _unheardSince = new Map<string, number>()
   /** Times of first attempts and of retries, in milliseconds after the start of traffic. */
   readonly firsts: number[] = []
@@ -86,6 +93,7 @@
       this._startProcesses(at)
       for (const event of this._scenario.events) if (event.atMs >= at && event.atMs < at + STEP_MS) this._applyEvent(event, at)
       this._exchangeFacts(at)
+      this._sendWaiting(at)
       if (at >= 0) this._sendFirstAttempts(at)
       if (at >= this._scenario.failingFromMs) this._sendRetries(at)
       this._clock.advance(STEP_MS)
@@ -124,6 +132,10 @@
       if ((nodes >> index) % 2 === 0) return
       if (kind === 'cut') {
         this._cutUntil.set(index, at + forMs)
+      } else if (kind === 'move') {
+        this._movedUntil.set(index, at + forMs)
+      } else if (kind === 'freeze') {
+        if (process !== undefined) process.frozenUntil = at + forMs
       } else if (process !== undefined && process.drainsUntil === undefined) {
         if (kind === 'kill') {
           this._processes[index] = undefined
@@ -140,9 +152,10 @@
   private _exchangeFacts (at: number): void {
     const isCut = (index: number) => (this._cutUntil.get(index) ?? -Infinity) > at
     this._processes.forEach((receiver, to) => {
+      if (receiver !== undefined && isFrozen(receiver, at)) return
       this._processes.forEach((sender, from) => {
         if (receiver === undefined || from === to) return
-        const isLinked = sender !== undefined && !isCut(from) && !isCut(to)
+        const isLinked = sender !== undefined && !isFrozen(sender, at) && !isCut(from) && !isCut(to)
         if (isLinked) for (const fact of sender.facts.listSince(0, '')) receiver.facts.merge(fact, formatAddress(from))
         const link = `${to}/${from}`
         if (isLinked) this._unheardSince.delete(link)
@@ -153,17 +166,33 @@
     })
   }
 
+  /** Callers leave a frozen process once it is suspected. */
   private _sendFirstAttempts (at: number): void {
-    const takers = this._processes.filter(process => process !== undefined && process.drainsUntil === undefined)
+    const isUsed = (index: number) => (this._movedUntil.get(index) ?? -Infinity) <= at
+    const isKnownLost = (process: FleetProcess) => isFrozen(process, at) && isFrozen(process, at - SUSPECT_AFTER_MS)
+    const running = this._processes.filter(process => process !== undefined && process.drainsUntil === undefined && !isKnownLost(process))
+    const preferred = running.filter(process => isUsed(this._processes.indexOf(process)))
+    const takers = preferred.length > 0 ? preferred : running
     const count = this._scenario.requestsPerS * STEP_MS / 1000
     for (let index = 0; index < count; index++) {
       this.firsts.push(at)
-      takers[Math.floor(this._random.next() * takers.length)]?.retries.budget.recordFirstAttempt(ROLE)
+      const taker = takers[Math.floor(this._random.next() * takers.length)]
+      if (taker !== undefined && isFrozen(taker, at)) taker.waiting.push(at)
+      else taker?.retries.budget.recordFirstAttempt(ROLE)
+    }
+  }
+
+  /** Processes that continue send the requests that are still in time. */
+  private _sendWaiting (at: number): void {
+    for (const process of this._processes) {
+      if (process === undefined || isFrozen(process, at)) continue
+      for (const sentAt of process.waiting.splice(0)) if (at - sentAt < DEADLINE_MS) process.retries.budget.recordFirstAttempt(ROLE)
     }
   }
 
   private _sendRetries (at: number): void {
     for (const process of this._processes) {
+      if (process !== undefined && isFrozen(process, at)) continue
       for (let permit = acquire(process); permit !== undefined; permit = acquire(process)) {
         permit.recordSent()
         this.retries.push(at)
@@ -176,6 +205,10 @@
   return process?.retries.budget.acquireRetry(ROLE).permit
 }
 
+function isFrozen ({ frozenUntil }: FleetProcess, at: number): boolean {
+  return at < frozenUntil
+}
+
 function formatAddress (index: number): string {
   return `10.0.0.${index + 1}:7000`
 }
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -51,15 +51,6 @@
   readonly baseRetries: number
   /** The nodes among which these are divided. */
   readonly nodeCount: number
-  /** Whether all known nodes are alive and have been for a window, so that no callers of lost nodes have come to this one. */
-  readonly isFleetStable: boolean
-  /** The fraction of the ratio that a first attempt earns now. */
-  readonly earningFactor: number
-  /**
-   * The fraction earned by first attempts in excess of the number in a window while the fleet was stable. Callers of lost nodes
-   * come to the others, while retries that they earned at the lost nodes still count in the window.
-   */
-  readonly addedEarningFactor: number
 }
 
 /** Baseline for comparison: allows as many retries as fit within the deadline. */
--- a/src/services/retry/common/retryShare.ts
+++ b/src/services/retry/common/retryShare.ts
@@ -24,24 +24,11 @@
   readonly members: readonly MemberStateAge[]
 }
 
-/**
- * The fraction of the usual retries that first attempts earn in a new process. If all processes are new, and the earlier
- * ones had just used all that they had earned, the nodes earn 1.25 times the ratio in that window.
- */
-const NEW_PROCESS_EARNING_FACTOR = 0.25
-
 export function computeRetryShare ({ fleetRetries, windowMs, drainMs, uptimeMs, members }: RetryShareInputs): RetryShare {
   const sharers = members.filter(member => mayUseShare(member, windowMs + drainMs))
   const nodeCount = Math.max(1, sharers.length)
   // An earlier process at this address may have used its whole share within the window.
-  if (uptimeMs < windowMs) return { baseRetries: 0, nodeCount, isFleetStable: false, earningFactor: NEW_PROCESS_EARNING_FACTOR, addedEarningFactor: NEW_PROCESS_EARNING_FACTOR }
-  return {
-    baseRetries: fleetRetries / nodeCount,
-    nodeCount,
-    isFleetStable: sharers.every(({ state, ageMs }) => state === 'alive' && ageMs >= windowMs),
-    earningFactor: 1,
-    addedEarningFactor: sharers.filter(({ state }) => state === 'alive').length / nodeCount
-  }
+  return { baseRetries: uptimeMs < windowMs ? 0 : fleetRetries / nodeCount, nodeCount }
 }
 
 /**
--- a/src/services/retry/common/windowedRetryBudget.ts
+++ b/src/services/retry/common/windowedRetryBudget.ts
@@ -16,13 +16,17 @@
   readonly getShare: () => RetryShare
 }
 
+/**
+ * The fraction of the ratio that first attempts earn in excess of those in the window before. Their callers may have come from
+ * a node, or from an earlier process at this address, whose retries still count. If that is so for all of them, the nodes
+ * earn 1.25 times the ratio.
+ */
+const ADDED_EARNING_FACTOR = 0.25
+
 export class WindowedRetryBudget extends RetryPolicy {
   private readonly _options: WindowedRetryBudgetOptions
   private readonly _firstAttempts: SlicedWindowSum
-  private readonly _earnedRetries: SlicedWindowSum
   private readonly _retries: SlidingWindowCounter
-  /** First attempts in a window by role, when the fleet was last stable. */
-  private readonly _usualFirstAttempts = new Map<string, number>()
   /** Retries by role that were granted and are not sent yet. Each counts until it is, since only then its window begins. */
   private readonly _pendingCounts = new Map<string, number>()
   private _grantedCount = 0
@@ -31,8 +35,7 @@
   constructor (options: WindowedRetryBudgetOptions) {
     super()
     this._options = options
-    this._firstAttempts = new SlicedWindowSum(options.windowMs)
-    this._earnedRetries = new SlicedWindowSum(options.windowMs)
+    this._firstAttempts = new SlicedWindowSum(options.windowMs, 1)
     this._retries = new SlidingWindowCounter(options.windowMs)
   }
 
@@ -47,14 +50,7 @@
   }
 
   recordFirstAttempt (role: string): void {
-    const { clock, retryRatio, getShare } = this._options
-    const now = clock.now()
-    const { isFleetStable, earningFactor, addedEarningFactor } = getShare()
-    this._firstAttempts.add(role, 1, now)
-    const count = this._firstAttempts.sum(role, now)
-    if (isFleetStable) this._usualFirstAttempts.set(role, count)
-    const isUsual = count <= (this._usualFirstAttempts.get(role) ?? 0)
-    this._earnedRetries.add(role, retryRatio * (isUsual ? earningFactor : addedEarningFactor), now)
+    this._firstAttempts.add(role, 1, this._options.clock.now())
   }
 
   acquireRetry (role: string): RetryDecision {
@@ -62,7 +58,7 @@
     const now = clock.now()
     const share = getShare()
     const usedCount = this._retries.count(role, now) + this._getPendingCount(role)
-    const allowedCount = share.baseRetries + this._earnedRetries.sum(role, now)
+    const allowedCount = share.baseRetries + this._computeEarned(role, now)
     if (usedCount + 1 > allowedCount) {
       this._refusedCount++
       return { permit: undefined, usedCount, allowedCount, share }
@@ -76,6 +72,13 @@
     return { permit, usedCount, allowedCount, share }
   }
 
+  /** Returns the retries that the first attempts within the window allow. */
+  private _computeEarned (role: string, now: number): number {
+    const count = this._firstAttempts.sum(role, now)
+    const usualCount = Math.min(count, this._firstAttempts.sum(role, now, 1))
+    return this._options.retryRatio * (usualCount + ADDED_EARNING_FACTOR * (count - usualCount))
+  }
+
   private _getPendingCount (role: string): number {
     return this._pendingCounts.get(role) ?? 0
   }
--- a/src/services/retry/test/lostUpstreams.test.ts
+++ b/src/services/retry/test/lostUpstreams.test.ts
@@ -24,7 +24,7 @@
 const STEP_MS = 100
 
 function createPolicy (clock: VirtualClock): RetryPolicy {
-  return new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO * 0.8, getShare: () => ({ baseRetries: BASE_RETRIES * 0.8 / NODES, nodeCount: NODES, isFleetStable: true, earningFactor: 1, addedEarningFactor: 1 }) })
+  return new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO * 0.8, getShare: () => ({ baseRetries: BASE_RETRIES * 0.8 / NODES, nodeCount: NODES }) })
 }
 
 /** Sends a retry if the policy allows it. */
@@ -53,7 +53,7 @@
   const event = fc.record({ afterMs: fc.integer({ min: 0, max: 3000 }), firsts: fc.integer({ min: 0, max: 20 }), retries: fc.integer({ min: 0, max: 10 }) })
   fc.assert(fc.property(fc.array(event, { maxLength: 40 }), events => {
     const clock = new VirtualClock(1234)
-    const policy = new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO, getShare: () => ({ baseRetries: 2, nodeCount: 1, isFleetStable: true, earningFactor: 1, addedEarningFactor: 1 }) })
+    const policy = new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: RETRY_RATIO, getShare: () => ({ baseRetries: 2, nodeCount: 1 }) })
     const firstsAt: number[] = []
     const retriedAt: number[] = []
     for (const { afterMs, firsts, retries } of events) {
--- a/src/services/retry/test/windowedRetryBudget.test.ts
+++ b/src/services/retry/test/windowedRetryBudget.test.ts
@@ -8,7 +8,7 @@
 const WINDOW_MS = 10_000
 
 function createBudget (clock: VirtualClock): WindowedRetryBudget {
-  const share = { baseRetries: 2, nodeCount: 1, isFleetStable: true, earningFactor: 1, addedEarningFactor: 1 }
+  const share = { baseRetries: 2, nodeCount: 1 }
   return new WindowedRetryBudget({ clock, windowMs: WINDOW_MS, retryRatio: 0.2, getShare: () => share })
 }
 
