Let owners on all sides of a partition grant one stated rate together

An upstream that states how many requests a second it accepts from all nodes could get that many from each side of a partition. Cause: each side has an owner of its quota, and each owner granted the whole rate; only the rates of cold upstreams were divided.

Evidence: the new property runs the owners of six nodes under constant demand, while one to three splits overlap.

Change: a stated rate, its burst and the tokens of a new bucket are multiplied by the share of known nodes that this one reaches, as cold limits already were.

Upstreams that state no rate are not affected; a limited one gets less while nodes are lost (a sixth less with one of six).

--- a/src/entryNode/nodeQuota.ts
+++ b/src/entryNode/nodeQuota.ts
@@ -8,7 +8,8 @@
 import type { ILogService } from '../services/log/node/logger.ts'
 import type { CoordinatorLinks } from '../services/preparation/node/coordinatorLinks.ts'
 import type { MembershipTable } from '../services/membership/common/membershipTable.ts'
-import { CombinedLimits, ColdStartLimits, StatedLimits } from '../services/quota/common/rateLimitSource.ts'
+import { CombinedLimits, ColdStartLimits, StatedLimits, computeReachableShare } from '../services/quota/common/rateLimitSource.ts'
+import type { NodeCounts } from '../services/quota/common/rateLimitSource.ts'
 import { QuotaOwner } from '../services/quota/common/quotaOwner.ts'
 import type { QuotaDecision } from '../services/quota/common/quotaOwner.ts'
 import { PeerReportedLimits } from '../services/quota/common/peerReportedLimits.ts'
@@ -65,13 +66,13 @@
     super()
     this._options = options
     const { clock, registry, membership } = options
-    const countLiveNodes = () => membership.countLive()
-    const countKnownNodes = () => membership.countKnown()
+    const counts: NodeCounts = { countLiveNodes: () => membership.countLive(), countKnownNodes: () => membership.countKnown() }
     this.statedLimits = this._register(new RateLimitService(options))
     this._peerReportedLimits = new PeerReportedLimits(clock)
     this._register(registry.onDidChange(({ kind, entry }) => { if (kind === 'dropped') this._peerReportedLimits.remove(entry.id) }))
-    const coldStartLimits = new ColdStartLimits({ clock, getMaxRequestsPerS: role => this._computeColdStartLimit(role), countKnownNodes, countLiveNodes })
-    const localLimits = new CombinedLimits([new StatedLimits(upstream => this.statedLimits.findLimit(upstream)), coldStartLimits])
+    const coldStartLimits = new ColdStartLimits({ clock, getMaxRequestsPerS: role => this._computeColdStartLimit(role), ...counts })
+    const statedLimits = new StatedLimits({ findStatedPerS: upstream => this.statedLimits.findLimit(upstream), computeShare: () => computeReachableShare(counts) })
+    const localLimits = new CombinedLimits([statedLimits, coldStartLimits])
     const knownLimits = new CombinedLimits([this._peerReportedLimits, localLimits])
     const unconfirmed = new UnconfirmedLimits({ clock, isSourceCurrent: options.isSourceCurrent, coldStartLimits })
     this.limits = new CombinedLimits([knownLimits, unconfirmed])
@@ -79,7 +80,7 @@
     if (options.warmthProbe !== undefined) {
       this._register(new WarmthProbes({ ...options, probe: options.warmthProbe, owner: this._quotaOwner, findHealthPath: role => options.getTable()?.getRole(role)?.healthPath ?? '' }))
     }
-    this.service = this._register(new QuotaService({ ...options, limits: this.limits, localLimits, unconfirmed, owner: this._quotaOwner, findOwnerAddress: hall => this._findOwnerAddress(hall), countNodes: countKnownNodes }))
+    this.service = this._register(new QuotaService({ ...options, limits: this.limits, localLimits, unconfirmed, owner: this._quotaOwner, findOwnerAddress: hall => this._findOwnerAddress(hall), countNodes: counts.countKnownNodes }))
     this._register(startInterval(OWNERSHIP_REFRESH_PERIOD_MS, () => this._quotaOwner.refreshOwnership(new Set(registry.list().map(({ hall }) => hall)))))
   }
 
--- a/src/services/quota/common/rateLimitSource.ts
+++ b/src/services/quota/common/rateLimitSource.ts
@@ -19,25 +19,50 @@
 const BASE_BURST = 1.5
 const BURST_WINDOW_S = 0.5
 
+export interface NodeCounts {
+  /** Counts the nodes known to this one, including those that cannot be reached. */
+  readonly countKnownNodes: () => number
+  readonly countLiveNodes: () => number
+}
+
+/**
+ * Returns the fraction of a limit of all nodes that an owner may grant. In a network partition, each side has its own owner,
+ * which grants the fraction of the nodes on its side.
+ */
+export function computeReachableShare ({ countKnownNodes, countLiveNodes }: NodeCounts): number {
+  return Math.min(1, countLiveNodes() / Math.max(1, countKnownNodes()))
+}
+
+export interface StatedLimitsOptions {
+  readonly findStatedPerS: (upstream: string) => number | undefined
+  /** Returns the fraction of a stated rate that this node may grant as an owner. */
+  readonly computeShare?: () => number
+}
+
 /** Limits that upstreams state in their answers. */
 export class StatedLimits extends RateLimitSource {
-  constructor (private readonly _findStatedPerS: (upstream: string) => number | undefined) {
+  private readonly _findStatedPerS: (upstream: string) => number | undefined
+  private readonly _computeShare: () => number
+
+  constructor ({ findStatedPerS, computeShare = () => 1 }: StatedLimitsOptions) {
     super()
+    this._findStatedPerS = findStatedPerS
+    this._computeShare = computeShare
   }
 
   findLimit ({ id }: UpstreamEntry): RateLimit | undefined {
     const statedPerS = this._findStatedPerS(id)
-    return statedPerS === undefined ? undefined : { perS: Math.max(MIN_REQUESTS_PER_S, statedPerS), burst: BASE_BURST + statedPerS * BURST_WINDOW_S }
+    if (statedPerS === undefined) return undefined
+    const share = this._computeShare()
+    // With a burst below 1, a bucket would never grant anything.
+    return { perS: Math.max(MIN_REQUESTS_PER_S, statedPerS) * share, burst: Math.max(1, (BASE_BURST + statedPerS * BURST_WINDOW_S) * share), initialTokens: share }
   }
 }
 
-export interface ColdStartLimitsOptions {
+export interface ColdStartLimitsOptions extends NodeCounts {
   readonly clock: IClock
   /** The most requests that one cold upstream of a role may receive in any second from all nodes; Infinity for no limit. */
   readonly getMaxRequestsPerS: (role: string) => number
-  /** Counts the nodes known to this one, including those that cannot be reached. */
-  readonly countKnownNodes: () => number
-  readonly countLiveNodes: () => number
 }
 
 /** Requests sent within this span may arrive within one second, because slow connection setup delays some of them. */
@@ -65,13 +90,8 @@
 
   /** The most requests that an owner may grant to a cold upstream within the arrival window; undefined if there is no limit. */
   computeMaxInWindow (role: string): number | undefined {
-    const { getMaxRequestsPerS, countKnownNodes, countLiveNodes } = this._options
-    const maxPerS = getMaxRequestsPerS(role)
-    if (!Number.isFinite(maxPerS)) return undefined
-    // In a network partition, each side has its own owner. An owner grants only the fraction of the limit that corresponds
-    // to the fraction of nodes on its side.
-    const reachableRatio = Math.min(1, countLiveNodes() / Math.max(1, countKnownNodes()))
-    return maxPerS * OWNER_SHARE * reachableRatio
+    const maxPerS = this._options.getMaxRequestsPerS(role)
+    return Number.isFinite(maxPerS) ? maxPerS * OWNER_SHARE * computeReachableShare(this._options) : undefined
   }
 }
 
@@ -86,7 +106,8 @@
       const limit = source.findLimit(entry)
       if (tightest === undefined || limit === undefined) return tightest ?? limit
       const expiresAt = limit.expiresAt === undefined || tightest.expiresAt === undefined ? undefined : Math.max(limit.expiresAt, tightest.expiresAt)
-      return { perS: Math.min(limit.perS, tightest.perS), burst: Math.min(limit.burst, tightest.burst), expiresAt }
+      const initialTokens = Math.min(limit.initialTokens ?? 1, tightest.initialTokens ?? 1)
+      return { perS: Math.min(limit.perS, tightest.perS), burst: Math.min(limit.burst, tightest.burst), expiresAt, initialTokens }
     }, undefined)
   }
 }
--- a/src/services/quota/common/tokenBucket.ts
+++ b/src/services/quota/common/tokenBucket.ts
@@ -8,11 +8,12 @@
   readonly burst: number
   /** When the limit ends, in ms on this process's clock; undefined if unknown. */
   readonly expiresAt?: number | undefined
+  /** Tokens of a new bucket; 1 by default, and not a whole burst. */
+  readonly initialTokens?: number
 }
 
 const MS_PER_S = 1000
-/** A new bucket allows one request at once, and not a whole burst. */
-const INITIAL_TOKENS = 1
+const DEFAULT_INITIAL_TOKENS = 1
 /** Tolerance for floating-point rounding when comparing with one token. */
 const EPSILON = 1e-9
 
@@ -23,7 +24,7 @@
 
   constructor (limit: RateLimit, now: number) {
     this._limit = limit
-    this._tokens = Math.min(INITIAL_TOKENS, limit.burst)
+    this._tokens = Math.min(limit.initialTokens ?? DEFAULT_INITIAL_TOKENS, limit.burst)
     this._updatedAt = now
   }
 
--- a/src/services/quota/test/quotaOwner.test.ts
+++ b/src/services/quota/test/quotaOwner.test.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { VirtualClock } from '../../../base/common/clock.ts'
-import { CombinedLimits, StatedLimits } from '../common/rateLimitSource.ts'
+import { CombinedLimits, StatedLimits, computeReachableShare } from '../common/rateLimitSource.ts'
 import { QuotaOwner } from '../common/quotaOwner.ts'
 import { PeerReportedLimits } from '../common/peerReportedLimits.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
@@ -16,6 +16,9 @@
 const TAKEOVER_DELAY_MS = 1400
 const STEP_MS = 20
 const HALLS = ['x']
+const NODES = [0, 1, 2, 3, 4, 5]
+const LOSS_DETECTION_MS = 1000
+const SPLIT_RUN_MS = 24_000
 
 /** Returns the most requests that an upstream may receive within the window, given its rate limit. */
 function computeMaxRequests (perS: number): number {
@@ -32,7 +35,7 @@
   readonly owner: QuotaOwner
 
   constructor (clock: VirtualClock, readonly getLimit: () => number | undefined, delayMs = TAKEOVER_DELAY_MS) {
-    this.owner = new QuotaOwner({ clock, limits: new StatedLimits(getLimit), isOwner: () => this.isOwner, takeoverDelayMs: delayMs })
+    this.owner = new QuotaOwner({ clock, limits: new StatedLimits({ findStatedPerS: getLimit }), isOwner: () => this.isOwner, takeoverDelayMs: delayMs })
   }
 }
 
@@ -87,6 +90,46 @@
   }), { seed: SEED, numRuns: 60 })
 })
 
+/** Splits the nodes by a bit of their own each, for a while from a moment on. */
+interface Split {
+  readonly atMs: number
+  readonly forMs: number
+  readonly bits: number
+}
+
+/** Runs a fleet in which each side of a split has an owner of its own once the loss of the others is noticed. */
+function countGrantsOfSides (perS: number, splits: readonly Split[]): number {
+  const clock = new VirtualClock()
+  const findSide = (node: number, at: number) => splits.map(({ atMs, forMs, bits }) => atMs <= at && at < atMs + forMs ? bits >> node & 1 : 0).join('')
+  const isReached = (node: number, other: number, at: number) => findSide(node, at) === findSide(other, at)
+  const isAlive = (node: number, other: number) => isReached(node, other, clock.now()) || isReached(node, other, clock.now() - LOSS_DETECTION_MS)
+  const listLive = (node: number) => NODES.filter(other => isAlive(node, other))
+  const owners = NODES.map(node => new QuotaOwner({
+    clock,
+    limits: new StatedLimits({ findStatedPerS: () => perS, computeShare: () => computeReachableShare({ countKnownNodes: () => NODES.length, countLiveNodes: () => listLive(node).length }) }),
+    isOwner: () => listLive(node)[0] === node,
+    takeoverDelayMs: TAKEOVER_DELAY_MS
+  }))
+  const grantedAt: number[] = []
+  for (; clock.now() < SPLIT_RUN_MS; clock.advance(STEP_MS)) {
+    for (const owner of owners) owner.refreshOwnership(HALLS)
+    for (const node of NODES) {
+      const owner = listLive(node)[0] ?? node
+      if (isReached(node, owner, clock.now()) && owners[owner]?.acquire(UPSTREAM).isGranted === true) grantedAt.push(clock.now())
+    }
+  }
+  return countMaxInWindow(grantedAt)
+}
+
+// Guards against owners on each side of a partition that grant the whole rate: twice the requests that the upstream accepts.
+test('owners on all sides of a partition stay within the limit together', () => {
+  const split = fc.record({ atMs: fc.integer({ min: 0, max: 15_000 }), forMs: fc.integer({ min: 300, max: 15_000 }), bits: fc.integer({ min: 0, max: 2 ** NODES.length - 1 }) })
+  fc.assert(fc.property(fc.array(split, { minLength: 1, maxLength: 3 }), fc.constantFrom(0.25, 1, 4, 20), (splits, perS) => {
+    const count = countGrantsOfSides(perS, splits)
+    assert.ok(count <= computeMaxRequests(perS), `${count} in a window with ${perS} a second`)
+  }), { seed: SEED, numRuns: 40 })
+})
+
 test('a node grants nothing that another node owns, or that it owned before a pause', () => {
   const clock = new VirtualClock()
   const node = new FakeOwnerNode(clock, () => 4)
@@ -104,7 +147,7 @@
 test('an owner that does not know of a limit applies the one that the querying nodes report', () => {
   const clock = new VirtualClock()
   const reported = new PeerReportedLimits(clock)
-  const owner = new QuotaOwner({ clock, limits: new CombinedLimits([new StatedLimits(() => undefined), reported]), isOwner: () => true, takeoverDelayMs: 0 })
+  const owner = new QuotaOwner({ clock, limits: new CombinedLimits([new StatedLimits({ findStatedPerS: () => undefined }), reported]), isOwner: () => true, takeoverDelayMs: 0 })
   const grantedAt: number[] = []
   for (; clock.now() < WINDOW_MS; clock.advance(STEP_MS)) {
     reported.record(UPSTREAM.id, { perS: 4, burst: 2 })
--- a/src/services/quota/test/quotaService.test.ts
+++ b/src/services/quota/test/quotaService.test.ts
@@ -43,7 +43,7 @@
   const log = new LogService({ program: 'test', silent: true })
   const registry = new UpstreamRegistry()
   registry.update(UPSTREAM, 'test')
-  const limits = new StatedLimits(getLimit)
+  const limits = new StatedLimits({ findStatedPerS: getLimit })
   const owner = new QuotaOwner({ clock, limits, isOwner: () => true, takeoverDelayMs: 0 })
   const coordinator = new PreparationCoordinator({ clock, log, protocol: new CountingPieces(), registry, getTable: () => undefined })
   const server = new PreparationServer(coordinator, log, upstream => owner.acquire(registry.get(upstream) ?? UPSTREAM))
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -197,7 +197,7 @@
     const limits = this._register(new RateLimitService({ clock, log, facts, node: 'n', incarnation: 1 }))
     const statements = this._register(new NodeStatements({ clock, log, random: new SeededRandom(2), facts, registry: this.registry, countNodes: () => 1, recordRateLimit: (upstream, perS) => limits.recordLimit(upstream, perS) }))
     const { backoffs, guard } = statements
-    const stated = new StatedLimits(upstream => limits.findLimit(upstream))
+    const stated = new StatedLimits({ findStatedPerS: upstream => limits.findLimit(upstream) })
     const links = this._register(new CoordinatorLinks({ clock, log }))
     const owner = new QuotaOwner({ clock, limits: stated, isOwner: () => true, takeoverDelayMs: 0 })
     const quota = this._register(new QuotaService({ clock, log, registry: this.registry, limits: stated, owner, links, findOwnerAddress: () => undefined, countNodes: () => 1 }))
