Prepare less while the upstreams of a role refuse most requests

Cause: preparation began for every request, whatever upstreams had said to the ones before.

Change: client-side throttling of preparation, by what a node's last 20 requests for the role met. Below half accepted, three times that share (0.3 at least) is prepared, the most urgent first; the others are refused at once as not run, with a time to come back that spreads. Two accepted requests in a row end it.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -52,7 +52,9 @@
 import { NodeConnections } from './nodeConnections.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
 import { NodeQuota } from './nodeQuota.ts'
+import { reportUnknownHomes } from './homeRegions.ts'
 import { NodeRetries } from './nodeRetries.ts'
+import { createThrottle } from './nodeThrottle.ts'
 import { NodeStatusReporter } from './nodeStatusReporter.ts'
 import type { NodeSettings } from './nodeSettings.ts'
 import { NodeStatements } from './nodeStatements.ts'
@@ -216,6 +218,7 @@
       listPieceUpstreams: () => pieceUpstreams.list()
     }))
     this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, probe: address => this._connections.probe(address) }))
+    const throttle = createThrottle({ clock, random, log })
     this._retries = new NodeRetries({ clock, settings, membership: this._fleetMember.membership })
     this._relayServer = this._register(new RelayServer({
       context: {
@@ -235,6 +238,7 @@
         recordStatements: batch => this._statements.recordStatements(batch),
         quota: this._quota.service,
         retry: this._retries.budget,
+        throttle,
         preparation: this._preparationClient,
         releaseDelay: new ReleaseDelay(),
         quarantine: this._quarantine
@@ -245,7 +249,7 @@
       findReadinessError: () => this._findReadinessError(),
       estimateReadinessDelayMs: () => estimateReadyMs({ isOutage: this._fleetMember.isReady && this._relayTable === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, retries: this._retries, pauseDetector: this._pauseDetector }))
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, retries: this._retries, throttle, pauseDetector: this._pauseDetector }))
     this._register(this._statements.onDidRecordStatement(kind => this._metrics.countStatement(kind)))
     this._statusReporter = new NodeStatusReporter({
       clock,
@@ -363,18 +367,11 @@
     const { relay } = accepted.configuration
     if (relay === undefined) return
     this._relayTable = new RelayTable(relay)
-    this._checkHomeRegions(this._relayTable)
+    reportUnknownHomes(this._relayTable, this._hallRegions, this._options.log)
     this._relayServer.applyLimits(relay.limits)
     this._coordinator.refresh()
   }
 
-  /** A home region without any hall stays in force, so its requests are refused; the warning tells operators why. */
-  private _checkHomeRegions (table: RelayTable): void {
-    for (const { of, regions } of table.listAllHomeRegions()) {
-      for (const region of this._hallRegions.listUnknownRegions(regions)) this._options.log.warn('home_unknown', { of, region })
-    }
-  }
-
   /** Counts the nodes considered alive, including this one. */
   countNodes (): number {
     return this._fleetMember.membership.countLive()
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -6,6 +6,7 @@
 import type { PauseDetector } from '../services/pause/common/pauseDetector.ts'
 import type { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
 import type { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
+import type { PreparationThrottle } from '../services/relay/common/preparationThrottle.ts'
 import type { RelayServer } from '../services/relay/node/relayServer.ts'
 import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { NodeConnections } from './nodeConnections.ts'
@@ -25,10 +26,11 @@
   readonly connections: NodeConnections
   readonly quarantine: QuarantineService
   readonly retries: NodeRetries
+  readonly throttle: PreparationThrottle
   readonly pauseDetector: PauseDetector
 }
 
-export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, connections, quarantine, retries, pauseDetector }: NodeGaugeSources): NodeGauges {
+export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, connections, quarantine, retries, throttle, pauseDetector }: NodeGaugeSources): NodeGauges {
   const { backoffs, guard } = statements
   return {
     countOpenRequests: () => relay.activeRequestCount,
@@ -44,6 +46,7 @@
     countQuarantineRefusals: () => quarantine.refusedCount,
     countGrantedRetries: () => retries.budget.grantedCount,
     countRefusedRetries: () => retries.budget.refusedCount,
+    countThrottledRequests: () => throttle.refusedCount,
     getBaseRetries: () => retries.getShare().baseRetries,
     countLimitedUpstreams: () => quota.statedLimits.listLimits().length,
     countQuotaDenials: () => quota.deniedCount,
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -20,6 +20,7 @@
     countQuarantineRefusals: () => 6,
     countGrantedRetries: () => 12,
     countRefusedRetries: () => 13,
+    countThrottledRequests: getZero,
     getBaseRetries: () => 1.5,
     countLimitedUpstreams: () => 2,
     countInvalidStatements: getZero,
--- a/src/services/relay/common/attemptDecision.ts
+++ b/src/services/relay/common/attemptDecision.ts
@@ -81,6 +81,11 @@
   return outcome.kind === 'delivered' || outcome.kind === 'failed' || outcome.kind === 'broken'
 }
 
+/** Whether the upstream refused to run a request that it received and that was meant for it. */
+export function isRefusedByUpstream (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'notRun' && (outcome.reason === 'full' || outcome.reason === 'refused')
+}
+
 /** Whether nothing was written, because the upstream must not receive requests any more. */
 export function isWithheld (outcome: AttemptOutcome): boolean {
   return outcome.kind === 'notRun' && outcome.reason === 'withheld'
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -15,6 +15,7 @@
 import type { SendGuard } from '../../upstream/node/sendGuard.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { StatementBatch } from '../../upstream/common/upstreamStatement.ts'
+import type { PreparationThrottle } from '../common/preparationThrottle.ts'
 import type { RelayRefusal, UpstreamProtocol } from '../common/relayProtocol.ts'
 import type { RelayPool } from '../common/relayPool.ts'
 import type { CallerAnswer } from './callerAnswer.ts'
@@ -38,6 +39,7 @@
   readonly guard: SendGuard
   readonly backoffs: IBackoffService
   readonly retry: RetryPolicy
+  readonly throttle: PreparationThrottle
   readonly recordStatements: (batch: StatementBatch) => void
   readonly quota: IQuotaService
   readonly preparation: IPreparationService
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -26,6 +26,7 @@
 import { RequestRetries, describeNextAttempt } from './requestRetries.ts'
 import type { NextAttempt } from './requestRetries.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
+import { SendAcceptance } from './sendAcceptance.ts'
 import { UpstreamSelector } from './upstreamSelector.ts'
 
 /** How a request ended, for logs and metrics. */
@@ -144,7 +145,15 @@
     // Prepared results would be discarded: no upstream accepts the request in time.
     if (!this._selector.canPrepare(Math.max(0, this._getTimeLeft() - MIN_ATTEMPT_MS))) return this._refuseWithoutUpstream()
     const job = createPreparationJob({ request, route, role: this._role, priority: this._accepted.priority, homeHalls: this._accepted.homeHalls, excludedTargets: this._selector.listBackingOff().map(({ id }) => id), deadlineInMs: this._getTimeLeft(), returningCaller: this._findReturningCaller(), isSuspect })
-    return job === undefined ? undefined : await this._handlePreparation(await this._inputs.prepare(job))
+    if (job === undefined) return undefined
+    return this._refuseThrottled() ?? await this._handlePreparation(await this._inputs.prepare(job))
+  }
+
+  /** Refuses a request whose results would most likely be discarded, since upstreams of its role refuse most requests. */
+  private _refuseThrottled (): ResultName | undefined {
+    const refusal = this._context.throttle.findRefusal(this._role, this._accepted.priority)
+    if (refusal === undefined) return undefined
+    return this._refuse('overloaded', `upstreams of ${this._role} accepted ${refusal.acceptedCount} of the last ${refusal.sendCount} requests`, true, refusal.retryAfterMs)
   }
 
   /** The route's timeout stands in for the deadline of a caller that states none. */
@@ -179,6 +188,7 @@
     this._registryAge = context.registry.computeFreshness(progress.sentAt)
     let scheduledRelease: IDisposable | undefined
     let writtenAt: number | undefined
+    let acceptance: SendAcceptance | undefined
     this._isAttemptActive = true
     const result = await new RelayAttempt({
       agent: context.agent,
@@ -205,6 +215,7 @@
         // The cause of a crash may have become known while the request waited for quota and a connection.
         if (!context.guard.maySend(upstream.id, request.id) || this._quarantine.findQuarantine() !== undefined) return false
         writtenAt = context.clock.now()
+        acceptance = new SendAcceptance({ ...context, role: this._role })
         this._retries.recordSent()
         scheduledRelease = this._inputs.scheduleRelease()
         return true
@@ -221,6 +232,7 @@
     this._isAttemptActive = false
     progress.recordEnd(context.clock.now())
     if (isWithheld(result.outcome)) this._withdrawSend(upstream)
+    acceptance?.end(result.outcome)
     if (writtenAt !== undefined) context.backoffs.recordSendResult(upstream.id, writtenAt, isAccepted(result.outcome))
     inFlightRequest.end(result.outcome)
     // The upstream did not consume the results, so they stay available to the next attempt.
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -32,6 +32,7 @@
 import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import { CallerProtocol, UpstreamProtocol } from '../common/relayProtocol.ts'
 import type { AnswerHead, AnswerVerdict, MessageHead, RefusalAnswer, RelayCall, RelayRefusal } from '../common/relayProtocol.ts'
+import { PreparationThrottle } from '../common/preparationThrottle.ts'
 import { RelayPool } from '../common/relayPool.ts'
 import type { HeaderField, RelayRequest } from '../common/relayRequest.ts'
 import { RoundRobinRouter } from '../common/relayRouter.ts'
@@ -218,6 +219,7 @@
         recordStatements: stated => statements.recordStatements(stated),
         quota,
         retry: new RetryBudget({ maxBalance: _options.retries ?? 10 }),
+        throttle: new PreparationThrottle({ clock, random: new SeededRandom(1) }),
         preparation: _options.preparation ?? FAILING_PREPARATION,
         releaseDelay: new ReleaseDelay(),
         quarantine
