Split the calls of a preparation coordinator into a class of their own

Change: PieceCallRunner makes the calls for pieces and frees results; what follows stays with the coordinator. No behaviour changes, so nothing was measured; the tests of preparation pass.

--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -2,38 +2,30 @@
  * Runs the plans of all jobs that were submitted to this node: makes the planned calls, sends job updates to the owners,
  * and frees results that are no longer needed.
  */
-import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
-import type { ILogService } from '../../log/node/logger.ts'
 import type { RateLimitSource } from '../../quota/common/rateLimitSource.ts'
 import type { RelayTable } from '../../relay/common/relayTable.ts'
-import type { SendGuard } from '../../upstream/node/sendGuard.ts'
 import type { StatedLoads } from '../../upstream/common/statedLoads.ts'
-import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
-import type { PieceProtocol } from '../common/pieceProtocol.ts'
+import type { UpstreamChange, UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { JobUpdate, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
 import type { CarriedPiece, JobRefusal, PreparationJob, ReservationEntry } from '../common/preparationJob.ts'
 import type { PrefixEntry } from '../common/prefixIndex.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
+import { PieceCallRunner } from './pieceCallRunner.ts'
+import type { PieceCallRunnerOptions } from './pieceCallRunner.ts'
 import { PlanLog } from './planLog.ts'
 import { PlanShard, TrackedJob } from './planShard.ts'
 import type { ReturningCaller } from './planShard.ts'
 import { addReturningJob, formatReturnKey, NO_RETURNS, ReturnLog, sumReturnCounts } from './returnLog.ts'
 import type { ReturnCounts } from '../common/returnReservations.ts'
 
-export interface PreparationCoordinatorOptions {
-  readonly clock: IClock
-  readonly log: ILogService
-  readonly protocol: PieceProtocol
-  readonly registry: UpstreamRegistry
+export interface PreparationCoordinatorOptions extends PieceCallRunnerOptions {
   readonly getTable: () => RelayTable | undefined
   readonly limits?: RateLimitSource
   /** Loads that upstreams stated to this node; without it none has stated any. */
   readonly loads?: Pick<StatedLoads, 'getSlowness'>
   readonly handlesContention?: boolean
-  /** Checked before a call is written to the connection; without a guard every call is sent. */
-  readonly guard?: SendGuard
 }
 
 export interface JobSubmission {
@@ -74,6 +66,7 @@
   private readonly _jobs = new Map<string, TrackedJob>()
   private _sweepTimer: IDisposable | undefined
   private _isDraining = false
+  private readonly _calls: PieceCallRunner
   private readonly _planLog: PlanLog
   private readonly _returnLog: ReturnLog
   /** Counts of plans that no longer exist. */
@@ -82,6 +75,7 @@
   constructor (options: PreparationCoordinatorOptions) {
     super()
     this._options = options
+    this._calls = new PieceCallRunner(options)
     this._planLog = new PlanLog(options.log)
     this._returnLog = new ReturnLog(options.log)
     this._register(options.registry.onDidChange(change => this._applyUpstreamChange(change)))
@@ -313,20 +307,11 @@
   }
 
   private async _runCall (shard: PlanShard, call: PlannedCall): Promise<void> {
-    const { registry, protocol, guard, clock, log } = this._options
-    const upstream = registry.get(call.upstreamId)
-    const startedAt = clock.now()
-    const registryAge = registry.computeFreshness(startedAt)
-    const outcome = upstream === undefined
-      ? { kind: 'notRun' as const, reason: 'unreachable' as const }
-      : await protocol.runPieces(upstream, call.pieces, { timeoutMs: call.timeoutMs, onWillSend: () => guard?.maySend(upstream.id, call.pieces[0]?.jobId ?? '') !== false })
+    const ended = await this._calls.runCall(call)
     if (this._isDisposed) return
-    if (outcome.kind !== 'answered') {
-      log.info('piece_call_failed', { upstream: call.upstreamId, pieces: call.pieces.length, outcome: outcome.kind, reason: outcome.reason, took_ms: Math.round(clock.now() - startedAt) })
-      if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') registry.removePermanently(call.upstreamId, 'address answers as another')
-    }
-    this._planLog.recordCall(call, { outcome, tookMs: clock.now() - startedAt, registryAge })
-    shard.planner.completeCall(call.id, outcome, clock.now())
+    this._calls.recordFailure(call, ended)
+    this._planLog.recordCall(call, ended)
+    shard.planner.completeCall(call.id, ended.outcome, this._options.clock.now())
     this._deliverUpdates(shard)
     this._scheduleDispatch(shard)
   }
@@ -366,11 +351,7 @@
   }
 
   private async _freeResults (shard: PlanShard, free: PlannedFree): Promise<void> {
-    const { registry, protocol } = this._options
-    const upstream = registry.get(free.upstreamId)
-    // Nothing is sent to an evacuated hall; results that are held there expire at the end of their lifetime.
-    const canFree = upstream !== undefined && !registry.isEvacuated(upstream.hall)
-    const isDone = canFree && await protocol.freeResults(upstream, free.handles)
+    const isDone = await this._calls.freeResults(free)
     if (this._isDisposed) return
     shard.planner.completeFree(free, isDone, this._options.clock.now())
     if (shard.planner.jobCount > 0) this._scheduleDispatch(shard)
