Take no stream without a length and without events for complete

Callers saw a 200 with an empty body. Cause: where neither a length nor chunks frame an answer, the end of its connection is its end. If a reset arrives together with the head, before the process has read it, Node reports a closed connection and no error, and the upstream still runs.

On loopback a reset right behind written bytes reads as an end in 100 of 100 connections, and 20 ms later in none.

Change: such a stream without any event is lost, as one that is reset.

Measured: the test got a 200 before, and gets 502 outcomeUnknown.

--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -188,7 +188,9 @@
     } catch {
       return this._decideBrokenStream(lastEventId)
     }
-    if (splitter.pendingBytes > 0 || !await this._isComplete(response, exchange)) {
+    // A connection that is reset may appear to be closed, so without framing a stream without events is not complete either.
+    const isEmpty = count === 0 && !isFramed(response)
+    if (splitter.pendingBytes > 0 || isEmpty || !await this._isComplete(response, exchange)) {
       exchange.cancel()
       return this._decideBrokenStream(lastEventId)
     }
--- a/src/services/relay/test/relayServer.test.ts
+++ b/src/services/relay/test/relayServer.test.ts
@@ -72,6 +72,13 @@
   }))
 }
 
+// Guards against a reset that the process reads together with the head, which then looks like the end of the answer.
+test('a stream without a length that ends before its first event is an unknown outcome', () => runWith([
+  answerWith(`${OK}Connection: close\r\n\r\n`, 'close')
+], { route: { kind: RouteKind.STREAM } }, async harness => {
+  assert.match((await harness.call('a')).text, /^HTTP\/1\.1 502 .*outcomeUnknown$/s)
+}))
+
 test('an additional answer after a complete one is discarded', () => runWith([answerWith(COMPLETE_ANSWER + COMPLETE_ANSWER.replace('Id: a', 'Id: z'))], {}, async harness => {
   assert.ok((await harness.call('a')).text.endsWith('body'))
   const { text } = await harness.call('a')
