Ask for more evidence against parts of prompts that were answered before

Cause: a popular part whose answers had just begun at three crashes within a second was taken for the cause before a request with it could be answered again, although each node had served it until then.

Change: nodes remember the last 2,000 parts that were answered while there was no evidence against them. If all keys of a cause are among them, five crashes are needed instead of three, as where no answer had begun; the users count from the fifth. A part that always comes with one that was never answered is still found after three.

The tests of the analysis and the tracker fail before.

--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -33,6 +33,14 @@
   readonly crashCount: number
 }
 
+/** What is known of keys besides the crashes. */
+export interface AnsweredKeys {
+  /** Answered after a crash. */
+  readonly served?: ReadonlySet<string>
+  /** Answered while there was no evidence against them. */
+  readonly sound?: ReadonlySet<string>
+}
+
 export interface CrashAnalysis {
   readonly causes: readonly CrashCause[]
   /** Parts that may turn out to be a cause after a further crash. */
@@ -53,10 +61,12 @@
 /** With this many crashes a cause is accepted even if a request without it was in flight at all of them. */
 const MAX_SHARED_CRASHES = 4
 /**
- * Further crashes that are required for parts if the runs had not begun their answers. A popular part is in flight at several
- * crashes within a moment, before any request with it could be answered.
+ * Further crashes that are required for parts if the runs had not begun their answers, or if requests with the parts were
+ * answered before the first crash. A popular part is in flight at several crashes within a moment, before any request with it
+ * could be answered again.
  */
 const EXTRA_WEAK_CRASHES = 2
+const NO_KEYS: ReadonlySet<string> = new Set()
 /** A single crash says too little about parts, which popular requests have. */
 const MIN_SUSPECT_CRASHES = 2
 /** Crashes that a narrower cause must leave unexplained before a wider one replaces it; one may be a coincidence. */
@@ -89,12 +99,12 @@
  * Keys that were answered after a crash come last: a popular request or part may be in flight at more crashes than any that
  * causes them.
  */
-export function findCrashCauses (evidence: Evidence, served: ReadonlySet<string> = new Set()): CrashAnalysis {
+export function findCrashCauses (evidence: Evidence, { served = NO_KEYS, sound = NO_KEYS }: AnsweredKeys = {}): CrashAnalysis {
   const causes: CrashCause[] = []
   const explainedUpstreams = new Set<string>()
   for (;;) {
     const unexplained = listUnexplainedEvidence(evidence, explainedUpstreams)
-    const cause = findLikeliestCause(unexplained, key => !served.has(key), MAX_CRASHES) ?? findLikeliestCause(unexplained, key => served.has(key), MAX_CRASHES_IF_SERVED)
+    const cause = findLikeliestCause(unexplained, { isCandidate: key => !served.has(key), minCrashes: MAX_CRASHES, sound }) ?? findLikeliestCause(unexplained, { isCandidate: key => served.has(key), minCrashes: MAX_CRASHES_IF_SERVED, sound })
     if (cause === undefined) return { causes, suspectedParts: listSuspectedParts(unexplained, served), explainedUpstreams }
     causes.push(cause)
     for (const run of cause.runs) explainedUpstreams.add(run.upstream)
@@ -112,8 +122,14 @@
   return remaining
 }
 
-function findLikeliestCause (evidence: Evidence, isCandidate: (key: string) => boolean, minCrashes: number): CrashCause | undefined {
-  const candidates = listCandidates(evidence, isCandidate, minCrashes).filter(candidate => candidate.crashCount >= MAX_SHARED_CRASHES || !hasOtherSuspect(candidate, evidence))
+interface CandidateQuery {
+  readonly isCandidate: (key: string) => boolean
+  readonly minCrashes: number
+  readonly sound: ReadonlySet<string>
+}
+
+function findLikeliestCause (evidence: Evidence, query: CandidateQuery): CrashCause | undefined {
+  const candidates = listCandidates(evidence, query).filter(candidate => candidate.crashCount >= MAX_SHARED_CRASHES || !hasOtherSuspect(candidate, evidence))
   return candidates.reduce<CrashCause | undefined>((best, candidate) => best === undefined || isLikelier(candidate, best) ? candidate : best, undefined)
 }
 
@@ -123,24 +139,26 @@
 }
 
 function listSuspectedParts (evidence: Evidence, served: ReadonlySet<string>): readonly CrashCause[] {
-  return listCandidates(evidence, key => !served.has(key), MIN_SUSPECT_CRASHES).filter(candidate => !isWholeRequest(candidate))
+  return listCandidates(evidence, { isCandidate: key => !served.has(key), minCrashes: MIN_SUSPECT_CRASHES, sound: NO_KEYS }).filter(candidate => !isWholeRequest(candidate))
 }
 
 /** Returns the possible causes, without those for which a narrower one explains all but a crash that may be a coincidence. */
-function listCandidates (evidence: Evidence, isCandidate: (key: string) => boolean, minCrashes: number): readonly CrashCause[] {
+function listCandidates (evidence: Evidence, query: CandidateQuery): readonly CrashCause[] {
+  const { isCandidate, minCrashes } = query
   const candidates: CrashCause[] = []
   for (const [key, runs] of evidence) {
     if (runs.size < minCrashes || !isCandidate(key)) continue
     const candidate = { keys: listCommonKeys(key, runs, evidence), runs, crashCount: countSeparateCrashes(runs) }
-    if (hasEnoughCrashes(candidate, minCrashes)) candidates.push(candidate)
+    if (hasEnoughCrashes(candidate, query)) candidates.push(candidate)
   }
   return candidates.filter(wide => !candidates.some(narrow => isNarrower(narrow, wide) && hasFewUnexplained(narrow, wide)))
 }
 
-function hasEnoughCrashes (candidate: CrashCause, minCrashes: number): boolean {
-  const { runs, crashCount } = candidate
+function hasEnoughCrashes (candidate: CrashCause, { minCrashes, sound }: CandidateQuery): boolean {
+  const { keys, runs, crashCount } = candidate
   if (crashCount < minCrashes) return false
   if (isWholeRequest(candidate) || crashCount >= minCrashes + EXTRA_WEAK_CRASHES) return true
+  if (keys.every(key => sound.has(key))) return false
   return countSeparateCrashes([...runs].filter(run => run.isStarting)) >= minCrashes
 }
 
--- a/src/services/quarantine/common/quarantineTracker.ts
+++ b/src/services/quarantine/common/quarantineTracker.ts
@@ -35,6 +35,7 @@
 export const EVIDENCE_RETENTION_MS = 600_000
 /** Maximum number of tracked requests. Each entry requires a crashed upstream, so many different bodies alone cannot fill it. */
 const MAX_REQUESTS = 2000
+const MAX_SOUND_PARTS = 2000
 
 export class QuarantineTracker {
   /** Runs of the same request, by its digest and the parts of its prompt, which are not in the digest. */
@@ -42,6 +43,8 @@
   private readonly _clearedAt = new Map<string, number>()
   /** Requests and parts that an upstream answered after a crash; an entry expires together with its `_clearedAt` entry. */
   private readonly _served = new Set<string>()
+  /** Parts that upstreams answered while there was no evidence against them, the latest last. */
+  private readonly _soundParts = new Set<string>()
   private _bodySizes: ReadonlySet<number> | undefined
   private _evidence: Evidence | undefined
   private _analysis: CrashAnalysis | undefined
@@ -80,6 +83,20 @@
     this._invalidateCaches()
   }
 
+  /** Records that a request with these parts was answered completely. */
+  recordAnsweredParts (partKeys: readonly string[]): void {
+    const evidence = this._getEvidence()
+    for (const key of partKeys) {
+      if (evidence.has(key)) continue
+      this._soundParts.delete(key)
+      this._soundParts.add(key)
+    }
+    for (const oldest of this._soundParts) {
+      if (this._soundParts.size <= MAX_SOUND_PARTS) return
+      this._soundParts.delete(oldest)
+    }
+  }
+
   /** Whether an answer to a request that was sent at `sentAt` disproves evidence against a part of its prompt. */
   isClearedBy (partKey: string, sentAt: number): boolean {
     return [...this._getEvidence().get(partKey) ?? []].some(run => run.crashedAt < sentAt)
@@ -159,7 +176,7 @@
 
   private _getAnalysis (): CrashAnalysis {
     if (this._analysis === undefined) {
-      this._analysis = findCrashCauses(this._getEvidence(), this._served)
+      this._analysis = findCrashCauses(this._getEvidence(), { served: this._served, sound: this._soundParts })
       this._retainedGroups = new Set(this._analysis.causes.flatMap(({ runs }) => [...runs].map(formatGroup)))
     }
     return this._analysis
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -110,6 +110,7 @@
   }
 
   recordServed (request: IRequestIdentity, sentAt: number): void {
+    this._tracker.recordAnsweredParts(request.getPartKeys())
     if (this._tracker.isEmpty) return
     const digest = this._tracker.hasBodySize(request.bodyBytes) ? request.getDigest() : undefined
     if (digest !== undefined && this._tracker.getCrashRecord(digest).upstreams.length > 0) this._publishCleared(digest, 'served', 0)
--- a/src/services/quarantine/test/crashEvidence.test.ts
+++ b/src/services/quarantine/test/crashEvidence.test.ts
@@ -21,7 +21,7 @@
   for (const [index, digests] of crashes.entries()) {
     for (const digest of digests) evidence.set(digest, new Set([...evidence.get(digest) ?? [], createRun(digest, `u${index}`, index, index + 0.5)]))
   }
-  return findCrashCauses(evidence, new Set(served)).causes.flatMap(cause => cause.keys).sort().join('')
+  return findCrashCauses(evidence, { served: new Set(served) }).causes.flatMap(cause => cause.keys).sort().join('')
 }
 
 test('a request in flight at three successive crashes is found to cause them; other requests in flight there are not', () => {
@@ -78,7 +78,7 @@
   return findPartsWith({ served, isStarting: true }, crashes)
 }
 
-function findPartsWith ({ served, isStarting }: { readonly served: string, readonly isStarting: boolean }, crashes: readonly string[]): string {
+function findPartsWith ({ served, sound = '', isStarting }: { readonly served: string, readonly sound?: string, readonly isStarting: boolean }, crashes: readonly string[]): string {
   const evidence = new Map<string, ReadonlySet<CrashedRun>>()
   for (const [index, runs] of crashes.entries()) {
     for (const [number, parts] of runs.split(' ').entries()) {
@@ -86,7 +86,7 @@
       for (const key of [run.digest, ...run.partKeys]) evidence.set(key, new Set([...evidence.get(key) ?? [], run]))
     }
   }
-  return findCrashCauses(evidence, new Set(served)).causes.map(cause => [...cause.keys].sort().join('')).sort().join(' ')
+  return findCrashCauses(evidence, { served: new Set(served), sound: new Set(sound) }).causes.map(cause => [...cause.keys].sort().join('')).sort().join(' ')
 }
 
 test('different requests with a part in common are found by the part', () => {
@@ -124,6 +124,14 @@
   assert.is(findPartsWith({ served: '', isStarting: false }, ['ag', 'bg', 'cg', 'dg', 'eg']), 'g')
 })
 
+// Guards against refusing requests with a popular part that was in flight at three crashes within a second.
+test('a part that was answered before the crashes needs two more, unless it came with one that was not', () => {
+  const options = { served: '', sound: 'ab', isStarting: true }
+  assert.is(findPartsWith(options, ['a', 'a b', 'a', 'a']), '')
+  assert.is(findPartsWith(options, ['a', 'a', 'a', 'a', 'a']), 'a')
+  assert.is(findPartsWith(options, ['ag', 'ag a', 'ag']), 'ag')
+})
+
 test('a repeated request is the cause as a whole, not by its parts', () => {
   const runs = [0, 1, 2].map(index => ({ ...createRun('d', `u${index}`, index, index + 0.5), partKeys: ['a'] }))
   const { causes } = findCrashCauses(new Map([['d', new Set(runs)], ['a', new Set(runs)]]))
--- a/src/services/quarantine/test/quarantineTracker.test.ts
+++ b/src/services/quarantine/test/quarantineTracker.test.ts
@@ -90,6 +90,17 @@
   assert.not(tracker.isClearedBy('part/unknown', 1000))
 })
 
+test('a part that was answered before its first crash is quarantined after five, and one that was answered later after three', () => {
+  const tracker = new QuarantineTracker()
+  tracker.recordAnsweredParts([POPULAR])
+  addPartCrashes(tracker, 3, { partKeys: [POPULAR] })
+  assert.not(findRecord(tracker, POPULAR).isQuarantined)
+  assert.ok(findRecord(addPartCrashes(tracker, 5, { partKeys: [POPULAR] }), POPULAR).isQuarantined)
+  const later = addPartCrashes(new QuarantineTracker(), 1, { partKeys: [POPULAR] })
+  later.recordAnsweredParts([POPULAR])
+  assert.ok(findRecord(addPartCrashes(later, 3, { partKeys: [POPULAR] }), POPULAR).isQuarantined)
+})
+
 test('clearing a request keeps the evidence against the parts of its prompt', () => {
   const tracker = addPartCrashes(new QuarantineTracker(), 3, { digest: 'same' })
   tracker.clear('same', 1000, { isServed: true })
