Throttle preparation for want of room only, not for invalid requests

Evidence: the test of the relay sends 20 requests that are refused as invalid first; on the code before fewer than 20 of the next are prepared.

--- a/src/services/relay/common/attemptDecision.ts
+++ b/src/services/relay/common/attemptDecision.ts
@@ -81,9 +81,9 @@
   return outcome.kind === 'delivered' || outcome.kind === 'failed' || outcome.kind === 'broken'
 }
 
-/** Whether the upstream refused to run a request that it received and that was meant for it. */
-export function isRefusedByUpstream (outcome: AttemptOutcome): boolean {
-  return outcome.kind === 'notRun' && (outcome.reason === 'full' || outcome.reason === 'refused')
+/** Whether the upstream had no room for the request. Refusals for other reasons may be the request's fault. */
+export function isRefusedForRoom (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'notRun' && outcome.reason === 'full'
 }
 
 /** Whether nothing was written, because the upstream must not receive requests any more. */
--- a/src/services/relay/node/sendAcceptance.ts
+++ b/src/services/relay/node/sendAcceptance.ts
@@ -5,7 +5,7 @@
 import type { IClock } from '../../../base/common/clock.ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import { TRIAL_TIMEOUT_MS } from '../../backoff/common/backoffTable.ts'
-import { isRefusedByUpstream } from '../common/attemptDecision.ts'
+import { isRefusedForRoom } from '../common/attemptDecision.ts'
 import type { AttemptOutcome } from '../common/attemptDecision.ts'
 import type { PreparationThrottle } from '../common/preparationThrottle.ts'
 
@@ -29,7 +29,7 @@
   /** Reports how the attempt ended, unless the upstream has accepted the request before. */
   end (outcome: AttemptOutcome): void {
     this._timer.dispose()
-    if (isRefusedByUpstream(outcome)) this._report(false)
+    if (isRefusedForRoom(outcome)) this._report(false)
     else if (outcome.kind === 'delivered' || outcome.kind === 'failed') this._report(true)
   }
 
--- a/src/services/relay/test/relayServer.test.ts
+++ b/src/services/relay/test/relayServer.test.ts
@@ -152,17 +152,22 @@
 }
 
 test('while upstreams refuse most requests, only some inputs are prepared, and all once upstreams accept again', () => {
-  let isRefusing = true
+  let unrun: string | undefined = 'invalid'
   let jobCount = 0
   const preparation: IPreparationService = { prepare: () => { jobCount++; return Promise.resolve(Left({ reason: 'noUpstream', retryAfterMs: 0 })) } }
-  const answerRequest: UpstreamScript = (socket, head) => answerWith(isRefusing ? 'HTTP/1.1 503 x\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n' : COMPLETE_ANSWER)(socket, head)
+  const answerRequest: UpstreamScript = (socket, head) => answerWith(unrun === undefined ? COMPLETE_ANSWER : `HTTP/1.1 503 x\r\nUnrun: ${unrun}\r\nContent-Length: 0\r\n\r\n`)(socket, head)
   const submit = async (harness: RelayHarness, headers = '') => { for (let index = 0; index < 20; index++) await harness.call('a', headers) }
   return runWith([answerRequest], { preparation, route: { stages: [{ role: 'p', after: [], resultBytes: 1 }] } }, async harness => {
+    await submit(harness)
+    await submit(harness, 'Pieces: 1\r\n')
+    assert.is(jobCount, 20, 'requests that are refused as invalid do not count')
+    unrun = 'full'
+    jobCount = 0
     await submit(harness)
     await submit(harness, 'Pieces: 1\r\n')
     assert.ok(jobCount < 20 && jobCount > 0, `${jobCount} prepared`)
     assert.ok(harness.logLines.some(line => line.includes('accepted 0 of the last')))
-    isRefusing = false
+    unrun = undefined
     await submit(harness)
     jobCount = 0
     await submit(harness, 'Pieces: 1\r\n')
