--- a/src/base/common/slicedWindowSum.ts
+++ b/src/base/common/slicedWindowSum.ts
@@ -8,7 +8,7 @@
   /** Sums by key and index of the slice. */
   private readonly _slices = new Map<string, Map<number, number>>()
 
-  /** Keeps the amounts of the current window and of so many before it. */
+  /** Besides the current window, keeps the amounts of a number of windows before it. */
   constructor (private readonly _windowMs: number, private readonly _earlierWindows = 0) {}
 
   add (key: string, amount: number, now: number): void {
