Log why an answer that has begun is aborted

Cause: on the report of streams cut while upstreams are silent, the log of the node ends with result=answerTorn and gives no reason; the reason can be in a coordinator's log on another node, or nowhere.

Change: the ways a run ends are a class of their own (RunEnding), and the one place that aborts a begun answer logs answer_aborted with its reason. No decision changes.

--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -4,8 +4,6 @@
  */
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
-import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
-import type { ResultName } from '../../result/common/resultCodes.ts'
 import type { RegistryFreshness, UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { computeResponseTimeoutMs, computePauseTimeoutMs } from '../common/attemptTimeouts.ts'
@@ -15,8 +13,6 @@
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { ReturningCaller } from '../common/preparationNeed.ts'
 import type { InFlightRequest } from '../common/relayPool.ts'
-import { OTHER_NODE_RETRY_MS } from '../common/relayProtocol.ts'
-import type { RelayRefusal } from '../common/relayProtocol.ts'
 import { isRepeatable, pickTarget } from '../common/relayTable.ts'
 import { RelayAttempt } from './relayAttempt.ts'
 import type { AttemptResult } from './relayAttempt.ts'
@@ -26,12 +22,14 @@
 import { RequestRetries, describeNextAttempt } from './requestRetries.ts'
 import type { NextAttempt } from './requestRetries.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
+import { RunEnding } from './runEnding.ts'
+import type { RunResult } from './runEnding.ts'
 import { SendAcceptance } from './sendAcceptance.ts'
 import { UpstreamSelector } from './upstreamSelector.ts'
 
 /** How a request ended, for logs and metrics. */
 export interface RelayOutcome {
-  readonly result: ResultName | 'delivered' | 'passedOn'
+  readonly result: RunResult
   readonly attempts: number
   readonly preparedMs: number
   /** Time from the end of preparation to the first event of a stream or the end of a whole answer; 0 without either. */
@@ -45,7 +43,6 @@
 const ANSWER_MARGIN_MS = 20
 /** Time that must be left for a further attempt, also after waiting for an upstream. */
 const MIN_ATTEMPT_MS = 50
-const DEFAULT_RETRY_MS = 300
 /** Shared parts of a prompt that are named in one log line. */
 const MAX_LOGGED_PARTS = 8
 
@@ -69,6 +66,7 @@
   private readonly _role: string
   private readonly _selector: UpstreamSelector
   private readonly _retries: RequestRetries
+  private readonly _ending: RunEnding
 
   constructor (private readonly _context: RelayContext, private readonly _accepted: AcceptedRequest) {
     const { route, request, arrivedAt } = _accepted
@@ -83,6 +81,12 @@
     this._role = pickTarget(route.targets, _context.random)
     this._selector = new UpstreamSelector({ context: _context, accepted: _accepted, role: this._role, inputs: this._inputs, tried: this._triedUpstreams, signal: this._abortController.signal })
     this._retries = new RequestRetries({ policy: _context.retry, role: this._role, isAborted: () => this._abortController.signal.aborted })
+    this._ending = new RunEnding({
+      context: _context,
+      accepted: _accepted,
+      role: this._role,
+      getProgress: () => ({ isAborted: this._abortController.signal.aborted, isStopping: this._isStopping, sendCount: this._sendCount, runCount: this._runCount })
+    })
     this._registryAge = _context.registry.computeFreshness(arrivedAt)
   }
 
@@ -109,11 +113,11 @@
     this._abortController.abort()
   }
 
-  private _createOutcome (result: RelayOutcome['result']): RelayOutcome {
+  private _createOutcome (result: RunResult): RelayOutcome {
     return { result, attempts: this._sendCount, preparedMs: Math.round(this._inputs.preparedMs), producedMs: Math.round(this._producedMs), lastUpstream: this._lastUpstream, known: this._registryAge }
   }
 
-  private async _runAttempts (): Promise<RelayOutcome['result']> {
+  private async _runAttempts (): Promise<RunResult> {
     const initialRefusal = this._refuseQuarantined() ?? await this._prepare()
     if (initialRefusal !== undefined) return initialRefusal
     for (;;) {
@@ -124,12 +128,12 @@
         if (preparationRefusal !== undefined) return preparationRefusal
       }
       const upstream = await this._selector.acquire({ suspectKey: this._quarantine.suspectKey, timeLeftMs: this._getTimeLeft() - MIN_ATTEMPT_MS })
-      if (upstream === undefined) return this._refuseWithoutUpstream()
+      if (upstream === undefined) return this._ending.refuseWithoutUpstream(this._selector.scheduleCallerRetry())
       const result = await this._tryUpstream(upstream)
       await this._quarantine.recordAttemptEnd(upstream, result, this._progress)
       const next = this._retries.acquire(this._decide(result.outcome, upstream), result.outcome)
       this._logAttempt(upstream, result.outcome, next)
-      if (!next.isAllowed) return this._finish(result)
+      if (!next.isAllowed) return this._ending.finish(result)
       if (next.decision.kind === 'retry' && next.decision.isResume && result.outcome.kind === 'broken') this._lastEventId = result.outcome.lastEventId
       if (next.decision.kind === 'prepareAgain') {
         this._triedUpstreams.delete(upstream.id)
@@ -139,21 +143,21 @@
     }
   }
 
-  private async _prepare (): Promise<ResultName | undefined> {
+  private async _prepare (): Promise<RunResult | undefined> {
     const { request, route } = this._accepted
     const { isSuspect } = this._quarantine
     // Prepared results would be discarded: no upstream accepts the request in time.
-    if (!this._selector.canPrepare(Math.max(0, this._getTimeLeft() - MIN_ATTEMPT_MS))) return this._refuseWithoutUpstream()
+    if (!this._selector.canPrepare(Math.max(0, this._getTimeLeft() - MIN_ATTEMPT_MS))) return this._ending.refuseWithoutUpstream(this._selector.scheduleCallerRetry())
     const job = createPreparationJob({ request, route, role: this._role, priority: this._accepted.priority, homeHalls: this._accepted.homeHalls, excludedTargets: this._selector.listBackingOff().map(({ id }) => id), deadlineInMs: this._getTimeLeft(), returningCaller: this._findReturningCaller(), isSuspect })
     if (job === undefined) return undefined
     return this._refuseThrottled() ?? await this._handlePreparation(await this._inputs.prepare(job))
   }
 
   /** Refuses a request whose results would most likely be discarded, since upstreams of its role refuse most requests. */
-  private _refuseThrottled (): ResultName | undefined {
+  private _refuseThrottled (): RunResult | undefined {
     const refusal = this._context.throttle.findRefusal(this._role, this._accepted.priority)
     if (refusal === undefined) return undefined
-    return this._refuse('overloaded', `upstreams of ${this._role} accepted ${refusal.acceptedCount} of the last ${refusal.sendCount} requests`, true, refusal.retryAfterMs)
+    return this._ending.refuse({ name: 'overloaded', message: `upstreams of ${this._role} accepted ${refusal.acceptedCount} of the last ${refusal.sendCount} requests`, isNotRun: true, retryAfterMs: refusal.retryAfterMs })
   }
 
   /** The route's timeout stands in for the deadline of a caller that states none. */
@@ -163,15 +167,15 @@
     return { request: this._quarantine.fingerprint, timeLeftMs: arrivedAt + (request.timeLeftMs ?? route.timeoutMs) - this._context.clock.now() }
   }
 
-  private async _prepareAgain (): Promise<ResultName | undefined> {
-    if (!this._inputs.isPrepared) return this._refuse('upstreamRefused', 'the upstream reported missing inputs, but the request has no prepared ones', this._runCount === 0)
+  private async _prepareAgain (): Promise<RunResult | undefined> {
+    if (!this._inputs.isPrepared) return this._ending.refuse({ name: 'upstreamRefused', message: 'the upstream reported missing inputs, but the request has no prepared ones' })
     return await this._handlePreparation(await this._inputs.prepareAgain())
   }
 
-  private async _handlePreparation (refusal: JobRefusal | undefined): Promise<ResultName | undefined> {
+  private async _handlePreparation (refusal: JobRefusal | undefined): Promise<RunResult | undefined> {
     if (refusal === undefined) return undefined
     await this._quarantine.waitForLosses()
-    return this._refuseQuarantined() ?? this._refusePreparation(refusal)
+    return this._refuseQuarantined() ?? this._ending.refusePreparation(refusal)
   }
 
   private async _tryUpstream (upstream: UpstreamEntry): Promise<AttemptResult> {
@@ -257,12 +261,12 @@
   }
 
   /** Refuses a request that has crashed too many upstreams; all nodes share the quarantine. */
-  private _refuseQuarantined (): ResultName | undefined {
+  private _refuseQuarantined (): RunResult | undefined {
     const record = this._quarantine.findQuarantine()
     if (record === undefined) return undefined
     this._context.quarantine.reportRefusal(this._accepted.request.id, this._quarantine.fingerprint, record)
     const cause = record.parts.length > 0 ? `requests with these parts of the prompt: ${record.parts.slice(0, MAX_LOGGED_PARTS).join()}` : 'this request'
-    return this._refuse('requestQuarantined', `${record.crashCount} upstreams crashed while running ${cause}`, this._runCount === 0)
+    return this._ending.refuse({ name: 'requestQuarantined', message: `${record.crashCount} upstreams crashed while running ${cause}` })
   }
 
   /** Nothing was written, so the attempt does not count as sent. */
@@ -288,58 +292,6 @@
     })
   }
 
-  private _finish (result: AttemptResult): RelayOutcome['result'] {
-    const { outcome, failure } = result
-    if (outcome.kind === 'delivered') return 'delivered'
-    if (this._accepted.answer.hasDisconnected) return 'cancelled'
-    if (outcome.kind === 'broken') {
-      this._accepted.answer.abort()
-      return 'answerTorn'
-    }
-    if (failure !== undefined) {
-      this._accepted.answer.send(failure)
-      return 'passedOn'
-    }
-    if (this._accepted.answer.hasBegun) {
-      this._accepted.answer.abort()
-      return 'answerTorn'
-    }
-    if (outcome.kind === 'cancelled') return this._refuseAborted()
-    if (outcome.kind === 'notRun') return this._refuse('overloaded', `upstream: ${outcome.reason}`, this._runCount === 0, DEFAULT_RETRY_MS)
-    return this._refuse('outcomeUnknown', outcome.kind === 'lost' ? outcome.reason : outcome.kind, false)
-  }
-
-  private _refusePreparation (refusal: JobRefusal): ResultName {
-    if (this._accepted.answer.hasDisconnected) return 'cancelled'
-    if (this._abortController.signal.aborted) return this._refuseAborted()
-    return this._refuse('overloaded', `preparation: ${refusal.reason}`, this._runCount === 0, refusal.retryAfterMs)
-  }
-
-  private _refuseWithoutUpstream (): ResultName {
-    if (this._abortController.signal.aborted) return this._refuseAborted()
-    const returnMs = this._selector.scheduleCallerRetry()
-    if (returnMs !== undefined) return this._refuse('overloaded', `no upstream of ${this._role} accepts more now`, this._runCount === 0, returnMs)
-    return this._refuse('upstreamNoneLeft', `no upstream of ${this._role} is available`, this._runCount === 0, DEFAULT_RETRY_MS)
-  }
-
-  /** The deadline has passed or this node is stopping; an attempt that was sent may still be running. */
-  private _refuseAborted (): ResultName {
-    if (this._isStopping) return this._refuse('gateDraining', 'this node is stopping', this._runCount === 0, OTHER_NODE_RETRY_MS)
-    return this._refuse('deadlinePassed', 'deadline exceeded', this._sendCount === 0, 0)
-  }
-
-  private _refuse (name: ResultName, message: string, isNotRun: boolean, retryAfterMs?: number): ResultName {
-    const { answer } = this._accepted
-    if (answer.hasDisconnected) return 'cancelled'
-    if (answer.hasBegun) {
-      answer.abort()
-      return 'answerTorn'
-    }
-    const refusal: RelayRefusal = { error: new PepperwoodError({ name, message, place: this._role }), isNotRun, retryAfterMs }
-    this._context.refuse(answer, refusal, this._accepted.request.id)
-    return name
-  }
-
   private _logAttempt (upstream: UpstreamEntry, outcome: AttemptOutcome, next: NextAttempt): void {
     if (outcome.kind === 'delivered') return
     const { request } = this._accepted
