--- a/src/services/relay/node/runEnding.ts
+++ b/src/services/relay/node/runEnding.ts
@@ -55,12 +55,11 @@
     const { answer } = this._options.accepted
     if (outcome.kind === 'delivered') return 'delivered'
     if (answer.hasDisconnected) return 'cancelled'
-    if (outcome.kind === 'broken') return this._abortAnswer(outcome.reason)
+    if (answer.hasBegun) return this._abortAnswer(describeOutcome(outcome))
     if (failure !== undefined) {
       answer.send(failure)
       return 'passedOn'
     }
-    if (answer.hasBegun) return this._abortAnswer(describeOutcome(outcome))
     if (outcome.kind === 'cancelled') return this._refuseAborted()
     if (outcome.kind === 'notRun') return this.refuse({ name: 'overloaded', message: `upstream: ${outcome.reason}`, retryAfterMs: DEFAULT_RETRY_MS })
     return this.refuse({ name: 'outcomeUnknown', message: describeOutcome(outcome), isNotRun: false })
@@ -108,5 +107,6 @@
 
 function describeOutcome (outcome: AttemptOutcome): string {
   if ('reason' in outcome) return outcome.reason
+  if (outcome.kind === 'failed') return `upstream answered ${outcome.status}`
   return outcome.kind === 'cancelled' ? 'deadline exceeded' : outcome.kind
 }
--- a/src/services/relay/test/relayServer.test.ts
+++ b/src/services/relay/test/relayServer.test.ts
@@ -206,6 +206,21 @@
   assert.not.ok(text.endsWith('0\r\n\r\n'))
 }))
 
+test('a stream whose last attempt ends before it resumes is aborted, whatever ended it', async () => {
+  const begin: UpstreamScript = socket => { socket.write(EVENT_HEAD + formatChunk('id: 1\ndata: x\n\n'), () => { setTimeout(() => socket.resetAndDestroy(), 30) }) }
+  const error = 'HTTP/1.1 500 x\r\nId: a\r\nContent-Length: 0\r\n\r\n'
+  const refusal = 'HTTP/1.1 503 x\r\nUnrun: invalid\r\nContent-Length: 0\r\n\r\n'
+  const endings: readonly UpstreamScript[] = [answerWith(error), answerWith(refusal), socket => socket.destroy()]
+  for (const ending of endings) {
+    await runWith([begin, ending], { route: stream }, async harness => {
+      const { text } = await harness.call('a')
+      assert.match(text, /data: x/)
+      assert.not.ok(text.endsWith('0\r\n\r\n'))
+      assert.is(harness.completedRequests[0]?.end.result, 'answerTorn')
+    })
+  }
+})
+
 test('a request without a valid customer key is refused and not sent', () => runWith([answerWith(COMPLETE_ANSWER)], { customers: [{ name: 'c', keySha256: ['0'.repeat(64)] }] }, async (harness, upstreams) => {
   assert.match((await harness.call('a', 'Key: wrong\r\n')).text, /^HTTP\/1\.1 502 .*keyWrong$/s)
   assert.is(upstreams[0]?.requestHeads.length, 0)
