Let streams that have begun resume while their node stops

Cause: a planned stop refuses requests that wait for an upstream.

Change: requests whose answer has begun continue; they can only be cut.

Measured: the new test fails without the change and passes with it.

--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -119,9 +119,12 @@
     }
   }
 
-  /** Refuses the request if it has not been sent yet, because this node is stopping; an attempt in flight continues. */
+  /**
+   * Refuses the request if it has not been sent yet, because this node is stopping. An attempt in flight continues, and so does
+   * an answer that has begun, which can only be cut.
+   */
   refuseIfWaiting (): void {
-    if (this._activeCount > 0 || this._abortController.signal.aborted) return
+    if (this._activeCount > 0 || this._accepted.answer.hasBegun || this._abortController.signal.aborted) return
     this._isStopping = true
     this._abortController.abort()
   }
--- a/src/services/relay/test/silentStreams.test.ts
+++ b/src/services/relay/test/silentStreams.test.ts
@@ -41,8 +41,8 @@
   return Array.from({ length: count }, () => new PausableUpstream(options))
 }
 
-/** Prepares results once; new ones are refused, as by an overloaded coordinator. */
-function createPreparationOfOne (): IPreparationService {
+/** Prepares results at once; for new ones the coordinator is asked. */
+function createPreparation (prepareAgain: (inputs: IPreparedInputs) => ReturnType<IPreparedInputs['prepareAgain']>): IPreparationService {
   let isReleased = false
   const inputs: IPreparedInputs = {
     handles: ['h'],
@@ -53,17 +53,20 @@
     hall: '',
     report: () => {},
     release: () => { isReleased = true },
-    prepareAgain: () => Promise.resolve(Left({ reason: 'overloaded', retryAfterMs: 300 }))
+    prepareAgain: () => prepareAgain(inputs)
   }
   return { prepare: () => Promise.resolve(Right(inputs)) }
 }
 
+const preparedRoute = { ...route, stages: [{ role: 'p', after: [], resultBytes: 1 }] }
+const PIECES_HEADER = 'Pieces: 1\r\n'
+
 const obstacles: readonly (readonly [string, number, () => Partial<RelayHarnessOptions>, string])[] = [
   ['all upstreams are silent', 2, () => ({}), ''],
   ['no attempts are left', 2, () => ({ route: { ...route, maxAttempts: 1 } }), ''],
   ['the budget refuses a retry', 2, () => ({ retries: 0 }), ''],
   ['there is no other upstream', 1, () => ({}), ''],
-  ['new results are refused', 2, () => ({ route: { ...route, stages: [{ role: 'p', after: [], resultBytes: 1 }] }, preparation: createPreparationOfOne() }), 'Pieces: 1\r\n']
+  ['new results are refused', 2, () => ({ route: preparedRoute, preparation: createPreparation(() => Promise.resolve(Left({ reason: 'overloaded', retryAfterMs: 300 }))) }), PIECES_HEADER]
 ]
 
 async function checkPausedStream (upstreams: readonly PausableUpstream[], options: Partial<RelayHarnessOptions>, headers: string, pauseMs: number): Promise<void> {
@@ -123,6 +126,24 @@
   assert.is(other.closedCount, 1)
 }))
 
+test('a node that stops lets a stream that has begun get its new results and resume', () => {
+  let hasReset = false
+  const upstreams = createUpstreams(2, {
+    answer: socket => {
+      if (!hasReset) setTimeout(() => socket.resetAndDestroy(), 90)
+      hasReset = true
+      return false
+    }
+  })
+  const preparation = createPreparation(async inputs => { await wait(200); return Right(inputs) })
+  return runWith(upstreams, { route: preparedRoute, preparation }, async harness => {
+    const answer = harness.call('a', PIECES_HEADER)
+    await wait(200)
+    harness.server.refuseWaiting()
+    assert.ok(isWholeStream((await answer).text))
+  })
+})
+
 type Behaviour = 'stream' | 'pause' | 'reset' | 'fail' | 'refuse' | 'silence'
 
 /** Returns an upstream that draws what it does from a list, request by request. */
