--- a/src/standin/standin.ts
+++ b/src/standin/standin.ts
@@ -9,6 +9,7 @@
 import { Disposable, toDisposable } from '../base/common/disposable.ts'
 import { Emitter } from '../base/common/event.ts'
 import { SeededRandom } from '../base/common/random.ts'
+import { parseRequestTarget } from '../base/common/requestTarget.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { checkSettings } from '../services/settings/node/settingsFile.ts'
 import { FaultsSchema } from './faults.ts'
@@ -64,11 +65,11 @@
   }
 
   private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const url = new URL(request.url ?? '/', 'http://standin')
-    const [, , resource = '', ...rest] = url.pathname.split('/')
+    const { path, query } = parseRequestTarget(request.url ?? '/')
+    const [, , resource = '', ...rest] = path.split('/')
     const name = rest.join('/')
     if (request.method === 'GET' && resource === 'values') {
-      return await this._platform.answer(name, Number(url.searchParams.get('after') ?? 0), Number(url.searchParams.get('wait_ms') ?? 0), response)
+      return await this._platform.answer(name, Number(query.get('after') ?? 0), Number(query.get('wait_ms') ?? 0), response)
     }
     if (request.method === 'GET' && resource === 'runs') return sendJson(response, 200, { runs: this._ledger.list() })
     if (request.method === 'GET' && resource === 'state') {
