Claim no length for whole answers whose end is not certain

Cause: sent answers that their upstream had sent without a length with one.

Streams stay in chunks: the end of a node does not look like their end, and one that ends within an event is recognized. A stalled attempt asks for nothing again within 0.5 s of a refusal, or the time that preparation stated, and results that were prepared for it are kept for the attempt after it.

--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -8,7 +8,7 @@
 
 /** An upstream's complete answer. */
 export interface BufferedAnswer {
-  /** False if the body was delimited only by the end of the connection. */
+  /** False if the body was delimited only by the end of the connection; it is then forwarded in the same way. */
   readonly isFramed: boolean
   readonly status: number
   readonly headers: readonly HeaderField[]
@@ -45,6 +45,12 @@
     return this._hasEnded
   }
 
+  /** Whether the caller knows chunks, as all but those that speak HTTP/1.0 do. */
+  get acceptsChunks (): boolean {
+    const { httpVersionMajor, httpVersionMinor } = this._request
+    return httpVersionMajor > 1 || httpVersionMinor > 0
+  }
+
   /** Closes the connection after this answer. */
   closeAfterAnswer (): void {
     if (!this._hasBegun) this._response.shouldKeepAlive = false
@@ -53,9 +59,8 @@
   begin (status: number, headers: readonly HeaderField[], isFramed = true): void {
     if (this._hasBegun || this._hasDisconnected) return
     this._hasBegun = true
-    // In chunks, so that the end of this process or of its connections does not look like the end of the body.
-    this._isFramed = isFramed || this._acceptsChunks
-    if (!this._isFramed) this._endBodyByClose()
+    this._isFramed = isFramed
+    if (!isFramed) this._endBodyByClose()
     this._response.writeHead(status, toRawHeaders(headers))
     this._response.flushHeaders()
   }
@@ -87,9 +92,8 @@
     this._hasEnded = true
     if (this._hasDisconnected) return
     const hasBody = answer.status !== 204 && answer.status !== 304
-    const hasLength = answer.isFramed || this._request.method !== 'HEAD'
-    if (!hasLength) this._endBodyByClose()
-    const length = hasBody && hasLength ? [{ name: 'Content-Length', value: String(answer.body.length) }] : []
+    if (!answer.isFramed) this._endBodyByClose()
+    const length = hasBody && answer.isFramed ? [{ name: 'Content-Length', value: String(answer.body.length) }] : []
     // The rest of the current request would be parsed as the next one.
     if (!this._request.complete) this._response.shouldKeepAlive = false
     this._response.writeHead(answer.status, toRawHeaders([...answer.headers, ...length]))
@@ -105,11 +109,6 @@
     else this._request.socket.resetAndDestroy()
   }
 
-  private get _acceptsChunks (): boolean {
-    const { httpVersionMajor, httpVersionMinor } = this._request
-    return httpVersionMajor > 1 || httpVersionMinor > 0
-  }
-
   private _endBodyByClose (): void {
     this._response.useChunkedEncodingByDefault = false
     this._response.shouldKeepAlive = false
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -190,6 +190,8 @@
 
   private async _forwardStream (response: IncomingMessage, exchange: IExchange, verdict: AnswerVerdict & { readonly kind: 'answer' }): Promise<AttemptOutcome> {
     const { answer, call, pauseTimeoutMs } = this._options
+    // In chunks, so that the end of this process or of its connections does not look like the end of the stream.
+    const hasFraming = isFramed(response) || answer.acceptsChunks
     const splitter = new EventSplitter()
     let lastEventId = call.lastEventId
     let count = 0
@@ -205,7 +207,7 @@
         if (count === 0) this._options.onDidReceiveFirstOutput()
         count += events.length
         // A stream that resumes at another upstream keeps the head that the first one sent.
-        answer.begin(response.statusCode ?? 0, verdict.headers, isFramed(response))
+        answer.begin(response.statusCode ?? 0, verdict.headers, hasFraming)
         let hasBufferSpace = true
         for (const event of events) {
           hasBufferSpace = answer.write(event.bytes)
@@ -225,7 +227,7 @@
     }
     if (!this._options.claimAnswer()) return this._decideBrokenStream(lastEventId)
     if (count === 0) this._options.onDidReceiveFirstOutput()
-    answer.begin(response.statusCode ?? 0, verdict.headers, isFramed(response))
+    answer.begin(response.statusCode ?? 0, verdict.headers, hasFraming)
     answer.finish()
     return { kind: 'delivered' }
   }
--- a/src/services/relay/node/stalledAttempt.ts
+++ b/src/services/relay/node/stalledAttempt.ts
@@ -36,10 +36,14 @@
 
 /** Both upstreams may run the request for this time; the first one has to learn of its end soon after the second one began. */
 const OVERLAP_MS = 250
+/** After a refusal nothing is asked for again for this time, so that stalled attempts do not press what is overloaded. */
+const REFUSAL_PAUSE_MS = 500
 
 export class StalledAttempt {
   private readonly _options: StalledAttemptOptions
   private _lastResult: StallResult | undefined
+  /** Nothing is asked for before this time, on this process's clock. */
+  private _retryAt = -Infinity
 
   constructor (options: StalledAttemptOptions) {
     this._options = options
@@ -47,17 +51,19 @@
 
   /** Resolves with the attempt that takes over, or with the stalled one if it goes on. */
   async replace (stalled: SentAttempt): Promise<SentAttempt> {
-    const { accepted: { answer }, inputs, retries } = this._options
+    const { context: { clock }, accepted: { answer }, inputs, retries } = this._options
+    if (clock.now() < this._retryAt) return stalled
     const stalledAt = stalled.lastOutputAt
     const isStalled = () => stalled.lastOutputAt === stalledAt && !stalled.hasEnded
     const decision = decideOnStall(this._createInputs(stalled))
     if (decision.kind === 'wait') return this._resumeAlone(stalled, decision.reason)
     const next = retries.acquire(decision.decision, createStalledOutcome(answer.hasBegun))
-    if (!next.isAllowed) return this._resumeAlone(stalled, 'budget')
-    if (inputs.hasReleasedResults && await inputs.prepareAgain() !== undefined) return this._resumeAlone(stalled, 'preparation')
+    if (!next.isAllowed) return this._resumeAlone(stalled, 'budget', REFUSAL_PAUSE_MS)
+    const refusal = inputs.hasReleasedResults ? await inputs.prepareAgain() : undefined
+    if (refusal !== undefined) return this._resumeAlone(stalled, 'preparation', Math.max(REFUSAL_PAUSE_MS, refusal.retryAfterMs))
     const upstream = isStalled() ? await this._acquireUpstream(stalled) : undefined
     if (!isStalled()) return this._resumeAlone(stalled, 'resumed')
-    return upstream === undefined ? this._resumeAlone(stalled, 'noUpstream') : await this._sendTo(upstream, stalled)
+    return upstream === undefined ? this._resumeAlone(stalled, 'noUpstream', REFUSAL_PAUSE_MS) : await this._sendTo(upstream, stalled)
   }
 
   private _createInputs (stalled: SentAttempt): StallInputs {
@@ -124,10 +130,12 @@
     })
   }
 
-  private _resumeAlone (stalled: SentAttempt, result: StallResult): SentAttempt {
-    const { retries, inputs } = this._options
+  private _resumeAlone (stalled: SentAttempt, result: StallResult, pauseMs = 0): SentAttempt {
+    const { context: { clock }, retries, inputs } = this._options
+    this._retryAt = clock.now() + pauseMs
     retries.releaseUnsent()
-    if (result === 'resumed') inputs.release()
+    // An attempt that has ended is followed by one that needs the results.
+    if (result === 'resumed' && !stalled.hasEnded) inputs.release()
     this._log(stalled, result)
     return stalled
   }
