Count the time of two attempts from when the second one is sent

Cause: a stalled attempt was given up 250 ms after its replacement began, also while the replacement's connection was still being opened. One that then could not be opened (400 ms) left the stream without either.

Change: the time counts once the replacement is written; until then the stalled attempt goes on.

--- a/src/services/relay/node/sentAttempt.ts
+++ b/src/services/relay/node/sentAttempt.ts
@@ -110,6 +110,11 @@
     return this._lastOutputAt
   }
 
+  /** Whether the request was written to the upstream. */
+  get wasSent (): boolean {
+    return this._writtenAt !== undefined
+  }
+
   get hasEnded (): boolean {
     return this.progress.hasEnded
   }
--- a/src/services/relay/node/stalledAttempt.ts
+++ b/src/services/relay/node/stalledAttempt.ts
@@ -122,7 +122,10 @@
       const abandonStalled = () => { store.dispose(); stalled.abandon(); resolve(replacement) }
       store.add(stalled.onDidClaim(cancelReplacement))
       store.add(replacement.onDidClaim(abandonStalled))
-      store.add(this._options.context.clock.schedule(OVERLAP_MS, abandonStalled))
+      // While its connection is being opened, the replacement does not run yet and may still turn out to be unreachable.
+      const checkOverlap = () => replacement.wasSent ? abandonStalled() : scheduleCheck()
+      const scheduleCheck = () => { store.add(this._options.context.clock.schedule(OVERLAP_MS, checkOverlap)) }
+      scheduleCheck()
       void stalled.result.then(({ outcome }) => {
         if (!store.isDisposed) (outcome.kind === 'delivered' || outcome.kind === 'cancelled' ? cancelReplacement : abandonStalled)()
       })
