--- a/src/services/relay/common/attemptTimeouts.ts
+++ b/src/services/relay/common/attemptTimeouts.ts
@@ -32,6 +32,6 @@
 }
 
 /** Returns the longest normal pause between events of a stream. */
-export function getMaxPauseMs (route: Route): number {
+function getMaxPauseMs (route: Route): number {
   return route.maxPauseMs > 0 ? route.maxPauseMs : DEFAULT_MAX_PAUSE_MS
 }
