--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -61,7 +61,7 @@
 const MAX_BUFFERED_BYTES = 256 * 1024
 /** Longest delay that setTimeout accepts. */
 const MAX_TIMER_MS = 2 ** 31 - 1
-/** A stalled attempt reports this so often. */
+/** Period with which a stalled attempt reports that it is still silent. */
 const STALL_INTERVAL_MS = 200
 
 export class RelayAttempt {
--- a/src/services/relay/node/runEnding.ts
+++ b/src/services/relay/node/runEnding.ts
@@ -12,7 +12,7 @@
 import type { AttemptResult } from './relayAttempt.ts'
 import type { RelayContext } from './relayContext.ts'
 
-/** How a request ended, for logs and metrics. */
+/** The result of a request, for logs and metrics. */
 export type RunResult = ResultName | 'delivered' | 'passedOn'
 
 /** How far a run has come when it ends. */
