Log on which connection an attempt was answered, and how soon

An answer that is a late copy of an earlier one cannot be told from the upstream's own in the log: a refusal that is believed looks like any other.

attempt_ended now says whether the connection was new, had carried other requests, or had carried one with the same id, and how long after the request was written the head of the answer came.

Logic is unchanged.

--- a/src/entryNode/nodeConnections.ts
+++ b/src/entryNode/nodeConnections.ts
@@ -1,7 +1,6 @@
 /**
  * Connects a node to upstreams, through peers while the node is partitioned from them, and relays connections of its peers.
  */
-import type { Agent } from 'node:http'
 import { parseAddress } from '../base/common/address.ts'
 import type { IClock } from '../base/common/clock.ts'
 import { Disposable, toDisposable } from '../base/common/disposable.ts'
@@ -50,7 +49,7 @@
     return this._server.openCount
   }
 
-  createAgent (): Agent {
+  createAgent (): UpstreamAgent {
     const { clock } = this._options
     const agent = new UpstreamAgent(this.connector, () => clock.now())
     this._register(toDisposable(() => agent.destroy()))
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -1,9 +1,10 @@
 /**
  * One attempt of a request at one upstream: sends it, validates the answer and forwards it to the caller.
  */
-import type { Agent, IncomingMessage } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import type { IClock } from '../../../base/common/clock.ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
+import type { CallAgent, ConnectionUse } from '../../upstream/node/callAgent.ts'
 import { closeIdleConnections, startExchange } from '../../upstream/node/httpExchange.ts'
 import type { ExchangeStart, IExchange } from '../../upstream/node/httpExchange.ts'
 import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
@@ -13,7 +14,7 @@
 import type { CallerAnswer, BufferedAnswer } from './callerAnswer.ts'
 
 export interface RelayAttemptOptions {
-  readonly agent: Agent
+  readonly agent: CallAgent
   readonly clock: IClock
   readonly protocol: UpstreamProtocol
   readonly call: RelayCall
@@ -53,6 +54,10 @@
   readonly failure?: BufferedAnswer
   /** The attempt stalled, and this side closed the connection. */
   readonly hasTimedOut?: boolean
+  /** What the connection had carried before the request; undefined if none was assigned. */
+  readonly connectionUse?: ConnectionUse | undefined
+  /** Time from when the request was written to the head of the answer, in milliseconds; undefined without an answer. */
+  readonly headMs?: number | undefined
 }
 
 /** Network latency between hosts is about 1 ms, so a host that needs longer to accept a connection is unreachable. */
@@ -70,6 +75,8 @@
   private _timer: IDisposable | undefined
   private _hasTimedOut = false
   private _isSuperseded = false
+  private _connectionUse: ConnectionUse | undefined
+  private _writtenAt: number | undefined
 
   constructor (options: RelayAttemptOptions) {
     this._options = options
@@ -104,16 +111,24 @@
         localAddress: this._options.localAddress,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         signal: this._controller.signal,
-        onWillSend: this._options.onWillSend
+        onDidAssignConnection: connection => { this._connectionUse = agent.recordCall(connection, call.request.id) },
+        onWillSend: () => this._prepareSend()
       })
-      if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start), hasTimedOut: this._hasTimedOut }
-      return { ...await this._readAnswer(start.response, start.exchange), hasTimedOut: this._hasTimedOut }
+      const { _connectionUse: connectionUse } = this
+      if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start), hasTimedOut: this._hasTimedOut, connectionUse }
+      const headMs = this._options.clock.now() - (this._writtenAt ?? NaN)
+      return { ...await this._readAnswer(start.response, start.exchange), hasTimedOut: this._hasTimedOut, connectionUse, headMs }
     } finally {
       this._timer?.dispose()
       signal.removeEventListener('abort', onAbort)
     }
   }
 
+  private _prepareSend (): boolean {
+    this._writtenAt = this._options.clock.now()
+    return this._options.onWillSend()
+  }
+
   private _decideNoAnswer (start: Exclude<ExchangeStart, { readonly kind: 'response' }>): AttemptOutcome {
     if (this._isCancelled()) return { kind: 'cancelled' }
     if (start.kind === 'notSent') return start.isWithheld ? { kind: 'notRun', reason: 'withheld' } : { kind: 'notRun', reason: 'unreachable', detail: start.reason }
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -1,7 +1,6 @@
 /**
  * Services that all requests of the relay share.
  */
-import type { Agent } from 'node:http'
 import type { IClock } from '../../../base/common/clock.ts'
 import type { IRandom } from '../../../base/common/random.ts'
 import type { IBackoffService } from '../../backoff/common/backoff.ts'
@@ -12,6 +11,7 @@
 import type { IQuarantineService } from '../../quarantine/common/quarantine.ts'
 import type { IQuotaService } from '../../quota/common/quota.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
+import type { CallAgent } from '../../upstream/node/callAgent.ts'
 import type { SendGuard } from '../../upstream/node/sendGuard.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { StatementBatch } from '../../upstream/common/upstreamStatement.ts'
@@ -30,7 +30,7 @@
   /** Regions of the halls; without it home regions are not enforced. */
   readonly regions?: HallRegions
   readonly localAddress?: string
-  readonly agent: Agent
+  readonly agent: CallAgent
   /** Whether connections may fail because this node is partitioned from the upstreams. */
   readonly mayBePartitioned?: () => boolean
   readonly upstreamProtocol: UpstreamProtocol
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -7,7 +7,7 @@
 import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { computeResponseTimeoutMs } from '../common/attemptTimeouts.ts'
 import { decideAfterAttempt, isConnectionLost, isWithheld } from '../common/attemptDecision.ts'
-import type { AttemptDecisionInputs, AttemptOutcome } from '../common/attemptDecision.ts'
+import type { AttemptDecisionInputs } from '../common/attemptDecision.ts'
 import type { AttemptProgress } from '../common/attemptProgress.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { ReturningCaller } from '../common/preparationNeed.ts'
@@ -147,7 +147,7 @@
       if (upstream === undefined) return this._ending.refuseWithoutUpstream(this._selector.scheduleCallerRetry())
       const { attempt, result } = await this._runAttempt(upstream)
       const next = this._retries.acquire(decideAfterAttempt({ ...this._getDecisionInputs(), outcome: result.outcome }), result.outcome)
-      this._logAttempt(attempt, result.outcome, describeNextAttempt(next))
+      this._logAttempt(attempt, result, describeNextAttempt(next))
       if (!next.isAllowed) return this._ending.finish(result)
       if (next.decision.kind === 'prepareAgain') {
         this._triedUpstreams.delete(attempt.upstream.id)
@@ -245,7 +245,7 @@
   private async _recordSupersededAttempt (attempt: SentAttempt): Promise<void> {
     const result = await attempt.result
     await this._recordAttemptEnd(attempt, result)
-    this._logAttempt(attempt, result.outcome, { next: 'superseded' })
+    this._logAttempt(attempt, result, { next: 'superseded' })
   }
 
   /** Refuses a request that has crashed too many upstreams; all nodes share the quarantine. */
@@ -277,7 +277,7 @@
     }
   }
 
-  private _logAttempt ({ upstream, progress }: SentAttempt, outcome: AttemptOutcome, next: LogFields): void {
+  private _logAttempt ({ upstream, progress }: SentAttempt, { outcome, connectionUse, headMs = 0 }: AttemptResult, next: LogFields): void {
     if (outcome.kind === 'delivered') return
     const { request } = this._accepted
     const reason = 'reason' in outcome ? outcome.reason : 'status' in outcome ? String(outcome.status) : ''
@@ -292,7 +292,7 @@
       sends: this._sendCount,
       may_have_run: this._runCount,
       left_ms: Math.round(this._getTimeLeft()),
-      ...isConnectionLost(outcome) ? this._describeLostAnswer(progress) : {}
+      ...isConnectionLost(outcome) ? this._describeLostAnswer(progress) : { connection: connectionUse ?? 'none', head_ms: Math.round(headMs) }
     })
   }
 
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -1,7 +1,6 @@
 /**
  * Test harness: a relay with upstreams that answer with given bytes and callers that record every byte they receive.
  */
-import { Agent } from 'node:http'
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { create } from '@bufbuild/protobuf'
@@ -30,6 +29,7 @@
 import { RetryBudget } from '../../retry/common/retryPolicy.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
+import { CallAgent } from '../../upstream/node/callAgent.ts'
 import { CallerProtocol, UpstreamProtocol } from '../common/relayProtocol.ts'
 import type { AnswerHead, AnswerVerdict, MessageHead, RefusalAnswer, RelayCall, RelayRefusal } from '../common/relayProtocol.ts'
 import { PreparationThrottle } from '../common/preparationThrottle.ts'
@@ -189,7 +189,7 @@
   constructor (private readonly _options: RelayHarnessOptions) {
     super()
     const clock = new SystemClock()
-    const agent = new Agent({ keepAlive: true })
+    const agent = new CallAgent({ keepAlive: true })
     this._register(toDisposable(() => agent.destroy()))
     const log = new LogService({ program: 'test', silent: true })
     const facts = this._register(_options.facts ?? new FactStore(clock))
@@ -252,6 +252,11 @@
     this._port = await this.server.listen('127.0.0.1', 0)
   }
 
+  /** The port that callers connect to. */
+  get port (): number {
+    return this._port
+  }
+
   /** Sends one request on a separate connection; resolves with all received bytes and how the connection ended. */
   call (id: string, headers = '', leaveAfterMs = 0, httpVersion = '1.1'): Promise<ReceivedAnswer> {
     return this._exchange(`GET /x HTTP/${httpVersion}\r\nHost: h\r\nId: ${id}\r\n${headers}Connection: close\r\n\r\n`, leaveAfterMs)
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -19,6 +19,8 @@
   readonly localAddress?: string
   readonly connectTimeoutMs: number
   readonly signal?: AbortSignal
+  /** Called with the connection that the exchange is assigned to, before it is used. */
+  readonly onDidAssignConnection?: (connection: object) => void
   /** Called when the connection is open; false ends the exchange before any byte is written. */
   readonly onWillSend?: () => boolean
 }
@@ -100,6 +102,7 @@
       call.destroy()
     }, options.connectTimeoutMs)
     call.on('socket', socket => {
+      options.onDidAssignConnection?.(socket)
       const sendNow = () => {
         clearTimeout(timer)
         if (!call.destroyed) sendWhenOpen(call, socket, options, state)
--- a/src/services/upstream/node/upstreamAgent.ts
+++ b/src/services/upstream/node/upstreamAgent.ts
@@ -1,10 +1,10 @@
 /**
  * An HTTP agent whose connections to upstreams are opened directly or through a peer.
  */
-import { Agent } from 'node:http'
 import type { AgentOptions, ClientRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { CallAgent } from './callAgent.ts'
 import type { ConnectionListener } from './connectionRace.ts'
 import { TunnelSocket } from './tunnelSocket.ts'
 import type { ConnectionTarget, UpstreamConnector } from './upstreamConnector.ts'
@@ -20,7 +20,7 @@
   this.destroy()
 }
 
-export class UpstreamAgent extends Agent {
+export class UpstreamAgent extends CallAgent {
   private readonly _becameIdleAt = new WeakMap<object, number>()
 
   constructor (private readonly _connector: UpstreamConnector, now: () => number) {
