Send a request on no connection that has carried it before

What callers saw: 503, the promise that a request has not run and never will, for requests that ran; and requests that ran up to three times in one call with attempts 1.

Cause: an upstream may send an earlier answer once more where the next answer on its connection is due, and only the request's id tells the two apart. A node that sends the same request to the same upstream again (no other is left, or inputs were missing) used the idle connection of the first send. The copied refusal has the right id, so it was believed, and counted as not run, so that up to two more sends followed.

Now the idle connections to the upstream that have carried the id are closed before the request is sent again; others are used as before. A refusal without an id ends its connection, because a copy of it could answer any request. So on each connection every earlier answer has an id, and none of them the id of the request that is sent.

--- a/src/services/relay/common/relayProtocol.ts
+++ b/src/services/relay/common/relayProtocol.ts
@@ -62,8 +62,11 @@
 export type AnswerVerdict =
   /** The upstream's answer to this request, with any status. */
   | { readonly kind: 'answer', readonly isSuccess: boolean, readonly headers: readonly HeaderField[] }
-  /** The upstream stated that it did not run the request. */
-  | { readonly kind: 'notRun', readonly reason: NotRunReason }
+  /**
+   * The upstream stated that it did not run the request. If the answer does not have the request's id, a late copy of it could be
+   * taken for the answer to any other request.
+   */
+  | { readonly kind: 'notRun', readonly reason: NotRunReason, readonly isIdentified: boolean }
   /** Not an answer to this request, or one that must not be forwarded. */
   | { readonly kind: 'invalid', readonly reason: string }
 
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -100,6 +100,7 @@
     if (signal.aborted) return { outcome: { kind: 'cancelled' } }
     signal.addEventListener('abort', onAbort, { once: true })
     this._startStallTimer(this._options.responseTimeoutMs)
+    agent.closeRepeated(call.upstream.address, call.request.id)
     try {
       const start = await startExchange({
         address: call.upstream.address,
@@ -147,7 +148,8 @@
       return { outcome: { kind: 'lost', reason: verdict.reason } }
     }
     if (verdict.kind === 'notRun') {
-      this._drainResponse(response, exchange)
+      if (verdict.isIdentified) this._drainResponse(response, exchange)
+      else exchange.cancel()
       return { outcome: { kind: 'notRun', reason: verdict.reason } }
     }
     this._options.onDidBeginAnswer()
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -82,7 +82,7 @@
   }
 
   readHead ({ status, headers }: AnswerHead, { request }: RelayCall): AnswerVerdict {
-    if (headers.unrun !== undefined) return { kind: 'notRun', reason: headers.unrun === 'input' ? 'inputMissing' : headers.unrun === 'invalid' ? 'refused' : 'full' }
+    if (headers.unrun !== undefined) return { kind: 'notRun', reason: headers.unrun === 'input' ? 'inputMissing' : headers.unrun === 'invalid' ? 'refused' : 'full', isIdentified: headers.id === request.id }
     if (headers.id !== request.id) return { kind: 'invalid', reason: 'answer to another request' }
     return { kind: 'answer', isSuccess: status === 200, headers: [{ name: 'Id', value: request.id }] }
   }
--- a/src/services/upstream/node/callAgent.ts
+++ b/src/services/upstream/node/callAgent.ts
@@ -1,8 +1,10 @@
 /**
- * An HTTP agent that knows which calls its connections have carried.
+ * An HTTP agent that knows which calls its connections have carried. An upstream may send an earlier answer once more where the
+ * next one is due, and only the id of the call shows which one it answers.
  */
 import { Agent } from 'node:http'
 import { BoundedSet } from '../../../base/common/boundedSet.ts'
+import { listIdleConnections } from './httpExchange.ts'
 
 /** What a connection had carried when a call was assigned to it. `repeated`: a call with the same id. */
 export type ConnectionUse = 'new' | 'reused' | 'repeated'
@@ -22,4 +24,14 @@
     this._calls.set(connection, calls)
     return use
   }
+
+  /** Closes the idle connections to an address that have carried a call with this id, so that it is sent on none of them. */
+  closeRepeated (address: string, callId: string): void {
+    for (const connection of listIdleConnections(this, address)) {
+      if (this._calls.get(connection)?.has(callId) !== true) continue
+      connection.destroy()
+      // The agent would offer the connection until its close event.
+      connection.emit('agentRemove')
+    }
+  }
 }
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -125,11 +125,13 @@
  * well, and each would delay another call.
  */
 export function closeIdleConnections (agent: Agent, address: string): void {
+  for (const socket of listIdleConnections(agent, address)) socket.destroy()
+}
+
+export function listIdleConnections (agent: Agent, address: string): readonly Socket[] {
   const parsed = parseAddress(address)
-  for (const [name, sockets] of Object.entries(agent.freeSockets)) {
-    if (parsed === undefined || !name.startsWith(`${parsed.host}:${parsed.port}:`)) continue
-    for (const socket of [...sockets ?? []]) socket.destroy()
-  }
+  if (parsed === undefined) return []
+  return Object.entries(agent.freeSockets).flatMap(([name, sockets]) => name.startsWith(`${parsed.host}:${parsed.port}:`) ? sockets ?? [] : [])
 }
 
 /** Reads a body of bounded size; undefined if it was truncated or is too large. */
