--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -45,6 +45,7 @@
 import type { CompletedRequest } from '../services/relay/node/relayServer.ts'
 import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
+import type { CallAgent } from '../services/upstream/node/callAgent.ts'
 import type { UpstreamSource } from '../services/upstream/common/upstreamSource.ts'
 import { CallerDirectory } from './callerDirectory.ts'
 import { CoordinatorDirectory } from './coordinatorDirectory.ts'
@@ -72,7 +73,7 @@
   readonly incarnation: number
   readonly callerProtocol: CallerProtocol
   readonly upstreamProtocol: UpstreamProtocol
-  readonly createPieceProtocol: (agent: Agent) => PieceProtocol
+  readonly createPieceProtocol: (agent: CallAgent) => PieceProtocol
   readonly configurationSource: ConfigurationSource
   readonly upstreamSource: UpstreamSource
   /** Without it, upstreams are not asked whether they are cold. */
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -100,7 +100,7 @@
     if (signal.aborted) return { outcome: { kind: 'cancelled' } }
     signal.addEventListener('abort', onAbort, { once: true })
     this._startStallTimer(this._options.responseTimeoutMs)
-    agent.closeRepeated(call.upstream.address, call.request.id)
+    agent.closeRepeated(call.upstream.address, [call.request.id])
     try {
       const start = await startExchange({
         address: call.upstream.address,
--- a/src/services/upstream/node/callAgent.ts
+++ b/src/services/upstream/node/callAgent.ts
@@ -4,7 +4,7 @@
  */
 import { Agent } from 'node:http'
 import { BoundedSet } from '../../../base/common/boundedSet.ts'
-import { listIdleConnections } from './httpExchange.ts'
+import { closeConnection, listIdleConnections } from './httpExchange.ts'
 
 /** What a connection had carried when a call was assigned to it. `repeated`: a call with the same id. */
 export type ConnectionUse = 'new' | 'reused' | 'repeated'
@@ -25,13 +25,11 @@
     return use
   }
 
-  /** Closes the idle connections to an address that have carried a call with this id, so that it is sent on none of them. */
-  closeRepeated (address: string, callId: string): void {
+  /** Closes the idle connections to an address that have carried any of these calls, so that they are sent on none of them. */
+  closeRepeated (address: string, callIds: readonly string[]): void {
     for (const connection of listIdleConnections(this, address)) {
-      if (this._calls.get(connection)?.has(callId) !== true) continue
-      connection.destroy()
-      // The agent would offer the connection until its close event.
-      connection.emit('agentRemove')
+      const calls = this._calls.get(connection)
+      if (calls !== undefined && callIds.some(id => calls.has(id))) closeConnection(connection)
     }
   }
 }
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -125,7 +125,14 @@
  * well, and each would delay another call.
  */
 export function closeIdleConnections (agent: Agent, address: string): void {
-  for (const socket of listIdleConnections(agent, address)) socket.destroy()
+  for (const socket of listIdleConnections(agent, address)) closeConnection(socket)
+}
+
+/** Closes a connection that its agent may hold as an idle one. */
+export function closeConnection (connection: Socket): void {
+  connection.destroy()
+  // The agent would offer the connection until its close event.
+  connection.emit('agentRemove')
 }
 
 export function listIdleConnections (agent: Agent, address: string): readonly Socket[] {
