Bound what is read of error responses, refusals and interim responses

What was seen: an upstream that answers 500 with a body without end, as fast as it is read, made a node's memory grow by 0.3 to 1.6 GB until the deadline, and its caller waited for all of its time.

Causes: error responses were buffered whatever their size; refusals were read on for a second at any rate; any number of interim responses was accepted. Each wait for a slow caller also left a listener on its response. In the gate, a stream of tokens without an end of line or of events was buffered to the deadline, and what follows its end was read without a bound.

Now an error response above 256 KiB is given up, as an answer that was lost; at most 64 KiB of the rest of a response is read, for at most 1 s (drainBody); an exchange with more than 32 interim responses is closed; streams of the gate are bounded as a whole and by event.

--- a/src/services/configuration/node/platformReader.ts
+++ b/src/services/configuration/node/platformReader.ts
@@ -6,7 +6,8 @@
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
-import { readBody, startExchange } from '../../upstream/node/httpExchange.ts'
+import { startExchange } from '../../upstream/node/httpExchange.ts'
+import { readBody } from '../../upstream/node/responseBody.ts'
 
 const ValueAnswer = Schema.Struct({
   revision: Schema.Number.pipe(Schema.int(), Schema.nonNegative()),
--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -74,8 +74,13 @@
   waitForDrain (): Promise<void> {
     return new Promise(resolve => {
       if (this._hasDisconnected) return resolve()
-      this._response.once('drain', resolve)
-      this._response.once('close', resolve)
+      const settle = () => {
+        this._response.off('drain', settle)
+        this._response.off('close', settle)
+        resolve()
+      }
+      this._response.on('drain', settle)
+      this._response.on('close', settle)
     })
   }
 
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -7,6 +7,7 @@
 import type { CallAgent, ConnectionUse } from '../../upstream/node/callAgent.ts'
 import { closeIdleConnections, startExchange } from '../../upstream/node/httpExchange.ts'
 import type { ExchangeStart, IExchange } from '../../upstream/node/httpExchange.ts'
+import { drainBody } from '../../upstream/node/responseBody.ts'
 import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import type { AttemptOutcome } from '../common/attemptDecision.ts'
 import { EventSplitter } from '../common/eventSplitter.ts'
@@ -62,7 +63,7 @@
 
 /** Network latency between hosts is about 1 ms, so a host that needs longer to accept a connection is unreachable. */
 const CONNECT_TIMEOUT_MS = 400
-/** Answers up to this size are buffered before they are forwarded, so that an incomplete one can be retried. */
+/** Answers up to this size are buffered before they are forwarded, so that an incomplete one can be retried. Larger error responses are given up. */
 const MAX_BUFFERED_BYTES = 256 * 1024
 /** Longest delay that setTimeout accepts. */
 const MAX_TIMER_MS = 2 ** 31 - 1
@@ -148,7 +149,7 @@
       return { outcome: { kind: 'lost', reason: verdict.reason } }
     }
     if (verdict.kind === 'notRun') {
-      if (verdict.isIdentified) this._drainResponse(response, exchange)
+      if (verdict.isIdentified && exchange.wasRequestWritten) drainBody(response)
       else exchange.cancel()
       return { outcome: { kind: 'notRun', reason: verdict.reason } }
     }
@@ -159,14 +160,6 @@
     return await this._forwardAnswer(response, exchange, verdict)
   }
 
-  /** Reads the rest of a short answer, so that its connection can be reused. */
-  private _drainResponse (response: IncomingMessage, exchange: IExchange): void {
-    const timer = this._options.clock.schedule(1000, () => exchange.cancel())
-    response.once('close', () => timer.dispose())
-    if (exchange.wasRequestWritten) response.resume()
-    else exchange.cancel()
-  }
-
   private async _forwardAnswer (response: IncomingMessage, exchange: IExchange, verdict: AnswerVerdict & { readonly kind: 'answer' }): Promise<AttemptResult> {
     const { answer, onDidReceiveFirstOutput, onDidReceiveOutput, claimAnswer } = this._options
     const status = response.statusCode ?? 0
@@ -177,7 +170,8 @@
         onDidReceiveOutput()
         parts.push(part)
         size += part.length
-        if (size <= MAX_BUFFERED_BYTES || !verdict.isSuccess) continue
+        if (size <= MAX_BUFFERED_BYTES) continue
+        if (!verdict.isSuccess) return { outcome: this._decideIncomplete('error response too large') }
         if (!claimAnswer()) break
         answer.begin(status, verdict.headers, isFramed(response))
         for (const buffered of parts.splice(0)) if (!answer.write(buffered)) await answer.waitForDrain()
@@ -199,9 +193,9 @@
     return { outcome: { kind: 'delivered' } }
   }
 
-  private _decideIncomplete (): AttemptOutcome {
+  private _decideIncomplete (cause = 'answer incomplete'): AttemptOutcome {
     if (this._isCancelled()) return { kind: 'cancelled' }
-    const reason = this._hasTimedOut ? 'upstream timed out' : 'answer incomplete'
+    const reason = this._hasTimedOut ? 'upstream timed out' : cause
     return this._options.answer.hasBegun ? { kind: 'broken', lastEventId: undefined, reason } : { kind: 'lost', reason }
   }
 
--- a/src/services/relay/test/endlessAnswers.test.ts
+++ b/src/services/relay/test/endlessAnswers.test.ts
@@ -6,6 +6,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitFor } from '../../../base/node/interval.ts'
+import { sendEndlessly } from '../../../base/test/endlessBytes.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { FakeUpstream, RelayHarness } from './fakes.ts'
 
@@ -25,13 +26,7 @@
     super(socket => {
       this.sent.push(socket)
       socket.write(beginning)
-      const send = () => {
-        // Pauses now and then, since everything here shares one event loop.
-        for (let count = 0; count < 64; count++) if (socket.destroyed || !socket.write(part)) return
-        setImmediate(send)
-      }
-      socket.on('drain', send)
-      send()
+      sendEndlessly(socket, part)
     })
   }
 
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -44,6 +44,9 @@
   cancel (): void
 }
 
+/** An upstream that sends more of them before its response is in trouble. */
+const MAX_INTERIM_RESPONSES = 32
+
 class ExchangeState {
   wasSent = false
   isWithheld = false
@@ -110,6 +113,12 @@
       if (socket.connecting) socket.once('connect', sendNow)
       else sendNow()
     })
+    let interimCount = 0
+    call.on('information', () => {
+      if (++interimCount <= MAX_INTERIM_RESPONSES) return
+      state.reason = 'too many interim responses'
+      call.destroy()
+    })
     call.on('response', response => resolve({ kind: 'response', response, exchange: new Exchange(call, state) }))
     call.on('error', error => { if (state.reason === '') state.reason = error.message })
     call.on('close', () => {
@@ -140,22 +149,3 @@
   if (parsed === undefined) return []
   return Object.entries(agent.freeSockets).flatMap(([name, sockets]) => name.startsWith(`${parsed.host}:${parsed.port}:`) ? sockets ?? [] : [])
 }
-
-/** Reads a body of bounded size; undefined if it was truncated or is too large. */
-export async function readBody (response: IncomingMessage, maxBytes: number): Promise<string | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
-  try {
-    for await (const chunk of response as AsyncIterable<Buffer>) {
-      size += chunk.length
-      if (size > maxBytes) {
-        response.destroy()
-        return undefined
-      }
-      chunks.push(chunk)
-    }
-  } catch {
-    return undefined
-  }
-  return response.complete ? Buffer.concat(chunks).toString('utf8') : undefined
-}
--- a/src/services/upstream/node/tokenStream.ts
+++ b/src/services/upstream/node/tokenStream.ts
@@ -6,11 +6,19 @@
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { ResultName } from '../../result/common/resultCodes.ts'
 import type { UpstreamCall, UpstreamOutcome } from '../common/upstreamAdapter.ts'
+import { drainBody } from './responseBody.ts'
 import { EndEvent, ErrorAnswer, parseBody, parseToken } from './upstreamMessages.ts'
 
+/** Longer streams are given up, and those with a longer event. */
+const MAX_STREAM_BYTES = 16 * 1024 * 1024
+const MAX_EVENT_BYTES = 64 * 1024
+
 /** Reads one stream until the end event, the first invalid event, or the loss of the connection. */
 export class TokenStreamReader {
   private _nextIndex: number
+  private _receivedBytes = 0
+  /** Bytes received since the last complete event. */
+  private _pendingBytes = 0
   private readonly _texts: string[] = []
   private _outcome: UpstreamOutcome | undefined
 
@@ -18,19 +26,26 @@
     this._nextIndex = _call.offset
   }
 
-  /** After the end event the remaining response is drained in the background, so that its connection can be reused. */
+  /** After the end event the rest of the response is drained in the background. */
   read (response: IncomingMessage): Promise<UpstreamOutcome> {
     const parser = createParser({
-      onEvent: event => { if (this._outcome === undefined) this._processEvent(event.event ?? '', event.data) }
+      onEvent: event => {
+        this._pendingBytes = 0
+        if (this._outcome === undefined) this._processEvent(event.event ?? '', event.data)
+      }
     })
     response.setEncoding('utf8')
     return new Promise(resolve => {
       response.on('data', (chunk: string) => {
         if (this._outcome !== undefined) return
+        this._receivedBytes += chunk.length
+        this._pendingBytes += chunk.length
         parser.feed(chunk)
+        if (this._receivedBytes > MAX_STREAM_BYTES || this._pendingBytes > MAX_EVENT_BYTES) this._outcome ??= this._createLostOutcome('upstreamAnswerInvalid', 'the stream is too long')
         const outcome = this._getOutcome()
         if (outcome === undefined) return
-        if (outcome.kind !== 'answered') response.destroy()
+        if (outcome.kind === 'answered') drainBody(response)
+        else response.destroy()
         resolve(outcome)
       })
       // The connection was lost. Text received so far has been delivered; 'close' resolves the outcome.
