Let upstreams of the soak copy answers and send bytes without end

Why nothing found the copied refusal: the soak's upstreams never answer twice and never send bytes without end, and nothing else in the tests sends a copy where the next answer to the same request is due.

--- a/src/base/test/faultRelay.ts
+++ b/src/base/test/faultRelay.ts
@@ -6,11 +6,28 @@
 import type { Address } from '../common/address.ts'
 import { Disposable, toDisposable } from '../common/disposable.ts'
 
+/** Changes what a connection carries. */
+export abstract class ConnectionFilter {
+  /** Called with bytes from the caller; false keeps them from the target. */
+  abstract handleRequest (data: Buffer, caller: Socket): boolean
+  /** Called with bytes from the target that have been forwarded to the caller. */
+  abstract handleAnswer (data: Buffer, caller: Socket): void
+}
+
+export interface FaultRelayOptions {
+  /** Creates the filter of a new connection. */
+  readonly createFilter?: () => ConnectionFilter
+}
+
 export class FaultRelay extends Disposable {
   private readonly _pairs = new Set<RelayedPair>()
   private _isBlocked = false
   private _delayMs = 0
 
+  constructor (private readonly _options: FaultRelayOptions = {}) {
+    super()
+  }
+
   /** Resolves with the port; each new connection is forwarded to the target that is current when it arrives. */
   listen (getTarget: () => Address, host = '127.0.0.1'): Promise<number> {
     const server = createServer(callerSocket => this._accept(callerSocket, getTarget()))
@@ -47,7 +64,7 @@
   }
 
   private _accept (callerSocket: Socket, target: Address): void {
-    const pair = new RelayedPair(callerSocket, connect({ host: target.host, port: target.port }), () => this._delayMs)
+    const pair = new RelayedPair(callerSocket, connect({ host: target.host, port: target.port }), () => this._delayMs, this._options.createFilter?.())
     pair.isForwardingStopped = this._isBlocked
     this._pairs.add(pair)
     const release = this._register(toDisposable(() => pair.resetSockets()))
@@ -63,11 +80,15 @@
 class RelayedPair {
   isForwardingStopped = false
 
-  constructor (private readonly _callerSocket: Socket, private readonly _targetSocket: Socket, getDelayMs: () => number) {
+  constructor (private readonly _callerSocket: Socket, private readonly _targetSocket: Socket, getDelayMs: () => number, filter?: ConnectionFilter) {
     for (const [socket, other] of [[_callerSocket, _targetSocket], [_targetSocket, _callerSocket]] as const) {
       socket.setNoDelay(true)
       socket.on('error', () => {})
-      socket.on('data', data => this._forward(other, data, getDelayMs()))
+      socket.on('data', data => {
+        if (socket === _callerSocket && filter?.handleRequest(data, _callerSocket) === false) return
+        this._forward(other, data, getDelayMs())
+        if (socket === _targetSocket) filter?.handleAnswer(data, _callerSocket)
+      })
       socket.on('close', () => this._forwardEnd(other, getDelayMs()))
     }
   }
