--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -63,7 +63,10 @@
 
 /** Network latency between hosts is about 1 ms, so a host that needs longer to accept a connection is unreachable. */
 const CONNECT_TIMEOUT_MS = 400
-/** Answers up to this size are buffered before they are forwarded, so that an incomplete one can be retried. Larger error responses are given up. */
+/**
+ * Answers up to this size are buffered before they are forwarded, so that an incomplete one can be retried. Larger error responses
+ * are given up.
+ */
 const MAX_BUFFERED_BYTES = 256 * 1024
 /** Longest delay that setTimeout accepts. */
 const MAX_TIMER_MS = 2 ** 31 - 1
@@ -101,6 +104,7 @@
     if (signal.aborted) return { outcome: { kind: 'cancelled' } }
     signal.addEventListener('abort', onAbort, { once: true })
     this._startStallTimer(this._options.responseTimeoutMs)
+    // A late copy of the answer to an earlier attempt would have the right id.
     agent.closeRepeated(call.upstream.address, [call.request.id])
     try {
       const start = await startExchange({
