--- a/src/services/relay/test/endlessAnswers.test.ts
+++ b/src/services/relay/test/endlessAnswers.test.ts
@@ -20,18 +20,18 @@
 
 /** Sends a beginning, then a part again and again while the connection takes more. */
 class EndlessUpstream extends FakeUpstream {
-  readonly sent: Socket[] = []
+  readonly sockets: Socket[] = []
 
   constructor (beginning: string, part: string) {
     super(socket => {
-      this.sent.push(socket)
+      this.sockets.push(socket)
       socket.write(beginning)
       sendEndlessly(socket, part)
     })
   }
 
   get sentBytes (): number {
-    return this.sent.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0)
+    return this.sockets.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0)
   }
 }
 
@@ -50,9 +50,9 @@
   ['head', 'HTTP/1.1 200 OK\r\nId: a\r\n', `X-Filler: ${FILLER.slice(0, 1024)}\r\n`],
   ['line of a head', 'HTTP/1.1 200 OK\r\nId: a\r\nX-Filler: ', FILLER],
   ['sequence of trailers', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', `X-Filler: ${FILLER.slice(0, 1024)}\r\n`],
-  ['extension of a chunk', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5;', FILLER],
+  ['chunk extension', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5;', FILLER],
   ['text that is not HTTP', '', FILLER],
-  ['event of a stream', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n', CHUNK, RouteKind.STREAM]
+  ['stream event', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n', CHUNK, RouteKind.STREAM]
 ]
 
 for (const [name, beginning, part, kind] of CASES) {
@@ -67,7 +67,7 @@
       await waitFor(100)
       assert.ok(tookMs < MAX_ANSWER_MS, `answered after ${Math.round(tookMs)} ms`)
       assert.ok(upstream.sentBytes < MAX_BYTES, `${upstream.sentBytes} bytes were read`)
-      assert.ok(upstream.sent.every(({ destroyed }) => destroyed), 'the connection is still open')
+      assert.ok(upstream.sockets.every(({ destroyed }) => destroyed), 'the connection is still open')
     } finally {
       harness.dispose()
     }
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -44,7 +44,7 @@
   cancel (): void
 }
 
-/** An upstream that sends more of them before its response is in trouble. */
+/** Exchanges with more interim (1xx) responses are closed. */
 const MAX_INTERIM_RESPONSES = 32
 
 class ExchangeState {
--- a/src/services/upstream/node/tokenStream.ts
+++ b/src/services/upstream/node/tokenStream.ts
@@ -9,7 +9,7 @@
 import { drainBody } from './responseBody.ts'
 import { EndEvent, ErrorAnswer, parseBody, parseToken } from './upstreamMessages.ts'
 
-/** Longer streams are given up, and those with a longer event. */
+/** Streams that are longer, or have a longer event, are given up. */
 const MAX_STREAM_BYTES = 16 * 1024 * 1024
 const MAX_EVENT_BYTES = 64 * 1024
 
