Log which attempts may still arrive after they were given up

Cause: attempt_ended says that an attempt was lost, and not whether the upstream or the node closed the connection. So the log cannot tell late arrivals from other retries beyond the budget. Change: may_arrive=true where the request was written and the node closed the connection before an answer began.

--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -55,6 +55,8 @@
   readonly failure?: BufferedAnswer
   /** The attempt stalled, and this side closed the connection. */
   readonly hasTimedOut?: boolean
+  /** The request was written and this side closed the connection before an answer began, so it may still arrive. */
+  readonly mayArrive?: boolean
   /** What the connection had carried before the request; undefined if none was assigned. */
   readonly connectionUse?: ConnectionUse | undefined
   /** Time from when the request was written to the head of the answer, in milliseconds; undefined without an answer. */
@@ -121,7 +123,7 @@
         onWillSend: () => this._prepareSend()
       })
       const { _connectionUse: connectionUse } = this
-      if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start), hasTimedOut: this._hasTimedOut, connectionUse }
+      if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start), hasTimedOut: this._hasTimedOut, mayArrive: start.kind === 'lost' && this._controller.signal.aborted, connectionUse }
       const headMs = this._options.clock.now() - (this._writtenAt ?? NaN)
       return { ...await this._readAnswer(start.response, start.exchange), hasTimedOut: this._hasTimedOut, connectionUse, headMs }
     } finally {
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -277,7 +277,7 @@
     }
   }
 
-  private _logAttempt ({ upstream, progress }: SentAttempt, { outcome, connectionUse, headMs = 0 }: AttemptResult, next: LogFields): void {
+  private _logAttempt ({ upstream, progress }: SentAttempt, { outcome, connectionUse, headMs = 0, mayArrive = false }: AttemptResult, next: LogFields): void {
     if (outcome.kind === 'delivered') return
     const { request } = this._accepted
     const reason = 'reason' in outcome ? outcome.reason : 'status' in outcome ? String(outcome.status) : ''
@@ -291,6 +291,7 @@
       ...next,
       sends: this._sendCount,
       may_have_run: this._runCount,
+      ...mayArrive ? { may_arrive: true } : {},
       left_ms: Math.round(this._getTimeLeft()),
       ...isConnectionLost(outcome) ? this._describeLostAnswer(progress) : { connection: connectionUse ?? 'none', head_ms: Math.round(headMs) }
     })
