--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -27,6 +27,7 @@
 import { QuarantineService } from '../../quarantine/node/quarantineService.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { RetryBudget } from '../../retry/common/retryPolicy.ts'
+import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { UpstreamStatement } from '../../upstream/common/upstreamStatement.ts'
 import { CallAgent } from '../../upstream/node/callAgent.ts'
@@ -163,6 +164,8 @@
   readonly preparation?: IPreparationService
   readonly handlesContention?: boolean
   readonly retries?: number
+  /** Replaces the budget of `retries`. */
+  readonly retry?: RetryPolicy
   /** The facts that it shares with other nodes. */
   readonly facts?: FactStore
   readonly customers?: readonly { readonly name: string, readonly keySha256: string[], readonly homeRegions?: string[] }[]
@@ -223,7 +226,7 @@
         backoffs,
         recordStatements: stated => statements.recordStatements(stated),
         quota,
-        retry: new RetryBudget({ maxBalance: _options.retries ?? 10 }),
+        retry: _options.retry ?? new RetryBudget({ maxBalance: _options.retries ?? 10 }),
         throttle: new PreparationThrottle({ clock, random: new SeededRandom(1) }),
         preparation: _options.preparation ?? FAILING_PREPARATION,
         releaseDelay: new ReleaseDelay(),
