Keep each retry that is granted until it is sent or given back

A request held up to two retries of the budget and gave back one, so the node was left with fewer for good. Cause: a stalled attempt that still waits for its connection asks for a retry; the permit took the place of one that was not sent yet, which stayed reserved as long as the process ran. The first attempt also used up a permit when it was written after its replacement had been granted. Change: permits are kept in the order in which they were granted; each attempt that is written after another one takes one, and the rest are given back with the request.

--- a/src/services/relay/node/requestRetries.ts
+++ b/src/services/relay/node/requestRetries.ts
@@ -24,8 +24,9 @@
 
 export class RequestRetries implements IDisposable {
   private readonly _options: RequestRetriesOptions
-  /** The retry that was granted last, until it is sent. */
-  private _permit: RetryPermit | undefined
+  /** Retries that were granted and are not sent, the oldest first. There are two if an attempt stalls before it was written. */
+  private _permits: readonly RetryPermit[] = []
+  private _hasSent = false
 
   constructor (options: RequestRetriesOptions) {
     this._options = options
@@ -44,22 +45,29 @@
     if (!isFurtherAttempt(decision) || isAborted()) return { decision, isAllowed: false }
     if (isWithheld(outcome) || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')) return { decision, isAllowed: true }
     const budget = policy.acquireRetry(role)
-    this._permit = budget.permit
+    if (budget.permit !== undefined) this._permits = [...this._permits, budget.permit]
     return { decision, isAllowed: budget.permit !== undefined, budget }
   }
 
-  /** Called when an attempt is written to its upstream. */
+  /** Called when an attempt is written to its upstream. The first one that is needs no retry. */
   recordSent (): void {
-    this._permit?.recordSent()
+    if (this._hasSent) {
+      const [permit, ...others] = this._permits
+      this._permits = others
+      permit?.recordSent()
+    }
+    this._hasSent = true
   }
 
-  /** Gives back a retry that was granted and not sent. */
+  /** Gives back the retry that was granted last, if it was not sent. */
   releaseUnsent (): void {
-    this._permit?.dispose()
+    this._permits.at(-1)?.dispose()
+    this._permits = this._permits.slice(0, -1)
   }
 
   dispose (): void {
-    this.releaseUnsent()
+    for (const permit of this._permits) permit.dispose()
+    this._permits = []
   }
 }
 
