Count a retry until it is known to have arrived, and for a window from then on

Upstreams that were paused received up to twice the retries of the budget, though no node exceeded its own count. Cause: a retry counted from when it was written, and the users count it where it arrives. What is written to a process that does not read arrives when it reads again, beside what the next share sends. If the retry was answered by another upstream, it is the first attempt that arrives beyond the first. The class: a bound that is kept where it is sent and checked where it arrives. Change: each attempt has an arrival that is settled by the head of an answer, by the upstream's end of the connection, or, once it was given up, by an answer of that upstream to a later request, by another upstream at its address, or after 60 s of silence. A retry counts until its own arrival and that of the attempt before it are settled, and for a window from then on. Log: retries_open in attempt_ended; gauge abandoned_arrivals.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -220,7 +220,7 @@
     }))
     this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, probe: address => this._connections.probe(address) }))
     const throttle = createThrottle({ clock, random, log })
-    this._retries = new NodeRetries({ clock, settings, membership: this._fleetMember.membership })
+    this._retries = this._register(new NodeRetries({ clock, settings, membership: this._fleetMember.membership, registry: this._registry }))
     this._relayServer = this._register(new RelayServer({
       context: {
         clock,
@@ -239,6 +239,7 @@
         recordStatements: batch => this._statements.recordStatements(batch),
         quota: this._quota.service,
         retry: this._retries.budget,
+        abandonedArrivals: this._retries.abandonedArrivals,
         throttle,
         preparation: this._preparationClient,
         releaseDelay: new ReleaseDelay(),
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -20,6 +20,8 @@
   readonly countQuarantineRefusals: () => number
   readonly countGrantedRetries: () => number
   readonly countRefusedRetries: () => number
+  /** Attempts that were given up and may still arrive at their upstreams. */
+  readonly countAbandonedArrivals: () => number
   /** Retries in a window that need no first attempts of this node. */
   readonly countThrottledRequests: () => number
   readonly getBaseRetries: () => number
@@ -63,6 +65,7 @@
     this.metrics.createGauge('node_quarantine_refusals_total', 'Tries of such requests that were refused', gauges.countQuarantineRefusals)
     this.metrics.createGauge('node_retries_granted_total', 'Retries that the budget of retries allowed', gauges.countGrantedRetries)
     this.metrics.createGauge('node_retries_refused_total', 'Retries that were not made, since the budget was used up', gauges.countRefusedRetries)
+    this.metrics.createGauge('node_abandoned_arrivals', 'Attempts that were given up and may still arrive at their upstreams', gauges.countAbandonedArrivals)
     this.metrics.createGauge('node_throttled_requests_total', 'Requests refused before preparation, since upstreams of their role refused most of what was sent', gauges.countThrottledRequests)
     this.metrics.createGauge('node_retry_base', 'Retries in a window that this node may make without first attempts, by role', gauges.getBaseRetries)
     this.metrics.createGauge('node_limited_upstreams', 'Upstreams that state a limit of the rate that they accept', gauges.countLimitedUpstreams)
--- a/src/entryNode/nodeRetries.ts
+++ b/src/entryNode/nodeRetries.ts
@@ -2,18 +2,22 @@
  * Sets up the retry budget of a node from its settings and the members that share the budget of the fleet.
  */
 import type { IClock } from '../base/common/clock.ts'
+import { Disposable } from '../base/common/disposable.ts'
 import { MEMBER_RETENTION_MS } from '../services/membership/common/membershipTable.ts'
 import type { MemberStateChange, MembershipTable } from '../services/membership/common/membershipTable.ts'
 import type { RetryShare } from '../services/retry/common/retryPolicy.ts'
+import { AbandonedArrivals } from '../services/retry/common/abandonedArrivals.ts'
 import { computeRetryShare } from '../services/retry/common/retryShare.ts'
 import type { MemberStateAge } from '../services/retry/common/retryShare.ts'
 import { WindowedRetryBudget } from '../services/retry/common/windowedRetryBudget.ts'
+import type { UpstreamRegistry } from '../services/upstream/common/upstreamRegistry.ts'
 import type { NodeSettings } from './nodeSettings.ts'
 
 export interface NodeRetriesOptions {
   readonly clock: IClock
   readonly settings: Pick<NodeSettings, 'address' | 'seeds' | 'retry_share' | 'retry_spare' | 'retry_window_s' | 'stop_grace_s'>
   readonly membership: MembershipTable
+  readonly registry: UpstreamRegistry
 }
 
 /** Fraction of the fleet-wide retry budget that nodes use; the rest covers differences between the nodes' views of the fleet. */
@@ -27,16 +31,19 @@
   readonly share: RetryShare
 }
 
-export class NodeRetries {
+export class NodeRetries extends Disposable {
   private readonly _options: NodeRetriesOptions
   private readonly _windowMs: number
   private readonly _startedAt: number
   readonly budget: WindowedRetryBudget
+  readonly abandonedArrivals: AbandonedArrivals
   private _cached: CachedShare | undefined
 
   constructor (options: NodeRetriesOptions) {
+    super()
     this._options = options
-    const { clock, settings } = options
+    const { clock, settings, registry } = options
+    this.abandonedArrivals = this._register(new AbandonedArrivals({ clock, registry }))
     this._startedAt = clock.now()
     this._windowMs = settings.retry_window_s * MS_PER_S
     this.budget = new WindowedRetryBudget({
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -19,6 +19,7 @@
     countQuarantinedParts: getZero,
     countQuarantineRefusals: () => 6,
     countGrantedRetries: () => 12,
+    countAbandonedArrivals: () => 0,
     countRefusedRetries: () => 13,
     countThrottledRequests: getZero,
     getBaseRetries: () => 1.5,
--- a/src/entryNode/test/retriesBeyondBudget.test.ts
+++ b/src/entryNode/test/retriesBeyondBudget.test.ts
@@ -1,11 +1,12 @@
 /**
  * Guards against retries beyond the budget of the fleet while nodes restart or are cut off from each other: a node divided
- * the budget by the nodes that it took for alive, and a restarted process forgot what the earlier one had used.
+ * the budget by the nodes that it took for alive, and a restarted process forgot what the earlier one had used. Also while
+ * upstreams pause: retries counted from when they were written, though they arrived later.
  */
 import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { RetryFleet } from './retryFleet.ts'
+import { RetryFleet, UPSTREAMS } from './retryFleet.ts'
 import type { FleetEvent, FleetScenario } from './retryFleet.ts'
 
 const test = suite('retriesBeyondBudget')
@@ -17,7 +18,7 @@
 function checkBudget (events: readonly FleetEvent[], scenario: FleetScenario = SCENARIO): void {
   const fleet = new RetryFleet({ ...scenario, events })
   fleet.run()
-  assert.ok(fleet.retries.length > 0)
+  assert.ok(fleet.listRetryTimes().length > 0)
   assert.ok(fleet.computeExcess() <= 0, `${fleet.computeExcess().toFixed(1)} retries too many`)
 }
 
@@ -55,6 +56,24 @@
   checkBudget([0b111, 0b111000, ALL].map((nodes, index) => ({ kind: 'freeze', atMs: 6000 + index * 3000, nodes, forMs: 4000 })))
 })
 
+test('what was sent to upstreams that pause arrives within the budget', () => {
+  for (const forMs of [2500, 6000, 12_000, 30_000]) checkBudget([{ kind: 'pause', atMs: 4000, nodes: 2 ** UPSTREAMS - 1, forMs }])
+  for (const forMs of [6000, 12_000]) checkBudget([{ kind: 'pause', atMs: 5000, nodes: 0b111, forMs }])
+  checkBudget([4000, 9000, 14_000].map(atMs => ({ kind: 'pause', atMs, nodes: 2 ** UPSTREAMS - 1, forMs: 2500 })))
+})
+
+test('any series of pauses and holds of upstreams, beside cuts, freezes and moves of nodes', () => {
+  const upstreamEvent = fc.record({ kind: fc.constantFrom('pause' as const, 'hold' as const), atMs: fc.integer({ min: 0, max: 30_000 }), nodes: fc.integer({ min: 1, max: 2 ** UPSTREAMS - 1 }), forMs: fc.integer({ min: 300, max: 30_000 }) })
+  const nodeEvent = fc.record({ kind: fc.constantFrom('cut' as const, 'freeze' as const, 'move' as const), atMs: fc.integer({ min: 0, max: 30_000 }), nodes: fc.integer({ min: 1, max: ALL }), forMs: fc.integer({ min: 300, max: 15_000 }) })
+  const events = fc.tuple(fc.array(upstreamEvent, { minLength: 1, maxLength: 5 }), fc.array(nodeEvent, { maxLength: 4 })).map(([first, second]) => [...first, ...second])
+  fc.assert(fc.property(events, fc.integer({ min: 2, max: 8 }), fc.integer({ min: 1, max: 1000 }), (drawn, tens, seed) => {
+    // All pauses end while callers still send requests.
+    const fleet = new RetryFleet({ ...SCENARIO, requestsPerS: tens * 10, events: drawn, seed, runMs: 70_000 })
+    fleet.run()
+    assert.ok(fleet.computeExcess() <= 0, `${fleet.computeExcess().toFixed(1)} retries too many`)
+  }), { seed: 20261204, numRuns: 40 })
+})
+
 test('any series of kills, stops, cuts, freezes and moves that overlap', () => {
   const event = fc.record({ kind: fc.constantFrom('kill' as const, 'stop' as const, 'cut' as const, 'freeze' as const, 'move' as const), atMs: fc.integer({ min: 0, max: 30_000 }), nodes: fc.integer({ min: 1, max: ALL }), forMs: fc.integer({ min: 300, max: 15_000 }) })
   const scenario = fc.record({
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -32,6 +32,8 @@
   readonly signal: AbortSignal
   /** Called once the connection is open, right before the request is written; false withholds the request. */
   readonly onWillSend: () => boolean
+  /** Called when the head of any answer arrived, which shows that the upstream reads. */
+  readonly onDidReceiveHead: () => void
   /** Called when the head of an answer arrived, other than a statement that the request does not run. */
   readonly onDidBeginAnswer: () => void
   /** Receives what the upstream states about itself in the head of its answer. */
@@ -124,6 +126,7 @@
       })
       const { _connectionUse: connectionUse } = this
       if (start.kind !== 'response') return { outcome: this._decideNoAnswer(start), hasTimedOut: this._hasTimedOut, mayArrive: start.kind === 'lost' && this._controller.signal.aborted, connectionUse }
+      this._options.onDidReceiveHead()
       const headMs = this._options.clock.now() - (this._writtenAt ?? NaN)
       return { ...await this._readAnswer(start.response, start.exchange), hasTimedOut: this._hasTimedOut, connectionUse, headMs }
     } finally {
--- a/src/services/relay/node/relayContext.ts
+++ b/src/services/relay/node/relayContext.ts
@@ -10,6 +10,7 @@
 import type { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
 import type { IQuarantineService } from '../../quarantine/common/quarantine.ts'
 import type { IQuotaService } from '../../quota/common/quota.ts'
+import type { AbandonedArrivals } from '../../retry/common/abandonedArrivals.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import type { CallAgent } from '../../upstream/node/callAgent.ts'
 import type { SendGuard } from '../../upstream/node/sendGuard.ts'
@@ -39,6 +40,7 @@
   readonly guard: SendGuard
   readonly backoffs: IBackoffService
   readonly retry: RetryPolicy
+  readonly abandonedArrivals: AbandonedArrivals
   readonly throttle: PreparationThrottle
   readonly recordStatements: (batch: StatementBatch) => void
   readonly quota: IQuotaService
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -215,7 +215,7 @@
       responseTimeoutMs: computeResponseTimeoutMs(route, this._runCount + this._activeCount, timeLeftMs),
       lastEventId: this._lastEventId,
       signal: this._abortController.signal,
-      onDidSend: () => this._retries.recordSent(),
+      onDidSend: arrival => this._retries.recordSent(arrival),
       onDidReceiveFirstOutput: () => {
         if (this._producedMs === 0) this._producedMs = this._context.clock.now() - this._accepted.arrivedAt - this._inputs.preparedMs
       },
--- a/src/services/relay/node/requestRetries.ts
+++ b/src/services/relay/node/requestRetries.ts
@@ -2,6 +2,7 @@
  * The retries of one request: takes each one from the budget of its role and tells the log what the budget decided.
  */
 import type { IDisposable } from '../../../base/common/disposable.ts'
+import type { IAttemptArrival } from '../../retry/common/attemptArrival.ts'
 import type { RetryDecision, RetryPermit, RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import type { LogFields } from '../../log/node/logger.ts'
 import { isWithheld } from '../common/attemptDecision.ts'
@@ -26,7 +27,8 @@
   private readonly _options: RequestRetriesOptions
   /** Retries that were granted and are not sent, the oldest first. There are two if an attempt stalls before it was written. */
   private _permits: readonly RetryPermit[] = []
-  private _hasSent = false
+  /** That of the attempt that was written last. */
+  private _lastArrival: IAttemptArrival | undefined
 
   constructor (options: RequestRetriesOptions) {
     this._options = options
@@ -50,13 +52,13 @@
   }
 
   /** Called when an attempt is written to its upstream. The first one that is needs no retry. */
-  recordSent (): void {
-    if (this._hasSent) {
+  recordSent (arrival: IAttemptArrival): void {
+    if (this._lastArrival !== undefined) {
       const [permit, ...others] = this._permits
       this._permits = others
-      permit?.recordSent()
+      permit?.recordSent([this._lastArrival, arrival])
     }
-    this._hasSent = true
+    this._lastArrival = arrival
   }
 
   /** Gives back the retry that was granted last, if it was not sent. */
@@ -79,6 +81,7 @@
     next: isAllowed ? decision.kind : 'end',
     budget: isAllowed ? 'granted' : 'refused',
     retries_used: budget.usedCount,
+    ...budget.openCount === undefined ? {} : { retries_open: budget.openCount },
     retries_allowed: formatCount(budget.allowedCount),
     ...budget.share === undefined ? {} : { retries_base: formatCount(budget.share.baseRetries), retry_nodes: budget.share.nodeCount }
   }
--- a/src/services/relay/node/sentAttempt.ts
+++ b/src/services/relay/node/sentAttempt.ts
@@ -6,6 +6,8 @@
 import { Disposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { AttemptArrival } from '../../retry/common/attemptArrival.ts'
+import type { IAttemptArrival } from '../../retry/common/attemptArrival.ts'
 import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import { computePauseTimeoutMs } from '../common/attemptTimeouts.ts'
 import { isAccepted, isUpstreamFailure } from '../common/attemptDecision.ts'
@@ -32,7 +34,7 @@
   readonly lastEventId: string | undefined
   readonly signal: AbortSignal
   /** Called when the request is written to the upstream. */
-  readonly onDidSend: () => void
+  readonly onDidSend: (arrival: IAttemptArrival) => void
   readonly onDidReceiveFirstOutput: () => void
   readonly onDidForwardEvent: (id: string) => void
 }
@@ -51,6 +53,7 @@
   private readonly _options: SentAttemptOptions
   private readonly _attempt: RelayAttempt
   private readonly _inFlightRequest: InFlightRequest
+  private readonly _arrival = new AttemptArrival()
   private _scheduledRelease: IDisposable | undefined
   private _acceptance: SendAcceptance | undefined
   private _writtenAt: number | undefined
@@ -87,6 +90,7 @@
       pauseTimeoutMs: computePauseTimeoutMs(accepted.route),
       signal: options.signal,
       onWillSend: () => this._prepareSend(),
+      onDidReceiveHead: () => this._handleHead(),
       onDidBeginAnswer: () => this.progress.recordHead(),
       onDidReadStatements: statements => context.recordStatements({ upstream: upstream.id, statements }),
       onDidReceiveFirstOutput: () => this._handleFirstOutput(),
@@ -142,6 +146,8 @@
   private async _run (): Promise<AttemptResult> {
     const result = await this._attempt.run()
     this.progress.recordEnd(this._options.context.clock.now())
+    if (result.mayArrive === true) this._options.context.abandonedArrivals.add(this.upstream, this._arrival)
+    else this._arrival.settle()
     this._recordOutcome(result.outcome)
     this.dispose()
     return result
@@ -153,11 +159,17 @@
     if (!context.guard.maySend(upstream.id, accepted.request.id) || quarantine.findQuarantine() !== undefined) return false
     this._writtenAt = context.clock.now()
     this._acceptance = new SendAcceptance({ ...context, role })
-    this._options.onDidSend()
+    this._options.onDidSend(this._arrival)
     this._scheduledRelease = inputs.scheduleRelease()
     return true
   }
 
+  private _handleHead (): void {
+    const { context, upstream } = this._options
+    this._arrival.settle()
+    if (this._writtenAt !== undefined) context.abandonedArrivals.recordAnswer(upstream.id, this._writtenAt)
+  }
+
   private _tryClaim (): boolean {
     if (this._isStopped) return false
     this._onDidClaim.fire()
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -26,6 +26,7 @@
 import { RateLimitService } from '../../quota/node/rateLimitService.ts'
 import { QuarantineService } from '../../quarantine/node/quarantineService.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
+import { AbandonedArrivals } from '../../retry/common/abandonedArrivals.ts'
 import { RetryBudget } from '../../retry/common/retryPolicy.ts'
 import type { RetryPolicy } from '../../retry/common/retryPolicy.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
@@ -226,6 +227,7 @@
         backoffs,
         recordStatements: stated => statements.recordStatements(stated),
         quota,
+        abandonedArrivals: this._register(new AbandonedArrivals({ clock, registry: this.registry })),
         retry: _options.retry ?? new RetryBudget({ maxBalance: _options.retries ?? 10 }),
         throttle: new PreparationThrottle({ clock, random: new SeededRandom(1) }),
         preparation: _options.preparation ?? FAILING_PREPARATION,
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -3,6 +3,7 @@
  * is limited in proportion to the first attempts.
  */
 import type { IDisposable } from '../../../base/common/disposable.ts'
+import type { IAttemptArrival } from './attemptArrival.ts'
 
 export abstract class RetryPolicy {
   abstract recordFirstAttempt (role: string): void
@@ -14,22 +15,29 @@
 export class RetryPermit implements IDisposable {
   private _isPending = true
 
-  /** The callback is called once, when the retry is sent or given back. */
+  /** The callback is called once, when the retry is given back, or when it was sent and can't arrive any more. */
   constructor (private readonly _onDidEnd: (isSent: boolean) => void) {}
 
-  /** Called when the retry is written to its upstream. */
-  recordSent (): void {
-    this._end(true)
+  /**
+   * Called when the retry is written to its upstream. The arrivals are its own and that of the attempt before it: whichever
+   * comes last is the one beyond the first.
+   */
+  recordSent (arrivals: readonly IAttemptArrival[] = []): void {
+    if (!this._isPending) return
+    this._isPending = false
+    this._endAfter(arrivals)
   }
 
   dispose (): void {
-    this._end(false)
-  }
-
-  private _end (isSent: boolean): void {
     if (!this._isPending) return
     this._isPending = false
-    this._onDidEnd(isSent)
+    this._onDidEnd(false)
+  }
+
+  private _endAfter (arrivals: readonly IAttemptArrival[]): void {
+    const open = arrivals.find(arrival => !arrival.isSettled)
+    if (open === undefined) this._onDidEnd(true)
+    else open.onDidSettle(() => this._endAfter(arrivals))
   }
 }
 
@@ -39,6 +47,8 @@
   readonly permit: RetryPermit | undefined
   /** Retries that count against the budget, without this one. */
   readonly usedCount: number
+  /** Those of them that are not known to have arrived at their upstreams. */
+  readonly openCount?: number
   /** Retries that the budget allowed, a fraction of one included. */
   readonly allowedCount: number
   /** This process's share of the retries that the fleet may make; undefined if the budget is not shared. */
--- a/src/services/retry/common/windowedRetryBudget.ts
+++ b/src/services/retry/common/windowedRetryBudget.ts
@@ -27,8 +27,8 @@
   private readonly _options: WindowedRetryBudgetOptions
   private readonly _firstAttempts: SlicedWindowSum
   private readonly _retries: SlidingWindowCounter
-  /** Retries by role that were granted and are not sent yet. Each counts until it is, since only then its window begins. */
-  private readonly _pendingCounts = new Map<string, number>()
+  /** Retries by role that were granted and may still arrive. Each counts until it can't, since only then its window begins. */
+  private readonly _openCounts = new Map<string, number>()
   private _grantedCount = 0
   private _refusedCount = 0
 
@@ -57,19 +57,20 @@
     const { clock, getShare } = this._options
     const now = clock.now()
     const share = getShare()
-    const usedCount = this._retries.count(role, now) + this._getPendingCount(role)
+    const openCount = this._getOpenCount(role)
+    const usedCount = this._retries.count(role, now) + openCount
     const allowedCount = share.baseRetries + this._computeEarned(role, now)
     if (usedCount + 1 > allowedCount) {
       this._refusedCount++
-      return { permit: undefined, usedCount, allowedCount, share }
+      return { permit: undefined, usedCount, openCount, allowedCount, share }
     }
     this._grantedCount++
-    this._pendingCounts.set(role, this._getPendingCount(role) + 1)
+    this._openCounts.set(role, openCount + 1)
     const permit = new RetryPermit(isSent => {
-      this._pendingCounts.set(role, this._getPendingCount(role) - 1)
+      this._openCounts.set(role, this._getOpenCount(role) - 1)
       if (isSent) this._retries.add(role, clock.now())
     })
-    return { permit, usedCount, allowedCount, share }
+    return { permit, usedCount, openCount, allowedCount, share }
   }
 
   /** Returns the retries that the first attempts within the window allow. */
@@ -79,7 +80,7 @@
     return this._options.retryRatio * (usualCount + ADDED_EARNING_FACTOR * (count - usualCount))
   }
 
-  private _getPendingCount (role: string): number {
-    return this._pendingCounts.get(role) ?? 0
+  private _getOpenCount (role: string): number {
+    return this._openCounts.get(role) ?? 0
   }
 }
