Reset the connection of a request that is given up before its answer began

A request that nobody waits for any more was delivered when a link carried again, and ran. Cause: the connection was closed, and the system goes on delivering what was written before a close. The users' pages say that bytes held up by a cut are lost if their sender resets the channel. Change: connections are reset instead, also those that a peer has opened in a tunnel, and also if the upstream does not read.

--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -5,6 +5,7 @@
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { parseAddress } from '../../../base/common/address.ts'
+import { resetSocket } from '../../../base/node/resetSocket.ts'
 
 /** Options of one exchange. */
 export interface ExchangeOptions {
@@ -49,6 +50,7 @@
 
 class ExchangeState {
   wasSent = false
+  hasResponse = false
   isWithheld = false
   reason = ''
 }
@@ -97,13 +99,19 @@
       path: options.path,
       agent: options.agent,
       localAddress: options.localAddress,
-      signal: options.signal,
       headers: options.rawHeaders ?? createJsonHeaders(options.body)
     })
     const timer = setTimeout(() => {
       state.reason = 'connect timeout'
       call.destroy()
     }, options.connectTimeoutMs)
+    // Reset before the answer has begun, so that a request that is given up does not arrive later.
+    const abort = () => {
+      if (state.reason === '') state.reason = 'aborted'
+      if (state.wasSent && !state.hasResponse && call.socket !== null) resetSocket(call.socket)
+      else call.destroy()
+    }
+    options.signal?.addEventListener('abort', abort, { once: true })
     call.on('socket', socket => {
       options.onDidAssignConnection?.(socket)
       const sendNow = () => {
@@ -119,13 +127,18 @@
       state.reason = 'too many interim responses'
       call.destroy()
     })
-    call.on('response', response => resolve({ kind: 'response', response, exchange: new Exchange(call, state) }))
+    call.on('response', response => {
+      state.hasResponse = true
+      resolve({ kind: 'response', response, exchange: new Exchange(call, state) })
+    })
     call.on('error', error => { if (state.reason === '') state.reason = error.message })
     call.on('close', () => {
       clearTimeout(timer)
+      options.signal?.removeEventListener('abort', abort)
       const reason = state.reason === '' ? 'connection closed' : state.reason
       resolve(state.wasSent ? { kind: 'lost', reason } : { kind: 'notSent', reason, isWithheld: state.isWithheld })
     })
+    if (options.signal?.aborted === true) abort()
   })
 }
 
--- a/src/services/upstream/node/tunnelServer.ts
+++ b/src/services/upstream/node/tunnelServer.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { resetSocket } from '../../../base/node/resetSocket.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import { TUNNEL_PATH } from './tunnelSocket.ts'
 
@@ -107,12 +108,12 @@
       else if (hasFailed || !response.writableEnded) response.destroy()
     })
     // The peer has left, or its process has ended.
-    response.once('close', () => socket.destroy())
+    response.once('close', () => resetSocket(socket))
   }
 
   private _join (socket: Socket, request: IncomingMessage, response: ServerResponse): void {
     socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.destroy())
-    request.on('error', () => socket.destroy())
+    request.on('error', () => resetSocket(socket))
     response.writeHead(OK, { 'content-type': 'application/octet-stream' })
     response.flushHeaders()
     request.pipe(socket)
--- a/src/services/upstream/node/tunnelSocket.ts
+++ b/src/services/upstream/node/tunnelSocket.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { Duplex } from 'node:stream'
 import { parseAddress } from '../../../base/common/address.ts'
+import { resetSocket } from '../../../base/node/resetSocket.ts'
 
 export interface TunnelOptions {
   /** The address at which the peer accepts tunnels. */
@@ -41,6 +42,12 @@
     _response.on('close', () => { if (!_response.complete) this.destroy(new Error('the peer closed the tunnel')) })
   }
 
+  /** Resets the connection to the peer, which then resets that to the upstream. */
+  resetAndDestroy (): this {
+    if (this._call.socket !== null) resetSocket(this._call.socket)
+    return this.destroy()
+  }
+
   override _read (): void {
     this._response.resume()
   }
--- a/src/services/upstream/test/tunnel.test.ts
+++ b/src/services/upstream/test/tunnel.test.ts
@@ -130,4 +130,20 @@
   assert.is((await openTunnel({ peer: 'nonsense', upstream: CLOSED_PORT, timeoutMs: 100 })).kind, 'failed')
 })
 
+test('a request that is given up before its answer began resets the connection that its peer has opened', async () => {
+  const controller = new AbortController()
+  let ending: unknown
+  const abortRequest: UpstreamScript = socket => {
+    socket.once('error', (error: NodeJS.ErrnoException) => { ending = error.code })
+    socket.once('end', () => { ending ??= 'closed' })
+    controller.abort()
+  }
+  await runWith(abortRequest, async ({ send, upstream }) => {
+    const start = await send(upstream.address, controller.signal)
+    assert.equal(start, { kind: 'lost', reason: 'aborted' })
+    await waitUntil(() => ending !== undefined, 1000)
+    assert.is(ending, 'ECONNRESET')
+  })
+})
+
 test.run()
