--- a/src/base/test/faultRelay.ts
+++ b/src/base/test/faultRelay.ts
@@ -23,6 +23,7 @@
   private readonly _pairs = new Set<RelayedPair>()
   private _isBlocked = false
   private _delayMs = 0
+  private _holdCount = 0
 
   constructor (private readonly _options: FaultRelayOptions = {}) {
     super()
@@ -58,29 +59,49 @@
     this._isBlocked = false
   }
 
+  /** Keeps all data until `releaseTraffic`. What a caller sent is lost if it resets its connection meanwhile. */
+  delayTraffic (): void {
+    this._holdCount++
+  }
+
+  releaseTraffic (): void {
+    if (--this._holdCount > 0) return
+    for (const pair of this._pairs) pair.releaseHeld()
+  }
+
   /** Delays all data received from now on. */
   setDelay (delayMs: number): void {
     this._delayMs = delayMs
   }
 
   private _accept (callerSocket: Socket, target: Address): void {
-    const pair = new RelayedPair(callerSocket, connect({ host: target.host, port: target.port }), () => this._delayMs, this._options.createFilter?.())
+    const pair = new RelayedPair(callerSocket, connect({ host: target.host, port: target.port }), { getDelayMs: () => this._delayMs, isHeld: () => this._holdCount > 0, filter: this._options.createFilter?.() })
     pair.isForwardingStopped = this._isBlocked
     this._pairs.add(pair)
     const release = this._register(toDisposable(() => pair.resetSockets()))
     callerSocket.once('close', () => {
       // The end of a connection that is not forwarded is not reported to the target.
-      if (pair.isForwardingStopped) return
+      if (pair.isForwardingStopped || pair.isHolding) return
       this._pairs.delete(pair)
       this._release(release)
     })
   }
 }
 
+interface RelayedPairOptions {
+  readonly getDelayMs: () => number
+  /** Whether data is kept. */
+  readonly isHeld: () => boolean
+  readonly filter: ConnectionFilter | undefined
+}
+
 class RelayedPair {
   isForwardingStopped = false
+  private readonly _isHeld: () => boolean
+  private _held: ReadonlyArray<() => void> = []
 
-  constructor (private readonly _callerSocket: Socket, private readonly _targetSocket: Socket, getDelayMs: () => number, filter?: ConnectionFilter) {
+  constructor (private readonly _callerSocket: Socket, private readonly _targetSocket: Socket, { getDelayMs, isHeld, filter }: RelayedPairOptions) {
+    this._isHeld = isHeld
     for (const [socket, other] of [[_callerSocket, _targetSocket], [_targetSocket, _callerSocket]] as const) {
       socket.setNoDelay(true)
       socket.on('error', () => {})
@@ -89,10 +110,23 @@
         this._forward(other, data, getDelayMs())
         if (socket === _targetSocket) filter?.handleAnswer(data, _callerSocket)
       })
-      socket.on('close', () => this._forwardEnd(other, getDelayMs()))
+      socket.on('close', hasFailed => {
+        if (hasFailed && socket === _callerSocket) this._held = []
+        this._forwardEnd(other, getDelayMs())
+      })
     }
   }
 
+  get isHolding (): boolean {
+    return this._held.length > 0
+  }
+
+  releaseHeld (): void {
+    const held = this._held
+    this._held = []
+    for (const send of held) send()
+  }
+
   /** A socket that has already been ended cannot be reset: the process would wait forever for it to close. */
   resetSockets (): void {
     for (const socket of [this._callerSocket, this._targetSocket]) {
@@ -102,14 +136,16 @@
   }
 
   private _forward (target: Socket, data: Buffer, delayMs: number): void {
-    const send = () => { if (!this.isForwardingStopped && !target.destroyed) target.write(data) }
-    if (delayMs > 0) setTimeout(send, delayMs)
-    else send()
+    this._schedule(() => { if (!this.isForwardingStopped && !target.destroyed) target.write(data) }, delayMs)
   }
 
   private _forwardEnd (target: Socket, delayMs: number): void {
-    const end = () => { if (!this.isForwardingStopped) target.destroySoon() }
-    if (delayMs > 0) setTimeout(end, delayMs)
-    else end()
+    this._schedule(() => { if (!this.isForwardingStopped) target.destroySoon() }, delayMs)
+  }
+
+  private _schedule (send: () => void, delayMs: number): void {
+    if (this._isHeld()) this._held = [...this._held, send]
+    else if (delayMs > 0) setTimeout(send, delayMs)
+    else send()
   }
 }
