--- a/src/services/retry/common/abandonedArrivals.ts
+++ b/src/services/retry/common/abandonedArrivals.ts
@@ -42,7 +42,7 @@
     return this._count
   }
 
-  /** Keeps an attempt whose connection this process has closed. */
+  /** Keeps an attempt until its arrival is settled. Its connection has been reset, so nothing more of it leaves this machine. */
   add ({ id, address }: UpstreamEntry, arrival: AttemptArrival): void {
     if (arrival.isSettled) return
     this._attempts.set(id, [...this._attempts.get(id) ?? [], { arrival, address, abandonedAt: this._options.clock.now() }])
--- a/src/services/retry/common/retryPolicy.ts
+++ b/src/services/retry/common/retryPolicy.ts
@@ -15,7 +15,7 @@
 export class RetryPermit implements IDisposable {
   private _isPending = true
 
-  /** The callback is called once, when the retry is given back, or when it was sent and can't arrive any more. */
+  /** The callback is called once: when the retry is given back, or when it was sent and has arrived or never will. */
   constructor (private readonly _onDidEnd: (isSent: boolean) => void) {}
 
   /**
--- a/src/services/retry/common/windowedRetryBudget.ts
+++ b/src/services/retry/common/windowedRetryBudget.ts
@@ -27,7 +27,7 @@
   private readonly _options: WindowedRetryBudgetOptions
   private readonly _firstAttempts: SlicedWindowSum
   private readonly _retries: SlidingWindowCounter
-  /** Retries by role that were granted and may still arrive. Each counts until it can't, since only then its window begins. */
+  /** Retries by role that were granted and may still arrive. Each counts until it has arrived, since only then its window begins. */
   private readonly _openCounts = new Map<string, number>()
   private _grantedCount = 0
   private _refusedCount = 0
