Clear the parts of a prompt by whole answers only

Callers lost all streams at upstream after upstream: requests with a crashing part went on, also after it was quarantined. Cause: a run that had not ended a second after its first event cleared its parts at all nodes. Nothing had to arrive in that second, so a loss that was noticed late, or a node that stood still, was taken for proof that the upstream works. A run that ended later than a second after its first event did not count as lost at a crash at all. Change: only a whole answer clears. Runs at a crash count however long they had produced; whether the answer had just begun follows from the output that arrived, not from when the end was noticed. evidence_cleared names the request and the upstream. Why it works: a crash cuts the answer, so no request with the part can have a whole one. Popular parts are cleared later than before, once a stream that began after the crash has ended.

--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -21,6 +21,14 @@
   readonly endedAt: number
 }
 
+/** A run whose answer was complete. */
+export interface ServedRun {
+  readonly requestId: string
+  readonly upstream: string
+  /** In milliseconds on this process's clock. */
+  readonly sentAt: number
+}
+
 export interface IQuarantineService {
   /** False while nothing is held against any request, so that nothing has to be cleared. */
   readonly hasEvidence: boolean
@@ -35,7 +43,5 @@
   /** Counts a refused request and logs the evidence for it. */
   reportRefusal (requestId: string, request: IRequestIdentity, record: CrashRecord): void
   /** An upstream answered the request completely, so neither the request nor a part of its prompt crashes upstreams. */
-  recordServed (request: IRequestIdentity, sentAt: number): void
-  /** An upstream has been producing its answer for a while, so the parts of the prompt do not crash upstreams. */
-  recordProducing (request: IRequestIdentity, sentAt: number): void
+  recordServed (request: IRequestIdentity, run: ServedRun): void
 }
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -9,10 +9,10 @@
 import { formatClearedSubject, formatEndedSubject } from '../../facts/common/fact.ts'
 import type { InterruptedRun } from '../../facts/common/fact.ts'
 import type { FactStore, StoredFact } from '../../facts/common/factStore.ts'
-import type { ILogService } from '../../log/node/logger.ts'
+import type { ILogService, LogFields } from '../../log/node/logger.ts'
 import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import { formatPartKey, parsePartKey } from '../common/partKey.ts'
-import type { IQuarantineService, LostRun } from '../common/quarantine.ts'
+import type { IQuarantineService, LostRun, ServedRun } from '../common/quarantine.ts'
 import { QuarantineTracker } from '../common/quarantineTracker.ts'
 import type { CrashRecord, QuarantineEntry } from '../common/quarantineTracker.ts'
 import type { IRequestIdentity } from '../common/requestIdentity.ts'
@@ -109,19 +109,15 @@
     return isCrashed
   }
 
-  recordServed (request: IRequestIdentity, sentAt: number): void {
+  recordServed (request: IRequestIdentity, { requestId, upstream, sentAt }: ServedRun): void {
     this._tracker.recordAnsweredParts(request.getPartKeys())
     if (this._tracker.isEmpty) return
+    const answer = { request: requestId, upstream }
     const digest = this._tracker.hasBodySize(request.bodyBytes) ? request.getDigest() : undefined
-    if (digest !== undefined && this._tracker.getCrashRecord(digest).upstreams.length > 0) this._publishCleared(digest, 'served', 0)
-    this.recordProducing(request, sentAt)
-  }
-
-  recordProducing (request: IRequestIdentity, sentAt: number): void {
-    if (this._tracker.isEmpty) return
+    if (digest !== undefined && this._tracker.getCrashRecord(digest).upstreams.length > 0) this._publishCleared(digest, 'served', 0, answer)
     // Only crashes before the request was sent are disproved: an upstream may crash on a part from some moment on.
     const ageMs = Math.max(0, Math.ceil(this._options.clock.now() - sentAt))
-    for (const key of request.getPartKeys()) if (this._tracker.isClearedBy(key, sentAt)) this._publishCleared(key, 'served', ageMs)
+    for (const key of request.getPartKeys()) if (this._tracker.isClearedBy(key, sentAt)) this._publishCleared(key, 'served', ageMs, answer)
   }
 
   reportRefusal (requestId: string, request: IRequestIdentity, { crashCount: ends, parts, upstreams, lastCrashAt }: CrashRecord): void {
@@ -141,11 +137,11 @@
   }
 
   /** The evidence is discarded up to `ageMs` ago. */
-  private _publishCleared (key: string, reason: 'served' | 'operator', ageMs: number): boolean {
+  private _publishCleared (key: string, reason: 'served' | 'operator', ageMs: number, answer: LogFields = {}): boolean {
     const { facts, log } = this._options
     const subject = formatClearedSubject(key)
     const held = facts.get(subject)
-    log.info('evidence_cleared', { digest: key, reason, up_to_ms_ago: ageMs })
+    log.info('evidence_cleared', { digest: key, reason, up_to_ms_ago: ageMs, ...answer })
     return facts.merge({ subject, incarnation: 1, counter: (held?.counter ?? 0) + 1, value: { kind: 'cleared', digest: key, isServed: reason === 'served' }, ageMs })
   }
 
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -87,7 +87,7 @@
   for (const upstream of ['u1', 'u2', 'u3']) await fleet.killUpstream(0, upstream)
   const { facts, service } = fleet.getNode(0)
   const ends = facts.listSince(0, '')
-  service.recordServed(REQUEST, fleet.clock.now())
+  service.recordServed(REQUEST, { requestId: 'r', upstream: 'u', sentAt: fleet.clock.now() })
   for (const fact of [...ends, ...facts.listSince(facts.sequence - 1, '')]) fleet.getNode(1).facts.merge(fact, 'peer')
   await fleet.flush()
   assert.not(fleet.getNode(1).service.getCrashRecord(REQUEST).isQuarantined)
@@ -97,7 +97,7 @@
 test('an answer clears the evidence against a request at all nodes, and so does an operator', () => runFleet(async fleet => {
   for (const upstream of ['u1', 'u2', 'u3']) await fleet.killUpstream(0, upstream)
   fleet.sendFacts(0)
-  fleet.getNode(1).service.recordServed(REQUEST, fleet.clock.now())
+  fleet.getNode(1).service.recordServed(REQUEST, { requestId: 'r', upstream: 'u', sentAt: fleet.clock.now() })
   fleet.sendFacts(1)
   // Old evidence that is received again has no effect.
   fleet.sendFacts(0)
@@ -117,7 +117,7 @@
 
 test('after an answer all nodes require more crashes, after an operator\'s clearing they do not', () => runFleet(async fleet => {
   const clearings = [
-    { clear: () => fleet.getNode(0).service.recordServed(REQUEST, fleet.clock.now()), isQuarantined: false },
+    { clear: () => fleet.getNode(0).service.recordServed(REQUEST, { requestId: 'r', upstream: 'u', sentAt: fleet.clock.now() }), isQuarantined: false },
     { clear: () => fleet.getNode(0).service.clear('g'), isQuarantined: true }
   ]
   let count = 0
@@ -201,7 +201,7 @@
   await killUnderPart(fleet, 0, 'u3')
   assert.ok(fleet.getNode(0).service.getCrashRecord(PART_REQUEST).isQuarantined)
   fleet.sendFacts(0)
-  fleet.getNode(1).service.recordProducing(PART_REQUEST, sentAt)
+  fleet.getNode(1).service.recordServed(PART_REQUEST, { requestId: 'r', upstream: 'u', sentAt })
   fleet.sendFacts(1)
   for (const { service } of fleet.nodes) assert.not(service.getCrashRecord(PART_REQUEST).isQuarantined)
   for (const upstream of ['u4', 'u5']) await killUnderPart(fleet, 0, upstream)
--- a/src/services/relay/common/attemptProgress.ts
+++ b/src/services/relay/common/attemptProgress.ts
@@ -9,11 +9,15 @@
   private _hasHead = false
   /** Infinity until it has arrived. */
   private _firstOutputAt = Infinity
+  /** When the latest sign of the upstream's work arrived. */
+  private _lastNewsAt: number
   /** Infinity until the attempt has ended. */
   private _endedAt = Infinity
 
   /** `sentAt`, like all times of this class, is in milliseconds on this process's clock. */
-  constructor (readonly sentAt: number) {}
+  constructor (readonly sentAt: number) {
+    this._lastNewsAt = sentAt
+  }
 
   get firstOutputAt (): number {
     return this._firstOutputAt
@@ -24,21 +28,32 @@
     return this._hasHead ? 'head' : 'none'
   }
 
-  recordHead (): void {
+  recordHead (now: number): void {
     this._hasHead = true
+    this._lastNewsAt = now
   }
 
   recordFirstOutput (now: number): void {
     this._firstOutputAt = now
+    this._lastNewsAt = now
+  }
+
+  recordOutput (now: number): void {
+    this._lastNewsAt = now
   }
 
   recordEnd (now: number): void {
     this._endedAt = now
   }
 
-  /** For how long the upstream had produced output when the attempt ended; 0 if there was none. */
+  /** For how long the upstream is known to have produced output; 0 if there was none. The end of an attempt may be noticed late. */
   get outputMs (): number {
-    return this._firstOutputAt === Infinity ? 0 : this._endedAt - this._firstOutputAt
+    return this._firstOutputAt === Infinity ? 0 : this._lastNewsAt - this._firstOutputAt
+  }
+
+  /** For how long the upstream had been silent when the attempt ended; 0 while it runs. */
+  get silentMs (): number {
+    return this.hasEnded ? this._endedAt - this._lastNewsAt : 0
   }
 
   get hasEnded (): boolean {
--- a/src/services/relay/node/requestQuarantine.ts
+++ b/src/services/relay/node/requestQuarantine.ts
@@ -13,8 +13,6 @@
 import type { RelayContext } from './relayContext.ts'
 import { RequestFingerprint } from './requestFingerprint.ts'
 
-/** A crash that comes longer than this after the attempt's first output is not attributed to the request. */
-const CRASH_ATTRIBUTION_MS = 1000
 /** An upstream that crashes on a part of a prompt does so within this time after its first output, if it has any. */
 const STARTING_MS = 250
 
@@ -58,18 +56,10 @@
    */
   async recordAttemptEnd (upstream: UpstreamEntry, { outcome, hasTimedOut = false }: AttemptResult, progress: AttemptProgress): Promise<void> {
     const { quarantine } = this._context
-    if (outcome.kind === 'delivered') return quarantine.recordServed(this.fingerprint, progress.sentAt)
-    if (!isConnectionLost(outcome) || hasTimedOut || progress.outputMs > CRASH_ATTRIBUTION_MS) return
-    if (await this._recordLostConnection(upstream, { sentAt: progress.sentAt, endedAt: progress.endedAt, isStarting: isStarting(progress), partKeys: this.fingerprint.getPartKeys() })) this._ownCrashCount++
-  }
-
-  /** Clears the parts of the prompt once the upstream has produced output for longer than a crashing part would let it. */
-  recordFirstOutput (progress: AttemptProgress): void {
-    const { clock, quarantine } = this._context
-    if (!quarantine.hasEvidence) return
-    clock.schedule(CRASH_ATTRIBUTION_MS, () => {
-      if (!progress.hasEnded) quarantine.recordProducing(this.fingerprint, progress.sentAt)
-    })
+    const { sentAt, endedAt } = progress
+    if (outcome.kind === 'delivered') return quarantine.recordServed(this.fingerprint, { requestId: this._accepted.request.id, upstream: upstream.id, sentAt })
+    const run = { sentAt, endedAt, isStarting: isStarting(progress), partKeys: this.fingerprint.getPartKeys() }
+    if (isConnectionLost(outcome) && !hasTimedOut && await this._recordLostConnection(upstream, run)) this._ownCrashCount++
   }
 
   /** Calls `onDidQuarantine` if the request is then quarantined for crashing the upstreams that compute its pieces. */
@@ -92,14 +82,20 @@
     if (this._record.isQuarantined) onDidQuarantine()
   }
 
-  private async _recordLostConnection (upstream: UpstreamEntry, run: Pick<LostRun, 'sentAt' | 'endedAt' | 'isStarting' | 'partKeys'>): Promise<boolean> {
+  private async _recordLostConnection (upstream: UpstreamEntry, run: RunTimes): Promise<boolean> {
     const { quarantine } = this._context
-    const hasCrashed = await quarantine.recordLostRun({ digest: this.fingerprint.getDigest(), bodyBytes: this.fingerprint.bodyBytes, upstream: upstream.id, address: upstream.address, ...run })
+    const hasCrashed = await quarantine.recordLostRun(this._createLostRun(upstream, run))
     this._record = quarantine.getCrashRecord(this.fingerprint)
     return hasCrashed
   }
+
+  private _createLostRun (upstream: UpstreamEntry, run: RunTimes): LostRun {
+    return { digest: this.fingerprint.getDigest(), bodyBytes: this.fingerprint.bodyBytes, upstream: upstream.id, address: upstream.address, ...run }
+  }
 }
 
+type RunTimes = Pick<LostRun, 'sentAt' | 'endedAt' | 'isStarting' | 'partKeys'>
+
 function isStarting ({ stage, outputMs }: AttemptProgress): boolean {
   return stage === 'head' || (stage === 'output' && outputMs <= STARTING_MS)
 }
--- a/src/services/relay/node/sentAttempt.ts
+++ b/src/services/relay/node/sentAttempt.ts
@@ -91,7 +91,7 @@
       signal: options.signal,
       onWillSend: () => this._prepareSend(),
       onDidReceiveHead: () => this._handleHead(),
-      onDidBeginAnswer: () => this.progress.recordHead(),
+      onDidBeginAnswer: () => this.progress.recordHead(context.clock.now()),
       onDidReadStatements: statements => context.recordStatements({ upstream: upstream.id, statements }),
       onDidReceiveFirstOutput: () => this._handleFirstOutput(),
       onDidReceiveOutput: () => this._handleOutput(),
@@ -178,15 +178,15 @@
 
   private _handleOutput (): void {
     this._lastOutputAt = this._options.context.clock.now()
+    this.progress.recordOutput(this._lastOutputAt)
     this._inFlightRequest.recordOutput()
   }
 
   private _handleFirstOutput (): void {
-    const { context, quarantine, inputs, upstream } = this._options
+    const { context, inputs, upstream } = this._options
     if (this._writtenAt !== undefined) context.backoffs.recordSendResult(upstream.id, this._writtenAt, true)
     this._inFlightRequest.recordFirstOutput()
     this.progress.recordFirstOutput(context.clock.now())
-    quarantine.recordFirstOutput(this.progress)
     inputs.report(upstream, { outcome: 'produced', producedMs: this.progress.firstOutputAt - this.progress.sentAt })
     this._options.onDidReceiveFirstOutput()
     inputs.release()
