Count a crash although the next instance already accepts connections

Callers lost all streams at upstream after upstream: no crash was ever counted where an upstream restarts at its address before a node notices that its connections ended. Cause: an accepted connection was taken for proof that the instance is alive. It tells only that something listens. Change: a lost run stays open for the 6 s within which a crashed upstream leaves the list. It counts once its instance leaves the list without having said so, once another instance is listed at its address, or once another node knows of the crash; also one that is noticed up to 60 s after another node reported it. A run that the node ended itself while its upstream had been silent for half a second counts in the same way, so that a host without power is found whose streams never break. Each decision is logged (upstream_crashed with its evidence, lost_run_ignored with its reason). Test: three in quarantineService.test.ts. The one on upstreams that still run gave three of them one address, which is what a restarted upstream looks like; each has its own now, and all its assertions are as before.

--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -40,6 +40,8 @@
   confirmRunning (upstream: Pick<LostRun, 'upstream' | 'address'>): Promise<boolean>
   /** Resolves to whether the upstream is known to have crashed, within the time of one connection attempt to it. */
   recordLostRun (run: LostRun): Promise<boolean>
+  /** Records a run that this node ended while its upstream was silent; the upstream may have crashed with its host. */
+  recordSilentRun (run: LostRun): void
   /** Counts a refused request and logs the evidence for it. */
   reportRefusal (requestId: string, request: IRequestIdentity, record: CrashRecord): void
   /** An upstream answered the request completely, so neither the request nor a part of its prompt crashes upstreams. */
--- /dev/null
+++ b/src/services/quarantine/node/lostUpstreams.ts
@@ -0,0 +1,163 @@
+/**
+ * Determines which upstream instances crashed, of those at which this node lost runs. A lost connection alone proves nothing,
+ * and neither does an address that accepts connections, since the next instance may listen there already. Evidence of a
+ * crash is that the address refuses connections, that the instance leaves the list without having said so, that another one
+ * takes over its address, or that another node knows it crashed. It counts for all runs that were lost there shortly before.
+ */
+import type { IClock } from '../../../base/common/clock.ts'
+import { Disposable } from '../../../base/common/disposable.ts'
+import { Emitter } from '../../../base/common/event.ts'
+import type { ILogService } from '../../log/node/logger.ts'
+import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { LostRun } from '../common/quarantine.ts'
+import type { ProbeResult } from './upstreamProbe.ts'
+
+export interface LostUpstreamsOptions {
+  readonly clock: IClock
+  readonly log: ILogService
+  readonly registry: UpstreamRegistry
+  readonly probe: (address: string) => Promise<ProbeResult>
+}
+
+/** An upstream instance that crashed, with this node's runs there. */
+export interface UpstreamCrash {
+  readonly upstream: string
+  /** When the first of the runs was lost, in milliseconds on this process's clock. */
+  readonly endedAt: number
+  readonly runs: readonly LostRun[]
+}
+
+/** An upstream whose host does not answer is removed from the list of upstreams within this time after its crash. */
+export const MAX_LIST_DELAY_MS = 6000
+/** A loss of a run may be noticed this long after the crash, by nodes behind a link that holds up what it carries. */
+const CRASH_RETENTION_MS = 60_000
+/** More runs at one upstream are not reported, the latest of them say the most. */
+const MAX_RUNS = 64
+
+/** An upstream at which runs were lost, and of which it is not known whether it crashed, or it is. */
+class LostUpstream {
+  runs: readonly LostRun[] = []
+  /** Whether a connection was lost; otherwise the upstream only fell silent. */
+  hasLostConnection = false
+  /** Set while the address is probed; resolves to whether it refuses connections. */
+  crashCheck: Promise<boolean> | undefined
+
+  constructor (readonly address: string) {}
+}
+
+export class LostUpstreams extends Disposable {
+  private readonly _options: LostUpstreamsOptions
+  private readonly _lost = new Map<string, LostUpstream>()
+  private readonly _crashedAt = new Map<string, number>()
+  /** Instances that left the list without having said so. */
+  private readonly _droppedAt = new Map<string, number>()
+  private readonly _onDidCrash = this._register(new Emitter<UpstreamCrash>())
+  /** Fires for a crash, and again when further runs are known to have been lost by it. */
+  readonly onDidCrash = this._onDidCrash.event
+
+  constructor (options: LostUpstreamsOptions) {
+    super()
+    this._options = options
+    this._register(options.registry.onDidChange(change => this._handleRegistryChange(change)))
+  }
+
+  /** Whether the instance is known to have crashed. */
+  hasCrashed (upstream: string): boolean {
+    return this._crashedAt.has(upstream)
+  }
+
+  /** Records a run whose connection was closed; resolves to whether the upstream is known to have crashed. */
+  async recordLost (run: LostRun): Promise<boolean> {
+    const { upstream } = run
+    if (this.hasCrashed(upstream)) {
+      this._addRun(run)
+      this._confirmCrash(upstream, 'known')
+      return true
+    }
+    const entry = this._options.registry.get(upstream)
+    // An upstream that leaves as planned may stop with runs in flight.
+    if (entry === undefined || entry.isLeaving) {
+      this._options.log.info('lost_run_ignored', { upstream, digest: run.digest, reason: entry === undefined ? 'unlisted' : 'leaving' })
+      return false
+    }
+    const lost = this._addRun(run)
+    lost.hasLostConnection = true
+    lost.crashCheck ??= this._checkConnection(upstream, lost)
+    if (await lost.crashCheck) this._confirmCrash(upstream, 'refused')
+    return this.hasCrashed(upstream)
+  }
+
+  /** Records a run that this node ended while its upstream was silent. It counts if the upstream turns out to have crashed. */
+  recordSilent (run: LostRun): void {
+    const { upstream } = run
+    const entry = this._options.registry.get(upstream)
+    if (entry?.isLeaving === true || (entry === undefined && !this._droppedAt.has(upstream) && !this.hasCrashed(upstream))) return
+    const lost = this._addRun(run)
+    if (this.hasCrashed(upstream)) this._confirmCrash(upstream, 'known')
+    else if (entry === undefined) void this._checkDropped(upstream, lost)
+  }
+
+  /** Records that a node knows that the upstream crashed. */
+  recordCrash (upstream: string, at: number): void {
+    this._crashedAt.set(upstream, at)
+    if (this._lost.has(upstream)) this._confirmCrash(upstream, 'peer')
+  }
+
+  expire (now: number): void {
+    for (const [upstream, { runs }] of [...this._lost]) if (runs.every(({ endedAt }) => now - endedAt > MAX_LIST_DELAY_MS)) this._lost.delete(upstream)
+    for (const [upstream, at] of [...this._crashedAt]) if (now - at > CRASH_RETENTION_MS) this._crashedAt.delete(upstream)
+    for (const [upstream, at] of [...this._droppedAt]) if (now - at > MAX_LIST_DELAY_MS) this._droppedAt.delete(upstream)
+  }
+
+  private _addRun (run: LostRun): LostUpstream {
+    const lost = this._lost.get(run.upstream) ?? new LostUpstream(run.address)
+    this._lost.set(run.upstream, lost)
+    const recent = lost.runs.filter(({ endedAt }) => run.endedAt - endedAt <= MAX_LIST_DELAY_MS)
+    lost.runs = [...recent, run].slice(-MAX_RUNS)
+    return lost
+  }
+
+  private async _checkConnection (upstream: string, lost: LostUpstream): Promise<boolean> {
+    const { log, probe } = this._options
+    const { address } = lost
+    const result = await probe(address)
+    log.info('upstream_lost', { upstream, address, connection: result })
+    // The upstream may crash later, so the next lost connection starts a new probe.
+    lost.crashCheck = undefined
+    return result === 'refused'
+  }
+
+  private _handleRegistryChange ({ kind, entry }: UpstreamChange): void {
+    if (kind === 'added') this._recordTakeover(entry)
+    if (kind !== 'dropped' || entry.isLeaving) return
+    this._droppedAt.set(entry.id, this._options.clock.now())
+    const lost = this._lost.get(entry.id)
+    if (lost === undefined) return
+    if (lost.hasLostConnection) this._confirmCrash(entry.id, 'unlisted')
+    else void this._checkDropped(entry.id, lost)
+  }
+
+  private _recordTakeover ({ id, address }: UpstreamEntry): void {
+    for (const [upstream, lost] of this._lost) {
+      if (upstream !== id && lost.address === address && this._options.registry.get(upstream)?.isLeaving !== true) this._confirmCrash(upstream, 'address taken over')
+    }
+  }
+
+  /** An upstream may leave the list without having said that it leaves, and serve on for a while. */
+  private async _checkDropped (upstream: string, { address }: LostUpstream): Promise<void> {
+    const result = await this._options.probe(address)
+    this._options.log.info('upstream_lost', { upstream, address, connection: result })
+    if (result !== 'accepted') this._confirmCrash(upstream, result)
+  }
+
+  private _confirmCrash (upstream: string, evidence: string): void {
+    const { clock, log } = this._options
+    const lost = this._lost.get(upstream)
+    const runs = lost?.runs.filter(({ endedAt }) => clock.now() - endedAt <= MAX_LIST_DELAY_MS) ?? []
+    const [first] = runs
+    if (this._isDisposed || first === undefined) return
+    if (!this.hasCrashed(upstream)) log.info('upstream_crashed', { upstream, evidence, runs: runs.length })
+    this._crashedAt.set(upstream, clock.now())
+    this._onDidCrash.fire({ upstream, endedAt: Math.min(...runs.map(({ endedAt }) => endedAt)), runs })
+  }
+}
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -16,6 +16,8 @@
 import { QuarantineTracker } from '../common/quarantineTracker.ts'
 import type { CrashRecord, QuarantineEntry } from '../common/quarantineTracker.ts'
 import type { IRequestIdentity } from '../common/requestIdentity.ts'
+import { LostUpstreams, MAX_LIST_DELAY_MS } from './lostUpstreams.ts'
+import type { UpstreamCrash } from './lostUpstreams.ts'
 import { probeUpstream } from './upstreamProbe.ts'
 import type { ProbeResult } from './upstreamProbe.ts'
 
@@ -31,19 +33,6 @@
   readonly probe?: (address: string) => Promise<ProbeResult>
 }
 
-/** An upstream to which a connection was lost, with this node's runs there. */
-class LostUpstream {
-  readonly runs: InterruptedRun[] = []
-  /** Set if the probe did not prove a crash. The upstream may crash later, so the next lost connection starts a new probe. */
-  canProbeAgain = false
-
-  constructor (readonly endedAt: number, readonly crashCheck: Promise<boolean>) {
-    void crashCheck.then(value => { this.canProbeAgain = !value })
-  }
-}
-
-/** An upstream whose host does not answer is removed from the list of upstreams within this time after its crash. */
-const MAX_LIST_DELAY_MS = 6000
 /** Many crashes at once are not caused by a request, and publishing every run would saturate the links between nodes. */
 const MAX_REPORTS_PER_SECOND = 8
 const MAX_REPORTED_RUNS = 16
@@ -55,7 +44,7 @@
 export class QuarantineService extends Disposable implements IQuarantineService {
   private readonly _options: QuarantineServiceOptions
   private readonly _tracker = new QuarantineTracker()
-  private readonly _lostUpstreams = new Map<string, LostUpstream>()
+  private readonly _lostUpstreams: LostUpstreams
   private readonly _crashedAtByUpstream = new Map<string, number>()
   private readonly _reportTimes: number[] = []
   /** Descriptions of the entries that were logged. */
@@ -66,6 +55,8 @@
   constructor (options: QuarantineServiceOptions) {
     super()
     this._options = options
+    this._lostUpstreams = this._register(new LostUpstreams({ ...options, probe: address => this._probe(address) }))
+    this._register(this._lostUpstreams.onDidCrash(crash => this._publishCrash(crash)))
     this._register(options.facts.onDidChange(fact => this._processFact(fact)))
     this._register(startInterval(EXPIRE_PERIOD_MS, () => this._expire()))
   }
@@ -97,16 +88,12 @@
     return result !== 'refused'
   }
 
-  async recordLostRun (run: LostRun): Promise<boolean> {
-    const entry = this._options.registry.get(run.upstream)
-    // An upstream that leaves as planned may stop with runs in flight.
-    if (entry === undefined || entry.isLeaving) return false
-    const lost = this._getLostUpstream(run)
-    const parts = run.partKeys.flatMap(key => parsePartKey(key) ?? [])
-    lost.runs.push({ digest: run.digest, bodyBytes: run.bodyBytes, ...parts.length > 0 ? { parts } : {}, ...run.isStarting ? { isStarting: true } : {}, sentBeforeMs: Math.max(0, Math.round(lost.endedAt - run.sentAt)) })
-    const isCrashed = await lost.crashCheck
-    if (isCrashed && !this._isDisposed) this._publishCrash(run.upstream, lost)
-    return isCrashed
+  recordLostRun (run: LostRun): Promise<boolean> {
+    return this._lostUpstreams.recordLost(run)
+  }
+
+  recordSilentRun (run: LostRun): void {
+    this._lostUpstreams.recordSilent(run)
   }
 
   recordServed (request: IRequestIdentity, { requestId, upstream, sentAt }: ServedRun): void {
@@ -145,39 +132,14 @@
     return facts.merge({ subject, incarnation: 1, counter: (held?.counter ?? 0) + 1, value: { kind: 'cleared', digest: key, isServed: reason === 'served' }, ageMs })
   }
 
-  private _getLostUpstream (run: LostRun): LostUpstream {
-    const known = this._lostUpstreams.get(run.upstream)
-    if (known !== undefined && !known.canProbeAgain) return known
-    const lost = new LostUpstream(run.endedAt, this._detectCrash(run))
-    this._lostUpstreams.set(run.upstream, lost)
-    return lost
-  }
-
-  private async _detectCrash ({ upstream, address }: LostRun): Promise<boolean> {
-    const result = await this._probe(address)
-    this._options.log.info('upstream_lost', { upstream, address, connection: result })
-    if (result === 'silent' && !this._isDisposed) this._watchRegistry(upstream)
-    return result === 'refused'
-  }
-
   private _probe (address: string): Promise<ProbeResult> {
     return (this._options.probe ?? probeUpstream)(address)
   }
 
-  /** A host without power does not refuse connections; its upstream is removed from the list some time later. */
-  private _watchRegistry (upstream: string): void {
-    const { clock, registry } = this._options
-    const watch = this._register(registry.onDidChange(({ kind, entry }) => {
-      const lost = this._lostUpstreams.get(upstream)
-      if (kind === 'dropped' && entry.id === upstream && !entry.isLeaving && lost !== undefined) this._publishCrash(upstream, lost)
-    }))
-    clock.schedule(MAX_LIST_DELAY_MS, () => this._release(watch))
-  }
-
-  private _publishCrash (upstream: string, { endedAt, runs }: LostUpstream): void {
+  private _publishCrash ({ upstream, endedAt, runs }: UpstreamCrash): void {
     const { clock, facts, log, node, incarnation } = this._options
     // Runs whose answer had just begun say the most about the cause.
-    const reported = [...runs.filter(run => run.isStarting !== true), ...runs.filter(run => run.isStarting === true)].slice(-MAX_REPORTED_RUNS)
+    const reported = [...runs.filter(run => !run.isStarting), ...runs.filter(run => run.isStarting)].slice(-MAX_REPORTED_RUNS).map(run => describeRun(run, endedAt))
     const subject = formatEndedSubject(upstream, node)
     const isKnown = facts.get(subject) !== undefined
     if (!isKnown && !this._acquireReportSlot()) return
@@ -198,6 +160,7 @@
     this._scheduleQuarantineLog()
     if (value.kind === 'cleared') return this._tracker.clear(value.digest, observedAt, { isServed: value.isServed })
     this._crashedAtByUpstream.set(value.upstream, observedAt)
+    this._lostUpstreams.recordCrash(value.upstream, observedAt)
     for (const { digest, bodyBytes, parts, isStarting, sentBeforeMs } of value.runs) {
       this._tracker.addRun({ digest, bodyBytes, partKeys: parts?.map(formatPartKey), isStarting, upstream: value.upstream, sentAt: observedAt - sentBeforeMs, crashedAt: observedAt })
     }
@@ -228,11 +191,16 @@
   private _expire (): void {
     const now = this._options.clock.now()
     this._tracker.expire(now)
-    for (const [upstream, { endedAt }] of [...this._lostUpstreams]) if (now - endedAt > MAX_LIST_DELAY_MS) this._lostUpstreams.delete(upstream)
+    this._lostUpstreams.expire(now)
     for (const [upstream, at] of [...this._crashedAtByUpstream]) if (now - at > MAX_LIST_DELAY_MS) this._crashedAtByUpstream.delete(upstream)
   }
 }
 
+function describeRun ({ digest, bodyBytes, partKeys, isStarting, sentAt }: LostRun, endedAt: number): InterruptedRun {
+  const parts = partKeys.flatMap(key => parsePartKey(key) ?? [])
+  return { digest, bodyBytes, ...parts.length > 0 ? { parts } : {}, ...isStarting ? { isStarting: true } : {}, sentBeforeMs: Math.max(0, Math.round(endedAt - sentAt)) }
+}
+
 function formatUpstreams (upstreams: readonly string[]): string {
   return upstreams.slice(-MAX_LOGGED_UPSTREAMS).join()
 }
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert'
 import { VirtualClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
+import { formatEndedSubject } from '../../facts/common/fact.ts'
 import { checkMessage } from '../../facts/common/wireMessage.ts'
 import type { WireMessage } from '../../facts/common/wireMessage.ts'
 import { FactStore } from '../../facts/common/factStore.ts'
@@ -36,10 +37,10 @@
   /** Crashes an upstream while one node has a run of the request in flight there. */
   async killUpstream (node: number, upstream: string, isLeaving = false): Promise<boolean> {
     const { registry, service } = this.getNode(node)
-    registry.update({ id: upstream, role: 'u', address: 'h:1', hall: '', slots: 1, isLeaving }, 'test')
+    registry.update({ id: upstream, role: 'u', address: `${upstream}:1`, hall: '', slots: 1, isLeaving }, 'test')
     const sentAt = this.clock.now()
     this.clock.advance(50)
-    const isCrashed = await service.recordLostRun({ digest: 'g', bodyBytes: 9, partKeys: [], isStarting: false, upstream, address: 'h:1', sentAt, endedAt: this.clock.now() })
+    const isCrashed = await service.recordLostRun({ digest: 'g', bodyBytes: 9, partKeys: [], isStarting: false, upstream, address: `${upstream}:1`, sentAt, endedAt: this.clock.now() })
     this.clock.advance(50)
     return isCrashed
   }
@@ -167,6 +168,48 @@
   assert.ok(fleet.getNode(0).service.getCrashRecord(REQUEST).isQuarantined)
 }))
 
+test('a connection that was lost while the address accepts connections counts as a crash if another upstream takes over the address or the upstream leaves the list', () => runFleet(async fleet => {
+  fleet.probeResult = 'accepted'
+  const { registry, service } = fleet.getNode(0)
+  for (const upstream of ['u1', 'u2', 'u3']) assert.not(await fleet.killUpstream(0, upstream))
+  registry.update({ id: 'u4', role: 'u', address: 'u1:1', hall: '', slots: 1, isLeaving: false }, 'test')
+  assert.is(service.getCrashRecord(REQUEST).crashCount, 1)
+  registry.remove('u2', 'removed')
+  registry.markLeaving('u3', 'test')
+  registry.remove('u3', 'removed')
+  assert.equal(service.getCrashRecord(REQUEST).upstreams, ['u1', 'u2'])
+}))
+
+test('a run that was lost at an upstream counts once a peer reports that the upstream crashed', () => runFleet(async fleet => {
+  const { facts } = fleet.getNode(0)
+  await killUnderPart(fleet, 1, 'u1')
+  fleet.probeResult = 'accepted'
+  assert.not(await fleet.killUpstream(0, 'u1'))
+  assert.is(facts.get(formatEndedSubject('u1', 'a')), undefined)
+  fleet.sendFacts(1)
+  assert.is(facts.get(formatEndedSubject('u1', 'a'))?.counter, 1)
+  // A loss that is noticed later still.
+  assert.ok(await fleet.killUpstream(0, 'u1'))
+  assert.is(facts.get(formatEndedSubject('u1', 'a'))?.counter, 2)
+}))
+
+test('a run that ended while its upstream was silent counts if the upstream turns out to have crashed', () => runFleet(async fleet => {
+  const { registry, service } = fleet.getNode(0)
+  const outcomes: readonly (readonly [ProbeResult, number])[] = [['accepted', 0], ['silent', 1], ['refused', 2]]
+  for (const [result, count] of outcomes) {
+    fleet.probeResult = result
+    const upstream = `u-${result}`
+    registry.update({ id: upstream, role: 'u', address: `${upstream}:1`, hall: '', slots: 1, isLeaving: false }, 'test')
+    const sentAt = fleet.clock.now()
+    fleet.clock.advance(50)
+    service.recordSilentRun({ digest: 'g', bodyBytes: 9, partKeys: [], isStarting: true, upstream, address: `${upstream}:1`, sentAt, endedAt: fleet.clock.now() })
+    fleet.clock.advance(50)
+    registry.remove(upstream, 'removed')
+    await fleet.flush()
+    assert.is(service.getCrashRecord(REQUEST).crashCount, count, result)
+  }
+}))
+
 /** Crashes an upstream while one node has several runs there, the last of which had just begun its answer. */
 async function killUnderPart (fleet: Fleet, node: number, upstream: string, runCount = 1): Promise<void> {
   const { registry, service } = fleet.getNode(node)
--- a/src/services/relay/node/requestQuarantine.ts
+++ b/src/services/relay/node/requestQuarantine.ts
@@ -15,6 +15,8 @@
 
 /** An upstream that crashes on a part of a prompt does so within this time after its first output, if it has any. */
 const STARTING_MS = 250
+/** An upstream that worked until the attempt was given up is rarely silent for so long. */
+const MIN_SILENT_MS = 500
 
 export class RequestQuarantine {
   readonly fingerprint: RequestFingerprint
@@ -59,7 +61,11 @@
     const { sentAt, endedAt } = progress
     if (outcome.kind === 'delivered') return quarantine.recordServed(this.fingerprint, { requestId: this._accepted.request.id, upstream: upstream.id, sentAt })
     const run = { sentAt, endedAt, isStarting: isStarting(progress), partKeys: this.fingerprint.getPartKeys() }
-    if (isConnectionLost(outcome) && !hasTimedOut && await this._recordLostConnection(upstream, run)) this._ownCrashCount++
+    if (isConnectionLost(outcome) && !hasTimedOut) {
+      if (await this._recordLostConnection(upstream, run)) this._ownCrashCount++
+    } else if ((hasTimedOut || outcome.kind === 'cancelled') && progress.silentMs >= MIN_SILENT_MS) {
+      quarantine.recordSilentRun(this._createLostRun(upstream, run))
+    }
   }
 
   /** Calls `onDidQuarantine` if the request is then quarantined for crashing the upstreams that compute its pieces. */
