Find a part on which upstreams crash long after they began to answer

Callers lose all streams at upstream after upstream, if upstreams produce for a second or more before they crash. Cause: where the answer of any run at a crash had just begun, the parts of the others did not count. At a busy upstream another answer has always just begun. Change: when nothing else explains the crashes, all runs count, for parts that were not answered after a crash: with five crashes, with seven if the part was answered before the first. The last test of unnoticedCrashes.test.ts has sound answers that have just begun at each upstream at all times.

--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -6,6 +6,7 @@
  * share. Several parts that have always come together are one cause; only requests that have all of them are affected, so
  * that requests with one of them are still sent, and clear it if they are answered.
  */
+import { isPartKey } from './partKey.ts'
 
 /** A run that was in flight at an upstream when the upstream crashed. */
 export interface CrashedRun {
@@ -26,6 +27,9 @@
 /** The runs that are evidence against each key, which is the digest of a request or the key of a part. */
 export type Evidence = ReadonlyMap<string, ReadonlySet<CrashedRun>>
 
+/** Evidence from all runs, also from those that do not count against their parts because the answer of another had just begun. */
+export type GetAllEvidence = () => Evidence
+
 export interface CrashCause {
   /** What a request must have to be affected: all of these keys. */
   readonly keys: readonly string[]
@@ -99,12 +103,14 @@
  * Keys that were answered after a crash come last: a popular request or part may be in flight at more crashes than any that
  * causes them.
  */
-export function findCrashCauses (evidence: Evidence, { served = NO_KEYS, sound = NO_KEYS }: AnsweredKeys = {}): CrashAnalysis {
+export function findCrashCauses (evidence: Evidence, { served = NO_KEYS, sound = NO_KEYS }: AnsweredKeys = {}, getAllEvidence: GetAllEvidence = () => evidence): CrashAnalysis {
   const causes: CrashCause[] = []
   const explainedUpstreams = new Set<string>()
   for (;;) {
     const unexplained = listUnexplainedEvidence(evidence, explainedUpstreams)
-    const cause = findLikeliestCause(unexplained, { isCandidate: key => !served.has(key), minCrashes: MAX_CRASHES, sound }) ?? findLikeliestCause(unexplained, { isCandidate: key => served.has(key), minCrashes: MAX_CRASHES_IF_SERVED, sound })
+    const cause = findLikeliestCause(unexplained, { isCandidate: key => !served.has(key), minCrashes: MAX_CRASHES, sound }) ??
+      findLikeliestCause(unexplained, { isCandidate: key => served.has(key), minCrashes: MAX_CRASHES_IF_SERVED, sound }) ??
+      findLateCause(listUnexplainedEvidence(getAllEvidence(), explainedUpstreams), { served, sound })
     if (cause === undefined) return { causes, suspectedParts: listSuspectedParts(unexplained, served), explainedUpstreams }
     causes.push(cause)
     for (const run of cause.runs) explainedUpstreams.add(run.upstream)
@@ -126,6 +132,8 @@
   readonly isCandidate: (key: string) => boolean
   readonly minCrashes: number
   readonly sound: ReadonlySet<string>
+  /** Whether parts need more crashes if the answers had not just begun. */
+  readonly needsStarting?: boolean
 }
 
 function findLikeliestCause (evidence: Evidence, query: CandidateQuery): CrashCause | undefined {
@@ -133,6 +141,12 @@
   return candidates.reduce<CrashCause | undefined>((best, candidate) => best === undefined || isLikelier(candidate, best) ? candidate : best, undefined)
 }
 
+/** Finds parts on which upstreams crash long after they began to answer, when answers to other requests have just begun. */
+function findLateCause (evidence: Evidence, { served, sound }: Required<AnsweredKeys>): CrashCause | undefined {
+  const find = (isCandidate: (key: string) => boolean, minCrashes: number) => findLikeliestCause(evidence, { isCandidate: key => isPartKey(key) && !served.has(key) && isCandidate(key), minCrashes, sound: NO_KEYS, needsStarting: false })
+  return find(key => !sound.has(key), MAX_CRASHES + EXTRA_WEAK_CRASHES) ?? find(key => sound.has(key), MAX_CRASHES + 2 * EXTRA_WEAK_CRASHES)
+}
+
 /** What is in flight more often is so more often by coincidence. */
 function isLikelier (a: CrashCause, b: CrashCause): boolean {
   return a.crashCount > b.crashCount || (a.crashCount === b.crashCount && a.runs.size < b.runs.size)
@@ -154,9 +168,10 @@
   return candidates.filter(wide => !candidates.some(narrow => isNarrower(narrow, wide) && hasFewUnexplained(narrow, wide)))
 }
 
-function hasEnoughCrashes (candidate: CrashCause, { minCrashes, sound }: CandidateQuery): boolean {
+function hasEnoughCrashes (candidate: CrashCause, { minCrashes, sound, needsStarting = true }: CandidateQuery): boolean {
   const { keys, runs, crashCount } = candidate
   if (crashCount < minCrashes) return false
+  if (!needsStarting) return true
   if (isWholeRequest(candidate) || crashCount >= minCrashes + EXTRA_WEAK_CRASHES) return true
   if (keys.every(key => sound.has(key))) return false
   return countSeparateCrashes([...runs].filter(run => run.isStarting)) >= minCrashes
--- a/src/services/quarantine/common/quarantineTracker.ts
+++ b/src/services/quarantine/common/quarantineTracker.ts
@@ -176,7 +176,7 @@
 
   private _getAnalysis (): CrashAnalysis {
     if (this._analysis === undefined) {
-      this._analysis = findCrashCauses(this._getEvidence(), { served: this._served, sound: this._soundParts })
+      this._analysis = findCrashCauses(this._getEvidence(), { served: this._served, sound: this._soundParts }, () => this._collectEvidence({ includesBystanders: true }))
       this._retainedGroups = new Set(this._analysis.causes.flatMap(({ runs }) => [...runs].map(formatGroup)))
     }
     return this._analysis
@@ -192,7 +192,7 @@
    * crashes on a part when it begins to answer, so runs that had not come so far, or were past it, count against their parts
    * only if no other run was at that point.
    */
-  private _collectEvidence (): Evidence {
+  private _collectEvidence ({ includesBystanders = false } = {}): Evidence {
     const evidence = new Map<string, Set<CrashedRun>>()
     const runs = [...this._runs.values()].flat()
     const startingAt = new Set(runs.filter(run => run.isStarting === true).map(run => run.upstream))
@@ -203,7 +203,7 @@
     }
     for (const run of runs) {
       if (!this._isCleared(run.digest, run)) append(run.digest, run)
-      const isBystander = run.isStarting !== true && startingAt.has(run.upstream)
+      const isBystander = !includesBystanders && run.isStarting !== true && startingAt.has(run.upstream)
       if (!isBystander) for (const key of run.partKeys ?? []) if (!this._isCleared(key, run)) append(key, run)
     }
     return evidence
--- a/src/services/relay/test/unnoticedCrashes.test.ts
+++ b/src/services/relay/test/unnoticedCrashes.test.ts
@@ -25,6 +25,8 @@
 const LENGTH = 1000 * EVENT.length
 const CRASH_DELAY_MS = 10
 const LATE_MS = 1400
+/** Time from the head of a sound answer to its event. */
+const SOUND_MS = 50
 const BLOCK_AFTER_MS = 20
 
 type CrashHandler = (request: FleetRequest & { readonly number: number }, crash: () => void) => void
@@ -46,7 +48,8 @@
     const { id, text, socket } = request
     const parts = /^Parts: (.+)\r$/m.exec(text)?.[1]?.split(',').slice(0, -1) ?? []
     if (!parts.includes(CRASHING_PART)) {
-      socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: ${EVENT.length}\r\n\r\n${EVENT}`)
+      socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: ${EVENT.length}\r\n\r\n`)
+      setTimeout(() => { if (!socket.destroyed) socket.write(EVENT) }, SOUND_MS)
       return
     }
     this.reached.push({ id, at: performance.now() })
@@ -61,6 +64,17 @@
     return (await this.fleet.harness.submit(id, `body of ${id}`, `Parts: ${[...parts, `${id}-last`].join()}\r\n`)).text
   }
 
+  /** Sends sound requests at each upstream's rate, so that some have always just begun there. */
+  async submitSound (until: number): Promise<void> {
+    const sent: Promise<string>[] = []
+    for (let number = 0; performance.now() < until; number++) {
+      sent.push(this.submit(`beside${number}`, ['popular', `other${number % SOUND_PARTS}`]))
+      await waitFor(SOUND_PERIOD_MS)
+    }
+    const refused = (await Promise.all(sent)).filter(text => text.includes('requestQuarantined'))
+    assert.is(refused.length, 0, 'sound requests are not quarantined')
+  }
+
   /** One request with the crashing part and a sound one beside it; resolves when both have ended. */
   async submitPair (number: number): Promise<void> {
     const [, sound] = await Promise.all([this.submit(`try${number}`, ['popular', CRASHING_PART]), this.submit(`sound${number}`, ['popular', `other${number % 3}`])])
@@ -148,6 +162,8 @@
 const PRODUCING_TRIES = 48
 const PRODUCING_PERIOD_MS = 250
 const EVENT_PERIOD_MS = 100
+const SOUND_PERIOD_MS = 10
+const SOUND_PARTS = 7
 
 test('a part is quarantined although upstreams produce for up to three seconds before they crash, and others begin there meanwhile', () => {
   const random = new SeededRandom(80)
@@ -155,7 +171,8 @@
     const timer = setInterval(() => { if (socket.destroyed) clearInterval(timer); else socket.write(EVENT) }, EVENT_PERIOD_MS)
     setTimeout(() => { clearInterval(timer); crash() }, drawBetween(random, 0, MAX_PRODUCING_MS))
   }, async parts => {
-    const pairs: Promise<void>[] = []
+    await parts.submitSound(performance.now() + PRODUCING_PERIOD_MS)
+    const pairs = [parts.submitSound(performance.now() + PRODUCING_TRIES * PRODUCING_PERIOD_MS)]
     for (let number = 0; number < PRODUCING_TRIES; number++) {
       pairs.push(parts.submitPair(number))
       await waitFor(PRODUCING_PERIOD_MS)
