Take an answer without framing for whole only if its instance still runs

Callers got cut answers as whole 200s, and the crashing part counted as answered: evidence_cleared digest=part/c0ffee reason=served up_to_ms_ago=46, 46 ms after the request was sent to an upstream that crashes 40 ms after it begins. Cause: where an answer has neither a length nor chunks, its upstream was dialled, and an accepted connection counted as proof that it runs. The next instance accepts connections as well. Change: the health check tells which instance answers. Another one, or one that a peer knows to have crashed, makes the answer incomplete.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -32,6 +32,7 @@
 import { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
 import { PreparationServer } from '../services/preparation/node/preparationServer.ts'
 import { createQuarantineHandler } from '../services/quarantine/node/quarantineHandler.ts'
+import type { InstanceProbe } from '../services/quarantine/common/instanceProbe.ts'
 import { QuarantineService } from '../services/quarantine/node/quarantineService.ts'
 import { createLimitsHandler } from '../services/quota/node/limitsHandler.ts'
 import type { WarmthProbe } from '../services/quota/common/warmthProbe.ts'
@@ -78,6 +79,8 @@
   readonly upstreamSource: UpstreamSource
   /** Without it, upstreams are not asked whether they are cold. */
   readonly createWarmthProbe?: (agent: Agent) => WarmthProbe
+  /** Without it, upstreams are not asked which instance answers at their address. */
+  readonly createInstanceProbe?: (agent: Agent) => InstanceProbe
 }
 
 /** How often a node checks whether its own status has to be published again. */
@@ -218,7 +221,20 @@
       listCoordinators: () => coordinatorDirectory.listCoordinators(),
       listPieceUpstreams: () => pieceUpstreams.list()
     }))
-    this._quarantine = this._register(new QuarantineService({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, probe: address => this._connections.probe(address) }))
+    const instanceProbe = options.createInstanceProbe?.(this._connections.createAgent())
+    this._quarantine = this._register(new QuarantineService({
+      clock,
+      log,
+      facts: this._fleetMember.facts,
+      registry: this._registry,
+      node: settings.address,
+      incarnation: options.incarnation,
+      probe: address => this._connections.probe(address),
+      readIdentity: async upstream => {
+        const path = getTable()?.getRole(upstream.role)?.healthPath ?? ''
+        return path === '' ? 'unknown' : await instanceProbe?.readIdentity(upstream, path) ?? 'unknown'
+      }
+    }))
     const throttle = createThrottle({ clock, random, log })
     this._retries = this._register(new NodeRetries({ clock, settings, membership: this._fleetMember.membership, registry: this._registry }))
     this._relayServer = this._register(new RelayServer({
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -10,7 +10,8 @@
 import type { InterruptedRun } from '../../facts/common/fact.ts'
 import type { FactStore, StoredFact } from '../../facts/common/factStore.ts'
 import type { ILogService, LogFields } from '../../log/node/logger.ts'
-import type { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { InstanceIdentity } from '../common/instanceProbe.ts'
 import { formatPartKey, parsePartKey } from '../common/partKey.ts'
 import type { IQuarantineService, LostRun, ServedRun } from '../common/quarantine.ts'
 import { QuarantineTracker } from '../common/quarantineTracker.ts'
@@ -31,6 +32,8 @@
   /** Increases with each process start on the host. */
   readonly incarnation: number
   readonly probe?: (address: string) => Promise<ProbeResult>
+  /** Without it, an address that accepts connections counts as that of the instance which was listed there. */
+  readonly readIdentity?: (upstream: UpstreamEntry) => Promise<InstanceIdentity>
 }
 
 /** Many crashes at once are not caused by a request, and publishing every run would saturate the links between nodes. */
@@ -83,9 +86,10 @@
     const { registry, log } = this._options
     const entry = registry.get(upstream)
     if (entry === undefined || entry.isLeaving) return true
-    const result = await this._probe(address)
-    if (result !== 'accepted') log.info('unframed_answer_ended', { upstream, address, connection: result })
-    return result !== 'refused'
+    const [connection, identity] = await Promise.all([this._probe(address), this._options.readIdentity?.(entry) ?? 'unknown'])
+    const isRunning = connection !== 'refused' && identity !== 'other' && !this._lostUpstreams.hasCrashed(upstream)
+    if (connection !== 'accepted' || !isRunning) log.info('unframed_answer_ended', { upstream, address, connection, instance: identity, is_whole: isRunning })
+    return isRunning
   }
 
   recordLostRun (run: LostRun): Promise<boolean> {
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -8,6 +8,7 @@
 import { FactStore } from '../../facts/common/factStore.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
+import type { InstanceIdentity } from '../common/instanceProbe.ts'
 import type { IRequestIdentity } from '../common/requestIdentity.ts'
 import { QuarantineService } from '../node/quarantineService.ts'
 import type { ProbeResult } from '../node/upstreamProbe.ts'
@@ -21,12 +22,13 @@
   readonly clock = new VirtualClock(1000)
   readonly lines: string[] = []
   probeResult: ProbeResult = 'refused'
+  identity: InstanceIdentity = 'unknown'
   readonly nodes = ['a', 'b'].map(node => {
     const facts = this._register(new FactStore(this.clock))
     const registry = this._register(new UpstreamRegistry())
     const log = new LogService({ program: 'test', silent: true })
     log.onDidLog(({ line }) => this.lines.push(line))
-    const service = this._register(new QuarantineService({ clock: this.clock, log, facts, registry, node, incarnation: 1, probe: () => Promise.resolve(this.probeResult) }))
+    const service = this._register(new QuarantineService({ clock: this.clock, log, facts, registry, node, incarnation: 1, probe: () => Promise.resolve(this.probeResult), readIdentity: () => Promise.resolve(this.identity) }))
     return { facts, registry, service }
   })
 
@@ -157,6 +159,20 @@
   assert.not(await confirm('refused'))
   assert.ok(await confirm('refused', true))
   assert.is(fleet.lines.filter(line => line.includes('event=unframed_answer_ended')).length, 2)
+  // The next instance already listens at the address.
+  fleet.identity = 'other'
+  assert.not(await confirm('accepted'))
+  fleet.identity = 'same'
+  assert.ok(await confirm('accepted'))
+}))
+
+test('an answer without framing is not whole if a peer knows that its upstream crashed', () => runFleet(async fleet => {
+  await fleet.killUpstream(1, 'u1')
+  fleet.getNode(0).registry.update({ id: 'u1', role: 'u', address: 'u1:1', hall: '', slots: 1, isLeaving: false }, 'test')
+  fleet.probeResult = 'accepted'
+  assert.ok(await fleet.getNode(0).service.confirmRunning({ upstream: 'u1', address: 'u1:1' }))
+  fleet.sendFacts(1)
+  assert.not(await fleet.getNode(0).service.confirmRunning({ upstream: 'u1', address: 'u1:1' }))
 }))
 
 test('if an upstream\'s host does not answer, its removal from the list of upstreams counts as a crash', () => runFleet(async fleet => {
