--- a/src/base/test/faultRelay.ts
+++ b/src/base/test/faultRelay.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import type { Address } from '../common/address.ts'
 import { Disposable, toDisposable } from '../common/disposable.ts'
+import type { IDisposable } from '../common/disposable.ts'
 
 /** Changes what a connection carries. */
 export abstract class ConnectionFilter {
@@ -24,18 +25,19 @@
   private _isBlocked = false
   private _delayMs = 0
   private _holdCount = 0
+  private _listener: IDisposable | undefined
 
   constructor (private readonly _options: FaultRelayOptions = {}) {
     super()
   }
 
   /** Resolves with the port; each new connection is forwarded to the target that is current when it arrives. */
-  listen (getTarget: () => Address, host = '127.0.0.1'): Promise<number> {
+  listen (getTarget: () => Address, host = '127.0.0.1', port = 0): Promise<number> {
     const server = createServer(callerSocket => this._accept(callerSocket, getTarget()))
-    this._register(toDisposable(() => { server.close() }))
+    this._listener = this._register(toDisposable(() => { server.close() }))
     return new Promise((resolve, reject) => {
       server.once('error', reject)
-      server.listen(0, host, () => resolve((server.address() as AddressInfo).port))
+      server.listen(port, host, () => resolve((server.address() as AddressInfo).port))
     })
   }
 
@@ -55,6 +57,11 @@
     this.stopForwarding()
   }
 
+  /** Refuses new connections. */
+  stopListening (): void {
+    this._listener?.dispose()
+  }
+
   restoreTraffic (): void {
     this._isBlocked = false
   }
