Find late crashes on a part with four crashes, six if the part was answered before

Crashes count only if the run was sent after the one before, so of runs that last for up to three seconds few count, and five of these take longer than the users allow. Change: four, and six for parts that were answered before the first crash. Parts that were answered after it still do not count.

--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -70,6 +70,8 @@
  * could be answered again.
  */
 const EXTRA_WEAK_CRASHES = 2
+/** Further crashes that are required for parts of runs beside which other answers had just begun. */
+const EXTRA_LATE_CRASHES = 1
 const NO_KEYS: ReadonlySet<string> = new Set()
 /** A single crash says too little about parts, which popular requests have. */
 const MIN_SUSPECT_CRASHES = 2
@@ -144,7 +146,7 @@
 /** Finds parts on which upstreams crash long after they began to answer, when answers to other requests have just begun. */
 function findLateCause (evidence: Evidence, { served, sound }: Required<AnsweredKeys>): CrashCause | undefined {
   const find = (isCandidate: (key: string) => boolean, minCrashes: number) => findLikeliestCause(evidence, { isCandidate: key => isPartKey(key) && !served.has(key) && isCandidate(key), minCrashes, sound: NO_KEYS, needsStarting: false })
-  return find(key => !sound.has(key), MAX_CRASHES + EXTRA_WEAK_CRASHES) ?? find(key => sound.has(key), MAX_CRASHES + 2 * EXTRA_WEAK_CRASHES)
+  return find(key => !sound.has(key), MAX_CRASHES + EXTRA_LATE_CRASHES) ?? find(key => sound.has(key), MAX_CRASHES + EXTRA_LATE_CRASHES + EXTRA_WEAK_CRASHES)
 }
 
 /** What is in flight more often is so more often by coincidence. */
