Wait for the evidence of peers before prompts with shared parts are sent after a start

Callers lost all streams at the upstreams that a node crashed with a part which its peers had quarantined long before. Change: requests with shared parts wait until the node has joined its peers, at most a second; evidence_read tells how long that took and how many causes were known. Test: the last one of unnoticedCrashes.test.ts, which fails without the wait: the request reaches the upstream.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -229,6 +229,7 @@
       registry: this._registry,
       node: settings.address,
       incarnation: options.incarnation,
+      onDidJoin: this._fleetMember.onDidJoin,
       probe: address => this._connections.probe(address),
       readIdentity: async upstream => {
         const path = getTable()?.getRole(upstream.role)?.healthPath ?? ''
--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -32,6 +32,8 @@
 export interface IQuarantineService {
   /** False while nothing is held against any request, so that nothing has to be cleared. */
   readonly hasEvidence: boolean
+  /** Returns undefined unless this node has just started and may not know yet what its peers know. */
+  waitForPeers (): Promise<void> | undefined
   getCrashRecord (request: IRequestIdentity): CrashRecord
   /**
    * Checks an upstream that ended its connection where nothing else marks the end of an answer. Resolves to whether it still
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -5,6 +5,7 @@
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
+import type { Event } from '../../../base/common/event.ts'
 import { startInterval } from '../../../base/node/interval.ts'
 import { formatClearedSubject, formatEndedSubject } from '../../facts/common/fact.ts'
 import type { InterruptedRun } from '../../facts/common/fact.ts'
@@ -32,6 +33,8 @@
   /** Increases with each process start on the host. */
   readonly incarnation: number
   readonly probe?: (address: string) => Promise<ProbeResult>
+  /** Fires when this node has the evidence of its peers; without it, the node has none to wait for. */
+  readonly onDidJoin?: Event<void>
   /** Without it, an address that accepts connections counts as that of the instance which was listed there. */
   readonly readIdentity?: (upstream: UpstreamEntry) => Promise<InstanceIdentity>
 }
@@ -54,6 +57,8 @@
   private _loggedEntries: ReadonlySet<string> = new Set()
   private _isLogScheduled = false
   private _refusedCount = 0
+  /** Undefined once this node has the evidence of its peers. */
+  private _joined: Promise<void> | undefined
 
   constructor (options: QuarantineServiceOptions) {
     super()
@@ -61,6 +66,7 @@
     this._lostUpstreams = this._register(new LostUpstreams({ ...options, probe: address => this._probe(address) }))
     this._register(this._lostUpstreams.onDidCrash(crash => this._publishCrash(crash)))
     this._register(options.facts.onDidChange(fact => this._processFact(fact)))
+    if (options.onDidJoin !== undefined) this._joined = this._startJoinWait(options.onDidJoin)
     this._register(startInterval(EXPIRE_PERIOD_MS, () => this._expire()))
   }
 
@@ -78,6 +84,10 @@
     return this._crashedAtByUpstream.has(upstream)
   }
 
+  waitForPeers (): Promise<void> | undefined {
+    return this._joined
+  }
+
   getCrashRecord (request: IRequestIdentity): CrashRecord {
     return this._tracker.findRecord(request)
   }
@@ -159,6 +169,19 @@
     return true
   }
 
+  private _startJoinWait (onDidJoin: Event<void>): Promise<void> {
+    const { clock, log } = this._options
+    const startedAt = clock.now()
+    return new Promise(resolve => {
+      this._register(onDidJoin(() => {
+        if (this._joined === undefined) return
+        this._joined = undefined
+        log.info('evidence_read', { after_ms: Math.round(clock.now() - startedAt), causes: this._tracker.listQuarantined().length })
+        resolve()
+      }))
+    })
+  }
+
   private _processFact ({ value, observedAt }: StoredFact): void {
     if (value.kind !== 'ended' && value.kind !== 'cleared') return
     this._scheduleQuarantineLog()
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert'
 import { VirtualClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
+import { Emitter } from '../../../base/common/event.ts'
 import { formatEndedSubject } from '../../facts/common/fact.ts'
 import { checkMessage } from '../../facts/common/wireMessage.ts'
 import type { WireMessage } from '../../facts/common/wireMessage.ts'
@@ -69,6 +70,20 @@
   }
 }
 
+test('a node waits for the evidence of its peers when it starts', () => runFleet(async fleet => {
+  const { facts, registry } = fleet.getNode(0)
+  const log = new LogService({ program: 'test', silent: true })
+  const onDidJoin = new Emitter<void>()
+  const service = new QuarantineService({ clock: fleet.clock, log, facts, registry, node: 'c', incarnation: 1, onDidJoin: onDidJoin.event })
+  const joined = service.waitForPeers()
+  assert.ok(joined)
+  onDidJoin.fire()
+  await joined
+  assert.is(service.waitForPeers(), undefined)
+  service.dispose()
+  assert.is(fleet.getNode(0).service.waitForPeers(), undefined)
+}))
+
 test('crashes of different upstreams observed by different nodes add up at all nodes', () => runFleet(async fleet => {
   await fleet.killUpstream(0, 'u1')
   await fleet.killUpstream(1, 'u2')
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -134,6 +134,7 @@
   }
 
   private async _runAttempts (): Promise<RunResult> {
+    await this._quarantine.waitForPeers()
     const initialRefusal = this._refuseQuarantined() ?? await this._prepare()
     if (initialRefusal !== undefined) return initialRefusal
     for (;;) {
--- a/src/services/relay/node/requestQuarantine.ts
+++ b/src/services/relay/node/requestQuarantine.ts
@@ -15,6 +15,8 @@
 
 /** An upstream that crashes on a part of a prompt does so within this time after its first output, if it has any. */
 const STARTING_MS = 250
+/** A node without reachable peers takes no longer to start alone. */
+const MAX_PEER_WAIT_MS = 1000
 /** An upstream that worked until the attempt was given up is rarely silent for so long. */
 const MIN_SILENT_MS = 500
 
@@ -46,6 +48,20 @@
     return Math.max(this._record.crashCount, this._ownCrashCount)
   }
 
+  /** Waits for the evidence of peers after a start of this node, if a part of the prompt may be quarantined. */
+  async waitForPeers (): Promise<void> {
+    const { clock, quarantine } = this._context
+    const joined = quarantine.waitForPeers()
+    if (joined === undefined || this.fingerprint.getPartKeys().length === 0) return
+    await new Promise<void>(resolve => {
+      const timer = clock.schedule(MAX_PEER_WAIT_MS, resolve)
+      void joined.then(() => {
+        timer.dispose()
+        resolve()
+      })
+    })
+  }
+
   /** Reads what all nodes know by now; returns undefined unless the request must not be sent. */
   findQuarantine (): CrashRecord | undefined {
     this._record = this._context.quarantine.getCrashRecord(this.fingerprint)
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -8,6 +8,7 @@
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { Disposable, DisposableStore, toDisposable } from '../../../base/common/disposable.ts'
+import type { Event } from '../../../base/common/event.ts'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
 import { NodeStatements } from '../../../entryNode/nodeStatements.ts'
@@ -167,6 +168,8 @@
   readonly retries?: number
   /** Replaces the budget of `retries`. */
   readonly retry?: RetryPolicy
+  /** Fires when the node has the facts of its peers; by default it has none to wait for. */
+  readonly onDidJoin?: Event<void>
   /** The facts that it shares with other nodes. */
   readonly facts?: FactStore
   readonly customers?: readonly { readonly name: string, readonly keySha256: string[], readonly homeRegions?: string[] }[]
@@ -203,7 +206,7 @@
       roles: [{ name: 'u' }],
       customers: [..._options.customers ?? []]
     }))
-    const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1 }))
+    const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1, onDidJoin: _options.onDidJoin }))
     const limits = this._register(new RateLimitService({ clock, log, facts, node: 'n', incarnation: 1 }))
     const statements = this._register(new NodeStatements({ clock, log, random: new SeededRandom(2), facts, registry: this.registry, countNodes: () => 1, recordRateLimit: (upstream, perS) => limits.recordLimit(upstream, perS) }))
     const { backoffs, guard } = statements
--- a/src/services/relay/test/unnoticedCrashes.test.ts
+++ b/src/services/relay/test/unnoticedCrashes.test.ts
@@ -5,10 +5,15 @@
 import type { Server } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { Emitter } from '../../../base/common/event.ts'
 import { SeededRandom, drawBetween } from '../../../base/common/random.ts'
+import { SystemClock } from '../../../base/node/systemClock.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { formatEndedSubject } from '../../facts/common/fact.ts'
+import { FactStore } from '../../facts/common/factStore.ts'
 import { runFleet } from './crashingFleet.ts'
 import type { CrashingFleet, FleetRequest } from './crashingFleet.ts'
+import { FakeUpstream, RelayHarness } from './fakes.ts'
 
 const test = suite('unnoticedCrashes')
 
@@ -182,4 +187,27 @@
   })
 })
 
+// A node that was ready before its peers had answered sent what they had quarantined.
+test('a node that starts sends no request with a part that its peers have quarantined', async () => {
+  const facts = new FactStore(new SystemClock())
+  const onDidJoin = new Emitter<void>()
+  const upstream = new FakeUpstream(() => {})
+  const harness = new RelayHarness({ upstreams: [upstream], route: { kind: RouteKind.STREAM, maxAttempts: 1, timeoutMs: 6000 }, facts, onDidJoin: onDidJoin.event })
+  try {
+    await harness.start()
+    const answer = harness.submit('first', 'body', `Parts: popular,${CRASHING_PART},last\r\n`)
+    await waitFor(TRY_PERIOD_MS)
+    for (let number = 0; number < MAX_CRASHES; number++) {
+      const run = { digest: `digest-${number}`, bodyBytes: 4, parts: [CRASHING_PART], isStarting: true, sentBeforeMs: 20 }
+      const upstreamId = `crashed-${number}`
+      facts.merge({ subject: formatEndedSubject(upstreamId, 'peer'), incarnation: 1, counter: 1, value: { kind: 'ended', upstream: upstreamId, runs: [run] }, ageMs: 1000 - number * TRY_PERIOD_MS })
+    }
+    onDidJoin.fire()
+    assert.match((await answer).text, /^HTTP\/1\.1 503 .*requestQuarantined$/s)
+    assert.is(upstream.requestHeads.length, 0)
+  } finally {
+    harness.dispose()
+  }
+})
+
 test.run()
