--- a/src/services/result/common/pepperwoodError.ts
+++ b/src/services/result/common/pepperwoodError.ts
@@ -6,6 +6,7 @@
 
 export interface PepperwoodErrorOptions {
   readonly name: ResultName
+  /** Longer messages, which may quote the value, are truncated. */
   readonly message: string
   /** For example a file and key, a field, a stage or an address. */
   readonly place?: string
@@ -14,6 +15,7 @@
 }
 
 const MAX_VALUE_LENGTH = 120
+const MAX_MESSAGE_LENGTH = 1000
 
 export class PepperwoodError extends Error {
   readonly resultName: ResultName
@@ -22,7 +24,7 @@
   readonly value: string
 
   constructor (options: PepperwoodErrorOptions) {
-    super(options.message)
+    super(options.message.slice(0, MAX_MESSAGE_LENGTH))
     this.name = 'PepperwoodError'
     this.resultName = options.name
     this.code = resultCodes[options.name]
