Take a successful answer without framing and without a body for cut

Callers got a 200 with an empty body, framed as whole, from an upstream that stopped right after the head of an answer that states no length. Cause: without framing the end of the connection ends the body, and an upstream that still accepts connections was taken to have sent an empty one. Streams without events were already incomplete. Change: the same for all successful answers, other than 204 and 304, which have no body.

--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -72,6 +72,8 @@
  * are given up.
  */
 const MAX_BUFFERED_BYTES = 256 * 1024
+const NO_CONTENT = 204
+const NOT_MODIFIED = 304
 /** Longest delay that setTimeout accepts. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 /** Period with which a stalled attempt reports that it is still silent. */
@@ -188,7 +190,9 @@
     } catch {
       return { outcome: this._decideIncomplete() }
     }
-    if (this._isCancelled() || !await this._isComplete(response, exchange)) return { outcome: this._decideIncomplete() }
+    // An upstream that stops right after the head may appear to have sent an empty body.
+    const isCut = verdict.isSuccess && size === 0 && !isFramed(response) && !hasNoBody(status)
+    if (this._isCancelled() || isCut || !await this._isComplete(response, exchange)) return { outcome: this._decideIncomplete() }
     if (verdict.isSuccess && !claimAnswer()) return { outcome: this._decideIncomplete() }
     onDidReceiveFirstOutput()
     const bufferedAnswer = { status, headers: verdict.headers, body: Buffer.concat(parts), isFramed: isFramed(response) }
@@ -290,6 +294,10 @@
   }
 }
 
+function hasNoBody (status: number): boolean {
+  return status === NO_CONTENT || status === NOT_MODIFIED
+}
+
 function isFramed (response: IncomingMessage): boolean {
   return response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
 }
