Show that a stream whose events wait in the connection of a suspended node has not stalled

After a suspension of a node its timers run before it reads its connections. The stall of a stream fires then, but the decision reads how long the upstream has been silent again before another takes over. The test passes without a change; it guards that.

--- a/src/services/relay/test/silentStreams.test.ts
+++ b/src/services/relay/test/silentStreams.test.ts
@@ -7,7 +7,7 @@
 import * as assert from 'uvu/assert'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { IPreparationService, IPreparedInputs } from '../../preparation/common/preparationService.ts'
-import { RelayHarness } from './fakes.ts'
+import { FakeUpstream, RelayHarness } from './fakes.ts'
 import type { RelayHarnessOptions } from './fakes.ts'
 import { EVENT_COUNT, PausableUpstream, isWholeStream, listEventIds } from './pausableUpstream.ts'
 import type { PausableUpstreamOptions } from './pausableUpstream.ts'
@@ -179,4 +179,27 @@
   }))
 })
 
+// A node that continues after a suspension runs its timers before it reads its connections.
+test('a stream whose events wait in the connection of a suspended node has not stalled', async () => {
+  const pauseTimeoutMs = 100
+  const event = (id: number) => `id: ${id}\ndata: x\n\n`
+  const upstreams = [0, 1].map(() => new FakeUpstream(socket => {
+    socket.write(`HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: ${3 * event(1).length}\r\n\r\n${event(1)}`)
+    setTimeout(() => {
+      socket.write(event(2))
+      for (const until = performance.now() + 8 * pauseTimeoutMs; performance.now() < until;);
+      setTimeout(() => socket.write(event(3)), pauseTimeoutMs / 2)
+    }, pauseTimeoutMs / 2)
+  }))
+  const harness = new RelayHarness({ route, upstreams })
+  try {
+    await harness.start()
+    const { text } = await harness.call('a')
+    assert.match(text, /^HTTP\/1\.1 200 [\s\S]*id: 3\n/)
+    assert.is(upstreams.flatMap(({ requestHeads }) => requestHeads).length, 1, 'no other upstream takes over')
+  } finally {
+    harness.dispose()
+  }
+})
+
 test.run()
