Show that a part is found whichever of many first parts its requests have

Drawn series of requests with one of 20 first parts (300 seeds) crash at most 8 upstreams, which the users allow; no change.

--- a/src/services/quarantine/test/quarantineTracker.test.ts
+++ b/src/services/quarantine/test/quarantineTracker.test.ts
@@ -1,5 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { SeededRandom, drawInteger } from '../../../base/common/random.ts'
 import type { CrashedRun } from '../common/crashEvidence.ts'
 import { EVIDENCE_RETENTION_MS, QuarantineTracker } from '../common/quarantineTracker.ts'
 
@@ -123,4 +124,24 @@
   assert.ok(findRecord(tracker, GUILTY, POPULAR).isQuarantined)
 })
 
+// A cause is a set of parts, so requests with the crashing part and another first part may still be sent.
+test('a part is found within the crashes that the users allow, whichever of 20 first parts its requests have', () => {
+  const firstPartCount = 20
+  const maxCrashes = 8
+  const isQuarantined = (tracker: QuarantineTracker, first: number) => tracker.findRecord({ bodyBytes: 1, getDigest: () => 'other', getPartKeys: () => [`part/first${first}`, GUILTY] }).isQuarantined
+  for (let seed = 1; seed <= 300; seed++) {
+    const random = SeededRandom.createMixed(seed)
+    const tracker = new QuarantineTracker()
+    let crashCount = 0
+    for (let request = 0; request < 100; request++) {
+      const first = drawInteger(random, 0, firstPartCount - 1)
+      if (isQuarantined(tracker, first)) continue
+      const sentAt = request * 100
+      tracker.addRun({ digest: `d${request}`, bodyBytes: 9, partKeys: [`part/first${first}`, GUILTY], isStarting: true, upstream: `u${request}`, sentAt, crashedAt: sentAt + 50 })
+      crashCount++
+    }
+    assert.ok(crashCount <= maxCrashes, `${crashCount} crashes with seed ${seed}`)
+  }
+})
+
 test.run()
