Keep the runs of a crash together, and do not believe a report of a crash that the list contradicts

Runs that are noticed more than 6 s after the first would have been reported with a lower counter and ignored; the evidence 'peer' was never logged; and an upstream that a node wrongly reported as crashed would have had its unframed answers cut for 60 s, also if its health check said that it is the same instance. A report counts for 6 s now while the upstream is still listed, and the health check decides first.

--- a/src/services/quarantine/node/lostUpstreams.ts
+++ b/src/services/quarantine/node/lostUpstreams.ts
@@ -31,10 +31,10 @@
 export const MAX_LIST_DELAY_MS = 6000
 /** A loss of a run may be noticed this long after the crash, by nodes behind a link that holds up what it carries. */
 const CRASH_RETENTION_MS = 60_000
-/** More runs at one upstream are not reported, the latest of them say the most. */
+/** Of more runs that were lost at one upstream, the latest are kept. */
 const MAX_RUNS = 64
 
-/** An upstream at which runs were lost, and of which it is not known whether it crashed, or it is. */
+/** An upstream at which runs were lost, whether or not it is known to have crashed. */
 class LostUpstream {
   runs: readonly LostRun[] = []
   /** Whether a connection was lost; otherwise the upstream only fell silent. */
@@ -61,9 +61,11 @@
     this._register(options.registry.onDidChange(change => this._handleRegistryChange(change)))
   }
 
-  /** Whether the instance is known to have crashed. */
+  /** Whether the instance is known to have crashed. One that is still listed some time after the report of a crash has not. */
   hasCrashed (upstream: string): boolean {
-    return this._crashedAt.has(upstream)
+    const { clock, registry } = this._options
+    const crashedAt = this._crashedAt.get(upstream)
+    return crashedAt !== undefined && (registry.get(upstream) === undefined || clock.now() - crashedAt <= MAX_LIST_DELAY_MS)
   }
 
   /** Records a run whose connection was closed; resolves to whether the upstream is known to have crashed. */
@@ -99,21 +101,25 @@
 
   /** Records that a node knows that the upstream crashed. */
   recordCrash (upstream: string, at: number): void {
+    this._confirmCrash(upstream, 'peer')
     this._crashedAt.set(upstream, at)
-    if (this._lost.has(upstream)) this._confirmCrash(upstream, 'peer')
   }
 
   expire (now: number): void {
-    for (const [upstream, { runs }] of [...this._lost]) if (runs.every(({ endedAt }) => now - endedAt > MAX_LIST_DELAY_MS)) this._lost.delete(upstream)
-    for (const [upstream, at] of [...this._crashedAt]) if (now - at > CRASH_RETENTION_MS) this._crashedAt.delete(upstream)
+    for (const [upstream, lost] of [...this._lost]) if (!this._crashedAt.has(upstream) && lost.runs.every(run => isOld(run, now))) this._lost.delete(upstream)
+    for (const [upstream, at] of [...this._crashedAt]) if (now - at > CRASH_RETENTION_MS) this._forgetCrash(upstream)
     for (const [upstream, at] of [...this._droppedAt]) if (now - at > MAX_LIST_DELAY_MS) this._droppedAt.delete(upstream)
   }
 
+  private _forgetCrash (upstream: string): void {
+    this._crashedAt.delete(upstream)
+    this._lost.delete(upstream)
+  }
+
   private _addRun (run: LostRun): LostUpstream {
     const lost = this._lost.get(run.upstream) ?? new LostUpstream(run.address)
     this._lost.set(run.upstream, lost)
-    const recent = lost.runs.filter(({ endedAt }) => run.endedAt - endedAt <= MAX_LIST_DELAY_MS)
-    lost.runs = [...recent, run].slice(-MAX_RUNS)
+    lost.runs = [...lost.runs, run].slice(-MAX_RUNS)
     return lost
   }
 
@@ -153,11 +159,18 @@
   private _confirmCrash (upstream: string, evidence: string): void {
     const { clock, log } = this._options
     const lost = this._lost.get(upstream)
-    const runs = lost?.runs.filter(({ endedAt }) => clock.now() - endedAt <= MAX_LIST_DELAY_MS) ?? []
-    const [first] = runs
-    if (this._isDisposed || first === undefined) return
-    if (!this.hasCrashed(upstream)) log.info('upstream_crashed', { upstream, evidence, runs: runs.length })
-    this._crashedAt.set(upstream, clock.now())
-    this._onDidCrash.fire({ upstream, endedAt: Math.min(...runs.map(({ endedAt }) => endedAt)), runs })
+    if (lost === undefined || this._isDisposed) return
+    if (!this._crashedAt.has(upstream)) {
+      // Earlier runs were lost for another reason, since a crashed upstream leaves the list sooner.
+      lost.runs = lost.runs.filter(run => !isOld(run, clock.now()))
+      if (lost.runs.length === 0) return
+      log.info('upstream_crashed', { upstream, evidence, runs: lost.runs.length })
+      this._crashedAt.set(upstream, clock.now())
+    }
+    this._onDidCrash.fire({ upstream, endedAt: Math.min(...lost.runs.map(({ endedAt }) => endedAt)), runs: lost.runs })
   }
 }
+
+function isOld ({ endedAt }: LostRun, now: number): boolean {
+  return now - endedAt > MAX_LIST_DELAY_MS
+}
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -97,7 +97,7 @@
     const entry = registry.get(upstream)
     if (entry === undefined || entry.isLeaving) return true
     const [connection, identity] = await Promise.all([this._probe(address), this._options.readIdentity?.(entry) ?? 'unknown'])
-    const isRunning = connection !== 'refused' && identity !== 'other' && !this._lostUpstreams.hasCrashed(upstream)
+    const isRunning = identity === 'same' || (connection !== 'refused' && identity !== 'other' && !this._lostUpstreams.hasCrashed(upstream))
     if (connection !== 'accepted' || !isRunning) log.info('unframed_answer_ended', { upstream, address, connection, instance: identity, is_whole: isRunning })
     return isRunning
   }
