--- a/src/services/relay/test/silentStreams.test.ts
+++ b/src/services/relay/test/silentStreams.test.ts
@@ -182,13 +182,13 @@
 // A node that continues after a suspension runs its timers before it reads its connections.
 test('a stream whose events wait in the connection of a suspended node has not stalled', async () => {
   const pauseTimeoutMs = 100
-  const event = (id: number) => `id: ${id}\ndata: x\n\n`
+  const formatEvent = (id: number) => `id: ${id}\ndata: x\n\n`
   const upstreams = [0, 1].map(() => new FakeUpstream(socket => {
-    socket.write(`HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: ${3 * event(1).length}\r\n\r\n${event(1)}`)
+    socket.write(`HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: ${3 * formatEvent(1).length}\r\n\r\n${formatEvent(1)}`)
     setTimeout(() => {
-      socket.write(event(2))
+      socket.write(formatEvent(2))
       for (const until = performance.now() + 8 * pauseTimeoutMs; performance.now() < until;);
-      setTimeout(() => socket.write(event(3)), pauseTimeoutMs / 2)
+      setTimeout(() => socket.write(formatEvent(3)), pauseTimeoutMs / 2)
     }, pauseTimeoutMs / 2)
   }))
   const harness = new RelayHarness({ route, upstreams })
