Look for late crashes among parts that were not answered only, and not for a repeated request

A request that is repeated could have been found by one of its parts. Change: only parts that were not answered after a crash are collected, and a part needs different requests.

--- a/src/services/quarantine/common/crashEvidence.ts
+++ b/src/services/quarantine/common/crashEvidence.ts
@@ -27,8 +27,8 @@
 /** The runs that are evidence against each key, which is the digest of a request or the key of a part. */
 export type Evidence = ReadonlyMap<string, ReadonlySet<CrashedRun>>
 
-/** Evidence from all runs, also from those that do not count against their parts because the answer of another had just begun. */
-export type GetAllEvidence = () => Evidence
+/** Evidence against parts from all runs, also from those that do not count because the answer of another had just begun. */
+export type GetPartEvidence = () => Evidence
 
 export interface CrashCause {
   /** What a request must have to be affected: all of these keys. */
@@ -105,14 +105,14 @@
  * Keys that were answered after a crash come last: a popular request or part may be in flight at more crashes than any that
  * causes them.
  */
-export function findCrashCauses (evidence: Evidence, { served = NO_KEYS, sound = NO_KEYS }: AnsweredKeys = {}, getAllEvidence: GetAllEvidence = () => evidence): CrashAnalysis {
+export function findCrashCauses (evidence: Evidence, { served = NO_KEYS, sound = NO_KEYS }: AnsweredKeys = {}, getPartEvidence: GetPartEvidence = () => evidence): CrashAnalysis {
   const causes: CrashCause[] = []
   const explainedUpstreams = new Set<string>()
   for (;;) {
     const unexplained = listUnexplainedEvidence(evidence, explainedUpstreams)
     const cause = findLikeliestCause(unexplained, { isCandidate: key => !served.has(key), minCrashes: MAX_CRASHES, sound }) ??
       findLikeliestCause(unexplained, { isCandidate: key => served.has(key), minCrashes: MAX_CRASHES_IF_SERVED, sound }) ??
-      findLateCause(listUnexplainedEvidence(getAllEvidence(), explainedUpstreams), { served, sound })
+      findLateCause(listUnexplainedEvidence(getPartEvidence(), explainedUpstreams), { served, sound })
     if (cause === undefined) return { causes, suspectedParts: listSuspectedParts(unexplained, served), explainedUpstreams }
     causes.push(cause)
     for (const run of cause.runs) explainedUpstreams.add(run.upstream)
@@ -145,10 +145,15 @@
 
 /** Finds parts on which upstreams crash long after they began to answer, when answers to other requests have just begun. */
 function findLateCause (evidence: Evidence, { served, sound }: Required<AnsweredKeys>): CrashCause | undefined {
-  const find = (isCandidate: (key: string) => boolean, minCrashes: number) => findLikeliestCause(evidence, { isCandidate: key => isPartKey(key) && !served.has(key) && isCandidate(key), minCrashes, sound: NO_KEYS, needsStarting: false })
+  const find = (isCandidate: (key: string) => boolean, minCrashes: number) => findLikeliestCause(evidence, { isCandidate: key => isPartKey(key) && !served.has(key) && isCandidate(key) && hasSeveralRequests(evidence.get(key)), minCrashes, sound: NO_KEYS, needsStarting: false })
   return find(key => !sound.has(key), MAX_CRASHES + EXTRA_LATE_CRASHES) ?? find(key => sound.has(key), MAX_CRASHES + EXTRA_LATE_CRASHES + EXTRA_WEAK_CRASHES)
 }
 
+/** A request that is repeated is a cause as a whole. */
+function hasSeveralRequests (runs: ReadonlySet<CrashedRun> = new Set()): boolean {
+  return new Set([...runs].map(({ digest }) => digest)).size > 1
+}
+
 /** What is in flight more often is so more often by coincidence. */
 function isLikelier (a: CrashCause, b: CrashCause): boolean {
   return a.crashCount > b.crashCount || (a.crashCount === b.crashCount && a.runs.size < b.runs.size)
--- a/src/services/quarantine/common/quarantineTracker.ts
+++ b/src/services/quarantine/common/quarantineTracker.ts
@@ -47,6 +47,7 @@
   private readonly _soundParts = new Set<string>()
   private _bodySizes: ReadonlySet<number> | undefined
   private _evidence: Evidence | undefined
+  private _partEvidence: Evidence | undefined
   private _analysis: CrashAnalysis | undefined
   /** Groups of runs that are the evidence for the causes of the latest analysis. */
   private _retainedGroups: ReadonlySet<string> = new Set()
@@ -171,12 +172,13 @@
   private _invalidateCaches (): void {
     this._bodySizes = undefined
     this._evidence = undefined
+    this._partEvidence = undefined
     this._analysis = undefined
   }
 
   private _getAnalysis (): CrashAnalysis {
     if (this._analysis === undefined) {
-      this._analysis = findCrashCauses(this._getEvidence(), { served: this._served, sound: this._soundParts }, () => this._collectEvidence({ includesBystanders: true }))
+      this._analysis = findCrashCauses(this._getEvidence(), { served: this._served, sound: this._soundParts }, () => this._getPartEvidence())
       this._retainedGroups = new Set(this._analysis.causes.flatMap(({ runs }) => [...runs].map(formatGroup)))
     }
     return this._analysis
@@ -187,12 +189,28 @@
     return this._evidence
   }
 
+  /** Leaves out parts that were answered after a crash, which are many and cannot be the cause of late crashes. */
+  private _getPartEvidence (): Evidence {
+    if (this._partEvidence !== undefined) return this._partEvidence
+    const evidence = new Map<string, Set<CrashedRun>>()
+    for (const run of [...this._runs.values()].flat()) {
+      for (const key of run.partKeys ?? []) {
+        if (this._served.has(key) || this._isCleared(key, run)) continue
+        const known = evidence.get(key)
+        if (known === undefined) evidence.set(key, new Set([run]))
+        else known.add(run)
+      }
+    }
+    this._partEvidence = evidence
+    return evidence
+  }
+
   /**
    * A run is evidence against its request and the parts of its prompt, unless they were cleared since. An upstream
    * crashes on a part when it begins to answer, so runs that had not come so far, or were past it, count against their parts
    * only if no other run was at that point.
    */
-  private _collectEvidence ({ includesBystanders = false } = {}): Evidence {
+  private _collectEvidence (): Evidence {
     const evidence = new Map<string, Set<CrashedRun>>()
     const runs = [...this._runs.values()].flat()
     const startingAt = new Set(runs.filter(run => run.isStarting === true).map(run => run.upstream))
@@ -203,7 +221,7 @@
     }
     for (const run of runs) {
       if (!this._isCleared(run.digest, run)) append(run.digest, run)
-      const isBystander = !includesBystanders && run.isStarting !== true && startingAt.has(run.upstream)
+      const isBystander = run.isStarting !== true && startingAt.has(run.upstream)
       if (!isBystander) for (const key of run.partKeys ?? []) if (!this._isCleared(key, run)) append(key, run)
     }
     return evidence
