Log each end of an answer without framing

Cause: hypotheses on cut streams that were passed on as whole differ in how the upstream's connection ended and whether the upstream was listed, but the end was logged only if its address did not accept connections. Change: unframed_answer_ended is logged for each such answer, with the upstream's listing. The test counted two lines for the two ends that did not accept; it now requires all four. Measured: quarantineService.test.ts passes.

--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -91,10 +91,14 @@
   async confirmRunning ({ upstream, address }: Pick<LostRun, 'upstream' | 'address'>): Promise<boolean> {
     const { registry, log } = this._options
     const entry = registry.get(upstream)
-    if (entry === undefined || entry.isLeaving) return true
+    const listing = entry === undefined ? 'none' : entry.isLeaving ? 'leaving' : 'listed'
+    if (entry === undefined || entry.isLeaving) {
+      log.info('unframed_answer_ended', { upstream, address, listing, connection: 'not probed', is_whole: true })
+      return true
+    }
     const [connection, identity] = await Promise.all([this._probe(address), this._options.readIdentity?.(entry) ?? 'unknown'])
     const isRunning = identity === 'same' || (connection !== 'refused' && identity !== 'other' && !this._lostUpstreams.hasCrashed(upstream))
-    if (connection !== 'accepted' || !isRunning) log.info('unframed_answer_ended', { upstream, address, connection, instance: identity, is_whole: isRunning })
+    log.info('unframed_answer_ended', { upstream, address, listing, connection, instance: identity, is_whole: isRunning })
     return isRunning
   }
 
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -173,7 +173,7 @@
   assert.ok(await confirm('silent'))
   assert.not(await confirm('refused'))
   assert.ok(await confirm('refused', true))
-  assert.is(fleet.lines.filter(line => line.includes('event=unframed_answer_ended')).length, 2)
+  assert.is(fleet.lines.filter(line => line.includes('event=unframed_answer_ended')).length, 4)
   // The next instance already listens at the address.
   fleet.identity = 'other'
   assert.not(await confirm('accepted'))
