Believe the end of an answer only of an upstream that is found running

What callers saw: streams and answers without a length whose upstream was killed while it left, or after its entry was gone, were passed on as whole, cut wherever they were. Cause: the system closes the connections of a killed process as if the process had closed them. confirmRunning took every upstream that leaves or is not listed for running, and one whose host does not answer as well. Change: the upstream is asked whatever its listing, and no answer is no evidence. A probe without an answer is repeated, since this node may have been suspended; if this node may be partitioned, a peer is asked. The test that asserted the old belief is replaced by one that requires evidence for each listing.

--- a/src/entryNode/nodeConnections.ts
+++ b/src/entryNode/nodeConnections.ts
@@ -66,12 +66,12 @@
     this._server.drain()
   }
 
-  /** Probes an upstream to which a connection was lost. That this node is refused counts only if no peer is accepted. */
+  /** Probes an upstream to which a connection was lost. That this node does not reach it counts only if no peer does. */
   async probe (address: string): Promise<ProbeResult> {
     const result = await probeUpstream(address)
     if (result === 'accepted') this.connector.recordDirect(address, true)
-    if (result !== 'refused') return result
-    this.connector.recordDirect(address, false)
+    if (result === 'refused') this.connector.recordDirect(address, false)
+    else if (result === 'accepted' || !this.connector.isSuspect) return result
     return await this.connector.probeByPeer(address) ? 'accepted' : result
   }
 
--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -2,6 +2,7 @@
  * The quarantine as used by the relay: checked before a request is sent, and updated after an upstream crashed while running
  * a request.
  */
+import type { UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { CrashRecord } from './quarantineTracker.ts'
 import type { IRequestIdentity } from './requestIdentity.ts'
 
@@ -34,10 +35,10 @@
   waitForPeers (): Promise<void> | undefined
   getCrashRecord (request: IRequestIdentity): CrashRecord
   /**
-   * Checks an upstream that ended its connection where nothing else marks the end of an answer. Resolves to whether it still
-   * runs, or leaves and may have stopped after the answer.
+   * Checks an upstream that ended its connection where nothing else marks the end of an answer. Resolves to whether it is known
+   * to run: one that leaves may as well have been killed before it had sent everything.
    */
-  confirmRunning (upstream: Pick<LostRun, 'upstream' | 'address'>): Promise<boolean>
+  confirmRunning (upstream: UpstreamEntry): Promise<boolean>
   /** Resolves to whether the upstream is known to have crashed, within the time of one connection attempt to it. */
   recordLostRun (run: LostRun): Promise<boolean>
   /** Records a run that this node ended while its upstream was silent; the upstream may have crashed with its host. */
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -88,16 +88,13 @@
     return this._tracker.findRecord(request)
   }
 
-  async confirmRunning ({ upstream, address }: Pick<LostRun, 'upstream' | 'address'>): Promise<boolean> {
+  async confirmRunning (entry: UpstreamEntry): Promise<boolean> {
     const { registry, log } = this._options
-    const entry = registry.get(upstream)
-    const listing = entry === undefined ? 'none' : entry.isLeaving ? 'leaving' : 'listed'
-    if (entry === undefined || entry.isLeaving) {
-      log.info('unframed_answer_ended', { upstream, address, listing, connection: 'not probed', is_whole: true })
-      return true
-    }
-    const [connection, identity] = await Promise.all([this._probe(address), this._options.readIdentity?.(entry) ?? 'unknown'])
-    const isRunning = identity === 'same' || (connection !== 'refused' && identity !== 'other' && !this._lostUpstreams.hasCrashed(upstream))
+    const { id: upstream, address } = entry
+    const current = registry.get(upstream)
+    const listing = current === undefined ? 'none' : current.isLeaving ? 'leaving' : 'listed'
+    const [connection, identity] = await Promise.all([this._probeAgainIfSilent(address), this._options.readIdentity?.(entry) ?? 'unknown'])
+    const isRunning = identity === 'same' || (connection === 'accepted' && identity !== 'other' && !this._lostUpstreams.hasCrashed(upstream))
     log.info('unframed_answer_ended', { upstream, address, listing, connection, instance: identity, is_whole: isRunning })
     return isRunning
   }
@@ -146,6 +143,12 @@
     return facts.merge({ subject, incarnation: 1, counter: (held?.counter ?? 0) + 1, value: { kind: 'cleared', digest: key, isServed: reason === 'served' }, ageMs })
   }
 
+  /** This node may have been suspended during the first probe. */
+  private async _probeAgainIfSilent (address: string): Promise<ProbeResult> {
+    const result = await this._probe(address)
+    return result === 'silent' ? await this._probe(address) : result
+  }
+
   private _probe (address: string): Promise<ProbeResult> {
     return (this._options.probe ?? probeUpstream)(address)
   }
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -162,32 +162,34 @@
   assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST).crashCount, 1)
 }))
 
-test('an upstream that refuses connections after an answer without framing has crashed, unless it was leaving', () => runFleet(async fleet => {
-  const { registry, service } = fleet.getNode(0)
-  const confirm = async (probeResult: ProbeResult, isLeaving = false) => {
-    fleet.probeResult = probeResult
-    registry.update({ id: `u-${isLeaving}`, role: 'u', address: 'h:1', hall: '', slots: 1, isLeaving }, 'test')
-    return await service.confirmRunning({ upstream: `u-${isLeaving}`, address: 'h:1' })
-  }
-  assert.ok(await confirm('accepted'))
-  assert.ok(await confirm('silent'))
-  assert.not(await confirm('refused'))
-  assert.ok(await confirm('refused', true))
-  assert.is(fleet.lines.filter(line => line.includes('event=unframed_answer_ended')).length, 4)
-  // The next instance already listens at the address.
-  fleet.identity = 'other'
-  assert.not(await confirm('accepted'))
-  fleet.identity = 'same'
-  assert.ok(await confirm('accepted'))
-}))
+for (const listing of ['listed', 'leaving', 'none'] as const) {
+  test(`an answer without framing is whole only if its upstream is found running: ${listing}`, () => runFleet(async fleet => {
+    const { registry, service } = fleet.getNode(0)
+    const entry = { id: 'u', role: 'u', address: 'h:1', hall: '', slots: 1, isLeaving: listing === 'leaving' }
+    if (listing !== 'none') registry.update(entry, 'test')
+    const confirm = async (probeResult: ProbeResult, identity: InstanceIdentity) => {
+      fleet.probeResult = probeResult
+      fleet.identity = identity
+      return await service.confirmRunning(entry)
+    }
+    assert.ok(await confirm('accepted', 'unknown'))
+    assert.not(await confirm('silent', 'unknown'))
+    assert.not(await confirm('refused', 'unknown'))
+    // The next instance already listens at the address.
+    assert.not(await confirm('accepted', 'other'))
+    for (const probeResult of ['accepted', 'silent', 'refused'] as const) assert.ok(await confirm(probeResult, 'same'))
+    assert.is(fleet.lines.filter(line => line.includes('event=unframed_answer_ended') && line.includes(`listing=${listing}`)).length, 7)
+  }))
+}
 
 test('an answer without framing is not whole if a peer knows that its upstream crashed', () => runFleet(async fleet => {
   await fleet.killUpstream(1, 'u1')
-  fleet.getNode(0).registry.update({ id: 'u1', role: 'u', address: 'u1:1', hall: '', slots: 1, isLeaving: false }, 'test')
+  const entry = { id: 'u1', role: 'u', address: 'u1:1', hall: '', slots: 1, isLeaving: false }
+  fleet.getNode(0).registry.update(entry, 'test')
   fleet.probeResult = 'accepted'
-  assert.ok(await fleet.getNode(0).service.confirmRunning({ upstream: 'u1', address: 'u1:1' }))
+  assert.ok(await fleet.getNode(0).service.confirmRunning(entry))
   fleet.sendFacts(1)
-  assert.not(await fleet.getNode(0).service.confirmRunning({ upstream: 'u1', address: 'u1:1' }))
+  assert.not(await fleet.getNode(0).service.confirmRunning(entry))
 }))
 
 test('if an upstream\'s host does not answer, its removal from the list of upstreams counts as a crash', () => runFleet(async fleet => {
--- a/src/services/relay/node/sentAttempt.ts
+++ b/src/services/relay/node/sentAttempt.ts
@@ -98,7 +98,7 @@
       onDidForwardEvent: options.onDidForwardEvent,
       onDidStall: () => this._onDidStall.fire(),
       claimAnswer: () => this._tryClaim(),
-      confirmRunning: () => context.quarantine.confirmRunning({ upstream: upstream.id, address: upstream.address }),
+      confirmRunning: () => context.quarantine.confirmRunning(upstream),
       localAddress: context.localAddress
     })
     this.result = this._run()
