Tell a reset connection from one that ended in order

Cause: when the last bytes and the hang-up of a connection are seen in one poll, the event loop reports the end of the stream and never reads the error from the socket. hasConnectionFailed waited for an error that did not come; with an unfinished upload, this node destroyed the connection at that end, before the error of the pending write was reported. A peer's tunnel passed the end on. Change: one place, connectionEnd.ts, tells how a connection ended. Exchanges without framing and tunnels ask it, and readBody and the relay ask the exchange (confirmComplete). attempt_ended names the defect. Large answers without a length go to callers in chunks, as streams do, since they begin before their end is known. Why it works: a reset without an end before it leaves ECONNRESET on the socket; one after the end leaves EPIPE, and all bytes came.

--- a/src/services/configuration/node/platformReader.ts
+++ b/src/services/configuration/node/platformReader.ts
@@ -60,7 +60,7 @@
       signal: AbortSignal.timeout(waitMs + (this._options.timeoutMs ?? 2000))
     })
     if (start.kind !== 'response') return Left(createUnreachableError(start.reason, address))
-    const body = await readBody(start.response, MAX_VALUE_BYTES)
+    const body = await readBody(start, MAX_VALUE_BYTES)
     if (start.response.statusCode === NO_CONTENT_STATUS) return Right(undefined)
     if (body === undefined || start.response.statusCode !== 200) return Left(createUnreachableError(`status ${start.response.statusCode}`, address))
     return parseAnswer(body, address)
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { IClock } from '../../../base/common/clock.ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
+import { isSelfDelimited } from '../../upstream/common/answerFraming.ts'
 import type { CallAgent, ConnectionUse } from '../../upstream/node/callAgent.ts'
 import { closeIdleConnections, startExchange } from '../../upstream/node/httpExchange.ts'
 import type { ExchangeStart, IExchange } from '../../upstream/node/httpExchange.ts'
@@ -72,8 +73,6 @@
  * are given up.
  */
 const MAX_BUFFERED_BYTES = 256 * 1024
-const NO_CONTENT = 204
-const NOT_MODIFIED = 304
 /** Longest delay that setTimeout accepts. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 /** Period with which a stalled attempt reports that it is still silent. */
@@ -166,7 +165,7 @@
     }
     this._options.onDidBeginAnswer()
     // The upstream answered before it read the whole request; closing stops sending the rest.
-    if (!exchange.wasRequestWritten) response.once('end', () => exchange.cancel())
+    if (!exchange.wasRequestWritten) response.once('end', () => { void exchange.confirmComplete().then(() => exchange.cancel()) })
     if (verdict.isSuccess && this._options.isStream) return { outcome: await this._forwardStream(response, exchange, verdict) }
     return await this._forwardAnswer(response, exchange, verdict)
   }
@@ -174,6 +173,7 @@
   private async _forwardAnswer (response: IncomingMessage, exchange: IExchange, verdict: AnswerVerdict & { readonly kind: 'answer' }): Promise<AttemptResult> {
     const { answer, onDidReceiveFirstOutput, onDidReceiveOutput, claimAnswer } = this._options
     const status = response.statusCode ?? 0
+    const hasFraming = this._hasCallerFraming(exchange)
     const parts: Buffer[] = []
     let size = 0
     try {
@@ -184,18 +184,20 @@
         if (size <= MAX_BUFFERED_BYTES) continue
         if (!verdict.isSuccess) return { outcome: this._decideIncomplete('error response too large') }
         if (!claimAnswer()) break
-        answer.begin(status, verdict.headers, isFramed(response))
+        answer.begin(status, verdict.headers, hasFraming)
         for (const buffered of parts.splice(0)) if (!answer.write(buffered)) await answer.waitForDrain()
       }
     } catch {
       return { outcome: this._decideIncomplete() }
     }
     // An upstream that stops right after the head may appear to have sent an empty body.
-    const isCut = verdict.isSuccess && size === 0 && !isFramed(response) && !hasNoBody(status)
-    if (this._isCancelled() || isCut || !await this._isComplete(response, exchange)) return { outcome: this._decideIncomplete() }
+    const isCut = verdict.isSuccess && size === 0 && !isSelfDelimited(exchange.framing)
+    if (this._isCancelled() || isCut) return { outcome: this._decideIncomplete() }
+    const defect = await this._findDefect(exchange)
+    if (defect !== undefined) return { outcome: this._decideIncomplete(defect) }
     if (verdict.isSuccess && !claimAnswer()) return { outcome: this._decideIncomplete() }
     onDidReceiveFirstOutput()
-    const bufferedAnswer = { status, headers: verdict.headers, body: Buffer.concat(parts), isFramed: isFramed(response) }
+    const bufferedAnswer = { status, headers: verdict.headers, body: Buffer.concat(parts), isFramed: isSelfDelimited(exchange.framing) }
     if (!verdict.isSuccess) return { outcome: { kind: 'failed', status }, failure: bufferedAnswer }
     if (answer.hasBegun) {
       for (const buffered of parts) answer.write(buffered)
@@ -214,8 +216,7 @@
 
   private async _forwardStream (response: IncomingMessage, exchange: IExchange, verdict: AnswerVerdict & { readonly kind: 'answer' }): Promise<AttemptOutcome> {
     const { answer, call, pauseTimeoutMs } = this._options
-    // In chunks, so that the end of this process or of its connections does not look like the end of the stream.
-    const hasFraming = isFramed(response) || answer.acceptsChunks
+    const hasFraming = this._hasCallerFraming(exchange)
     const splitter = new EventSplitter()
     let lastEventId = call.lastEventId
     let count = 0
@@ -244,10 +245,11 @@
       return this._decideBrokenStream(lastEventId)
     }
     // A connection that is reset may appear to be closed, so without framing a stream without events is not complete either.
-    const isEmpty = count === 0 && !isFramed(response)
-    if (splitter.pendingBytes > 0 || isEmpty || !await this._isComplete(response, exchange)) {
+    const isEmpty = count === 0 && !isSelfDelimited(exchange.framing)
+    const defect = splitter.pendingBytes > 0 || isEmpty ? 'stream ended early' : await this._findDefect(exchange)
+    if (defect !== undefined) {
       exchange.cancel()
-      return this._decideBrokenStream(lastEventId)
+      return this._decideBrokenStream(lastEventId, defect)
     }
     if (!this._options.claimAnswer()) return this._decideBrokenStream(lastEventId)
     if (count === 0) this._options.onDidReceiveFirstOutput()
@@ -263,20 +265,26 @@
     this._startStallTimer(this._options.pauseTimeoutMs)
   }
 
-  private _decideBrokenStream (lastEventId: string | undefined): AttemptOutcome {
+  private _decideBrokenStream (lastEventId: string | undefined, cause = 'stream ended early'): AttemptOutcome {
     if (this._isCancelled()) return { kind: 'cancelled' }
-    const reason = this._hasTimedOut ? 'stream paused too long' : 'stream ended early'
+    const reason = this._hasTimedOut ? 'stream paused too long' : cause
     return this._options.answer.hasBegun ? { kind: 'broken', lastEventId, reason } : { kind: 'lost', reason }
   }
 
+  /** In chunks, so that the end of this process or of its connections does not look like the end of the answer. */
+  private _hasCallerFraming (exchange: IExchange): boolean {
+    return isSelfDelimited(exchange.framing) || this._options.answer.acceptsChunks
+  }
+
   /**
-   * Without framing, the end of the connection is the only end of the body, and the connection must have been closed, not
-   * reset. The system closes the connections of a process that crashed in the same way, so the answer is complete only if
-   * the upstream still runs.
+   * Finds why an answer that has ended is not complete. The system closes the connections of a process that crashed as if the
+   * process had, so without framing the answer is complete only if the upstream still runs.
    */
-  private async _isComplete (response: IncomingMessage, exchange: IExchange): Promise<boolean> {
-    if (!response.complete) return false
-    return isFramed(response) || (!exchange.hasConnectionFailed && await this._options.confirmRunning())
+  private async _findDefect (exchange: IExchange): Promise<string | undefined> {
+    const isComplete = await exchange.confirmComplete()
+    if (isSelfDelimited(exchange.framing)) return isComplete ? undefined : 'answer incomplete'
+    if (!isComplete) return 'connection reset'
+    return await this._options.confirmRunning() ? undefined : 'upstream ended with its answer'
   }
 
   /** Whether nothing is known against the upstream: the run was aborted, or another attempt answers the caller. */
@@ -293,11 +301,3 @@
     })
   }
 }
-
-function hasNoBody (status: number): boolean {
-  return status === NO_CONTENT || status === NOT_MODIFIED
-}
-
-function isFramed (response: IncomingMessage): boolean {
-  return response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
-}
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -99,13 +99,17 @@
 /** Handles a request whose head an upstream has read. */
 export type UpstreamScript = (socket: Socket, head: string) => void
 
-/** Creates a script that sends bytes and then keeps, closes or resets the connection. */
-export function answerWith (text: string, end: 'keep' | 'close' | 'reset' = 'keep'): UpstreamScript {
+/**
+ * Creates a script that sends bytes and then keeps, closes or resets the connection. After `resetAtOnce` the bytes and the reset are
+ * seen in one poll of the event loop.
+ */
+export function answerWith (text: string, end: 'keep' | 'close' | 'reset' | 'resetAtOnce' = 'keep'): UpstreamScript {
   return socket => {
     socket.write(text, () => {
       if (end === 'close') socket.end()
       // Lets the bytes arrive before the reset.
       if (end === 'reset') setTimeout(() => socket.resetAndDestroy(), 30)
+      if (end === 'resetAtOnce') setImmediate(() => socket.resetAndDestroy())
     })
   }
 }
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -6,6 +6,10 @@
 import type { Socket } from 'node:net'
 import { parseAddress } from '../../../base/common/address.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
+import { findAnswerFraming } from '../common/answerFraming.ts'
+import type { AnswerFraming } from '../common/answerFraming.ts'
+import { watchConnectionEnd } from './connectionEnd.ts'
+import type { ConnectionEnd } from './connectionEnd.ts'
 
 /** Options of one exchange. */
 export interface ExchangeOptions {
@@ -34,13 +38,15 @@
 
 /** An exchange whose response has begun. */
 export interface IExchange {
-  /**
-   * Whether the connection failed. The parser considers a body without a length complete when its connection is reset, so the
-   * end of the response alone does not prove that it is complete.
-   */
-  readonly hasConnectionFailed: boolean
+  /** What ends the response's body; never `unsupported`. */
+  readonly framing: AnswerFraming
   /** Whether the request had been written completely when the response began. */
   readonly wasRequestWritten: boolean
+  /**
+   * Resolves, after the end of the response, to whether its body is complete. The parser considers a body without a length
+   * complete even if its connection was reset.
+   */
+  confirmComplete (): Promise<boolean>
   /** Ends the exchange and closes its connection. */
   cancel (): void
 }
@@ -57,13 +63,15 @@
 
 class Exchange implements IExchange {
   readonly wasRequestWritten: boolean
+  private readonly _connectionEnd: Promise<ConnectionEnd> | undefined
 
-  constructor (private readonly _call: ClientRequest, private readonly _state: ExchangeState) {
+  constructor (private readonly _call: ClientRequest, private readonly _response: IncomingMessage, readonly framing: AnswerFraming) {
     this.wasRequestWritten = _call.writableFinished
+    this._connectionEnd = framing === 'close' ? watchConnectionEnd(_response.socket) : undefined
   }
 
-  get hasConnectionFailed (): boolean {
-    return this._state.reason !== ''
+  async confirmComplete (): Promise<boolean> {
+    return this._response.complete && await (this._connectionEnd ?? 'closed') === 'closed'
   }
 
   cancel (): void {
@@ -129,7 +137,8 @@
     })
     call.on('response', response => {
       state.hasResponse = true
-      resolve({ kind: 'response', response, exchange: new Exchange(call, state) })
+      const framing = findAnswerFraming({ method: options.method, status: response.statusCode ?? 0, headers: response.headers })
+      resolve({ kind: 'response', response, exchange: new Exchange(call, response, framing) })
     })
     call.on('error', error => { if (state.reason === '') state.reason = error.message })
     call.on('close', () => {
--- a/src/services/upstream/node/httpUpstreamAdapter.ts
+++ b/src/services/upstream/node/httpUpstreamAdapter.ts
@@ -2,7 +2,6 @@
  * Adapter for the upstream protocol of docs/UPSTREAMS.md: HTTP/1.1 with JSON bodies and server-sent events.
  */
 import { Agent } from 'node:http'
-import type { IncomingMessage } from 'node:http'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { UpstreamKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -13,6 +12,7 @@
 import type { UpstreamCall, UpstreamOrder, UpstreamOutcome, UpstreamReport } from '../common/upstreamAdapter.ts'
 import { startExchange } from './httpExchange.ts'
 import { readBody } from './responseBody.ts'
+import type { StartedExchange } from './responseBody.ts'
 import { TokenStreamReader } from './tokenStream.ts'
 import { ErrorAnswer, LoadReport, OrderAnswer, parseBody, RunAnswer } from './upstreamMessages.ts'
 
@@ -59,8 +59,8 @@
     })
     if (start.kind === 'notSent') return createNotRunOutcome('upstreamUnreachable', start.reason, call.upstream)
     if (start.kind === 'lost') return createLostOutcome('upstreamConnectionLost', start.reason, call.upstream)
-    if (start.response.statusCode !== OK) return await this._readErrorAnswer(call, start.response)
-    return isEngine ? await new TokenStreamReader(call).read(start.response) : await this._readAnswer(call, start.response)
+    if (start.response.statusCode !== OK) return await this._readErrorAnswer(call, start)
+    return isEngine ? await new TokenStreamReader(call).read(start.response) : await this._readAnswer(call, start)
   }
 
   async cancel (upstream: Upstream, attemptId: string): Promise<void> {
@@ -93,20 +93,20 @@
       signal: AbortSignal.timeout(this._controlTimeoutMs)
     })
     if (start.kind !== 'response') return Left(createError('upstreamUnreachable', start.reason, upstream))
-    const text = await readBody(start.response, MAX_ANSWER_BYTES)
+    const text = await readBody(start, MAX_ANSWER_BYTES)
     if (text === undefined) return Left(createError('upstreamConnectionLost', 'the answer was truncated', upstream))
     if (start.response.statusCode !== OK) return Left(createError('upstreamFailed', `status ${start.response.statusCode}`, upstream))
     return Right(text)
   }
 
-  private async _readAnswer (call: UpstreamCall, response: IncomingMessage): Promise<UpstreamOutcome> {
-    const text = await readBody(response, MAX_ANSWER_BYTES)
+  private async _readAnswer (call: UpstreamCall, start: StartedExchange): Promise<UpstreamOutcome> {
+    const text = await readBody(start, MAX_ANSWER_BYTES)
     if (text === undefined) return createLostOutcome('upstreamConnectionLost', 'the answer was truncated', call.upstream)
     return parseBody(text, RunAnswer, call.upstream.name).caseOf<UpstreamOutcome>({
       Left: error => ({ kind: 'lost', error }),
       Right: answer => {
         if (answer.attempt !== call.attemptId) {
-          response.socket.destroy()
+          start.response.socket.destroy()
           return createLostOutcome('upstreamAnswerForeign', `the answer belongs to attempt ${answer.attempt}`, call.upstream)
         }
         call.onDidReceiveText(answer.output, 0)
@@ -116,11 +116,11 @@
   }
 
   /** The call is considered not run only if the upstream's answer says so and carries this attempt's id. */
-  private async _readErrorAnswer (call: UpstreamCall, response: IncomingMessage): Promise<UpstreamOutcome> {
-    const text = await readBody(response, MAX_ERROR_BYTES)
+  private async _readErrorAnswer (call: UpstreamCall, start: StartedExchange): Promise<UpstreamOutcome> {
+    const text = await readBody(start, MAX_ERROR_BYTES)
     const parsed = parseBody(text ?? '', ErrorAnswer, call.upstream.name)
     const answer = parsed.toMaybe().filter(found => found.attempt === call.attemptId).extractNullable()
-    if (answer === null) return createLostOutcome('upstreamAnswerInvalid', `status ${response.statusCode}`, call.upstream)
+    if (answer === null) return createLostOutcome('upstreamAnswerInvalid', `status ${start.response.statusCode}`, call.upstream)
     if (answer.ran) {
       return { kind: 'failed', error: createError('upstreamFailed', answer.error, call.upstream), busyMs: answer.busyMs }
     }
--- a/src/services/upstream/node/responseBody.ts
+++ b/src/services/upstream/node/responseBody.ts
@@ -2,12 +2,16 @@
  * Reads the bodies of responses within bounds: an upstream in trouble may send bytes without end.
  */
 import type { IncomingMessage } from 'node:http'
+import type { ExchangeStart } from './httpExchange.ts'
+
+/** An exchange whose response has begun. */
+export type StartedExchange = Extract<ExchangeStart, { readonly kind: 'response' }>
 
 const MAX_DRAINED_BYTES = 64 * 1024
 const MAX_DRAIN_MS = 1000
 
 /** Reads a body of bounded size; undefined if it was truncated or is too large. The caller bounds the time. */
-export async function readBody (response: IncomingMessage, maxBytes: number): Promise<string | undefined> {
+export async function readBody ({ response, exchange }: StartedExchange, maxBytes: number): Promise<string | undefined> {
   const chunks: Buffer[] = []
   let size = 0
   try {
@@ -22,7 +26,7 @@
   } catch {
     return undefined
   }
-  return response.complete ? Buffer.concat(chunks).toString('utf8') : undefined
+  return await exchange.confirmComplete() ? Buffer.concat(chunks).toString('utf8') : undefined
 }
 
 /** Discards the rest of a response, so that its connection can be used again, or closes it if that is too long or takes too long. */
--- a/src/services/upstream/node/tunnelServer.ts
+++ b/src/services/upstream/node/tunnelServer.ts
@@ -8,6 +8,7 @@
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
 import type { ILogService } from '../../log/node/logger.ts'
+import { watchConnectionEnd } from './connectionEnd.ts'
 import { TUNNEL_PATH } from './tunnelSocket.ts'
 
 /** Why a tunnel is refused. Sent as the status message; only `unreachable` says something of the upstream. */
@@ -99,13 +100,11 @@
       clearTimeout(timer)
       this._join(socket, request, response)
     })
-    socket.once('close', hasFailed => {
+    socket.once('close', () => {
       clearTimeout(timer)
       this._tunnels.delete(socket)
       this._release(release)
       if (!isOpened) this._refuse(upstream, 'unreachable', response)
-      // A reset of the upstream must not appear as an orderly end.
-      else if (hasFailed || !response.writableEnded) response.destroy()
     })
     // The peer has left, or its process has ended.
     response.once('close', () => resetSocket(socket))
@@ -117,6 +116,15 @@
     response.writeHead(OK, { 'content-type': 'application/octet-stream' })
     response.flushHeaders()
     request.pipe(socket)
-    socket.pipe(response)
+    socket.pipe(response, { end: false })
+    void watchConnectionEnd(socket).then(end => {
+      if (end === 'closed') {
+        response.end()
+        socket.end()
+      } else {
+        // A reset of the upstream must not appear as an orderly end.
+        response.destroy()
+      }
+    })
   }
 }
--- a/src/services/upstream/test/tunnel.test.ts
+++ b/src/services/upstream/test/tunnel.test.ts
@@ -64,8 +64,7 @@
 
 async function readAnswer (start: ExchangeStart): Promise<string> {
   if (start.kind !== 'response') return start.kind
-  const body = await readBody(start.response, 1000)
-  return start.exchange.hasConnectionFailed ? 'cut' : body ?? 'truncated'
+  return await readBody(start, 1000) ?? 'truncated'
 }
 
 test('a request and its answer pass unchanged, and the peer closes the connection after it', () => runWith(answerWith(FRAMED), async ({ upstream, server, send }) => {
@@ -82,6 +81,10 @@
   assert.not.equal(await readAnswer(await send()), 'body')
 }))
 
+test('an answer whose bytes and reset reach the peer together is not whole', () => runWith(answerWith(UNFRAMED, 'resetAtOnce'), async ({ send }) => {
+  for (let round = 0; round < 20; round++) assert.not.equal(await readAnswer(await send()), 'body')
+}))
+
 test('an answer whose peer ends midway is not whole', () => runWith(answerWith(UNFRAMED), async ({ server, send }) => {
   const start = await send()
   server.dispose()
