Refuse answers with a transfer encoding other than chunks

What callers saw: an answer with Transfer-Encoding gzip, identity or another that does not end in chunks was passed on without its encoding, a body that was not the upstream's, and as whole when it was cut. Cause: any Transfer-Encoding counted as framing, so that neither a reset nor a crash was looked at.

--- a/src/services/relay/test/resetAnswers.test.ts
+++ b/src/services/relay/test/resetAnswers.test.ts
@@ -1,5 +1,5 @@
-// Guards against answers without a length that are passed on as whole although a reset, or a crash while the upstream leaves,
-// cut them.
+// Guards against answers without a length that are passed on as whole although a reset, a crash while the upstream leaves or an
+// unknown transfer encoding cut them.
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -65,6 +65,13 @@
       assert.not(answer === undefined || isWholeSuccess(answer), answer?.text)
     })
   }
+
+  for (const encoding of ['gzip', 'identity', 'chunked, gzip', 'gzip, chunked', 'xchunked', 'chunked;q=1']) {
+    test(`an answer with the transfer encoding ${encoding} is not passed on: ${RouteKind[kind]}`, async () => {
+      const [answer] = await collectAnswers(kind, () => answerWith(`HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: ${encoding}\r\n\r\nf\r\n${EVENT}\r\n0\r\n\r\n`, 'close'), { rounds: 1 })
+      assert.match(answer?.text ?? '', /^HTTP\/1\.1 502/)
+    })
+  }
 }
 
 test.run()
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -138,7 +138,12 @@
     call.on('response', response => {
       state.hasResponse = true
       const framing = findAnswerFraming({ method: options.method, status: response.statusCode ?? 0, headers: response.headers })
-      resolve({ kind: 'response', response, exchange: new Exchange(call, response, framing) })
+      if (framing === 'unsupported') {
+        state.reason = 'unsupported transfer encoding'
+        call.destroy()
+      } else {
+        resolve({ kind: 'response', response, exchange: new Exchange(call, response, framing) })
+      }
     })
     call.on('error', error => { if (state.reason === '') state.reason = error.message })
     call.on('close', () => {
