Parse heads strictly whatever the environment says

Callers got an answer with an odd head as a whole one: a blank or a control byte in a field's name, and then a body that was not the engine's.

Callers' requests were read in the same way and sent on.

Clients and servers now ask for the strict parser themselves.

--- a/src/client/gateDirectory.ts
+++ b/src/client/gateDirectory.ts
@@ -6,6 +6,7 @@
 import type { Client } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
 import type { IClock } from '../base/common/clock.ts'
+import { STRICT_PARSING } from '../base/node/httpParsing.ts'
 import { RequestService } from '../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { ConfigurationNumber } from '../services/configuration/common/configurationNumber.ts'
 import { compareConfigurationNumbers, NO_CONFIGURATION } from '../services/configuration/common/configurationNumber.ts'
@@ -54,7 +55,7 @@
       const transport = createConnectTransport({
         baseUrl: `http://${address}`,
         httpVersion: '1.1',
-        nodeOptions: { agent: this._agent, localAddress: this._options.localAddress }
+        nodeOptions: { ...STRICT_PARSING, agent: this._agent, localAddress: this._options.localAddress }
       })
       client = createClient(RequestService, transport)
       this._clients.set(address, client)
--- a/src/services/metrics/node/metricsServer.ts
+++ b/src/services/metrics/node/metricsServer.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 
 const LATENCY_BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000]
 
@@ -53,7 +54,7 @@
 
   constructor (private readonly _metrics: MetricsRegistry, private readonly _handlers: readonly OperatorHandler[] = []) {
     super()
-    this._server = createServer((request, response) => {
+    this._server = createServer(STRICT_PARSING, (request, response) => {
       if (request.url !== '/metrics') return this._answerOperatorRequest(request, response)
       this._metrics.registry.metrics().then(
         text => response.writeHead(200, { 'content-type': this._metrics.registry.contentType }).end(text),
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -10,6 +10,7 @@
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
 import { hashSha256 } from '../../../base/node/digest.ts'
+import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { OTHER_NODE_RETRY_MS } from '../common/relayProtocol.ts'
 import type { CallerProtocol, RelayRefusal } from '../common/relayProtocol.ts'
@@ -71,7 +72,7 @@
     super()
     this._options = options
     this._context = { ...options.context, refuse: (answer, refusal, requestId) => this._refuse(answer, refusal, requestId) }
-    this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS }, (request, response) => { void this._handle(request, response) })
+    this._server = createServer({ ...STRICT_PARSING, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS }, (request, response) => { void this._handle(request, response) })
     this._server.on('clientError', (_error, socket) => { socket.destroy() })
     this._register(toDisposable(() => {
       this._server.close()
--- a/src/services/rpc/node/rpcServer.ts
+++ b/src/services/rpc/node/rpcServer.ts
@@ -7,6 +7,7 @@
 import type { ConnectRouter } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 
 /** Size limit of a request; large enough for an input and a checkpoint of their maximum sizes. */
 const MAX_REQUEST_BYTES = 2 * 1024 * 1024
@@ -18,7 +19,7 @@
   constructor (routes: (router: ConnectRouter) => void) {
     super()
     const handle = connectNodeAdapter({ routes, readMaxBytes: MAX_REQUEST_BYTES })
-    this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, handle)
+    this._server = createServer({ ...STRICT_PARSING, keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, handle)
     this._register(toDisposable(() => {
       this._server.close()
       this._server.closeAllConnections()
--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -5,6 +5,7 @@
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { parseAddress } from '../../../base/common/address.ts'
+import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
 
 /** Options of one exchange. */
@@ -93,6 +94,7 @@
   const state = new ExchangeState()
   return new Promise(resolve => {
     const call = request({
+      ...STRICT_PARSING,
       host: address.host,
       port: address.port,
       method: options.method,
--- a/src/services/upstream/node/tunnelServer.ts
+++ b/src/services/upstream/node/tunnelServer.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import { TUNNEL_PATH } from './tunnelSocket.ts'
@@ -49,7 +50,7 @@
 
   /** Resolves with the bound port; the system chooses a free one if `port` is 0. */
   listen (host: string, port: number): Promise<number> {
-    const server = createServer((request, response) => this._accept(request, response))
+    const server = createServer(STRICT_PARSING, (request, response) => this._accept(request, response))
     // The body of a tunnel ends with the connection that it carries.
     server.requestTimeout = 0
     server.maxConnections = MAX_CONNECTIONS
--- a/src/services/upstream/node/tunnelSocket.ts
+++ b/src/services/upstream/node/tunnelSocket.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { Duplex } from 'node:stream'
 import { parseAddress } from '../../../base/common/address.ts'
+import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
 
 export interface TunnelOptions {
@@ -71,7 +72,7 @@
   const address = parseAddress(peer)
   if (address === undefined) return Promise.resolve({ kind: 'failed', reason: 'invalid address' })
   return new Promise(resolve => {
-    const call = request({ host: address.host, port: address.port, method: 'POST', path: `${TUNNEL_PATH}${upstream}`, agent: false, headers: { 'transfer-encoding': 'chunked' } })
+    const call = request({ ...STRICT_PARSING, host: address.host, port: address.port, method: 'POST', path: `${TUNNEL_PATH}${upstream}`, agent: false, headers: { 'transfer-encoding': 'chunked' } })
     const timer = setTimeout(() => call.destroy(new Error('timeout')), timeoutMs)
     call.on('response', response => {
       clearTimeout(timer)
