Take an answer whose head is not HTTP for none

Callers got answers with the statuses 101, 600 to 999 and, from status lines that say HTTP/0.9 or HTTP/2.0 or hold a control byte, whole answers; with the statuses 000 to 099 they got no answer at all.

Cause: the parser accepts three digits and four versions and any byte in a reason phrase, and nothing of ours looked at them. After an exchange was given up for its interim responses, the parser also went on with the answer behind them in the same packet, which was then used.

One pure module now checks version, status, reason phrase, names and values of every final and interim response where all exchanges begin: at the relay, in calls for pieces, in the store's client, in probes. What is invalid ends the exchange like any answer that can't be parsed: its connection is reset, the attempt is lost, a repeatable request is sent again. An exchange that was given up takes no response any more.

--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -7,6 +7,7 @@
 import { parseAddress } from '../../../base/common/address.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
+import { validateFinalHead, validateInterimHead } from '../common/responseHead.ts'
 
 /** Options of one exchange. */
 export interface ExchangeOptions {
@@ -113,6 +114,10 @@
       if (state.wasSent && !state.hasResponse && call.socket !== null) resetSocket(call.socket)
       else call.destroy()
     }
+    const refuse = (reason: string) => {
+      if (state.reason === '') state.reason = reason
+      abort()
+    }
     options.signal?.addEventListener('abort', abort, { once: true })
     call.on('socket', socket => {
       options.onDidAssignConnection?.(socket)
@@ -124,12 +129,15 @@
       else sendNow()
     })
     let interimCount = 0
-    call.on('information', () => {
-      if (++interimCount <= MAX_INTERIM_RESPONSES) return
-      state.reason = 'too many interim responses'
-      call.destroy()
+    call.on('information', information => {
+      const invalid = ++interimCount > MAX_INTERIM_RESPONSES ? 'too many interim responses' : validateInterimHead(information)
+      if (invalid !== undefined) refuse(invalid)
     })
     call.on('response', response => {
+      const invalid = validateFinalHead(response)
+      if (invalid !== undefined) refuse(invalid)
+      // The parser goes on with what was read before the connection was closed.
+      if (state.reason !== '') return
       state.hasResponse = true
       resolve({ kind: 'response', response, exchange: new Exchange(call, state) })
     })
