Take a peer's answer that is not HTTP for a failure

A node whose peer's address answers in another way than a tunnel server (a process that was given the address, a peer in trouble) took HTTP/2.0 or HTTP/0.9 with a 200 for an open tunnel, so that a request was sent into it, and statuses such as 000 for a refusal. For a 101 with an upgrade, which ends the exchange without an error, openTunnel never resolved, so whoever asked its peers one after the other waited for it.

The answer's head is checked as those of upstreams are, and the close of the exchange is a failure as well.

--- a/src/services/upstream/node/tunnelSocket.ts
+++ b/src/services/upstream/node/tunnelSocket.ts
@@ -8,6 +8,7 @@
 import { parseAddress } from '../../../base/common/address.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
+import { validateFinalHead } from '../common/responseHead.ts'
 
 export interface TunnelOptions {
   /** The address at which the peer accepts tunnels. */
@@ -76,6 +77,8 @@
     const timer = setTimeout(() => call.destroy(new Error('timeout')), timeoutMs)
     call.on('response', response => {
       clearTimeout(timer)
+      const invalid = validateFinalHead(response)
+      if (invalid !== undefined) return call.destroy(new Error(invalid))
       if (response.statusCode === OK) return resolve({ kind: 'opened', socket: new TunnelSocket(call, response) })
       resolve({ kind: 'refused', reason: response.statusMessage ?? '' })
       call.destroy()
@@ -85,6 +88,11 @@
       clearTimeout(timer)
       resolve({ kind: 'failed', reason: error.message })
     })
+    // A peer that changes the protocol ends the exchange without an error.
+    call.on('close', () => {
+      clearTimeout(timer)
+      resolve({ kind: 'failed', reason: 'connection closed' })
+    })
     call.flushHeaders()
   })
 }
--- a/src/services/upstream/test/tunnel.test.ts
+++ b/src/services/upstream/test/tunnel.test.ts
@@ -6,6 +6,7 @@
 import { SystemClock } from '../../../base/node/systemClock.ts'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { DisposableStore, toDisposable } from '../../../base/common/disposable.ts'
+import { waitFor } from '../../../base/node/interval.ts'
 import { waitUntil } from '../../../base/test/polling.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { answerWith, FakeUpstream } from '../../relay/test/fakes.ts'
@@ -130,6 +131,17 @@
   assert.is((await openTunnel({ peer: 'nonsense', upstream: CLOSED_PORT, timeoutMs: 100 })).kind, 'failed')
 })
 
+// With a status line that is not HTTP the tunnel counted as open, and with a change of protocol nobody learned of its end.
+test('a peer whose answer is not HTTP counts as failed', async () => {
+  for (const head of ['HTTP/2.0 200 OK\r\nTransfer-Encoding: chunked', 'HTTP/0.9 200 OK', 'HTTP/1.1 000 Odd', 'HTTP/1.1 101 Odd', 'HTTP/1.1 101 Odd\r\nConnection: upgrade\r\nUpgrade: x']) {
+    const peer = new FakeUpstream(answerWith(`${head}\r\n\r\n`))
+    const start = await Promise.race([openTunnel({ peer: await peer.listen(), upstream: CLOSED_PORT, timeoutMs: 100 }), waitFor(1000)])
+    if (start?.kind === 'opened') start.socket.on('error', () => {}).destroy()
+    peer.dispose()
+    assert.is(start?.kind, 'failed', head)
+  }
+})
+
 test('a request that is given up before its answer began resets the connection that its peer has opened', async () => {
   const controller = new AbortController()
   let ending: unknown
