--- a/src/services/upstream/node/httpExchange.ts
+++ b/src/services/upstream/node/httpExchange.ts
@@ -5,11 +5,13 @@
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { parseAddress } from '../../../base/common/address.ts'
+import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
 import { findAnswerFraming } from '../common/answerFraming.ts'
 import type { AnswerFraming } from '../common/answerFraming.ts'
 import { watchConnectionEnd } from './connectionEnd.ts'
 import type { ConnectionEnd } from './connectionEnd.ts'
+import { validateFinalHead, validateInterimHead } from '../common/responseHead.ts'
 
 /** Options of one exchange. */
 export interface ExchangeOptions {
@@ -101,6 +103,7 @@
   const state = new ExchangeState()
   return new Promise(resolve => {
     const call = request({
+      ...STRICT_PARSING,
       host: address.host,
       port: address.port,
       method: options.method,
@@ -119,6 +122,10 @@
       if (state.wasSent && !state.hasResponse && call.socket !== null) resetSocket(call.socket)
       else call.destroy()
     }
+    const refuse = (reason: string) => {
+      if (state.reason === '') state.reason = reason
+      abort()
+    }
     options.signal?.addEventListener('abort', abort, { once: true })
     call.on('socket', socket => {
       options.onDidAssignConnection?.(socket)
@@ -130,20 +137,18 @@
       else sendNow()
     })
     let interimCount = 0
-    call.on('information', () => {
-      if (++interimCount <= MAX_INTERIM_RESPONSES) return
-      state.reason = 'too many interim responses'
-      call.destroy()
+    call.on('information', information => {
+      const invalid = ++interimCount > MAX_INTERIM_RESPONSES ? 'too many interim responses' : validateInterimHead(information)
+      if (invalid !== undefined) refuse(invalid)
     })
     call.on('response', response => {
-      state.hasResponse = true
       const framing = findAnswerFraming({ method: options.method, status: response.statusCode ?? 0, headers: response.headers })
-      if (framing === 'unsupported') {
-        state.reason = 'unsupported transfer encoding'
-        call.destroy()
-      } else {
-        resolve({ kind: 'response', response, exchange: new Exchange(call, response, framing) })
-      }
+      const invalid = validateFinalHead(response) ?? (framing === 'unsupported' ? 'unsupported transfer encoding' : undefined)
+      if (invalid !== undefined) refuse(invalid)
+      // The parser goes on with what was read before the connection was closed.
+      if (state.reason !== '') return
+      state.hasResponse = true
+      resolve({ kind: 'response', response, exchange: new Exchange(call, response, framing) })
     })
     call.on('error', error => { if (state.reason === '') state.reason = error.message })
     call.on('close', () => {
