Send recent facts over the links that carried facts least recently

Cause: each round drew links anew. An urgent fact is sent over three links and over two in each of the next three rounds, and a draw may pick links that were used before. Now and then all neighbours of one member missed the link to it in all rounds, and the fact waited for the exchange of all facts, which takes one link every 4 s. Traced in such a case: the nine neighbours of the late member had the fact within 119 ms and sent it over 4 to 7 links each, none of them to that member, until one reconciled with it after 2.3 s.

Change: a round uses links that have something to send, those used least recently first, and draws only among equals. An urgent fact thus goes over nine different links, and a member has about ten.

--- a/src/services/facts/node/peerLink.ts
+++ b/src/services/facts/node/peerLink.ts
@@ -87,6 +87,11 @@
     return { sent: bytesSent, received: bytesReceived }
   }
 
+  /** The sequence number of the fact store when facts were last sent. */
+  get sentSequence (): number {
+    return this._sentSequence
+  }
+
   get isClosed (): boolean {
     return this._options.connection.isClosed
   }
--- a/src/services/membership/node/gossipService.ts
+++ b/src/services/membership/node/gossipService.ts
@@ -42,8 +42,8 @@
 /** Number of members that recent facts are sent to in each round. */
 const GOSSIP_FANOUT = 2
 /**
- * Number of rounds in which a fact counts as recent. Each member thus forwards it about GOSSIP_FANOUT times in each of
- * these rounds, whatever the number of members.
+ * Number of rounds in which a fact counts as recent. Each member thus forwards it GOSSIP_FANOUT times in each of these
+ * rounds, whatever the number of members. Together with the urgent rounds these are about as many as its links.
  */
 const GOSSIP_ROUNDS = 3
 /** Number of members that are asked to probe a member that does not answer this one. */
@@ -305,7 +305,21 @@
   /** Sends recent facts over open links. A missing link to a neighbour is opened here and used from the next round on. */
   private _sendRecentFacts (count: number): void {
     for (const address of this.listNeighbours()) if (!this._links.has(address)) void this._getLink(address)
-    for (const link of this._pickRandom(this._listOpenLinks(), count)) link.sendRecentFacts(this._roundSequences[0] ?? 0)
+    for (const link of this._chooseLeastRecent(count)) link.sendRecentFacts(this._roundSequences[0] ?? 0)
+  }
+
+  /**
+   * Chooses links that have new facts to send, those first that were used for this least recently. Links drawn anew in each
+   * round could miss the same member from all of its neighbours; the fact then waited seconds for the exchange of all facts.
+   */
+  private _chooseLeastRecent (count: number): readonly PeerLink[] {
+    const { facts } = this._options.link
+    return this._listOpenLinks()
+      .filter(link => link.sentSequence < facts.sequence)
+      .map(link => ({ link, rank: this._options.random.next() }))
+      .sort((a, b) => a.link.sentSequence - b.link.sentSequence || a.rank - b.rank)
+      .slice(0, count)
+      .map(({ link }) => link)
   }
 
   /**
