Test that answers cut through a peer's tunnel are not whole

Cut heads were tested on direct connections only. A relay whose node is partitioned from all upstreams now gets answers through a peer that are cut in the head or before the last byte of the body, by the upstream (end or reset) or by the loss of the link to the peer; the latter also after every byte of an answer that only the end of its connection ends, which a lost peer must not be taken for. None is whole, and a sound answer is, also after a cut one.

The harness of the relay takes an agent, which opens the connections to upstreams.

--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -176,6 +176,8 @@
   /** The hall of each upstream, in order; by default all are in one hall. */
   readonly halls?: readonly string[]
   readonly hallRegions?: Readonly<Record<string, string>>
+  /** Opens the connections to upstreams; by default directly. */
+  readonly agent?: CallAgent
   /** Protocols of callers and upstreams; by default the fake ones of this file. */
   readonly protocols?: { readonly caller: CallerProtocol, readonly upstream: UpstreamProtocol }
 }
@@ -196,7 +198,7 @@
   constructor (private readonly _options: RelayHarnessOptions) {
     super()
     const clock = new SystemClock()
-    const agent = new CallAgent({ keepAlive: true })
+    const agent = _options.agent ?? new CallAgent({ keepAlive: true })
     this._register(toDisposable(() => agent.destroy()))
     const log = new LogService({ program: 'test', silent: true })
     const facts = this._register(_options.facts ?? new FactStore(clock))
