Forward the events that arrive together in one write

Callers saw their requests end with the node that served them: an upstream in trouble sent line breaks without end as its stream, and the node grew until it ran out of memory.

Cause: each event was forwarded by a write of its own, 32,768 for 64 kB of line breaks, and a write costs several hundred bytes of memory whatever its size. Whether the caller's connection had room was looked at only after all events of a part were written, and its limit counts the bytes of the events, not what the writes cost.

Change: EventSplitter returns the complete events of a part as one buffer, with the id of the last event that has one, and the relay writes it at once. The bytes and the rule that a partial event is never forwarded are unchanged. Back-pressure now bounds what is buffered, since one write holds about as much as it carries.

--- a/src/base/test/endlessBytes.ts
+++ b/src/base/test/endlessBytes.ts
@@ -4,14 +4,36 @@
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { Disposable, toDisposable } from '../common/disposable.ts'
+import { waitFor } from '../node/interval.ts'
 
 /** Parts that are sent before the event loop gets a turn, since both ends of a test share it. */
 const PARTS_PER_TURN = 64
 
+export interface MeasuredLoad {
+  /** How much the memory of this process grew. */
+  readonly grownBytes: number
+  /** The longest time for which the event loop did not get to a timer. */
+  readonly blockedMs: number
+}
+
+/** Measures this process for some time. */
+export async function measureLoad (durationMs: number): Promise<MeasuredLoad> {
+  const startedAt = performance.now()
+  const startBytes = process.memoryUsage.rss()
+  let [maxBytes, blockedMs] = [startBytes, 0]
+  for (let turnAt = startedAt; turnAt - startedAt < durationMs;) {
+    await waitFor(5)
+    blockedMs = Math.max(blockedMs, performance.now() - turnAt)
+    maxBytes = Math.max(maxBytes, process.memoryUsage.rss())
+    turnAt = performance.now()
+  }
+  return { grownBytes: maxBytes - startBytes, blockedMs }
+}
+
 /** Sends a part again and again until the connection is closed. */
-export function sendEndlessly (socket: Socket, part: string): void {
+export function sendEndlessly (socket: Socket, part: string, partsPerTurn = PARTS_PER_TURN): void {
   const send = () => {
-    for (let count = 0; count < PARTS_PER_TURN; count++) if (socket.destroyed || !socket.write(part)) return
+    for (let count = 0; count < partsPerTurn; count++) if (socket.destroyed || !socket.write(part)) return
     setImmediate(send)
   }
   socket.on('drain', send)
--- a/src/services/relay/common/eventSplitter.ts
+++ b/src/services/relay/common/eventSplitter.ts
@@ -1,18 +1,18 @@
 /**
- * Splits a stream of server-sent events into complete events without changing a byte, so that a partial event is never
+ * Splits a stream of server-sent events after complete events without changing a byte, so that a partial event is never
  * forwarded.
  */
 
-/** One event, including the blank line that terminates it. */
-export interface StreamEvent {
+/** Consecutive events, including the blank line that terminates each of them. */
+export interface CompleteEvents {
   readonly bytes: Buffer
-  readonly id: string | undefined
+  /** The id of the last event that has one. */
+  readonly lastId: string | undefined
 }
 
-const LINE_FEED = 0x0a
-const CARRIAGE_RETURN = 0x0d
 /** A stream with a larger event is considered broken, which bounds the buffer. */
 const MAX_EVENT_BYTES = 1024 * 1024
+const BLANK_LINES = ['\n\n', '\n\r\n']
 
 export class EventSplitter {
   private _pending: Buffer = Buffer.alloc(0)
@@ -26,29 +26,28 @@
     return this._pending.length > MAX_EVENT_BYTES
   }
 
-  /** Returns the events that are complete with the added bytes. */
-  add (part: Buffer): readonly StreamEvent[] {
-    let rest = this._pending.length === 0 ? part : Buffer.concat([this._pending, part])
-    const events: StreamEvent[] = []
-    for (let end = findEventEnd(rest); end > 0; end = findEventEnd(rest)) {
-      const bytes = rest.subarray(0, end)
-      events.push({ bytes, id: parseEventId(bytes) })
-      rest = rest.subarray(end)
-    }
-    this._pending = rest
-    return events
+  /** Returns the events that are complete with the added bytes; undefined if there are none. */
+  add (part: Buffer): CompleteEvents | undefined {
+    const bytes = this._pending.length === 0 ? part : Buffer.concat([this._pending, part])
+    const end = findLastEventEnd(bytes)
+    this._pending = bytes.subarray(end)
+    if (end === 0) return undefined
+    const events = bytes.subarray(0, end)
+    return { bytes: events, lastId: parseLastId(events) }
   }
 }
 
-/** Returns the offset after the first blank line, or 0 if there is none. */
-function findEventEnd (bytes: Buffer): number {
-  for (let index = bytes.indexOf(LINE_FEED); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
-    if (bytes[index + 1] === LINE_FEED) return index + 2
-    if (bytes[index + 1] === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) return index + 3
-  }
-  return 0
+/** Returns the offset after the last blank line, or 0 if there is none. */
+function findLastEventEnd (bytes: Buffer): number {
+  return Math.max(...BLANK_LINES.map(text => {
+    const index = bytes.lastIndexOf(text, undefined, 'latin1')
+    return index < 0 ? 0 : index + text.length
+  }))
 }
 
-function parseEventId (bytes: Buffer): string | undefined {
-  return /(?:^|\n)id: ?([^\r\n]*)/.exec(bytes.toString('latin1'))?.[1]
+function parseLastId (events: Buffer): string | undefined {
+  const index = events.lastIndexOf('\nid:', undefined, 'latin1')
+  const start = index >= 0 ? index + 1 : events.toString('latin1', 0, 3) === 'id:' ? 0 : -1
+  if (start < 0) return undefined
+  return /^id: ?([^\r\n]*)/.exec(events.toString('latin1', start, events.indexOf('\n', start)))?.[1]
 }
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -224,19 +224,17 @@
       for await (const part of response as AsyncIterable<Buffer>) {
         const events = splitter.add(part)
         if (splitter.isTooLarge) break
-        if (events.length === 0) continue
+        if (events === undefined) continue
         this._startStallTimer(pauseTimeoutMs)
         this._options.onDidReceiveOutput()
         if (!this._options.claimAnswer()) return this._decideBrokenStream(lastEventId)
         if (count === 0) this._options.onDidReceiveFirstOutput()
-        count += events.length
+        count++
         // A stream that resumes at another upstream keeps the head that the first one sent.
         answer.begin(response.statusCode ?? 0, verdict.headers, hasFraming)
-        let hasBufferSpace = true
-        for (const event of events) {
-          hasBufferSpace = answer.write(event.bytes)
-          lastEventId = event.id ?? lastEventId
-        }
+        // In one write, since each costs much more than the smallest event has bytes.
+        const hasBufferSpace = answer.write(events.bytes)
+        lastEventId = events.lastId ?? lastEventId
         if (lastEventId !== undefined) this._options.onDidForwardEvent(lastEventId)
         if (!hasBufferSpace) await this._waitForDrain()
       }
--- a/src/services/relay/test/endlessAnswers.test.ts
+++ b/src/services/relay/test/endlessAnswers.test.ts
@@ -6,15 +6,18 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitFor } from '../../../base/node/interval.ts'
-import { sendEndlessly } from '../../../base/test/endlessBytes.ts'
+import { measureLoad, sendEndlessly } from '../../../base/test/endlessBytes.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
-import { FakeUpstream, RelayHarness } from './fakes.ts'
+import { FakeUpstream, RelayHarness, answerWith } from './fakes.ts'
 
 const test = suite('endlessAnswers')
 
 const FILLER = 'x'.repeat(16 * 1024)
 /** What the buffers of a few connections hold in addition to what a node reads. */
 const MAX_BYTES = 16 * 1024 * 1024
+/** Well below the memory of a node, of 256 MB. */
+const MAX_GROWTH_BYTES = 100e6
+const MAX_BLOCKED_MS = 300
 /** Shorter than the timeout of the route. */
 const MAX_ANSWER_MS = 1000
 
@@ -117,4 +120,55 @@
   }
 })
 
+const TINY_EVENTS: readonly (readonly [string, string, string])[] = [
+  ['line breaks', '', '\n'.repeat(65536)],
+  ['comments', '', ':\n\n'.repeat(20000)],
+  ['events that consist of an id', '', 'id: 1\n\n'.repeat(8000)],
+  ['events of one byte', '', 'x\n\n'.repeat(20000)],
+  ['events in a chunk each', 'Transfer-Encoding: chunked\r\n', formatChunk('x\n\n').repeat(8000)]
+]
+const STREAM_COUNT = 10
+
+for (const [name, field, part] of TINY_EVENTS) {
+  for (const isRead of [true, false]) {
+    test(`streams of ${name} to callers that ${isRead ? '' : 'do not '}read neither grow the node nor block it`, async () => {
+      const upstream = new FakeUpstream((socket, head) => {
+        socket.write(`HTTP/1.1 200 OK\r\nId: ${/^Id: (.+)\r$/m.exec(head)?.[1] ?? ''}\r\n${field}\r\n`)
+        sendEndlessly(socket, part, 1)
+      })
+      const harness = new RelayHarness({ upstreams: [upstream], route: { kind: RouteKind.STREAM, maxAttempts: 1, timeoutMs: 6000 } })
+      await harness.start()
+      const callers = Array.from({ length: STREAM_COUNT }, (_, index) => {
+        const caller = connect(harness.port, '127.0.0.1').on('error', () => {})
+        if (isRead) caller.resume()
+        caller.write(`GET /x HTTP/1.1\r\nHost: h\r\nId: ${index}\r\n\r\n`)
+        return caller
+      })
+      try {
+        const { grownBytes, blockedMs } = await measureLoad(500)
+        assert.ok(grownBytes < MAX_GROWTH_BYTES, `grew by ${Math.round(grownBytes / 1e6)} MB`)
+        assert.ok(blockedMs < MAX_BLOCKED_MS, `stood still for ${Math.round(blockedMs)} ms`)
+      } finally {
+        for (const caller of callers) caller.destroy()
+        harness.dispose()
+      }
+    })
+  }
+}
+
+test('events that arrive together are passed on in one part', async () => {
+  const events = `${':\n\n'.repeat(2000)}id: 1\ndata: a\n\n\r\nid: 2\n\r\ndata: b\n\n`
+  const upstream = new FakeUpstream(answerWith(`HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: ${events.length}\r\n\r\n${events}`))
+  const harness = new RelayHarness({ upstreams: [upstream], route: { kind: RouteKind.STREAM, maxAttempts: 1 } })
+  await harness.start()
+  try {
+    const { text } = await harness.call('a')
+    const chunks = [...text.slice(text.indexOf('\r\n\r\n') + 4).matchAll(/([0-9a-f]+)\r\n([\s\S]*?)\r\n(?=[0-9a-f]+\r\n)/g)]
+    assert.is(chunks.map(([, , body]) => body).join(''), events)
+    assert.ok(chunks.length < 5, `${chunks.length} parts`)
+  } finally {
+    harness.dispose()
+  }
+})
+
 test.run()
