Search and copy the bytes of a long event once

An event that arrives in small parts kept a node busy: with each part, the bytes that had arrived before were copied and searched for a blank line once more.

Cause: EventSplitter joined the pending bytes and the new part by Buffer.concat and searched the result from its start.

Change: ByteBuffer collects parts in a buffer that doubles, and only the new part and the two bytes before it are searched. The beginning of an event counts as the beginning of a line, so a blank line after an event is passed on when it arrives. It was held until the next event, and a stream that ended with it appeared to be cut.

--- a/src/services/relay/common/eventSplitter.ts
+++ b/src/services/relay/common/eventSplitter.ts
@@ -3,6 +3,8 @@
  * forwarded.
  */
 
+import { ByteBuffer } from '../../../base/common/byteBuffer.ts'
+
 /** Consecutive events, including the blank line that terminates each of them. */
 export interface CompleteEvents {
   readonly bytes: Buffer
@@ -13,9 +15,12 @@
 /** A stream with a larger event is considered broken, which bounds the buffer. */
 const MAX_EVENT_BYTES = 1024 * 1024
 const BLANK_LINES = ['\n\n', '\n\r\n']
+const LINE_BREAK = Buffer.from('\n')
+/** A blank line that ends with the next byte has begun in at most this many bytes before. */
+const MAX_BLANK_LINE_START = 2
 
 export class EventSplitter {
-  private _pending: Buffer = Buffer.alloc(0)
+  private readonly _pending = new ByteBuffer()
 
   /** Number of buffered bytes that belong to an incomplete event. */
   get pendingBytes (): number {
@@ -28,17 +33,28 @@
 
   /** Returns the events that are complete with the added bytes; undefined if there are none. */
   add (part: Buffer): CompleteEvents | undefined {
-    const bytes = this._pending.length === 0 ? part : Buffer.concat([this._pending, part])
-    const end = findLastEventEnd(bytes)
-    this._pending = bytes.subarray(end)
-    if (end === 0) return undefined
-    const events = bytes.subarray(0, end)
-    return { bytes: events, lastId: parseLastId(events) }
+    const end = this._findLastEventEnd(part)
+    if (end === 0) {
+      this._pending.append(part)
+      return undefined
+    }
+    const complete = part.subarray(0, end)
+    const bytes = this._pending.length === 0 ? complete : Buffer.concat([this._pending.take(), complete])
+    if (end < part.length) this._pending.append(part.subarray(end))
+    return { bytes, lastId: parseLastId(bytes) }
+  }
+
+  /** Returns the offset in a part after the last blank line, or 0 if none ends in it. The pending bytes are not scanned again. */
+  private _findLastEventEnd (part: Buffer): number {
+    // An event begins after a line break, so one more ends a blank line.
+    const last = this._pending.length < MAX_BLANK_LINE_START ? Buffer.concat([LINE_BREAK, this._pending.getLast(1)]) : this._pending.getLast(MAX_BLANK_LINE_START)
+    const end = findBlankLineEnd(Buffer.concat([last, part.subarray(0, MAX_BLANK_LINE_START)])) - last.length
+    return Math.max(0, end, findBlankLineEnd(part))
   }
 }
 
 /** Returns the offset after the last blank line, or 0 if there is none. */
-function findLastEventEnd (bytes: Buffer): number {
+function findBlankLineEnd (bytes: Buffer): number {
   return Math.max(...BLANK_LINES.map(text => {
     const index = bytes.lastIndexOf(text, undefined, 'latin1')
     return index < 0 ? 0 : index + text.length
