--- a/src/services/relay/common/eventSplitter.ts
+++ b/src/services/relay/common/eventSplitter.ts
@@ -1,21 +1,26 @@
 /**
- * Splits a stream of server-sent events into complete events without changing a byte, so that a partial event is never
+ * Splits a stream of server-sent events after complete events without changing a byte, so that a partial event is never
  * forwarded.
  */
 
-/** One event, including the blank line that terminates it. */
-export interface StreamEvent {
+import { ByteBuffer } from '../../../base/common/byteBuffer.ts'
+
+/** Consecutive events, including the blank line that terminates each of them. */
+export interface CompleteEvents {
   readonly bytes: Buffer
-  readonly id: string | undefined
+  /** The id of the last event that has one. */
+  readonly lastId: string | undefined
 }
 
-const LINE_FEED = 0x0a
-const CARRIAGE_RETURN = 0x0d
 /** A stream with a larger event is considered broken, which bounds the buffer. */
 const MAX_EVENT_BYTES = 1024 * 1024
+const BLANK_LINES = ['\n\n', '\n\r\n']
+const LINE_BREAK = Buffer.from('\n')
+/** A blank line that ends with the next byte has begun in at most this many bytes before. */
+const MAX_BLANK_LINE_START = 2
 
 export class EventSplitter {
-  private _pending: Buffer = Buffer.alloc(0)
+  private readonly _pending = new ByteBuffer()
 
   /** Number of buffered bytes that belong to an incomplete event. */
   get pendingBytes (): number {
@@ -26,29 +31,39 @@
     return this._pending.length > MAX_EVENT_BYTES
   }
 
-  /** Returns the events that are complete with the added bytes. */
-  add (part: Buffer): readonly StreamEvent[] {
-    let rest = this._pending.length === 0 ? part : Buffer.concat([this._pending, part])
-    const events: StreamEvent[] = []
-    for (let end = findEventEnd(rest); end > 0; end = findEventEnd(rest)) {
-      const bytes = rest.subarray(0, end)
-      events.push({ bytes, id: parseEventId(bytes) })
-      rest = rest.subarray(end)
+  /** Returns the events that are complete with the added bytes; undefined if there are none. */
+  add (part: Buffer): CompleteEvents | undefined {
+    const end = this._findLastEventEnd(part)
+    if (end === 0) {
+      this._pending.append(part)
+      return undefined
     }
-    this._pending = rest
-    return events
+    const complete = part.subarray(0, end)
+    const bytes = this._pending.length === 0 ? complete : Buffer.concat([this._pending.take(), complete])
+    if (end < part.length) this._pending.append(part.subarray(end))
+    return { bytes, lastId: parseLastId(bytes) }
   }
-}
 
-/** Returns the offset after the first blank line, or 0 if there is none. */
-function findEventEnd (bytes: Buffer): number {
-  for (let index = bytes.indexOf(LINE_FEED); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
-    if (bytes[index + 1] === LINE_FEED) return index + 2
-    if (bytes[index + 1] === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) return index + 3
+  /** Returns the offset in a part after the last blank line, or 0 if none ends in it. The pending bytes are not scanned again. */
+  private _findLastEventEnd (part: Buffer): number {
+    // An event begins after a line break, so one more ends a blank line.
+    const last = this._pending.length < MAX_BLANK_LINE_START ? Buffer.concat([LINE_BREAK, this._pending.getLast(1)]) : this._pending.getLast(MAX_BLANK_LINE_START)
+    const end = findBlankLineEnd(Buffer.concat([last, part.subarray(0, MAX_BLANK_LINE_START)])) - last.length
+    return Math.max(0, end, findBlankLineEnd(part))
   }
-  return 0
 }
 
-function parseEventId (bytes: Buffer): string | undefined {
-  return /(?:^|\n)id: ?([^\r\n]*)/.exec(bytes.toString('latin1'))?.[1]
+/** Returns the offset after the last blank line, or 0 if there is none. */
+function findBlankLineEnd (bytes: Buffer): number {
+  return Math.max(...BLANK_LINES.map(text => {
+    const index = bytes.lastIndexOf(text, undefined, 'latin1')
+    return index < 0 ? 0 : index + text.length
+  }))
+}
+
+function parseLastId (events: Buffer): string | undefined {
+  const index = events.lastIndexOf('\nid:', undefined, 'latin1')
+  const start = index >= 0 ? index + 1 : events.toString('latin1', 0, 3) === 'id:' ? 0 : -1
+  if (start < 0) return undefined
+  return /^id: ?([^\r\n]*)/.exec(events.toString('latin1', start, events.indexOf('\n', start)))?.[1]
 }
