Bound the comments and blank lines between two events of a stream

What callers saw: a faulty upstream that sent line breaks or comments without end as its stream kept the request, and its own connection busy, until the route's timeout, and callers got no event in that time. Cause: comments and blank lines were complete events, and only the size of an incomplete one was bounded. Change: EventSplitter tells whether events have a field. A stream with more than 1 MB of comments and blank lines between two events is broken, like one with an event of that size. They are passed on as before and show that the upstream still runs, but the first of them is not the first output.

--- a/src/base/test/endlessBytes.ts
+++ b/src/base/test/endlessBytes.ts
@@ -40,6 +40,18 @@
   send()
 }
 
+/** Lists the chunks of an answer's body. */
+export function listChunks (answer: string): readonly string[] {
+  const chunks: string[] = []
+  for (let rest = answer.slice(answer.indexOf('\r\n\r\n') + 4); parseInt(rest, 16) > 0;) {
+    const start = rest.indexOf('\r\n') + 2
+    const end = start + parseInt(rest, 16)
+    chunks.push(rest.slice(start, end))
+    rest = rest.slice(end + 2)
+  }
+  return chunks
+}
+
 /** Answers whatever it receives with a beginning and then a part without end. */
 export class EndlessServer extends Disposable {
   private readonly _sockets: Socket[] = []
--- a/src/services/relay/common/eventSplitter.ts
+++ b/src/services/relay/common/eventSplitter.ts
@@ -10,17 +10,24 @@
   readonly bytes: Buffer
   /** The id of the last event that has one. */
   readonly lastId: string | undefined
+  /** False if there are only comments and blank lines, which keep a connection alive but are no output. */
+  readonly hasFields: boolean
 }
 
-/** A stream with a larger event is considered broken, which bounds the buffer. */
+/** A stream with a larger event, or with more comments and blank lines between two events, is considered broken. */
 const MAX_EVENT_BYTES = 1024 * 1024
 const BLANK_LINES = ['\n\n', '\n\r\n']
 const LINE_BREAK = Buffer.from('\n')
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+const COLON = 0x3a
 /** A blank line that ends with the next byte has begun in at most this many bytes before. */
 const MAX_BLANK_LINE_START = 2
 
 export class EventSplitter {
   private readonly _pending = new ByteBuffer()
+  /** Bytes of comments and blank lines that were returned after the last event. */
+  private _idleBytes = 0
 
   /** Number of buffered bytes that belong to an incomplete event. */
   get pendingBytes (): number {
@@ -28,7 +35,7 @@
   }
 
   get isTooLarge (): boolean {
-    return this._pending.length > MAX_EVENT_BYTES
+    return this._pending.length + this._idleBytes > MAX_EVENT_BYTES
   }
 
   /** Returns the events that are complete with the added bytes; undefined if there are none. */
@@ -41,7 +48,9 @@
     const complete = part.subarray(0, end)
     const bytes = this._pending.length === 0 ? complete : Buffer.concat([this._pending.take(), complete])
     if (end < part.length) this._pending.append(part.subarray(end))
-    return { bytes, lastId: parseLastId(bytes) }
+    const hasFields = hasField(bytes)
+    this._idleBytes = hasFields ? 0 : this._idleBytes + bytes.length
+    return { bytes, lastId: parseLastId(bytes), hasFields }
   }
 
   /** Returns the offset in a part after the last blank line, or 0 if none ends in it. The pending bytes are not scanned again. */
@@ -61,6 +70,17 @@
   }))
 }
 
+/** Whether any line is neither blank nor a comment. */
+function hasField (events: Buffer): boolean {
+  for (let start = 0; start < events.length;) {
+    const first = events[start]
+    if (first === LINE_FEED || first === CARRIAGE_RETURN) start++
+    else if (first === COLON) start = events.indexOf(LINE_FEED, start) + 1
+    else return true
+  }
+  return false
+}
+
 function parseLastId (events: Buffer): string | undefined {
   const index = events.lastIndexOf('\nid:', undefined, 'latin1')
   const start = index >= 0 ? index + 1 : events.toString('latin1', 0, 3) === 'id:' ? 0 : -1
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -224,13 +224,13 @@
     try {
       for await (const part of response as AsyncIterable<Buffer>) {
         const events = splitter.add(part)
-        if (splitter.isTooLarge) break
+        if (splitter.isTooLarge) return this._decideBrokenStream(lastEventId)
         if (events === undefined) continue
+        // Comments are no output, but an upstream that sends them has not fallen silent.
         this._startStallTimer(pauseTimeoutMs)
         this._options.onDidReceiveOutput()
         if (!this._options.claimAnswer()) return this._decideBrokenStream(lastEventId)
-        if (count === 0) this._options.onDidReceiveFirstOutput()
-        count++
+        if (events.hasFields && count++ === 0) this._options.onDidReceiveFirstOutput()
         // A stream that resumes at another upstream keeps the head that the first one sent.
         answer.begin(response.statusCode ?? 0, verdict.headers, hasFraming)
         // In one write, since each costs much more than the smallest event has bytes.
--- a/src/services/relay/test/endlessAnswers.test.ts
+++ b/src/services/relay/test/endlessAnswers.test.ts
@@ -6,7 +6,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitFor } from '../../../base/node/interval.ts'
-import { measureLoad, sendEndlessly } from '../../../base/test/endlessBytes.ts'
+import { listChunks, measureLoad, sendEndlessly } from '../../../base/test/endlessBytes.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { FakeUpstream, RelayHarness, answerWith } from './fakes.ts'
 
@@ -55,7 +55,9 @@
   ['sequence of trailers', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', `X-Filler: ${FILLER.slice(0, 1024)}\r\n`],
   ['chunk extension', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5;', FILLER],
   ['text that is not HTTP', '', FILLER],
-  ['stream event', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n', CHUNK, RouteKind.STREAM]
+  ['stream event', 'HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n', CHUNK, RouteKind.STREAM],
+  ['sequence of line breaks in a stream', 'HTTP/1.1 200 OK\r\nId: a\r\n\r\ndata: x\n\n', '\n'.repeat(16384), RouteKind.STREAM],
+  ['sequence of comments in a stream', 'HTTP/1.1 200 OK\r\nId: a\r\n\r\n', ': x\n\n'.repeat(2000), RouteKind.STREAM]
 ]
 
 for (const [name, beginning, part, kind] of CASES) {
@@ -162,9 +164,8 @@
   const harness = new RelayHarness({ upstreams: [upstream], route: { kind: RouteKind.STREAM, maxAttempts: 1 } })
   await harness.start()
   try {
-    const { text } = await harness.call('a')
-    const chunks = [...text.slice(text.indexOf('\r\n\r\n') + 4).matchAll(/([0-9a-f]+)\r\n([\s\S]*?)\r\n(?=[0-9a-f]+\r\n)/g)]
-    assert.is(chunks.map(([, , body]) => body).join(''), events)
+    const chunks = listChunks((await harness.call('a')).text)
+    assert.is(chunks.join(''), events)
     assert.ok(chunks.length < 5, `${chunks.length} parts`)
   } finally {
     harness.dispose()
--- a/src/services/relay/test/eventSplitter.test.ts
+++ b/src/services/relay/test/eventSplitter.test.ts
@@ -24,6 +24,7 @@
       offset = Math.min(text.length, offset + size)
       received += events?.bytes.toString() ?? ''
       lastId = events?.lastId ?? lastId
+      if (events !== undefined) assert.is(events.hasFields, /^[^:\r\n]/m.test(events.bytes.toString()))
       assert.is(received, text.slice(0, findEnd(text.slice(0, offset))))
       assert.is(splitter.pendingBytes, offset - received.length)
     }
