Refuse uploads that are under way when a stopping node sends nothing more

Callers of a node that stopped as planned had their connections closed without an answer on uploads that ended in the last second of the grace period, among them requests that may not be repeated.

Cause: admission is decided at the head of a request, and `refuseWaiting` knew only the runs of its moment.

`refuseWaiting` now ends the reading of all bodies and refuses their requests as not run, with the short delay after which another node can take them. Nothing of such a request has been sent, so the refusal is true, and the caller is spared the rest of its upload. Bodies are read without the stream's iterator, which closes the connection of a body that is given up.

--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -20,6 +20,7 @@
 import type { RelayContext } from './relayContext.ts'
 import { RelayRun } from './relayRun.ts'
 import type { RelayOutcome } from './relayRun.ts'
+import { readRequestBody } from './requestBody.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
 
 export interface RelayServerOptions {
@@ -65,6 +66,9 @@
   private _receivedCount = 0
   private _isDraining = false
   private _isRefusingNew = false
+  private _isRefusingWaiting = false
+  /** Requests whose bodies have not arrived completely. */
+  private readonly _uploads = new Set<AbortController>()
   private readonly _runs = new Set<RelayRun>()
 
   constructor (options: RelayServerOptions) {
@@ -113,8 +117,11 @@
     this._isRefusingNew = true
   }
 
-  /** Refuses requests that have not been sent to an upstream yet, so that callers retry at another node. */
+  /** Refuses requests that have not been sent to an upstream yet, uploads included, so that callers retry at another node. */
   refuseWaiting (): void {
+    this.refuseNew()
+    this._isRefusingWaiting = true
+    for (const upload of this._uploads) upload.abort()
     for (const run of [...this._runs]) run.refuseIfWaiting()
   }
 
@@ -149,8 +156,9 @@
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     const body = await this._readBody(incoming)
-    if (body === undefined) {
-      if (!answer.hasDisconnected) this._refuse(answer, createRefusal('requestTooLarge', 'the request body is too large or incomplete', false), admitted.request.id)
+    if (body === undefined || this._isRefusingWaiting) {
+      const refusal = this._isRefusingWaiting ? createDrainingRefusal() : createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
+      if (!answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
       return
     }
     const run = new RelayRun(this._context, { ...admitted, body, answer, arrivedAt })
@@ -170,7 +178,7 @@
   private _admit (request: RelayRequest): Either<RelayRefusal, AdmittedRequest> {
     const readinessError = this._options.findReadinessError()
     const table = this._options.getTable()
-    if (this._isRefusingNew) return Left({ error: new PepperwoodError({ name: 'gateDraining', message: 'this node is stopping' }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS })
+    if (this._isRefusingNew) return Left(createDrainingRefusal())
     if (readinessError !== undefined) return Left({ error: readinessError, isNotRun: true, retryAfterMs: this._options.estimateReadinessDelayMs() })
     if (table === undefined) return Left(createRefusal('gateNotReady', 'no configuration is known yet', true))
     const route = table.findRoute(request.host, getPath(request.target))
@@ -193,20 +201,13 @@
   }
 
   private async _readBody (incoming: IncomingMessage): Promise<Buffer | undefined> {
-    const maxBytes = this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES
-    if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return undefined
-    const parts: Buffer[] = []
-    let size = 0
+    const upload = new AbortController()
+    this._uploads.add(upload)
     try {
-      for await (const part of incoming as AsyncIterable<Buffer>) {
-        size += part.length
-        if (size > maxBytes) return undefined
-        parts.push(part)
-      }
-    } catch {
-      return undefined
+      return await readRequestBody(incoming, { maxBytes: this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES, signal: upload.signal })
+    } finally {
+      this._uploads.delete(upload)
     }
-    return incoming.complete ? Buffer.concat(parts) : undefined
   }
 
   private _refuse (answer: CallerAnswer, refusal: RelayRefusal, requestId: string): void {
@@ -234,3 +235,7 @@
 function createRefusal (name: 'gateNotReady' | 'routeUnknown' | 'keyWrong' | 'requestTooLarge', message: string, isNotRun: boolean, value = ''): RelayRefusal {
   return { error: new PepperwoodError({ name, message, value }), isNotRun, retryAfterMs: isNotRun ? STARTUP_RETRY_MS : undefined }
 }
+
+function createDrainingRefusal (): RelayRefusal {
+  return { error: new PepperwoodError({ name: 'gateDraining', message: 'this node is stopping' }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS }
+}
