Send nothing more for waiting answers when a stopping node has stopped sending

Requests of callers were sent to a second upstream in the last second of a planned stop and cut with the end of the process.

Cause: `refuseWaiting` aborted the runs without an attempt in flight and left the others as they were. Each path that sends later was still open to these: a retry, new results and the attempt after them, the replacement of a stalled attempt, and an attempt whose connection was being opened.

A run now remembers that it must not send. Retries, replacements and unwritten attempts ask for it; preparation in progress is aborted. A request of which nothing was written is refused as not run at once, without waiting for what its run awaits (quota, a proof, peers); one that an upstream refused after that moment likewise, with the delay for another node; one that may have run is refused as such. While the end of an attempt is being recorded the refusal waits, since the caller would return before a crash is known. A stream that has begun may still resume, as the test in silentStreams requires: its caller can only be cut.

--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -7,7 +7,7 @@
 import type { JobRefusal } from '../../preparation/common/preparationJob.ts'
 import { computeResponseTimeoutMs } from '../common/attemptTimeouts.ts'
 import { decideAfterAttempt, isConnectionLost, isWithheld } from '../common/attemptDecision.ts'
-import type { AttemptDecisionInputs } from '../common/attemptDecision.ts'
+import type { AttemptDecision, AttemptDecisionInputs } from '../common/attemptDecision.ts'
 import type { AttemptProgress } from '../common/attemptProgress.ts'
 import { createPreparationJob } from '../common/preparationNeed.ts'
 import type { ReturningCaller } from '../common/preparationNeed.ts'
@@ -53,7 +53,10 @@
   private _runCount = 0
   private _lastEventId: string | undefined
   /** Attempts in flight; more than one while another upstream takes over. */
-  private _activeCount = 0
+  private readonly _activeAttempts = new Set<SentAttempt>()
+  /** Attempts whose ends are being recorded. */
+  private _endingCount = 0
+  /** Whether this node is about to stop, so that nothing is sent for an answer that has not begun. */
   private _isStopping = false
   private _producedMs = 0
   private _lastUpstream = ''
@@ -82,12 +85,12 @@
     })
     this._role = pickTarget(route.targets, _context.random)
     this._selector = new UpstreamSelector({ context: _context, accepted: _accepted, role: this._role, inputs: this._inputs, tried: this._triedUpstreams, signal: this._abortController.signal })
-    this._retries = new RequestRetries({ policy: _context.retry, role: this._role, isAborted: () => this._abortController.signal.aborted })
+    this._retries = new RequestRetries({ policy: _context.retry, role: this._role, maySend: () => !this._abortController.signal.aborted && this._maySend() })
     this._ending = new RunEnding({
       context: _context,
       accepted: _accepted,
       role: this._role,
-      getProgress: () => ({ isAborted: this._abortController.signal.aborted, isStopping: this._isStopping, sendCount: this._sendCount, runCount: this._runCount })
+      getProgress: () => ({ isAborted: this._abortController.signal.aborted, sendCount: this._sendCount, runCount: this._runCount })
     })
     this._stalledAttempt = new StalledAttempt({
       context: _context,
@@ -96,7 +99,7 @@
       quarantine: this._quarantine,
       retries: this._retries,
       selector: this._selector,
-      getDecisionInputs: () => ({ ...this._getDecisionInputs(), runCount: this._runCount + this._activeCount }),
+      getDecisionInputs: () => ({ ...this._getDecisionInputs(), runCount: this._runCount + this._activeAttempts.size }),
       send: upstream => this._send(upstream),
       onDidEndAttempt: attempt => this._recordSupersededAttempt(attempt)
     })
@@ -120,13 +123,29 @@
   }
 
   /**
-   * Refuses the request if it has not been sent yet, because this node is stopping. An attempt in flight continues, and so does
-   * an answer that has begun, which can only be cut.
+   * Sends nothing more, because this node is about to stop, and refuses the request at once unless an attempt has been sent and
+   * goes on. An answer that has begun could only be cut, so it may still be resumed.
    */
-  refuseIfWaiting (): void {
-    if (this._activeCount > 0 || this._accepted.answer.hasBegun || this._abortController.signal.aborted) return
+  stopSending (): void {
+    if (this._abortController.signal.aborted) return
     this._isStopping = true
+    if (this._accepted.answer.hasBegun) return
+    this._preparationAbort.abort()
+    if (!this._isAttemptSent() && this._endingCount === 0) this._refuseStopping()
+  }
+
+  private _maySend (): boolean {
+    return !this._isStopping || this._accepted.answer.hasBegun
+  }
+
+  private _isAttemptSent (): boolean {
+    return [...this._activeAttempts].some(attempt => attempt.wasSent)
+  }
+
+  private _refuseStopping (): RunResult {
+    const result = this._ending.refuseStopping(this._runCount === 0 && !this._isAttemptSent())
     this._abortController.abort()
+    return result
   }
 
   private _createOutcome (result: RunResult): RelayOutcome {
@@ -149,7 +168,7 @@
       const { attempt, result } = await this._runAttempt(upstream)
       const next = this._retries.acquire(decideAfterAttempt({ ...this._getDecisionInputs(), outcome: result.outcome }), result.outcome)
       this._logAttempt(attempt, result, describeNextAttempt(next))
-      if (!next.isAllowed) return this._ending.finish(result)
+      if (!next.isAllowed) return this._isPreventedByStop(result, next.decision) ? this._refuseStopping() : this._ending.finish(result)
       if (next.decision.kind === 'prepareAgain') {
         this._triedUpstreams.delete(attempt.upstream.id)
         const preparationRefusal = await this._prepareAgain()
@@ -158,6 +177,11 @@
     }
   }
 
+  /** Whether the upstream did not run the request, and another attempt would have followed if this node did not stop. */
+  private _isPreventedByStop ({ outcome }: AttemptResult, { kind }: AttemptDecision): boolean {
+    return outcome.kind === 'notRun' && kind !== 'refuse' && !this._maySend()
+  }
+
   private async _prepare (): Promise<RunResult | undefined> {
     const { request, route } = this._accepted
     const { isSuspect } = this._quarantine
@@ -213,9 +237,10 @@
       role: this._role,
       upstream,
       timeLeftMs,
-      responseTimeoutMs: computeResponseTimeoutMs(route, this._runCount + this._activeCount, timeLeftMs),
+      responseTimeoutMs: computeResponseTimeoutMs(route, this._runCount + this._activeAttempts.size, timeLeftMs),
       lastEventId: this._lastEventId,
       signal: this._abortController.signal,
+      maySend: () => this._maySend(),
       onDidSend: arrival => this._retries.recordSent(arrival),
       onDidReceiveFirstOutput: () => {
         if (this._producedMs === 0) this._producedMs = this._context.clock.now() - this._accepted.arrivedAt - this._inputs.preparedMs
@@ -223,12 +248,12 @@
       onDidForwardEvent: id => { this._lastEventId = id }
     })
     this._sendCount++
-    this._activeCount++
+    this._activeAttempts.add(attempt)
     this._lastUpstream = upstream.id
     this._triedUpstreams.add(upstream.id)
     this._registryAge = this._context.registry.computeFreshness(attempt.progress.sentAt)
     void attempt.result.then(({ outcome }) => {
-      this._activeCount--
+      this._activeAttempts.delete(attempt)
       if (isWithheld(outcome)) this._withdrawSend(upstream)
     })
     return attempt
@@ -239,7 +264,9 @@
     const { outcome } = result
     if (outcome.kind !== 'notRun') this._runCount++
     if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream') this._context.registry.removePermanently(upstream.id, 'address answers as another')
+    this._endingCount++
     await this._quarantine.recordAttemptEnd(upstream, result, progress)
+    this._endingCount--
   }
 
   /** Records the end of an attempt beside which another one goes on. */
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -117,12 +117,15 @@
     this._isRefusingNew = true
   }
 
-  /** Refuses requests that have not been sent to an upstream yet, uploads included, so that callers retry at another node. */
+  /**
+   * Sends nothing more for requests whose answers have not begun. Those that have not been sent yet are refused, uploads included,
+   * so that callers retry at another node.
+   */
   refuseWaiting (): void {
     this.refuseNew()
     this._isRefusingWaiting = true
     for (const upload of this._uploads) upload.abort()
-    for (const run of [...this._runs]) run.refuseIfWaiting()
+    for (const run of [...this._runs]) run.stopSending()
   }
 
   /** Stops accepting connections and closes idle ones. */
--- a/src/services/relay/node/requestRetries.ts
+++ b/src/services/relay/node/requestRetries.ts
@@ -11,8 +11,8 @@
 export interface RequestRetriesOptions {
   readonly policy: RetryPolicy
   readonly role: string
-  /** Whether the request has been aborted, so that no attempt follows. */
-  readonly isAborted: () => boolean
+  /** False once no attempt may follow: the request was aborted, or this node is stopping. */
+  readonly maySend: () => boolean
 }
 
 /** What follows an attempt: the decision, and whether the budget allows the further attempt that it asks for. */
@@ -34,6 +34,10 @@
     this._options = options
   }
 
+  get maySend (): boolean {
+    return this._options.maySend()
+  }
+
   recordFirstAttempt (): void {
     this._options.policy.recordFirstAttempt(this._options.role)
   }
@@ -43,8 +47,8 @@
    * that the one after it costs nothing.
    */
   acquire (decision: AttemptDecision, outcome: AttemptOutcome): NextAttempt {
-    const { policy, role, isAborted } = this._options
-    if (!isFurtherAttempt(decision) || isAborted()) return { decision, isAllowed: false }
+    const { policy, role, maySend } = this._options
+    if (!isFurtherAttempt(decision) || !maySend()) return { decision, isAllowed: false }
     if (isWithheld(outcome) || (outcome.kind === 'notRun' && outcome.reason === 'unreachable')) return { decision, isAllowed: true }
     const budget = policy.acquireRetry(role)
     if (budget.permit !== undefined) this._permits = [...this._permits, budget.permit]
--- a/src/services/relay/node/runEnding.ts
+++ b/src/services/relay/node/runEnding.ts
@@ -17,9 +17,8 @@
 
 /** How far a run has come when it ends. */
 export interface RunProgress {
-  /** The caller disconnected, the deadline passed, or this node is stopping. */
+  /** The caller disconnected, or the deadline passed. */
   readonly isAborted: boolean
-  readonly isStopping: boolean
   /** Attempts that were sent. */
   readonly sendCount: number
   /** Attempts that may have run the request. */
@@ -45,6 +44,8 @@
 
 export class RunEnding {
   private readonly _options: RunEndingOptions
+  /** The result of a request that was refused while it was in progress, since this node is stopping. */
+  private _stopResult: RunResult | undefined
 
   constructor (options: RunEndingOptions) {
     this._options = options
@@ -53,6 +54,7 @@
   /** Ends the request after an attempt that no other follows. */
   finish ({ outcome, failure }: AttemptResult): RunResult {
     const { answer } = this._options.accepted
+    if (this._stopResult !== undefined) return this._stopResult
     if (outcome.kind === 'delivered') return 'delivered'
     if (answer.hasDisconnected) return 'cancelled'
     if (answer.hasBegun) return this._abortAnswer(describeOutcome(outcome))
@@ -79,8 +81,15 @@
     return this.refuse({ name: 'upstreamNoneLeft', message: `no upstream of ${role} is available`, retryAfterMs: DEFAULT_RETRY_MS })
   }
 
+  /** Refuses the request because this node is stopping. Whatever ends it afterwards changes nothing. */
+  refuseStopping (isNotRun: boolean): RunResult {
+    this._stopResult ??= this.refuse({ name: 'gateDraining', message: 'this node is stopping', isNotRun, retryAfterMs: OTHER_NODE_RETRY_MS })
+    return this._stopResult
+  }
+
   refuse ({ name, message, isNotRun = this._options.getProgress().runCount === 0, retryAfterMs }: RefusalOptions): RunResult {
     const { context, accepted: { answer, request }, role } = this._options
+    if (this._stopResult !== undefined) return this._stopResult
     if (answer.hasDisconnected) return 'cancelled'
     if (answer.hasBegun) return this._abortAnswer(message)
     const refusal: RelayRefusal = { error: new PepperwoodError({ name, message, place: role }), isNotRun, retryAfterMs }
@@ -88,10 +97,9 @@
     return name
   }
 
-  /** The deadline has passed or this node is stopping; an attempt that was sent may still be running. */
+  /** The deadline has passed; an attempt that was sent may still be running. */
   private _refuseAborted (): RunResult {
-    const { isStopping, sendCount } = this._options.getProgress()
-    if (isStopping) return this.refuse({ name: 'gateDraining', message: 'this node is stopping', retryAfterMs: OTHER_NODE_RETRY_MS })
+    const { sendCount } = this._options.getProgress()
     return this.refuse({ name: 'deadlinePassed', message: 'deadline exceeded', isNotRun: sendCount === 0, retryAfterMs: 0 })
   }
 
--- a/src/services/relay/node/sentAttempt.ts
+++ b/src/services/relay/node/sentAttempt.ts
@@ -33,6 +33,8 @@
   readonly responseTimeoutMs: number
   readonly lastEventId: string | undefined
   readonly signal: AbortSignal
+  /** Asked when the connection is open; false withholds the request. */
+  readonly maySend: () => boolean
   /** Called when the request is written to the upstream. */
   readonly onDidSend: (arrival: IAttemptArrival) => void
   readonly onDidReceiveFirstOutput: () => void
@@ -156,7 +158,7 @@
   private _prepareSend (): boolean {
     const { context, accepted, quarantine, upstream, role, inputs } = this._options
     // The cause of a crash may have become known while the request waited for quota and a connection.
-    if (!context.guard.maySend(upstream.id, accepted.request.id) || quarantine.findQuarantine() !== undefined) return false
+    if (!this._options.maySend() || !context.guard.maySend(upstream.id, accepted.request.id) || quarantine.findQuarantine() !== undefined) return false
     this._writtenAt = context.clock.now()
     this._acceptance = new SendAcceptance({ ...context, role })
     this._options.onDidSend(this._arrival)
--- a/src/services/relay/node/stalledAttempt.ts
+++ b/src/services/relay/node/stalledAttempt.ts
@@ -32,7 +32,7 @@
 }
 
 /** What became of a stalled attempt: the reason why it goes on alone, or the end of the time beside its replacement. */
-type StallResult = WaitReason | 'budget' | 'preparation' | 'noUpstream' | 'resumed' | 'replacementEnded' | 'replaced'
+type StallResult = WaitReason | 'withheld' | 'budget' | 'preparation' | 'noUpstream' | 'resumed' | 'replacementEnded' | 'replaced'
 
 /** Both upstreams may run the request for this time; the first one has to learn of its end soon after the second one began. */
 const OVERLAP_MS = 250
@@ -53,6 +53,7 @@
   async replace (stalled: SentAttempt): Promise<SentAttempt> {
     const { context: { clock }, accepted: { answer }, inputs, retries } = this._options
     if (clock.now() < this._retryAt) return stalled
+    if (!retries.maySend) return this._resumeAlone(stalled, 'withheld', REFUSAL_PAUSE_MS)
     const stalledAt = stalled.lastOutputAt
     const isStalled = () => stalled.lastOutputAt === stalledAt && !stalled.hasEnded
     const decision = decideOnStall(this._createInputs(stalled))
@@ -63,6 +64,7 @@
     if (refusal !== undefined) return this._resumeAlone(stalled, 'preparation', Math.max(REFUSAL_PAUSE_MS, refusal.retryAfterMs))
     const upstream = isStalled() ? await this._acquireUpstream(stalled) : undefined
     if (!isStalled()) return this._resumeAlone(stalled, 'resumed')
+    if (!retries.maySend) return this._resumeAlone(stalled, 'withheld', REFUSAL_PAUSE_MS)
     return upstream === undefined ? this._resumeAlone(stalled, 'noUpstream', REFUSAL_PAUSE_MS) : await this._sendTo(upstream, stalled)
   }
 
--- a/src/services/relay/test/plannedStop.test.ts
+++ b/src/services/relay/test/plannedStop.test.ts
@@ -1,16 +1,20 @@
 // Guards against requests that are cut without an answer when a node stops as planned. Callers of a stopped node saw connections
 // closed on uploads that it had sent to an upstream in its last second.
 import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { Right } from 'purify-ts'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { waitUntil } from '../../../base/test/polling.ts'
+import type { IPreparationService, IPreparedInputs } from '../../preparation/common/preparationService.ts'
 import { FakeUpstream, RelayHarness } from './fakes.ts'
 import type { RelayHarnessOptions, UpstreamScript } from './fakes.ts'
 
 const test = suite('plannedStop')
 
 const MAX_WAIT_MS = 2000
+const inputs: IPreparedInputs = { handles: ['h'], bytes: 1, isReleased: false, targetId: '', prefixSourceId: '', hall: '', report: () => {}, release: () => {}, prepareAgain: () => Promise.resolve(Right(inputs)) }
 const HEAD = 'POST /x HTTP/1.1\r\nHost: h\r\nId: a\r\n'
 
 /** A caller that sends its request in parts and records what it receives. */
@@ -67,4 +71,38 @@
   }))
 }
 
+const repeatable = { kind: RouteKind.REPEATABLE, maxAttempts: 2, goalMs: 100, timeoutMs: 900 }
+const unrun = 'HTTP/1.1 503 x\r\nId: a\r\nUnrun: full\r\nContent-Length: 0\r\n\r\n'
+const ends: readonly (readonly [string, (socket: Socket) => void, RegExp])[] = [
+  ['refused by its upstream', socket => socket.write(unrun), /^HTTP\/1\.1 503 .*gateDraining$/s],
+  ['reset by its upstream', socket => socket.resetAndDestroy(), /^HTTP\/1\.1 502 .*outcomeUnknown$/s],
+  ['stalled', () => {}, /^HTTP\/1\.1 502 .*deadlinePassed$/s]
+]
+
+for (const [name, end, expected] of ends) {
+  test(`a request that is ${name} after the last moment to send is sent to no other upstream`, () => {
+    const sockets: Socket[] = []
+    const acceptOnly: UpstreamScript = socket => { sockets.push(socket) }
+    return runWith([acceptOnly, acceptOnly], { route: repeatable }, async harness => {
+      const answer = harness.call('a')
+      assert.ok(await waitUntil(() => sockets.length === 1, MAX_WAIT_MS))
+      harness.server.refuseWaiting()
+      for (const socket of sockets) end(socket)
+      assert.match((await answer).text, expected)
+      assert.is(sockets.length, 1)
+    })
+  })
+}
+
+test('a request whose connection is being opened at the last moment to send is refused as not run', () => {
+  // The connection opens in the next turn of the event loop.
+  const preparation: IPreparationService = { prepare: () => { setImmediate(() => harness?.server.refuseWaiting()); return Promise.resolve(Right(inputs)) } }
+  let harness: RelayHarness | undefined
+  return runWith([() => {}], { route: { ...unrepeatable, stages: [{ role: 'p', after: [], resultBytes: 1 }] }, preparation }, async (started, _caller, upstreams) => {
+    harness = started
+    assert.match((await started.call('a', 'Pieces: 1\r\n')).text, /^HTTP\/1\.1 503 .*gateDraining$/s)
+    assert.is(upstreams[0]?.requestHeads.length, 0)
+  })
+})
+
 test.run()
--- a/src/services/relay/test/requestRetries.test.ts
+++ b/src/services/relay/test/requestRetries.test.ts
@@ -12,7 +12,7 @@
 
 function createRetries () {
   const budget = new WindowedRetryBudget({ clock: new VirtualClock(), windowMs: 10_000, retryRatio: 0.2, getShare: () => ({ baseRetries: 4, nodeCount: 1 }) })
-  const retries = new RequestRetries({ policy: budget, role: 'model', isAborted: () => false })
+  const retries = new RequestRetries({ policy: budget, role: 'model', maySend: () => true })
   const acquire = () => retries.acquire({ kind: 'retry', isResume: false }, LOST)
   return { budget, retries, acquire }
 }
