Reset the connection of an HTTP/1.0 caller whose answer breaks off

A caller that speaks HTTP/1.0 took a stream that broke off for a whole one, and likewise the first part of an answer too large to be buffered: its connection ended in order.

Cause: such an answer is abandoned by closing its connection if it counts as framed, and it counted so if the upstream had framed it. Towards a caller that knows no chunks, an answer that is forwarded as it comes is never framed, since its length is not sent.

`begin` now takes an answer for framed only if the caller knows chunks, so `abort` resets the connection.

Evidence: both new tests of relayServer fail on the parent commit (the connection was closed in order).

--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -59,8 +59,9 @@
   begin (status: number, headers: readonly HeaderField[], isFramed = true): void {
     if (this._hasBegun || this._hasDisconnected) return
     this._hasBegun = true
-    this._isFramed = isFramed
-    if (!isFramed) this._endBodyByClose()
+    // Without a length, only chunks frame what follows.
+    this._isFramed = isFramed && this.acceptsChunks
+    if (!this._isFramed) this._endBodyByClose()
     this._response.writeHead(status, toRawHeaders(headers))
     this._response.flushHeaders()
   }
--- a/src/services/relay/test/relayServer.test.ts
+++ b/src/services/relay/test/relayServer.test.ts
@@ -69,6 +69,14 @@
   assert.not.match(text, /chunked/i)
 }))
 
+for (const [name, kind, body] of [['a stream in chunks', RouteKind.STREAM, 'Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n'], ['a large answer with a length', RouteKind.REPEATABLE, `Content-Length: 300001\r\n\r\n${'x'.repeat(300_000)}`]] as const) {
+  test(`${name} that breaks off does not end in order towards a caller that knows no chunks`, () => runWith([answerWith(OK + body, 'reset')], { route: { kind, maxAttempts: 1 } }, async harness => {
+    const { text, end } = await harness.call('a', '', 0, '1.0')
+    assert.match(text, /^HTTP\/1\.1 200 (?!.*chunked).*x/is)
+    assert.is(end, 'reset')
+  }))
+}
+
 const incompleteAnswers: readonly (readonly [string, UpstreamScript])[] = [
   ['a body without a length that ends in a reset', answerWith(UNFRAMED, 'reset')],
   ['a body shorter than its length', answerWith(`${OK}Content-Length: 9\r\n\r\nbody`, 'close')],
