Let slow callers receive their answers before a stopping node ends

Callers that read slowly lost the rest of whole answers when their node stopped as planned, although its grace period went on.

Cause: a request counted as done when its answer was handed to the HTTP server, so the node considered itself idle and its process ended with bytes in its buffers. And to stop listening, the HTTP server's `close` destroys the connections that it considers idle, which includes those whose answer has ended and is not written yet.

The relay now counts answers until the system has taken them over, stops listening without closing connections, and closes idle ones once no ended answer is left to write. The wait ends with the grace period.

--- a/src/entryNode/gracefulShutdown.ts
+++ b/src/entryNode/gracefulShutdown.ts
@@ -33,10 +33,10 @@
     this._startedAt = options.clock.now()
   }
 
-  /** Resolves when no request is in progress any more, or the grace time is over. */
+  /** Resolves when no request is in progress any more and all answers are on their way, or the grace time is over. */
   async run (): Promise<void> {
     const { relay, countRelayed, graceMs } = this._options
-    const isIdle = () => relay.activeRequestCount === 0 && countRelayed() === 0
+    const isIdle = () => relay.isIdle && countRelayed() === 0
     await this._waitUntil(graceMs * ACCEPT_FRACTION)
     relay.refuseNew()
     await this._waitUntil(graceMs * REDIRECT_FRACTION)
--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -45,6 +45,11 @@
     return this._hasEnded
   }
 
+  /** Whether the system has taken over all of the answer, or the connection is closed. */
+  get isFlushed (): boolean {
+    return this._response.writableFinished || this._request.socket.destroyed
+  }
+
   /** Whether the caller knows chunks, as all but those that speak HTTP/1.0 do. */
   get acceptsChunks (): boolean {
     const { httpVersionMajor, httpVersionMinor } = this._request
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { Server as NetServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
@@ -67,15 +68,19 @@
   private _isDraining = false
   private _isRefusingNew = false
   private _isRefusingWaiting = false
+  private _isClosing = false
   /** Requests whose bodies have not arrived completely. */
   private readonly _uploads = new Set<AbortController>()
   private readonly _runs = new Set<RelayRun>()
+  /** Answers that the system has not taken over completely: those in progress, and those whose callers read slowly. */
+  private readonly _openAnswers = new Set<CallerAnswer>()
 
   constructor (options: RelayServerOptions) {
     super()
     this._options = options
     this._context = { ...options.context, refuse: (answer, refusal, requestId) => this._refuse(answer, refusal, requestId) }
     this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS }, (request, response) => { void this._handle(request, response) })
+    this._server.on('connection', socket => socket.once('close', () => this._deleteFlushedAnswers()))
     this._server.on('clientError', (_error, socket) => { socket.destroy() })
     this._register(toDisposable(() => {
       this._server.close()
@@ -89,6 +94,11 @@
     return this._activeCount
   }
 
+  /** Whether no request is in progress and the system has taken over all answers. */
+  get isIdle (): boolean {
+    return this._activeCount === 0 && this._openAnswers.size === 0
+  }
+
   /** Number of requests received since the process started, refused ones included. */
   get receivedCount (): number {
     return this._receivedCount
@@ -130,13 +140,22 @@
 
   /** Stops accepting connections and closes idle ones. */
   close (): void {
-    this._server.close()
+    // The HTTP server's own method also closes connections.
+    NetServer.prototype.close.call(this._server)
+    this._isClosing = true
+    this._closeIdleConnections()
+  }
+
+  /** Waits for answers that have ended and are not flushed: the HTTP server considers their connections idle. */
+  private _closeIdleConnections (): void {
+    if (!this._isClosing || [...this._openAnswers].some(answer => answer.hasEnded && !answer.isFlushed)) return
     this._server.closeIdleConnections()
   }
 
   private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const answer = new CallerAnswer(request, response)
     if (this._isDraining) answer.closeAfterAnswer()
+    this._openAnswers.add(answer)
     this._activeCount++
     this._receivedCount++
     try {
@@ -147,9 +166,21 @@
     } finally {
       this._activeCount--
       answer.dispose()
+      if (answer.isFlushed) this._deleteAnswer(answer)
+      else response.once('finish', () => this._deleteAnswer(answer))
     }
   }
 
+  private _deleteAnswer (answer: CallerAnswer): void {
+    this._openAnswers.delete(answer)
+    this._closeIdleConnections()
+  }
+
+  private _deleteFlushedAnswers (): void {
+    for (const answer of this._openAnswers) if (answer.isFlushed) this._openAnswers.delete(answer)
+    this._closeIdleConnections()
+  }
+
   private async _process (incoming: IncomingMessage, answer: CallerAnswer): Promise<void> {
     const arrivedAt = this._context.clock.now()
     const head = { method: incoming.method ?? 'GET', target: incoming.url ?? '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders }
