--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -45,6 +45,11 @@
     return this._hasEnded
   }
 
+  /** Whether the system has taken over all of the answer, or the connection is closed. */
+  get isFlushed (): boolean {
+    return this._response.writableFinished || this._request.socket.destroyed
+  }
+
   /** Whether the caller knows chunks, as all but those that speak HTTP/1.0 do. */
   get acceptsChunks (): boolean {
     const { httpVersionMajor, httpVersionMinor } = this._request
@@ -59,8 +64,9 @@
   begin (status: number, headers: readonly HeaderField[], isFramed = true): void {
     if (this._hasBegun || this._hasDisconnected) return
     this._hasBegun = true
-    this._isFramed = isFramed
-    if (!isFramed) this._endBodyByClose()
+    // Without a length, only chunks frame what follows.
+    this._isFramed = isFramed && this.acceptsChunks
+    if (!this._isFramed) this._endBodyByClose()
     this._response.writeHead(status, toRawHeaders(headers))
     this._response.flushHeaders()
   }
