Answer a caller whose request runs into an error

A caller of a request whose handling threw got no answer at all, not even at its route's timeout, or a closed connection without one. Statuses from 000 to 099 showed it: Node refuses to write them.

Cause: (1) CallerAnswer marked an answer as begun and ended before writeHead, so that after a throw neither a refusal nor a close followed; (2) SentAttempt's result, of which it says that it never rejects, did so when the attempt threw, and a run that waits for a stall or the result then waited for ever; (3) RelayServer closed the connection after a throw without an answer, although one could be sent.

An answer now counts as begun once its head is written and as ended once its body is handed over. An attempt that throws is logged and ends as lost or broken, with its connection closed, so that a retry or a refusal follows. What is thrown beyond that is answered with a 502, which does not say whether the request ran; the connection is closed if that fails as well.

--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -58,10 +58,9 @@
 
   begin (status: number, headers: readonly HeaderField[], isFramed = true): void {
     if (this._hasBegun || this._hasDisconnected) return
-    this._hasBegun = true
-    this._isFramed = isFramed
     if (!isFramed) this._endBodyByClose()
-    this._response.writeHead(status, toRawHeaders(headers))
+    this._writeHead(status, headers)
+    this._isFramed = isFramed
     this._response.flushHeaders()
   }
 
@@ -86,23 +85,21 @@
 
   finish (): void {
     if (this._hasEnded) return
-    this._hasEnded = true
     if (!this._hasDisconnected) this._response.end()
+    this._hasEnded = true
   }
 
   /** Sends a complete answer, unless one was begun already. */
   send (answer: BufferedAnswer): void {
-    if (this._hasBegun || this._hasEnded) return
-    this._hasBegun = true
-    this._hasEnded = true
-    if (this._hasDisconnected) return
+    if (this._hasBegun || this._hasEnded || this._hasDisconnected) return
     const hasBody = answer.status !== 204 && answer.status !== 304
     if (!answer.isFramed) this._endBodyByClose()
     const length = hasBody && answer.isFramed ? [{ name: 'Content-Length', value: String(answer.body.length) }] : []
     // The rest of the current request would be parsed as the next one.
     if (!this._request.complete) this._response.shouldKeepAlive = false
-    this._response.writeHead(answer.status, toRawHeaders([...answer.headers, ...length]))
+    this._writeHead(answer.status, [...answer.headers, ...length])
     this._response.end(hasBody ? answer.body : undefined)
+    this._hasEnded = true
   }
 
   /** Closes the connection in such a way that the caller does not consider the answer complete. */
@@ -114,6 +111,12 @@
     else this._request.socket.resetAndDestroy()
   }
 
+  /** Marks the answer as begun only once its head is written: until then another one can be sent in its place. */
+  private _writeHead (status: number, headers: readonly HeaderField[]): void {
+    this._response.writeHead(status, toRawHeaders(headers))
+    this._hasBegun = true
+  }
+
   private _endBodyByClose (): void {
     this._response.useChunkedEncodingByDefault = false
     this._response.shouldKeepAlive = false
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -13,7 +13,7 @@
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { OTHER_NODE_RETRY_MS } from '../common/relayProtocol.ts'
-import type { CallerProtocol, RelayRefusal } from '../common/relayProtocol.ts'
+import type { CallerProtocol, MessageHead, RelayRefusal } from '../common/relayProtocol.ts'
 import { getPath } from '../common/relayRequest.ts'
 import type { RelayRequest } from '../common/relayRequest.ts'
 import type { RelayTable } from '../common/relayTable.ts'
@@ -134,16 +134,27 @@
       await this._process(request, answer)
     } catch (thrown) {
       this._context.log.error('internal', { reason: String(thrown) })
-      answer.abort()
+      this._answerError(request, answer)
     } finally {
       this._activeCount--
       answer.dispose()
     }
   }
 
+  /** Answers a request whose handling has thrown; if that is not possible, its connection is closed. */
+  private _answerError (incoming: IncomingMessage, answer: CallerAnswer): void {
+    try {
+      const error = new PepperwoodError({ name: 'internal', message: 'an error in this node' })
+      if (!answer.hasBegun) this._refuse(answer, { error, isNotRun: false }, this._options.callerProtocol.findRequestId(readHead(incoming)))
+    } catch (thrown) {
+      this._context.log.error('internal', { reason: String(thrown) })
+    }
+    answer.abort()
+  }
+
   private async _process (incoming: IncomingMessage, answer: CallerAnswer): Promise<void> {
     const arrivedAt = this._context.clock.now()
-    const head = { method: incoming.method ?? 'GET', target: incoming.url ?? '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders }
+    const head = readHead(incoming)
     const admission = this._options.callerProtocol.readRequest(head)
       .mapLeft(error => ({ error, isNotRun: false }))
       .chain(request => this._admit(request))
@@ -232,6 +243,10 @@
 /** Weight of a customer's priority, which takes precedence over a route's priority as long as that is lower than this. */
 const CUSTOMER_PRIORITY_WEIGHT = 10
 
+function readHead ({ method = 'GET', url = '/', headers, rawHeaders }: IncomingMessage): MessageHead {
+  return { method, target: url, headers, rawHeaders }
+}
+
 function createRefusal (name: 'gateNotReady' | 'routeUnknown' | 'keyWrong' | 'requestTooLarge', message: string, isNotRun: boolean, value = ''): RelayRefusal {
   return { error: new PepperwoodError({ name, message, value }), isNotRun, retryAfterMs: isNotRun ? STARTUP_RETRY_MS : undefined }
 }
--- a/src/services/relay/node/sentAttempt.ts
+++ b/src/services/relay/node/sentAttempt.ts
@@ -144,15 +144,33 @@
   }
 
   private async _run (): Promise<AttemptResult> {
-    const result = await this._attempt.run()
-    this.progress.recordEnd(this._options.context.clock.now())
-    if (result.mayArrive === true) this._options.context.abandonedArrivals.add(this.upstream, this._arrival)
-    else this._arrival.settle()
-    this._recordOutcome(result.outcome)
+    const { context } = this._options
+    const result = await this._attempt.run().catch((thrown: unknown) => this._abort(thrown))
+    this.progress.recordEnd(context.clock.now())
+    try {
+      if (result.mayArrive === true) context.abandonedArrivals.add(this.upstream, this._arrival)
+      else this._arrival.settle()
+      this._recordOutcome(result.outcome)
+    } catch (thrown) {
+      this._logError(thrown)
+    }
     this.dispose()
     return result
   }
 
+  /** Ends an attempt that has thrown like any other that failed, because the run and its caller wait for the result. */
+  private _abort (thrown: unknown): AttemptResult {
+    this._logError(thrown)
+    this._attempt.cancel()
+    const reason = 'internal error'
+    return { outcome: this._options.accepted.answer.hasBegun ? { kind: 'broken', lastEventId: undefined, reason } : { kind: 'lost', reason } }
+  }
+
+  private _logError (thrown: unknown): void {
+    const { context, accepted, upstream } = this._options
+    context.log.error('internal', { request: accepted.request.id, upstream: upstream.id, reason: String(thrown) })
+  }
+
   private _prepareSend (): boolean {
     const { context, accepted, quarantine, upstream, role, inputs } = this._options
     // The cause of a crash may have become known while the request waited for quota and a connection.
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -44,7 +44,7 @@
 import type { CompletedRequest } from '../node/relayServer.ts'
 
 /** Requests have the headers id and, optionally, key, time, pieces and parts of the prompt; the rest is plain HTTP. */
-class FakeCallerProtocol extends CallerProtocol {
+export class FakeCallerProtocol extends CallerProtocol {
   readRequest ({ method, target, headers }: MessageHead): Either<PepperwoodError, RelayRequest> {
     const id = headers.id
     if (typeof id !== 'string') return Left(new PepperwoodError({ name: 'requestInvalid', message: 'expected an id' }))
@@ -72,7 +72,7 @@
 }
 
 /** An answer must repeat the id; the header `unrun` states that the request was not run. */
-class FakeUpstreamProtocol extends UpstreamProtocol {
+export class FakeUpstreamProtocol extends UpstreamProtocol {
   createHeaders ({ request, upstream, inputs, lastEventId, bodyBytes }: RelayCall): readonly HeaderField[] {
     return [
       { name: 'Host', value: upstream.address },
