Finish a gate's run whose processing has thrown

The error was logged as an unhandled rejection, the run kept its number and its callers waited.

The run is finished as refused with the execution that its attempts show, in the one function that ends every run, and the decision log has the error. onWillProcessRequest moved there too: it was called after the run was registered, outside of anything that would finish it.

No such throw is known to have happened.

--- a/src/gate/gateRequests.ts
+++ b/src/gate/gateRequests.ts
@@ -16,9 +16,11 @@
 import type { RequestPlan } from '../services/pipeline/common/requestPlan.ts'
 import { listRepeatablePipelines } from '../services/pipeline/common/resolvePipeline.ts'
 import type { IRequestRunner } from '../services/pipeline/node/requestRunner.ts'
+import { toPepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import type { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import type { ResultName } from '../services/result/common/resultCodes.ts'
 import type { UpstreamScheduler } from '../services/scheduling/common/upstreamScheduler.ts'
+import { deriveExecutionState } from '../services/session/common/attemptLog.ts'
 import type { RequestRun } from '../services/session/common/requestRun.ts'
 import type { ISessionService } from '../services/session/common/sessionService.ts'
 import type { CheckpointSigner } from '../services/session/node/checkpointSigner.ts'
@@ -112,10 +114,7 @@
     return sessions.submit({ sessionId: request.session, number: request.number, contentDigest, isUnrepeatable: request.unrepeatable })
       .mapLeft(error => this._createRefusedRequest(error, ''))
       .map(submission => {
-        if (submission.kind === 'run') {
-          this._options.onWillProcessRequest()
-          void this._processRequest(request, submission.run)
-        }
+        if (submission.kind === 'run') void this._processRequest(request, submission.run)
         return submission.run
       })
   }
@@ -126,13 +125,25 @@
     return this._options.sessions.findRun(request.session, request.number).mapLeft(error => this._createRefusedRequest(error, ''))
   }
 
+  /** Finishes the run in every case, since its callers wait for it. */
   private async _processRequest (request: SubmitRequest, run: RequestRun): Promise<void> {
+    try {
+      this._options.onWillProcessRequest()
+      await this._tryRun(request, run)
+    } catch (thrown) {
+      const error = toPepperwoodError(thrown)
+      run.finish({ kind: 'refused', error, retryAfterMs: 0, gates: [], execution: deriveExecutionState(run.attemptLog.attempts), costs: [] })
+      this._options.decisions.record({ subject: run.requestId, kind: 'end', choice: error.resultName, reason: error.message, inputs: '' })
+    }
+    this._options.sessions.retain(run)
+    this._options.onDidFinishRequest(request.pipeline, run)
+  }
+
+  private async _tryRun (request: SubmitRequest, run: RequestRun): Promise<void> {
     const availabilityError = await this._findAvailabilityError(request.seenConfiguration)
     const admitted = availabilityError === undefined ? this._admit(request, run) : Left(this._createRefusedRequest(availabilityError, run.customer))
     if (admitted.isRight()) await this._options.runner.run(admitted.extract(), run)
     else admitted.ifLeft(refused => run.finish({ kind: 'refused', ...refused, execution: 'notRun', costs: [] }))
-    this._options.sessions.retain(run)
-    this._options.onDidFinishRequest(request.pipeline, run)
   }
 
   /** No stage has been sent yet, so every refusal from here is `notRun`. */
