--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -111,6 +111,10 @@
     try {
       this._retries.recordFirstAttempt()
       return this._createOutcome(await this._runAttempts())
+    } catch (thrown) {
+      // An attempt in flight would go on without a deadline, for a caller that has been answered.
+      this._abortController.abort()
+      throw thrown
     } finally {
       deadlineTimer.dispose()
       disconnectListener.dispose()
--- a/src/services/relay/test/thrownErrors.test.ts
+++ b/src/services/relay/test/thrownErrors.test.ts
@@ -3,6 +3,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitFor } from '../../../base/node/interval.ts'
+import { waitUntil } from '../../../base/test/polling.ts'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { RetryBudget } from '../../retry/common/retryPolicy.ts'
 import { FakeCallerProtocol, FakeUpstream, FakeUpstreamProtocol, RelayHarness, answerWith } from './fakes.ts'
@@ -72,4 +73,18 @@
   })
 }
 
+// An attempt in flight went on without a deadline, although its caller had been answered.
+test('the upstream that works on a request is left when an error is thrown', async () => {
+  const upstream = new FakeUpstream(() => {})
+  const retry = Object.assign(new RetryBudget({ maxBalance: 1 }), { acquireRetry: fail })
+  const harness = new RelayHarness({ upstreams: [upstream], route: { maxAttempts: 2, timeoutMs: 600, goalMs: 100 }, retry })
+  await harness.start()
+  try {
+    assert.match((await harness.call('a', '', MAX_WAIT_MS)).text, INTERNAL)
+    assert.ok(await waitUntil(() => upstream.closedCount === 1, MAX_WAIT_MS), 'the upstream goes on')
+  } finally {
+    harness.dispose()
+  }
+})
+
 test.run()
