--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -45,6 +45,11 @@
     return this._hasEnded
   }
 
+  /** Whether the system has taken over all of the answer, or the connection is closed. */
+  get isFlushed (): boolean {
+    return this._response.writableFinished || this._request.socket.destroyed
+  }
+
   /** Whether the caller knows chunks, as all but those that speak HTTP/1.0 do. */
   get acceptsChunks (): boolean {
     const { httpVersionMajor, httpVersionMinor } = this._request
@@ -58,9 +63,11 @@
 
   begin (status: number, headers: readonly HeaderField[], isFramed = true): void {
     if (this._hasBegun || this._hasDisconnected) return
-    if (!isFramed) this._endBodyByClose()
+    // Without a length, only chunks frame what follows.
+    const hasFraming = isFramed && this.acceptsChunks
+    if (!hasFraming) this._endBodyByClose()
     this._writeHead(status, headers)
-    this._isFramed = isFramed
+    this._isFramed = hasFraming
     this._response.flushHeaders()
   }
 
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { Server as NetServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
@@ -21,6 +22,7 @@
 import type { RelayContext } from './relayContext.ts'
 import { RelayRun } from './relayRun.ts'
 import type { RelayOutcome } from './relayRun.ts'
+import { readRequestBody } from './requestBody.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
 
 export interface RelayServerOptions {
@@ -66,13 +68,20 @@
   private _receivedCount = 0
   private _isDraining = false
   private _isRefusingNew = false
+  private _isRefusingWaiting = false
+  private _isClosing = false
+  /** Requests whose bodies have not arrived completely. */
+  private readonly _uploads = new Set<AbortController>()
   private readonly _runs = new Set<RelayRun>()
+  /** Answers that the system has not taken over completely: those in progress, and those whose callers read slowly. */
+  private readonly _openAnswers = new Set<CallerAnswer>()
 
   constructor (options: RelayServerOptions) {
     super()
     this._options = options
     this._context = { ...options.context, refuse: (answer, refusal, requestId) => this._refuse(answer, refusal, requestId) }
     this._server = createServer({ ...STRICT_PARSING, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS }, (request, response) => { void this._handle(request, response) })
+    this._server.on('connection', socket => socket.once('close', () => this._deleteFlushedAnswers()))
     this._server.on('clientError', (_error, socket) => { socket.destroy() })
     this._register(toDisposable(() => {
       this._server.close()
@@ -86,6 +95,11 @@
     return this._activeCount
   }
 
+  /** Whether no request is in progress and the system has taken over all answers. */
+  get isIdle (): boolean {
+    return this._activeCount === 0 && this._openAnswers.size === 0
+  }
+
   /** Number of requests received since the process started, refused ones included. */
   get receivedCount (): number {
     return this._receivedCount
@@ -114,20 +128,35 @@
     this._isRefusingNew = true
   }
 
-  /** Refuses requests that have not been sent to an upstream yet, so that callers retry at another node. */
+  /**
+   * Sends nothing more for requests whose answers have not begun. Those that have not been sent yet are refused, uploads included,
+   * so that callers retry at another node.
+   */
   refuseWaiting (): void {
-    for (const run of [...this._runs]) run.refuseIfWaiting()
+    this.refuseNew()
+    this._isRefusingWaiting = true
+    for (const upload of this._uploads) upload.abort()
+    for (const run of [...this._runs]) run.stopSending()
   }
 
   /** Stops accepting connections and closes idle ones. */
   close (): void {
-    this._server.close()
+    // The HTTP server's own method also closes connections.
+    NetServer.prototype.close.call(this._server)
+    this._isClosing = true
+    this._closeIdleConnections()
+  }
+
+  /** Waits for answers that have ended and are not flushed: the HTTP server considers their connections idle. */
+  private _closeIdleConnections (): void {
+    if (!this._isClosing || [...this._openAnswers].some(answer => answer.hasEnded && !answer.isFlushed)) return
     this._server.closeIdleConnections()
   }
 
   private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const answer = new CallerAnswer(request, response)
     if (this._isDraining) answer.closeAfterAnswer()
+    this._openAnswers.add(answer)
     this._activeCount++
     this._receivedCount++
     try {
@@ -138,6 +167,8 @@
     } finally {
       this._activeCount--
       answer.dispose()
+      if (answer.isFlushed) this._deleteAnswer(answer)
+      else response.once('finish', () => this._deleteAnswer(answer))
     }
   }
 
@@ -152,6 +183,16 @@
     answer.abort()
   }
 
+  private _deleteAnswer (answer: CallerAnswer): void {
+    this._openAnswers.delete(answer)
+    this._closeIdleConnections()
+  }
+
+  private _deleteFlushedAnswers (): void {
+    for (const answer of this._openAnswers) if (answer.isFlushed) this._openAnswers.delete(answer)
+    this._closeIdleConnections()
+  }
+
   private async _process (incoming: IncomingMessage, answer: CallerAnswer): Promise<void> {
     const arrivedAt = this._context.clock.now()
     const head = readHead(incoming)
@@ -161,8 +202,9 @@
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     const body = await this._readBody(incoming)
-    if (body === undefined) {
-      if (!answer.hasDisconnected) this._refuse(answer, createRefusal('requestTooLarge', 'the request body is too large or incomplete', false), admitted.request.id)
+    if (body === undefined || this._isRefusingWaiting) {
+      const refusal = this._isRefusingWaiting ? createDrainingRefusal() : createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
+      if (!answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
       return
     }
     const run = new RelayRun(this._context, { ...admitted, body, answer, arrivedAt })
@@ -182,7 +224,7 @@
   private _admit (request: RelayRequest): Either<RelayRefusal, AdmittedRequest> {
     const readinessError = this._options.findReadinessError()
     const table = this._options.getTable()
-    if (this._isRefusingNew) return Left({ error: new PepperwoodError({ name: 'gateDraining', message: 'this node is stopping' }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS })
+    if (this._isRefusingNew) return Left(createDrainingRefusal())
     if (readinessError !== undefined) return Left({ error: readinessError, isNotRun: true, retryAfterMs: this._options.estimateReadinessDelayMs() })
     if (table === undefined) return Left(createRefusal('gateNotReady', 'no configuration is known yet', true))
     const route = table.findRoute(request.host, getPath(request.target))
@@ -205,20 +247,13 @@
   }
 
   private async _readBody (incoming: IncomingMessage): Promise<Buffer | undefined> {
-    const maxBytes = this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES
-    if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return undefined
-    const parts: Buffer[] = []
-    let size = 0
+    const upload = new AbortController()
+    this._uploads.add(upload)
     try {
-      for await (const part of incoming as AsyncIterable<Buffer>) {
-        size += part.length
-        if (size > maxBytes) return undefined
-        parts.push(part)
-      }
-    } catch {
-      return undefined
+      return await readRequestBody(incoming, { maxBytes: this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES, signal: upload.signal })
+    } finally {
+      this._uploads.delete(upload)
     }
-    return incoming.complete ? Buffer.concat(parts) : undefined
   }
 
   private _refuse (answer: CallerAnswer, refusal: RelayRefusal, requestId: string): void {
@@ -250,3 +285,7 @@
 function createRefusal (name: 'gateNotReady' | 'routeUnknown' | 'keyWrong' | 'requestTooLarge', message: string, isNotRun: boolean, value = ''): RelayRefusal {
   return { error: new PepperwoodError({ name, message, value }), isNotRun, retryAfterMs: isNotRun ? STARTUP_RETRY_MS : undefined }
 }
+
+function createDrainingRefusal (): RelayRefusal {
+  return { error: new PepperwoodError({ name: 'gateDraining', message: 'this node is stopping' }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS }
+}
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -99,13 +99,17 @@
 /** Handles a request whose head an upstream has read. */
 export type UpstreamScript = (socket: Socket, head: string) => void
 
-/** Creates a script that sends bytes and then keeps, closes or resets the connection. */
-export function answerWith (text: string, end: 'keep' | 'close' | 'reset' = 'keep'): UpstreamScript {
+/**
+ * Creates a script that sends bytes and then keeps, closes or resets the connection. After `resetAtOnce` the bytes and the reset are
+ * seen in one poll of the event loop.
+ */
+export function answerWith (text: string, end: 'keep' | 'close' | 'reset' | 'resetAtOnce' = 'keep'): UpstreamScript {
   return socket => {
     socket.write(text, () => {
       if (end === 'close') socket.end()
       // Lets the bytes arrive before the reset.
       if (end === 'reset') setTimeout(() => socket.resetAndDestroy(), 30)
+      if (end === 'resetAtOnce') setImmediate(() => socket.resetAndDestroy())
     })
   }
 }
@@ -176,6 +180,8 @@
   /** The hall of each upstream, in order; by default all are in one hall. */
   readonly halls?: readonly string[]
   readonly hallRegions?: Readonly<Record<string, string>>
+  /** Opens the connections to upstreams; by default directly. */
+  readonly agent?: CallAgent
   /** Protocols of callers and upstreams; by default the fake ones of this file. */
   readonly protocols?: { readonly caller: CallerProtocol, readonly upstream: UpstreamProtocol }
 }
@@ -196,7 +202,7 @@
   constructor (private readonly _options: RelayHarnessOptions) {
     super()
     const clock = new SystemClock()
-    const agent = new CallAgent({ keepAlive: true })
+    const agent = _options.agent ?? new CallAgent({ keepAlive: true })
     this._register(toDisposable(() => agent.destroy()))
     const log = new LogService({ program: 'test', silent: true })
     const facts = this._register(_options.facts ?? new FactStore(clock))
