Count runs at a host without power when its upstream is known to be gone

Upstreams went on crashing on a part of prompts after five crashes: each crash whose host fell silent counted late.

Cause: a run at such a host loses no connection, so it was reported when its request reached its deadline.

Change: runs are tracked while they are open. When their upstream leaves the list without having said so, or another node reports its crash, and its address does not accept connections, those that have been silent for half a second count at once. The request itself goes on as before, and its run counts once. Leaving upstreams are left out.

--- a/src/services/quarantine/common/quarantine.ts
+++ b/src/services/quarantine/common/quarantine.ts
@@ -2,6 +2,7 @@
  * The quarantine as used by the relay: checked before a request is sent, and updated after an upstream crashed while running
  * a request.
  */
+import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { CrashRecord } from './quarantineTracker.ts'
 import type { IRequestIdentity } from './requestIdentity.ts'
 
@@ -21,6 +22,13 @@
   readonly endedAt: number
 }
 
+/** A run that has not ended. */
+export interface OpenRun {
+  readonly upstream: string
+  /** Returns the run as it would count if its upstream had crashed; undefined unless the upstream has been silent for a while. */
+  readonly findSilentRun: () => LostRun | undefined
+}
+
 /** A run whose answer was complete. */
 export interface ServedRun {
   readonly requestId: string
@@ -40,6 +48,11 @@
   confirmRunning (upstream: Pick<LostRun, 'upstream' | 'address'>): Promise<boolean>
   /** Resolves to whether the upstream is known to have crashed, within the time of one connection attempt to it. */
   recordLostRun (run: LostRun): Promise<boolean>
+  /**
+   * Tracks a run until it ends. If its host loses power, its connection stays silent, and nothing else tells this node that the
+   * run was lost until its deadline.
+   */
+  trackRun (run: OpenRun): IDisposable
   /** Records a run that this node ended while its upstream was silent; the upstream may have crashed with its host. */
   recordSilentRun (run: LostRun): void
   /** Counts a refused request and logs the evidence for it. */
--- a/src/services/quarantine/node/lostUpstreams.ts
+++ b/src/services/quarantine/node/lostUpstreams.ts
@@ -5,11 +5,12 @@
  * takes over its address, or that another node knows it crashed. It counts for all runs that were lost there shortly before.
  */
 import type { IClock } from '../../../base/common/clock.ts'
-import { Disposable } from '../../../base/common/disposable.ts'
+import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
+import type { IDisposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
-import type { LostRun } from '../common/quarantine.ts'
+import type { LostRun, OpenRun } from '../common/quarantine.ts'
 import type { ProbeResult } from './upstreamProbe.ts'
 
 export interface LostUpstreamsOptions {
@@ -48,6 +49,10 @@
 export class LostUpstreams extends Disposable {
   private readonly _options: LostUpstreamsOptions
   private readonly _lost = new Map<string, LostUpstream>()
+  /** Runs that have not ended and do not count yet. */
+  private readonly _openRuns = new Set<OpenRun>()
+  /** Upstreams with open runs whose addresses are being probed. */
+  private readonly _checked = new Set<string>()
   private readonly _crashedAt = new Map<string, number>()
   /** Instances that left the list without having said so. */
   private readonly _droppedAt = new Map<string, number>()
@@ -99,10 +104,17 @@
     else if (entry === undefined) void this._checkDropped(upstream, lost)
   }
 
+  /** Tracks a run until it ends; it counts earlier if its upstream is silent and turns out to have crashed. */
+  trackRun (run: OpenRun): IDisposable {
+    this._openRuns.add(run)
+    return toDisposable(() => this._openRuns.delete(run))
+  }
+
   /** Records that a node knows that the upstream crashed. */
   recordCrash (upstream: string, at: number): void {
     this._confirmCrash(upstream, 'peer')
     this._crashedAt.set(upstream, at)
+    if (this._options.registry.get(upstream)?.isLeaving !== true) void this._checkOpenRuns(upstream)
   }
 
   expire (now: number): void {
@@ -119,7 +131,8 @@
   private _addRun (run: LostRun): LostUpstream {
     const lost = this._lost.get(run.upstream) ?? new LostUpstream(run.address)
     this._lost.set(run.upstream, lost)
-    lost.runs = [...lost.runs, run].slice(-MAX_RUNS)
+    // A run that counted while it was open may be recorded again when it ends.
+    if (!lost.runs.some(known => known.digest === run.digest && known.sentAt === run.sentAt)) lost.runs = [...lost.runs, run].slice(-MAX_RUNS)
     return lost
   }
 
@@ -138,8 +151,8 @@
     if (kind !== 'dropped' || entry.isLeaving) return
     this._droppedAt.set(entry.id, this._options.clock.now())
     const lost = this._lost.get(entry.id)
-    if (lost === undefined) return
-    if (lost.hasLostConnection) this._confirmCrash(entry.id, 'unlisted')
+    if (lost === undefined) void this._checkOpenRuns(entry.id)
+    else if (lost.hasLostConnection) this._confirmCrash(entry.id, 'unlisted')
     else void this._checkDropped(entry.id, lost)
   }
 
@@ -150,10 +163,35 @@
   }
 
   /** An upstream may leave the list without having said that it leaves, and serve on for a while. */
-  private async _checkDropped (upstream: string, { address }: LostUpstream): Promise<void> {
+  private async _checkDropped (upstream: string, { address }: Pick<LostUpstream, 'address'>): Promise<void> {
     const result = await this._options.probe(address)
     this._options.log.info('upstream_lost', { upstream, address, connection: result })
-    if (result !== 'accepted') this._confirmCrash(upstream, result)
+    if (result === 'accepted') return
+    this._addSilentRuns(upstream)
+    this._confirmCrash(upstream, result)
+  }
+
+  private async _checkOpenRuns (upstream: string): Promise<void> {
+    if (this._checked.has(upstream)) return
+    const [run] = this._listSilentRuns(upstream)
+    if (run === undefined) return
+    this._checked.add(upstream)
+    await this._checkDropped(upstream, run.lost)
+    this._checked.delete(upstream)
+  }
+
+  private _addSilentRuns (upstream: string): void {
+    for (const { open, lost } of this._listSilentRuns(upstream)) {
+      this._openRuns.delete(open)
+      this._addRun(lost)
+    }
+  }
+
+  private _listSilentRuns (upstream: string): ReadonlyArray<{ readonly open: OpenRun, readonly lost: LostRun }> {
+    return [...this._openRuns].flatMap(open => {
+      const lost = open.upstream === upstream ? open.findSilentRun() : undefined
+      return lost === undefined ? [] : [{ open, lost }]
+    })
   }
 
   private _confirmCrash (upstream: string, evidence: string): void {
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -5,6 +5,7 @@
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import { Disposable } from '../../../base/common/disposable.ts'
+import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { Event } from '../../../base/common/event.ts'
 import { startInterval } from '../../../base/node/interval.ts'
 import { formatClearedSubject, formatEndedSubject } from '../../facts/common/fact.ts'
@@ -14,7 +15,7 @@
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { InstanceIdentity } from '../common/instanceProbe.ts'
 import { formatPartKey, parsePartKey } from '../common/partKey.ts'
-import type { IQuarantineService, LostRun, ServedRun } from '../common/quarantine.ts'
+import type { IQuarantineService, LostRun, OpenRun, ServedRun } from '../common/quarantine.ts'
 import { QuarantineTracker } from '../common/quarantineTracker.ts'
 import type { CrashRecord, QuarantineEntry } from '../common/quarantineTracker.ts'
 import type { IRequestIdentity } from '../common/requestIdentity.ts'
@@ -102,6 +103,10 @@
     return this._lostUpstreams.recordLost(run)
   }
 
+  trackRun (run: OpenRun): IDisposable {
+    return this._lostUpstreams.trackRun(run)
+  }
+
   recordSilentRun (run: LostRun): void {
     this._lostUpstreams.recordSilent(run)
   }
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -10,6 +10,7 @@
 import { LogService } from '../../log/node/logger.ts'
 import { UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { InstanceIdentity } from '../common/instanceProbe.ts'
+import type { LostRun } from '../common/quarantine.ts'
 import type { IRequestIdentity } from '../common/requestIdentity.ts'
 import { QuarantineService } from '../node/quarantineService.ts'
 import type { ProbeResult } from '../node/upstreamProbe.ts'
@@ -241,6 +242,55 @@
   }
 }))
 
+/** Starts a run at an upstream that then falls silent; returns it as it counts if the upstream has crashed. */
+function startSilentRun (fleet: Fleet, upstream: string, isSilent = true): LostRun {
+  const { registry, service } = fleet.getNode(0)
+  registry.update({ id: upstream, role: 'u', address: `${upstream}:1`, hall: '', slots: 1, isLeaving: false }, 'test')
+  const sentAt = fleet.clock.now()
+  fleet.clock.advance(600)
+  const run = { digest: 'g', bodyBytes: 9, partKeys: [], isStarting: true, upstream, address: `${upstream}:1`, sentAt, endedAt: fleet.clock.now() }
+  service.trackRun({ upstream, findSilentRun: () => isSilent ? run : undefined })
+  fleet.clock.advance(50)
+  return run
+}
+
+test('a run that has not ended counts once its silent upstream leaves the list and does not answer', () => runFleet(async fleet => {
+  const { facts, registry, service } = fleet.getNode(0)
+  const drop = async (upstream: string) => {
+    registry.remove(upstream, 'removed')
+    await fleet.flush()
+    return service.getCrashRecord(REQUEST).crashCount
+  }
+  fleet.probeResult = 'accepted'
+  startSilentRun(fleet, 'serving')
+  assert.is(await drop('serving'), 0, 'it serves on')
+  fleet.probeResult = 'silent'
+  startSilentRun(fleet, 'producing', false)
+  assert.is(await drop('producing'), 0, 'it has produced output just before')
+  startSilentRun(fleet, 'leaving')
+  registry.markLeaving('leaving', 'test')
+  assert.is(await drop('leaving'), 0, 'it leaves as planned')
+  const run = startSilentRun(fleet, 'crashed')
+  assert.is(await drop('crashed'), 1)
+  service.recordSilentRun(run)
+  await fleet.flush()
+  assert.is(facts.get(formatEndedSubject('crashed', 'a'))?.counter, 1, 'it counts once, although it is recorded again when it ends')
+}))
+
+test('a run that has not ended counts once a peer reports the crash of its silent upstream, unless that answers', () => runFleet(async fleet => {
+  const { facts } = fleet.getNode(0)
+  for (const [probeResult, counter] of [['accepted', undefined], ['refused', 1]] as const) {
+    const upstream = `u-${probeResult}`
+    startSilentRun(fleet, upstream)
+    fleet.probeResult = 'refused'
+    await killUnderPart(fleet, 1, upstream)
+    fleet.probeResult = probeResult
+    fleet.sendFacts(1)
+    await fleet.flush()
+    assert.is(facts.get(formatEndedSubject(upstream, 'a'))?.counter, counter, probeResult)
+  }
+}))
+
 /** Crashes an upstream while one node has several runs there, the last of which had just begun its answer. */
 async function killUnderPart (fleet: Fleet, node: number, upstream: string, runCount = 1): Promise<void> {
   const { registry, service } = fleet.getNode(node)
--- a/src/services/relay/common/attemptProgress.ts
+++ b/src/services/relay/common/attemptProgress.ts
@@ -53,7 +53,12 @@
 
   /** For how long the upstream had been silent when the attempt ended; 0 while it runs. */
   get silentMs (): number {
-    return this.hasEnded ? this._endedAt - this._lastProgressAt : 0
+    return this.hasEnded ? this.computeSilentMs(this._endedAt) : 0
+  }
+
+  /** For how long the upstream has been silent at a moment. */
+  computeSilentMs (now: number): number {
+    return now - this._lastProgressAt
   }
 
   get hasEnded (): boolean {
--- a/src/services/relay/node/requestQuarantine.ts
+++ b/src/services/relay/node/requestQuarantine.ts
@@ -1,6 +1,7 @@
 /**
  * The quarantine from the point of view of one request: what is known against it, its runs that were lost, and its answers.
  */
+import type { IDisposable } from '../../../base/common/disposable.ts'
 import { NO_CRASHES } from '../../quarantine/common/quarantineTracker.ts'
 import type { LostRun } from '../../quarantine/common/quarantine.ts'
 import type { CrashRecord } from '../../quarantine/common/quarantineTracker.ts'
@@ -17,7 +18,7 @@
 const STARTING_MS = 250
 /** A node that reaches no peer joins alone after the same time. */
 const MAX_PEER_WAIT_MS = 1000
-/** After a shorter silence the upstream is taken to have been working when the attempt was given up. */
+/** After a shorter silence the upstream is taken to be working, or to have been when the attempt was given up. */
 const MIN_SILENT_MS = 500
 
 /** How far a run had come when it was lost, and what its request shares with others. */
@@ -71,6 +72,17 @@
     return this._record.isQuarantined ? this._record : undefined
   }
 
+  /** Tracks an attempt until it ends, so that it counts against its request as soon as its silent upstream is known to have crashed. */
+  trackAttempt (upstream: UpstreamEntry, progress: AttemptProgress): IDisposable {
+    const { clock, quarantine } = this._context
+    const findSilentRun = () => {
+      const now = clock.now()
+      if (progress.hasEnded || progress.computeSilentMs(now) < MIN_SILENT_MS) return undefined
+      return this._createLostRun(upstream, { sentAt: progress.sentAt, endedAt: now, isStarting: isStarting(progress), partKeys: this.fingerprint.getPartKeys() })
+    }
+    return quarantine.trackRun({ upstream: upstream.id, findSilentRun })
+  }
+
   /**
    * Reports an attempt and waits until it is known whether the upstream crashed. Neither a further attempt nor an immediate
    * retry by the caller may be sent before that.
--- a/src/services/relay/node/sentAttempt.ts
+++ b/src/services/relay/node/sentAttempt.ts
@@ -159,6 +159,7 @@
     if (!context.guard.maySend(upstream.id, accepted.request.id) || quarantine.findQuarantine() !== undefined) return false
     this._writtenAt = context.clock.now()
     this._acceptance = new SendAcceptance({ ...context, role })
+    this._register(quarantine.trackAttempt(upstream, this.progress))
     this._options.onDidSend(this._arrival)
     this._scheduledRelease = inputs.scheduleRelease()
     return true
