--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -14,7 +14,7 @@
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { OTHER_NODE_RETRY_MS } from '../common/relayProtocol.ts'
-import type { CallerProtocol, RelayRefusal } from '../common/relayProtocol.ts'
+import type { CallerProtocol, MessageHead, RelayRefusal } from '../common/relayProtocol.ts'
 import { getPath } from '../common/relayRequest.ts'
 import type { RelayRequest } from '../common/relayRequest.ts'
 import type { RelayTable } from '../common/relayTable.ts'
@@ -163,7 +163,7 @@
       await this._process(request, answer)
     } catch (thrown) {
       this._context.log.error('internal', { reason: String(thrown) })
-      answer.abort()
+      this._answerError(request, answer)
     } finally {
       this._activeCount--
       answer.dispose()
@@ -172,6 +172,17 @@
     }
   }
 
+  /** Answers a request whose handling has thrown; if that is not possible, its connection is closed. */
+  private _answerError (incoming: IncomingMessage, answer: CallerAnswer): void {
+    try {
+      const error = new PepperwoodError({ name: 'internal', message: 'an error in this node' })
+      if (!answer.hasBegun) this._refuse(answer, { error, isNotRun: false }, this._options.callerProtocol.findRequestId(readHead(incoming)))
+    } catch (thrown) {
+      this._context.log.error('internal', { reason: String(thrown) })
+    }
+    answer.abort()
+  }
+
   private _deleteAnswer (answer: CallerAnswer): void {
     this._openAnswers.delete(answer)
     this._closeIdleConnections()
@@ -184,7 +195,7 @@
 
   private async _process (incoming: IncomingMessage, answer: CallerAnswer): Promise<void> {
     const arrivedAt = this._context.clock.now()
-    const head = { method: incoming.method ?? 'GET', target: incoming.url ?? '/', headers: incoming.headers, rawHeaders: incoming.rawHeaders }
+    const head = readHead(incoming)
     const admission = this._options.callerProtocol.readRequest(head)
       .mapLeft(error => ({ error, isNotRun: false }))
       .chain(request => this._admit(request))
@@ -267,6 +278,10 @@
 /** Weight of a customer's priority, which takes precedence over a route's priority as long as that is lower than this. */
 const CUSTOMER_PRIORITY_WEIGHT = 10
 
+function readHead ({ method = 'GET', url = '/', headers, rawHeaders }: IncomingMessage): MessageHead {
+  return { method, target: url, headers, rawHeaders }
+}
+
 function createRefusal (name: 'gateNotReady' | 'routeUnknown' | 'keyWrong' | 'requestTooLarge', message: string, isNotRun: boolean, value = ''): RelayRefusal {
   return { error: new PepperwoodError({ name, message, value }), isNotRun, retryAfterMs: isNotRun ? STARTUP_RETRY_MS : undefined }
 }
