Answer the requests that still run when a stopping node's grace period ends

Callers whose requests still ran at the end of a planned stop had their connections closed without an answer, those of requests that may not be repeated among them. A stream without framing (HTTP/1.0) looked whole, since the end of the process closes its connection in order.

Cause: the shutdown only waited; the connections were closed by the end of the process.

At the end of the grace period each run now ends by itself: without an answer it is refused with the statement that it may have run, on a connection that closes; an answer that has begun is aborted, by a reset where the end of the connection would mark the end of the body. The answers have 200 ms to be written before the process ends; what is not written by then is cut in the same way. A run ends once: what its attempt does afterwards changes nothing.

--- a/src/entryNode/gracefulShutdown.ts
+++ b/src/entryNode/gracefulShutdown.ts
@@ -22,6 +22,8 @@
 const LAST_SEND_MARGIN_MS = 1200
 /** The shutdown ends this long before the process would be killed. */
 const KILL_MARGIN_MS = 400
+/** Time for which the answers to requests that the end of the shutdown abandons are written. */
+const FLUSH_MS = 200
 const POLL_PERIOD_MS = 50
 
 export class GracefulShutdown {
@@ -33,7 +35,7 @@
     this._startedAt = options.clock.now()
   }
 
-  /** Resolves when no request is in progress any more and all answers are on their way, or the grace time is over. */
+  /** Resolves when no request is in progress any more and all answers are on their way. Those in progress at the end are abandoned. */
   async run (): Promise<void> {
     const { relay, countRelayed, graceMs } = this._options
     const isIdle = () => relay.isIdle && countRelayed() === 0
@@ -45,6 +47,9 @@
     await this._waitUntil(endMs - LAST_SEND_MARGIN_MS, isIdle)
     relay.refuseWaiting()
     await this._waitUntil(endMs, isIdle)
+    relay.abandonRequests()
+    await this._waitUntil(endMs + FLUSH_MS, () => relay.isIdle)
+    relay.cutAnswers()
   }
 
   /** Milliseconds since the start of the shutdown. */
--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -103,6 +103,7 @@
     this._hasEnded = true
     if (this._hasDisconnected) return
     const hasBody = answer.status !== 204 && answer.status !== 304
+    this._isFramed = answer.isFramed
     if (!answer.isFramed) this._endBodyByClose()
     const length = hasBody && answer.isFramed ? [{ name: 'Content-Length', value: String(answer.body.length) }] : []
     // The rest of the current request would be parsed as the next one.
@@ -115,6 +116,12 @@
   abort (): void {
     if (this._hasEnded) return
     this._hasEnded = true
+    this.cut()
+  }
+
+  /** Like `abort`, also for an answer that has ended; one that the system has taken over stays as it is. */
+  cut (): void {
+    if (this.isFlushed) return
     // Without framing, an orderly close would mark the end of the body, so the connection is reset.
     if (this._isFramed) this._response.destroy()
     else this._request.socket.resetAndDestroy()
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -134,6 +134,14 @@
     if (!this._isAttemptSent() && this._endingCount === 0) this._refuseStopping()
   }
 
+  /** Ends the request because this process is about to end: states whether it may have run, or cuts an answer that has begun. */
+  abandon (): void {
+    const { answer } = this._accepted
+    if (answer.hasEnded) return
+    answer.closeAfterAnswer()
+    this._refuseStopping()
+  }
+
   private _maySend (): boolean {
     return !this._isStopping || this._accepted.answer.hasBegun
   }
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -138,6 +138,16 @@
     for (const run of [...this._runs]) run.stopSending()
   }
 
+  /** Ends the requests in progress, because the process is about to end: callers are told whether they may have run. */
+  abandonRequests (): void {
+    for (const run of [...this._runs]) run.abandon()
+  }
+
+  /** Cuts the answers that the system has not taken over by now, so that they do not appear complete. */
+  cutAnswers (): void {
+    for (const answer of this._openAnswers) answer.cut()
+  }
+
   /** Stops accepting connections and closes idle ones. */
   close (): void {
     // The HTTP server's own method also closes connections.
--- a/src/services/relay/test/plannedStop.test.ts
+++ b/src/services/relay/test/plannedStop.test.ts
@@ -1,13 +1,15 @@
 // Guards against requests that are cut without an answer when a node stops as planned. Callers of a stopped node saw connections
 // closed on uploads that it had sent to an upstream in its last second.
+import { createServer } from 'node:http'
 import { connect } from 'node:net'
-import type { Socket } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { Right } from 'purify-ts'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { RouteKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { waitUntil } from '../../../base/test/polling.ts'
 import type { IPreparationService, IPreparedInputs } from '../../preparation/common/preparationService.ts'
+import { CallerAnswer } from '../node/callerAnswer.ts'
 import { FakeUpstream, RelayHarness } from './fakes.ts'
 import type { RelayHarnessOptions, UpstreamScript } from './fakes.ts'
 
@@ -15,6 +17,8 @@
 
 const MAX_WAIT_MS = 2000
 const inputs: IPreparedInputs = { handles: ['h'], bytes: 1, isReleased: false, targetId: '', prefixSourceId: '', hall: '', report: () => {}, release: () => {}, prepareAgain: () => Promise.resolve(Right(inputs)) }
+/** More than the buffers of the system hold. */
+const LARGE_BYTES = 64 * 1024 * 1024
 const HEAD = 'POST /x HTTP/1.1\r\nHost: h\r\nId: a\r\n'
 
 /** A caller that sends its request in parts and records what it receives. */
@@ -24,12 +28,22 @@
   private readonly _socket
 
   constructor (port: number) {
-    this._socket = connect(port, '127.0.0.1')
+    this._socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
     this._socket.on('data', data => { this.text += data.toString('latin1') })
     this._socket.on('error', () => { this.end = 'reset' })
+    // A reset that arrives together with bytes may be reported as an orderly end, but a write after it fails.
+    this._socket.on('end', () => this._socket.write('x', error => this._socket.destroy(error ?? undefined)))
     this._socket.on('close', () => { if (this.end === 'open') this.end = 'closed' })
   }
 
+  stopReading (): void {
+    this._socket.pause()
+  }
+
+  startReading (): void {
+    this._socket.resume()
+  }
+
   send (text: string): void {
     this._socket.write(text)
   }
@@ -105,4 +119,24 @@
   })
 })
 
+test('an answer without a length that has ended does not end in order if it is cut before it is written', async () => {
+  let answer: CallerAnswer | undefined
+  const server = createServer((request, response) => {
+    answer = new CallerAnswer(request, response)
+    answer.send({ isFramed: false, status: 200, headers: [], body: Buffer.alloc(LARGE_BYTES) })
+  })
+  const port = await new Promise<number>(resolve => { server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port)) })
+  const caller = new SlowCaller(port)
+  caller.stopReading()
+  caller.send('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+  await waitUntil(() => answer?.hasEnded === true, MAX_WAIT_MS)
+  answer?.cut()
+  caller.startReading()
+  await caller.waitForEnd()
+  caller.dispose()
+  server.close()
+  server.closeAllConnections()
+  assert.is(caller.end, 'reset')
+})
+
 test.run()
