Refuse requests that a stopping node is not expected to answer before it ends

A stopping node took requests that it had less time left for than their route's goal, among them uploads that had begun long before, and abandoned them at the end of its grace period, when they may have run.

Cause: only the time since SIGTERM decided whether a request is taken, and for an upload the time of its head.

The relay now knows when it abandons requests. It refuses one as not run, at its head and again when its body is complete, if that is earlier than the route's goal and than the time for which the caller waits. Everything else is taken as before: a time limit alone says how long a caller waits and not how long a request runs, so to refuse by it would turn away most requests of routes with long limits for nothing.

Evidence: two of the four new tests of plannedStop fail without the check (the request and the upload reach the upstream); the other two are what must still be served.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -323,7 +323,7 @@
     this._isDraining = true
     log.info('stopping', { open: this._relayServer.activeRequestCount, grace_ms: graceMs })
     this._statusReporter.reportIfChanged()
-    this._relayServer.drain()
+    this._relayServer.drain(shutdown.abandonAfterMs)
     this._connections.drain()
     await this._fleetMember.leave()
     if (this._preparationClient.hasOtherCoordinator()) this._coordinator.drain()
--- a/src/entryNode/gracefulShutdown.ts
+++ b/src/entryNode/gracefulShutdown.ts
@@ -43,7 +43,7 @@
     relay.refuseNew()
     await this._waitUntil(graceMs * REDIRECT_FRACTION)
     relay.close()
-    const endMs = graceMs - KILL_MARGIN_MS
+    const endMs = this.abandonAfterMs
     await this._waitUntil(endMs - LAST_SEND_MARGIN_MS, isIdle)
     relay.refuseWaiting()
     await this._waitUntil(endMs, isIdle)
@@ -52,6 +52,11 @@
     relay.cutAnswers()
   }
 
+  /** Requests in progress are abandoned this long after the start of the shutdown. */
+  get abandonAfterMs (): number {
+    return this._options.graceMs - KILL_MARGIN_MS
+  }
+
   /** Milliseconds since the start of the shutdown. */
   get elapsedMs (): number {
     return this._options.clock.now() - this._startedAt
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -66,6 +66,8 @@
   private _activeCount = 0
   private _receivedCount = 0
   private _isDraining = false
+  /** When the requests in progress are abandoned, because this node is stopping. */
+  private _abandonAt = Infinity
   private _isRefusingNew = false
   private _isRefusingWaiting = false
   private _isClosing = false
@@ -117,9 +119,13 @@
     this._server.keepAliveTimeout = limits?.idleTimeoutMs || DEFAULT_IDLE_TIMEOUT_MS
   }
 
-  /** Closes each connection after its next answer; new requests are still served. */
-  drain (): void {
+  /**
+   * Closes each connection after its next answer. New requests are still served, unless their answers are not expected before the
+   * requests in progress are abandoned.
+   */
+  drain (abandonInMs = Infinity): void {
     this._isDraining = true
+    this._abandonAt = this._context.clock.now() + abandonInMs
   }
 
   /** Refuses new requests, so that callers retry at another node: they would not complete before this node stops. */
@@ -200,8 +206,9 @@
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     const body = await this._readBody(incoming)
-    if (body === undefined || this._isRefusingWaiting) {
-      const refusal = this._isRefusingWaiting ? createDrainingRefusal() : createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
+    const isTooLate = this._isRefusingWaiting || this._isTooLate(admitted, arrivedAt)
+    if (body === undefined || isTooLate) {
+      const refusal = isTooLate ? createDrainingRefusal() : createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
       if (!answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
       return
     }
@@ -214,6 +221,12 @@
     }
   }
 
+  /** Whether the time that is left for requests is shorter than the route's goal and than the time for which the caller waits. */
+  private _isTooLate ({ route, request }: Pick<AdmittedRequest, 'route' | 'request'>, arrivedAt: number): boolean {
+    const now = this._context.clock.now()
+    return this._abandonAt < Math.min(now + route.goalMs, arrivedAt + (request.timeLeftMs ?? Infinity))
+  }
+
   private _reportEnd (admitted: AdmittedRequest, outcome: RelayOutcome, elapsedMs: number): void {
     const { request, route, customer } = admitted
     this._onDidEnd.fire({ id: request.id, route: route.name, customer: customer ?? '', elapsedMs, end: outcome })
@@ -227,6 +240,7 @@
     if (table === undefined) return Left(createRefusal('gateNotReady', 'no configuration is known yet', true))
     const route = table.findRoute(request.host, getPath(request.target))
     if (route === undefined) return Left(createRefusal('routeUnknown', 'no route has this host and path', false, request.host))
+    if (this._isTooLate({ route, request }, this._context.clock.now())) return Left(createDrainingRefusal())
     const { regions } = this._context
     if (route.isPublic || !table.requiresKeys) return Right({ request, route, customer: undefined, priority: route.priority, homeHalls: regions?.listHomeHalls(route.homeRegions) })
     const customer = request.key === undefined ? undefined : table.findCustomer(this._digestKey(request.key))
--- a/src/services/relay/test/plannedStop.test.ts
+++ b/src/services/relay/test/plannedStop.test.ts
@@ -10,7 +10,7 @@
 import { waitUntil } from '../../../base/test/polling.ts'
 import type { IPreparationService, IPreparedInputs } from '../../preparation/common/preparationService.ts'
 import { CallerAnswer } from '../node/callerAnswer.ts'
-import { FakeUpstream, RelayHarness } from './fakes.ts'
+import { FakeUpstream, RelayHarness, answerWith } from './fakes.ts'
 import type { RelayHarnessOptions, UpstreamScript } from './fakes.ts'
 
 const test = suite('plannedStop')
@@ -119,6 +119,29 @@
   })
 })
 
+const lateRequests: readonly (readonly [string, number, string, string])[] = [
+  ['is refused as not run if its goal is later than the end of the node', 400, '', '503'],
+  ['is served if its goal is earlier', 5000, '', '200'],
+  ['is served if its caller waits for less', 400, 'Time: 300\r\n', '200']
+]
+
+for (const [name, abandonInMs, header, status] of lateRequests) {
+  test(`a request at a stopping node ${name}`, () => runWith([answerWith('HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\nbody')], { route: { ...unrepeatable, goalMs: 900 } }, async harness => {
+    harness.server.drain(abandonInMs)
+    assert.is((await harness.call('a', header)).text.slice(9, 12), status)
+  }))
+}
+
+test('an upload that takes longer than a stopping node has left for its goal is refused as not run', () => runWith([() => {}], { route: { ...unrepeatable, goalMs: 300 } }, async (harness, caller, upstreams) => {
+  caller.send(`${HEAD}Content-Length: 4\r\n\r\nab`)
+  assert.ok(await isReceived(harness))
+  harness.server.drain(200)
+  caller.send('cd')
+  assert.ok(await waitUntil(() => caller.text.endsWith('gateDraining'), MAX_WAIT_MS))
+  assert.match(caller.text, /^HTTP\/1\.1 503 /)
+  assert.is(upstreams[0]?.requestHeads.length, 0)
+}))
+
 test('an answer without a length that has ended does not end in order if it is cut before it is written', async () => {
   let answer: CallerAnswer | undefined
   const server = createServer((request, response) => {
