--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -67,6 +67,8 @@
   private _activeCount = 0
   private _receivedCount = 0
   private _isDraining = false
+  /** When the requests in progress are abandoned, because this node is stopping. */
+  private _abandonAt = Infinity
   private _isRefusingNew = false
   private _isRefusingWaiting = false
   private _isClosing = false
@@ -118,9 +120,13 @@
     this._server.keepAliveTimeout = limits?.idleTimeoutMs || DEFAULT_IDLE_TIMEOUT_MS
   }
 
-  /** Closes each connection after its next answer; new requests are still served. */
-  drain (): void {
+  /**
+   * Closes each connection after its next answer. New requests are still served, unless their answers are not expected before the
+   * requests in progress are abandoned.
+   */
+  drain (abandonInMs = Infinity): void {
     this._isDraining = true
+    this._abandonAt = this._context.clock.now() + abandonInMs
   }
 
   /** Refuses new requests, so that callers retry at another node: they would not complete before this node stops. */
@@ -139,6 +145,16 @@
     for (const run of [...this._runs]) run.stopSending()
   }
 
+  /** Ends the requests in progress, because the process is about to end: callers are told whether they may have run. */
+  abandonRequests (): void {
+    for (const run of [...this._runs]) run.abandon()
+  }
+
+  /** Cuts the answers that the system has not taken over by now, so that they do not appear complete. */
+  cutAnswers (): void {
+    for (const answer of this._openAnswers) answer.cut()
+  }
+
   /** Stops accepting connections and closes idle ones. */
   close (): void {
     // The HTTP server's own method also closes connections.
@@ -202,8 +218,9 @@
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     const body = await this._readBody(incoming)
-    if (body === undefined || this._isRefusingWaiting) {
-      const refusal = this._isRefusingWaiting ? createDrainingRefusal() : createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
+    const isTooLate = this._isRefusingWaiting || this._isTooLate(admitted, arrivedAt)
+    if (body === undefined || isTooLate) {
+      const refusal = isTooLate ? createDrainingRefusal() : createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
       if (!answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
       return
     }
@@ -216,6 +233,12 @@
     }
   }
 
+  /** Whether the time that is left for requests is shorter than the route's goal and than the time for which the caller waits. */
+  private _isTooLate ({ route, request }: Pick<AdmittedRequest, 'route' | 'request'>, arrivedAt: number): boolean {
+    const now = this._context.clock.now()
+    return this._abandonAt < Math.min(now + route.goalMs, arrivedAt + (request.timeLeftMs ?? Infinity))
+  }
+
   private _reportEnd (admitted: AdmittedRequest, outcome: RelayOutcome, elapsedMs: number): void {
     const { request, route, customer } = admitted
     this._onDidEnd.fire({ id: request.id, route: route.name, customer: customer ?? '', elapsedMs, end: outcome })
@@ -229,6 +252,7 @@
     if (table === undefined) return Left(createRefusal('gateNotReady', 'no configuration is known yet', true))
     const route = table.findRoute(request.host, getPath(request.target))
     if (route === undefined) return Left(createRefusal('routeUnknown', 'no route has this host and path', false, request.host))
+    if (this._isTooLate({ route, request }, this._context.clock.now())) return Left(createDrainingRefusal())
     const { regions } = this._context
     if (route.isPublic || !table.requiresKeys) return Right({ request, route, customer: undefined, priority: route.priority, homeHalls: regions?.listHomeHalls(route.homeRegions) })
     const customer = request.key === undefined ? undefined : table.findCustomer(this._digestKey(request.key))
