Survive a peer whose answer is invalid right after its head

A node ended, with all requests of its callers, when a peer that it had asked for a tunnel sent a head and bytes that are no body together.

Cause: the tunnel is given up in the same turn in which it was opened, and its error was emitted before anyone could listen to it.

Change: openTunnel listens itself, and reports a tunnel that ended in this turn as one that failed.

--- a/src/services/upstream/node/tunnelSocket.ts
+++ b/src/services/upstream/node/tunnelSocket.ts
@@ -75,11 +75,16 @@
   return new Promise(resolve => {
     const call = request({ ...STRICT_PARSING, host: address.host, port: address.port, method: 'POST', path: `${TUNNEL_PATH}${upstream}`, agent: false, headers: { 'transfer-encoding': 'chunked' } })
     const timer = setTimeout(() => call.destroy(new Error('timeout')), timeoutMs)
+    const resolveOpened = (socket: TunnelSocket) => {
+      // Bytes that arrived with the head may already have ended the tunnel, before anyone listens to it.
+      socket.on('error', () => {})
+      process.nextTick(() => resolve(socket.destroyed ? { kind: 'failed', reason: 'invalid body' } : { kind: 'opened', socket }))
+    }
     call.on('response', response => {
       clearTimeout(timer)
       const invalid = validateFinalHead(response)
       if (invalid !== undefined) return call.destroy(new Error(invalid))
-      if (response.statusCode === OK) return resolve({ kind: 'opened', socket: new TunnelSocket(call, response) })
+      if (response.statusCode === OK) return resolveOpened(new TunnelSocket(call, response))
       resolve({ kind: 'refused', reason: response.statusMessage ?? '' })
       call.destroy()
     })
--- a/src/services/upstream/test/tunnel.test.ts
+++ b/src/services/upstream/test/tunnel.test.ts
@@ -74,6 +74,16 @@
   assert.ok(await waitUntil(() => server.openCount === 0 && upstream.closedCount === 1, 1000))
 }))
 
+test('a peer whose answer is invalid right after its head has opened no tunnel, and the process goes on', async () => {
+  const peer = new FakeUpstream(answerWith('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n'))
+  try {
+    assert.is((await openTunnel({ peer: await peer.listen(), upstream: CLOSED_PORT, timeoutMs: 400 })).kind, 'failed')
+    assert.ok(await waitUntil(() => peer.closedCount === 1, 1000))
+  } finally {
+    peer.dispose()
+  }
+})
+
 test('an answer that ends with its connection is whole', () => runWith(answerWith(UNFRAMED, 'close'), async ({ send }) => {
   assert.is(await readAnswer(await send()), 'body')
 }))
