--- a/src/services/upstream/test/tunnel.test.ts
+++ b/src/services/upstream/test/tunnel.test.ts
@@ -3,10 +3,10 @@
 import { connect } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { waitFor } from '../../../base/node/interval.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { DisposableStore, toDisposable } from '../../../base/common/disposable.ts'
-import { waitFor } from '../../../base/node/interval.ts'
 import { waitUntil } from '../../../base/test/polling.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { answerWith, FakeUpstream } from '../../relay/test/fakes.ts'
@@ -74,15 +74,22 @@
   assert.ok(await waitUntil(() => server.openCount === 0 && upstream.closedCount === 1, 1000))
 }))
 
-test('a peer whose answer is invalid right after its head has opened no tunnel, and the process goes on', async () => {
-  const peer = new FakeUpstream(answerWith('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n'))
-  try {
-    assert.is((await openTunnel({ peer: await peer.listen(), upstream: CLOSED_PORT, timeoutMs: 400 })).kind, 'failed')
-    assert.ok(await waitUntil(() => peer.closedCount === 1, 1000))
-  } finally {
-    peer.dispose()
-  }
-})
+const INVALID_ANSWERS: readonly (readonly [string, string])[] = [
+  ['is invalid right after its head', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n'],
+  ['switches protocols', 'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n']
+]
+for (const [name, answer] of INVALID_ANSWERS) {
+  test(`a peer whose answer ${name} has opened no tunnel, and the process goes on`, async () => {
+    const peer = new FakeUpstream(answerWith(answer))
+    try {
+      const start = await Promise.race([openTunnel({ peer: await peer.listen(), upstream: CLOSED_PORT, timeoutMs: 400 }), waitFor(1000)])
+      assert.is(start?.kind, 'failed')
+      assert.ok(await waitUntil(() => peer.closedCount === 1, 1000))
+    } finally {
+      peer.dispose()
+    }
+  })
+}
 
 test('an answer that ends with its connection is whole', () => runWith(answerWith(UNFRAMED, 'close'), async ({ send }) => {
   assert.is(await readAnswer(await send()), 'body')
