Announce the close of connections on which a stopping node still answers

Answers in progress when a stopping node closes its connections were sent with `Connection: keep-alive`, and their callers could send the next request on a connection that was then closed or refused it.

Cause: only requests that arrive after SIGTERM got a connection that closes after their answer.

`close` now marks the answers in progress, unless they have begun.

Evidence: the new test of plannedStop fails without this.

--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -154,8 +154,9 @@
     for (const answer of this._openAnswers) answer.cut()
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections and closes idle ones; all others close after the answer that is in progress. */
   close (): void {
+    for (const answer of this._openAnswers) answer.closeAfterAnswer()
     // The HTTP server's own method also closes connections.
     NetServer.prototype.close.call(this._server)
     this._isClosing = true
--- a/src/services/relay/test/plannedStop.test.ts
+++ b/src/services/relay/test/plannedStop.test.ts
@@ -142,6 +142,18 @@
   assert.is(upstreams[0]?.requestHeads.length, 0)
 }))
 
+test('an answer in progress when a node closes its connections says that its connection closes', () => {
+  let finish = () => {}
+  return runWith([socket => { finish = () => { socket.write('HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\nbody') } }], { route: unrepeatable }, async (harness, caller, upstreams) => {
+    caller.send(`${HEAD}Content-Length: 0\r\n\r\n`)
+    assert.ok(await waitUntil(() => upstreams[0]?.requestHeads.length === 1, MAX_WAIT_MS))
+    harness.server.close()
+    finish()
+    assert.ok(await caller.waitForEnd())
+    assert.match(caller.text, /^HTTP\/1\.1 200 .*Connection: close\r\n.*body$/is)
+  })
+})
+
 test('an answer without a length that has ended does not end in order if it is cut before it is written', async () => {
   let answer: CallerAnswer | undefined
   const server = createServer((request, response) => {
