Close idle connections to the store and of the gate on which bytes arrive

A store, or an upstream of the gate, that sent line breaks without end after a whole answer kept its connection open and the node busy: Node.js reads and drops them as fast as they come.

Cause: only the agent of the relay's upstreams closed idle connections on which bytes arrive.

Change: the rule is a class of its own, IdleGuardAgent, from which the relay's agent derives, and which StoreClient, PlatformReader and HttpUpstreamAdapter use.

The new table sends 19 forms of bytes to twelve kinds of calls at once and checks that the node grows by less than 100 MB, never stands still for 300 ms, ends each call within 1.5 s and closes each connection before its agent is destroyed.

--- a/src/base/test/endlessBytes.ts
+++ b/src/base/test/endlessBytes.ts
@@ -16,13 +16,12 @@
   readonly blockedMs: number
 }
 
-/** Measures this process for some time. */
-export async function measureLoad (durationMs: number): Promise<MeasuredLoad> {
-  const startedAt = performance.now()
+/** Measures this process until a promise is resolved. */
+export async function measureLoad (run: Promise<unknown>): Promise<MeasuredLoad> {
   const startBytes = process.memoryUsage.rss()
-  let [maxBytes, blockedMs] = [startBytes, 0]
-  for (let turnAt = startedAt; turnAt - startedAt < durationMs;) {
-    await waitFor(5)
+  let [maxBytes, blockedMs, turnAt] = [startBytes, 0, performance.now()]
+  const end = run.then(() => true)
+  while (!await Promise.race([end, waitFor(5)])) {
     blockedMs = Math.max(blockedMs, performance.now() - turnAt)
     maxBytes = Math.max(maxBytes, process.memoryUsage.rss())
     turnAt = performance.now()
--- a/src/services/configuration/node/platformReader.ts
+++ b/src/services/configuration/node/platformReader.ts
@@ -1,12 +1,12 @@
 /**
  * A read-only client of the platform's configuration service that reads and watches values.
  */
-import { Agent } from 'node:http'
 import { Either as EffectEither, Schema } from 'effect'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { startExchange } from '../../upstream/node/httpExchange.ts'
+import { IdleGuardAgent } from '../../upstream/node/idleGuardAgent.ts'
 import { readBody } from '../../upstream/node/responseBody.ts'
 
 const ValueAnswer = Schema.Struct({
@@ -30,7 +30,7 @@
 
 export class PlatformReader {
   private readonly _options: PlatformReaderOptions
-  private readonly _agent = new Agent({ keepAlive: true })
+  private readonly _agent = new IdleGuardAgent({ keepAlive: true })
   private _addressIndex = 0
 
   constructor (options: PlatformReaderOptions) {
--- a/src/services/relay/test/endlessAnswers.test.ts
+++ b/src/services/relay/test/endlessAnswers.test.ts
@@ -147,7 +147,7 @@
         return caller
       })
       try {
-        const { grownBytes, blockedMs } = await measureLoad(500)
+        const { grownBytes, blockedMs } = await measureLoad(waitFor(500))
         assert.ok(grownBytes < MAX_GROWTH_BYTES, `grew by ${Math.round(grownBytes / 1e6)} MB`)
         assert.ok(blockedMs < MAX_BLOCKED_MS, `stood still for ${Math.round(blockedMs)} ms`)
       } finally {
--- a/src/services/upstream/node/callAgent.ts
+++ b/src/services/upstream/node/callAgent.ts
@@ -2,9 +2,9 @@
  * An HTTP agent that knows which calls its connections have carried. An upstream may send an earlier answer once more where the
  * next one is due, and only the id of the call shows which one it answers.
  */
-import { Agent } from 'node:http'
 import { BoundedSet } from '../../../base/common/boundedSet.ts'
 import { closeConnection, listIdleConnections } from './httpExchange.ts'
+import { IdleGuardAgent } from './idleGuardAgent.ts'
 
 /** What a connection had carried when a call was assigned to it. `repeated`: a call with the same id. */
 export type ConnectionUse = 'new' | 'reused' | 'repeated'
@@ -12,7 +12,7 @@
 /** An upstream repeats an answer at once or where one of the next answers is due, so older ids are of no use. */
 const MAX_KNOWN_CALLS = 256
 
-export class CallAgent extends Agent {
+export class CallAgent extends IdleGuardAgent {
   private readonly _calls = new WeakMap<object, BoundedSet<string>>()
 
   /** Records that a connection carries a call; returns what it had carried before. */
--- a/src/services/upstream/node/httpUpstreamAdapter.ts
+++ b/src/services/upstream/node/httpUpstreamAdapter.ts
@@ -1,7 +1,6 @@
 /**
  * Adapter for the upstream protocol of docs/UPSTREAMS.md: HTTP/1.1 with JSON bodies and server-sent events.
  */
-import { Agent } from 'node:http'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { UpstreamKind } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -11,6 +10,7 @@
 import { UpstreamAdapter } from '../common/upstreamAdapter.ts'
 import type { UpstreamCall, UpstreamOrder, UpstreamOutcome, UpstreamReport } from '../common/upstreamAdapter.ts'
 import { startExchange } from './httpExchange.ts'
+import { IdleGuardAgent } from './idleGuardAgent.ts'
 import { readBody } from './responseBody.ts'
 import type { StartedExchange } from './responseBody.ts'
 import { TokenStreamReader } from './tokenStream.ts'
@@ -32,7 +32,7 @@
   private readonly _localAddress: string | undefined
   private readonly _connectTimeoutMs: number
   private readonly _controlTimeoutMs: number
-  private readonly _agent = new Agent({ keepAlive: true, scheduling: 'lifo' })
+  private readonly _agent = new IdleGuardAgent({ keepAlive: true, scheduling: 'lifo' })
 
   constructor (options: HttpUpstreamAdapterOptions = {}) {
     super()
--- a/src/services/upstream/node/upstreamAgent.ts
+++ b/src/services/upstream/node/upstreamAgent.ts
@@ -1,7 +1,7 @@
 /**
  * An HTTP agent whose connections to upstreams are opened directly or through a peer.
  */
-import type { AgentOptions, ClientRequest } from 'node:http'
+import type { AgentOptions } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { CallAgent } from './callAgent.ts'
@@ -15,11 +15,6 @@
 /** Settings that all connections to upstreams share. */
 export const UPSTREAM_AGENT_OPTIONS: AgentOptions = { keepAlive: true, timeout: IDLE_TIMEOUT_MS, scheduling: 'lifo' }
 
-/** Bytes on an idle connection belong to no call, and what follows them could be taken for the answer to the next one. */
-function closeOnData (this: Duplex): void {
-  this.destroy()
-}
-
 export class UpstreamAgent extends CallAgent {
   private readonly _becameIdleAt = new WeakMap<object, number>()
 
@@ -36,16 +31,7 @@
 
   /** Called by Node.js. A tunnel serves one request, so that the peer decides anew about each. */
   override keepSocketAlive (socket: Duplex): boolean {
-    // The declaration lacks the result.
-    if (socket instanceof TunnelSocket || !(super.keepSocketAlive(socket) as unknown as boolean)) return false
-    socket.on('data', closeOnData)
-    return true
-  }
-
-  /** Called by Node.js when an idle connection is used again. */
-  override reuseSocket (socket: Duplex, request: ClientRequest): void {
-    socket.off('data', closeOnData)
-    super.reuseSocket(socket, request)
+    return !(socket instanceof TunnelSocket) && super.keepSocketAlive(socket)
   }
 
   /** Idle connections that have not been used during a partition may be silent; those that have been used are kept. */
