Leave a return to the plan that has its reservation

The reservation was at the second hall in the order of the prompt, the first hall having declined the job. The return, through another node, was offered to the first hall again, which admitted it as a new job. More urgent jobs overtook it, and when it was refused from the queue, 0.9 s later, the reservation had expired.

Callers return through any node, so the owner that told them sends a notice to the plans that are asked before the one with the reservation. Each declines the offer of that caller once, within the same window as a reservation is kept. The message is of a new kind, which nodes of earlier builds ignore. preparation_declined says whether it was for a notice.

--- a/src/services/preparation/common/contendedAdmission.ts
+++ b/src/services/preparation/common/contendedAdmission.ts
@@ -11,7 +11,8 @@
 import { computeAdmissionMarginMs } from './jobOrder.ts'
 import type { JobState } from './jobState.ts'
 import { countPiecesByRole } from './preparationJob.ts'
-import type { AdmissionOptions, JobDecline, JobRefusal, JobStage, ReservationEntry } from './preparationJob.ts'
+import type { AdmissionOptions, JobDecline, JobRefusal, JobStage, ReservationEntry, ReturnNotice } from './preparationJob.ts'
+import { ReturnNotices } from './returnNotices.ts'
 import { ReturnReservations } from './returnReservations.ts'
 import type { ReturnCounts } from './returnReservations.ts'
 import { computeRemainingReturnMs } from './returnWindow.ts'
@@ -25,6 +26,7 @@
 
 export class ContendedAdmission extends JobAdmission {
   private readonly _reservations = new ReturnReservations()
+  private readonly _notices = new ReturnNotices()
   private readonly _errors = new ForecastErrors()
   private readonly _scarceRoles = new ScarceRoles()
 
@@ -37,6 +39,7 @@
     const { returnKey } = state.job
     if (returnKey === undefined) return this._decideNew(state, capacities, now, options)
     if (this._reservations.take(returnKey, now) !== undefined) return this._decideReturn(state, returnKey, capacities, now)
+    if (options.isOffer && this._notices.take(returnKey, now)) return this._refuseOffer(state, capacities, now)
     const decision = this._decideNew(state, capacities, now, options)
     if (decision === undefined && this._reservations.find(returnKey, now) !== undefined) this._reservations.recordReturn(returnKey, true)
     return decision
@@ -66,6 +69,10 @@
     for (const entry of entries) this._reservations.adopt(entry, now)
   }
 
+  override addReturnNotice (notice: ReturnNotice, now: number): void {
+    this._notices.add(notice, now)
+  }
+
   private _decideNew (state: JobState, capacities: Capacities, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
     state.admissionMarginMs = Math.min(MAX_MARGIN_RATIO * state.job.goalInMs, this._errors.computeMarginMs(countDepth(state), now))
     const reservedPieces = this._reservations.sumPieces(state.goalAt, now, state.job.returnKey)
@@ -78,6 +85,12 @@
     return lacksPieces ? this._refuseWithReturn(state, { capacities, leaving: NO_JOBS }, now) ?? decision : decision
   }
 
+  /** Leaves the job to the plan that has its caller's reservation, which expires unused if another plan admits the job. */
+  private _refuseOffer (state: JobState, capacities: Capacities, now: number): JobDecline {
+    const endAt = this._forecastPieces(state, capacities, now)?.endAt ?? now
+    return { reason: 'late', endInMs: Math.max(0, endAt - now), isReservedElsewhere: true }
+  }
+
   /** Admits a caller that returned at its reserved time, also if it is late, unless it cannot be served before its deadline. */
   private _decideReturn (state: JobState, returnKey: string, capacities: Capacities, now: number): JobRefusal | JobDecline | undefined {
     state.isReturn = true
--- a/src/services/preparation/common/jobAdmission.ts
+++ b/src/services/preparation/common/jobAdmission.ts
@@ -7,7 +7,7 @@
 import type { JobState } from './jobState.ts'
 import type { JobTargets } from './jobTargets.ts'
 import type { PieceUpstreams } from './pieceUpstreams.ts'
-import type { AdmissionOptions, JobDecline, JobRefusal, ReservationEntry } from './preparationJob.ts'
+import type { AdmissionOptions, JobDecline, JobRefusal, ReservationEntry, ReturnNotice } from './preparationJob.ts'
 import type { ReturnCounts } from './returnReservations.ts'
 
 export interface JobAdmissionOptions {
@@ -45,6 +45,9 @@
 
   abstract adoptReservations (entries: readonly ReservationEntry[], now: number): void
 
+  /** Records that another plan has reserved capacity for a refused caller. */
+  abstract addReturnNotice (notice: ReturnNotice, now: number): void
+
   /**
    * Updates which jobs are late, and returns refusals of those that the forecast shows to miss their deadline: any further
    * work on them would be wasted.
@@ -94,4 +97,6 @@
   }
 
   override adoptReservations (): void {}
+
+  override addReturnNotice (): void {}
 }
--- a/src/services/preparation/common/planSearch.ts
+++ b/src/services/preparation/common/planSearch.ts
@@ -31,6 +31,12 @@
     return this._current
   }
 
+  /** Returns the plans that a later try of the same caller is offered to before it reaches the current one. */
+  listEarlierPlans (plans: readonly string[]): readonly string[] {
+    const index = plans.indexOf(this._current?.hall ?? '')
+    return plans.slice(0, Math.min(MAX_OFFERS, Math.max(0, index)))
+  }
+
   /** Returns the next plan to try. A plan that has computed results for the job keeps it, since its hall holds them. */
   choose (plans: readonly string[], hasComputedResults: boolean): PlanChoice {
     const currentHall = this._current?.hall
--- a/src/services/preparation/common/preparationJob.ts
+++ b/src/services/preparation/common/preparationJob.ts
@@ -98,11 +98,21 @@
   readonly pieces: readonly { readonly role: string, readonly count: number }[]
 }
 
+/** Tells a plan that another one has reserved capacity for a refused caller. */
+export interface ReturnNotice {
+  /** The `returnKey` of the caller's job. */
+  readonly key: string
+  /** Time until the caller should return, in milliseconds. */
+  readonly returnInMs: number
+}
+
 /** The plan could complete an offered job, but not by its goal. */
 export interface JobDecline {
   readonly reason: 'late'
   /** Forecast completion time, from now. */
   readonly endInMs: number
+  /** The plan may be able to meet the goal, but another one has reserved capacity for the caller. */
+  readonly isReservedElsewhere?: boolean
 }
 
 /** Returns the stages that no other stage needs: the request itself uses their results. */
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -115,6 +115,13 @@
     hall: Schema.String.pipe(Schema.maxLength(256)),
     entries: Schema.Array(ReservationEntrySchema).pipe(Schema.maxItems(MAX_RESERVATION_ENTRIES))
   }),
+  /** The plan of another hall has reserved capacity for a caller of the sender. Earlier versions neither send nor know it. */
+  Schema.Struct({
+    kind: Schema.Literal('returnNotice'),
+    hall: Schema.String.pipe(Schema.maxLength(256)),
+    key: Schema.String.pipe(Schema.maxLength(256)),
+    returnInMs: NonNegative
+  }),
   /** Asks the coordinator of a hall for permission to send one request to a rate limited upstream of that hall. */
   Schema.Struct({
     kind: Schema.Literal('quotaWanted'),
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -19,7 +19,7 @@
 import { isPossibleCrash } from './plannedCall.ts'
 import type { JobUpdate, PieceCallOutcome, PieceOutcome, PlannedCall, PlannedFree } from './plannedCall.ts'
 import { hasPieces } from './preparationJob.ts'
-import type { JobDecline, JobRefusal, NewJobOptions, PieceResult, PreparationJob, ReservationEntry } from './preparationJob.ts'
+import type { JobDecline, JobRefusal, NewJobOptions, PieceResult, PreparationJob, ReservationEntry, ReturnNotice } from './preparationJob.ts'
 import { measurePlanLoad } from './planLoad.ts'
 import type { PlanLoad } from './planLoad.ts'
 import { createPlannedPiece, getPiece, createLostUpdates, createComputedUpdates } from './readyPiece.ts'
@@ -141,6 +141,11 @@
     this._admission.adoptReservations(entries, now)
   }
 
+  /** Has the plan decline the return of a caller once, since another plan has its reservation. */
+  addReturnNotice (notice: ReturnNotice, now: number): void {
+    this._admission.addReturnNotice(notice, now)
+  }
+
   /** Merges prefix cache entries that owners of jobs have recorded. */
   addPrefixes (prefixEntries: readonly PrefixEntry[], now: number): void {
     this._targets.planner.addPrefixes(prefixEntries, now)
--- a/src/services/preparation/common/returnReservations.ts
+++ b/src/services/preparation/common/returnReservations.ts
@@ -3,7 +3,7 @@
  */
 import type { ExpectedWork } from './capacityOutlook.ts'
 import type { ReservationEntry } from './preparationJob.ts'
-import { RETURN_GRACE_MS } from './returnWindow.ts'
+import { hasReturnBegun, RETURN_GRACE_MS } from './returnWindow.ts'
 
 /** The work of one refused caller. */
 export interface ReturnReservation extends Pick<ReservationEntry, 'key' | 'pieces'> {
@@ -32,8 +32,6 @@
 
 /** Bounds the memory of a plan, and what it sends to the next one. */
 const MAX_RESERVATIONS = 1000
-/** How long before that time a caller may return; without a limit, callers that return at once would be admitted before all others. */
-const EARLY_TOLERANCE_MS = 100
 /** Work is summed by intervals of this length, so that a decision does not go through all reservations. */
 const INTERVAL_MS = 100
 
@@ -64,7 +62,7 @@
   /** Removes and returns the reservation of a caller that has returned at its time; undefined if there is none, or if it is early. */
   take (key: string, now: number): ReturnReservation | undefined {
     const reservation = this.find(key, now)
-    if (reservation === undefined || now < reservation.at - EARLY_TOLERANCE_MS) return undefined
+    if (reservation === undefined || !hasReturnBegun(reservation.at, now)) return undefined
     this._delete(reservation)
     return reservation
   }
--- a/src/services/preparation/node/planLog.ts
+++ b/src/services/preparation/node/planLog.ts
@@ -52,8 +52,8 @@
     }
   }
 
-  recordDeclined (hall: string, jobId: string, { endInMs }: JobDecline): void {
-    this._log.info('preparation_declined', { request: jobId, hall, end_in_ms: Math.round(endInMs) })
+  recordDeclined (hall: string, jobId: string, { endInMs, isReservedElsewhere = false }: JobDecline): void {
+    this._log.info('preparation_declined', { request: jobId, hall, end_in_ms: Math.round(endInMs), reserved_elsewhere: isReservedElsewhere })
   }
 
   /** Failed requests at targets eject these from the plan for all nodes. */
--- a/src/services/preparation/node/preparationClient.ts
+++ b/src/services/preparation/node/preparationClient.ts
@@ -85,7 +85,7 @@
     this._register(options.onDidReceiveMembers(() => { for (const ownedJob of [...this._jobs.values()]) void this._submit(ownedJob) }))
     const { clock, log, localAddress, openLink } = options
     this._links = options.links ?? this._register(new CoordinatorLinks({ clock, log, localAddress, openLink, findIncarnation: address => this._findIncarnation(address) }))
-    this._reservations = new ReservationTransfer({ ...options, links: this._links, findCoordinator: hall => this.findCoordinator(hall), onWillAdopt: hall => this._addOwnPrefixes(hall) })
+    this._reservations = new ReservationTransfer({ ...options, links: this._links, findCoordinator: hall => this.findCoordinator(hall), listPlans: ownedJob => this._listJobPlans(ownedJob), onWillAdopt: hall => this._addOwnPrefixes(hall) })
     this._register(this._links.onDidOpen(link => this._subscribe(link)))
     this._register(this._links.onDidLose(lost => this._handleLostCoordinator(lost)))
   }
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -9,7 +9,7 @@
 import type { StatedLoads } from '../../upstream/common/statedLoads.ts'
 import type { UpstreamChange, UpstreamEntry } from '../../upstream/common/upstreamRegistry.ts'
 import type { JobUpdate, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
-import type { CarriedPiece, JobRefusal, PreparationJob, ReservationEntry } from '../common/preparationJob.ts'
+import type { CarriedPiece, JobRefusal, PreparationJob, ReservationEntry, ReturnNotice } from '../common/preparationJob.ts'
 import type { PrefixEntry } from '../common/prefixIndex.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 import { PieceCallRunner } from './pieceCallRunner.ts'
@@ -219,6 +219,11 @@
     this._getShard(hall).planner.adoptReservations(entries, clock.now())
   }
 
+  /** Adds an owner's notice that another plan has reserved capacity for its caller. A plan that does not exist yet needs none. */
+  addReturnNotice (hall: string, notice: ReturnNotice): void {
+    this._shards.get(hall)?.planner.addReturnNotice(notice, this._options.clock.now())
+  }
+
   /** Records the outcome of a request at the upstream that was chosen for it. */
   report (jobId: string, report: TargetReport): void {
     const trackedJob = this._jobs.get(jobId)
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -80,6 +80,8 @@
       this._coordinator.addPrefixes(message.hall, message.notes)
     } else if (message.kind === 'reservations') {
       this._coordinator.adoptReservations(message.hall, message.entries)
+    } else if (message.kind === 'returnNotice') {
+      this._coordinator.addReturnNotice(message.hall, message)
     } else if (message.kind === 'release') {
       this._coordinator.release(message.jobId)
       if (!this._coordinator.hasJob(message.jobId)) jobs.delete(message.jobId)
--- a/src/services/preparation/node/reservationTransfer.ts
+++ b/src/services/preparation/node/reservationTransfer.ts
@@ -1,11 +1,12 @@
 /**
  * Passes the reservations that this node has issued to the coordinator of their hall's plan, whenever that plan is
- * found where they are not known yet.
+ * found where they are not known yet, and tells the plans that are asked before it to leave the callers' returns to it.
  */
 import type { IClock } from '../../../base/common/clock.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import type { JobEnd } from '../common/plannedCall.ts'
 import { countPiecesByRole } from '../common/preparationJob.ts'
+import type { ReturnNotice } from '../common/preparationJob.ts'
 import { IssuedReservations } from '../common/issuedReservations.ts'
 import type { CoordinatorLink } from './coordinatorLink.ts'
 import type { CoordinatorLinks } from './coordinatorLinks.ts'
@@ -20,6 +21,8 @@
   readonly address: string
   readonly links: CoordinatorLinks
   readonly findCoordinator: (hall: string) => string
+  /** The plans of a job, in the order in which they are tried; the same for all tries of a caller. */
+  readonly listPlans: (ownedJob: OwnedJob) => readonly string[]
   /** Called before this node's own coordinator adopts reservations, which may start a plan. */
   readonly onWillAdopt: (hall: string) => void
 }
@@ -37,12 +40,23 @@
   }
 
   /** Records the reservation that a refusal states, or that the job no longer needs the one that it had. */
-  recordEnd ({ job, link, search }: OwnedJob, update: JobEnd): void {
+  recordEnd (ownedJob: OwnedJob, update: JobEnd): void {
+    const { job, link, search } = ownedJob
     if (job.returnKey === undefined) return
     this._issued.remove(job.returnKey)
     const hall = search.currentChoice?.hall
     if (hall === undefined || update.kind !== 'refused' || update.refusal.isReserved !== true) return
-    this._issued.add({ key: job.returnKey, returnInMs: update.refusal.retryAfterMs, pieces: countPiecesByRole(job) }, { hall, holder: link ?? this._options.coordinator }, this._options.clock.now())
+    const notice = { key: job.returnKey, returnInMs: update.refusal.retryAfterMs }
+    this._issued.add({ ...notice, pieces: countPiecesByRole(job) }, { hall, holder: link ?? this._options.coordinator }, this._options.clock.now())
+    for (const earlierHall of search.listEarlierPlans(this._options.listPlans(ownedJob))) this._sendNotice(earlierHall, notice)
+  }
+
+  /** Sends a notice if the coordinator of the hall is this node or has an open link, as it has if it declined the job. */
+  private _sendNotice (hall: string, notice: ReturnNotice): void {
+    const { address, coordinator, links, findCoordinator } = this._options
+    const coordinatorAddress = findCoordinator(hall)
+    if (coordinatorAddress === address) coordinator.addReturnNotice(hall, notice)
+    else links.findOpen(coordinatorAddress)?.send({ kind: 'returnNotice', hall, ...notice })
   }
 
   /** The coordinator gave up its plan of the hall, together with the reservations. */
