Take an early answer for cut if its upload ended with the connection

Cause: with bytes of the upload pending at the end of the answer, the HTTP client destroys the connection, and the empty write fails only after the wait for it is over. Change: the end counts as orderly once the empty write has succeeded, or if it is still pending after this turn of the event loop on a connection that is not destroyed.

--- a/src/services/upstream/node/connectionEnd.ts
+++ b/src/services/upstream/node/connectionEnd.ts
@@ -30,9 +30,10 @@
     // Before the HTTP client's listener, which ends the writable side.
     connection.prependOnceListener('end', () => {
       hasEnded = true
-      connection.write(NO_BYTES, error => { if (error) settleError(error) })
-      // If an upload is still being written, the system reports a reset to that write, before this is called.
-      setImmediate(() => resolve('closed'))
+      connection.write(NO_BYTES, error => { if (error) settleError(error); else resolve('closed') })
+      // If an upload is still being written, the system reports a reset to that write, before this is called. A connection that was
+      // destroyed meanwhile can't tell any more.
+      setImmediate(() => resolve(connection.destroyed ? 'reset' : 'closed'))
     })
   })
 }
