Ask an upstream that may be dying again before its answer counts as whole

Cause: the system closes the connections of a killed process one after the other, the listening one not first. Change: the health check is asked first. If it does not tell, the address is probed 100 ms later. Measured: the new test fails before.

--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -7,7 +7,7 @@
 import { Disposable } from '../../../base/common/disposable.ts'
 import type { IDisposable } from '../../../base/common/disposable.ts'
 import type { Event } from '../../../base/common/event.ts'
-import { startInterval } from '../../../base/node/interval.ts'
+import { startInterval, waitFor } from '../../../base/node/interval.ts'
 import { formatClearedSubject, formatEndedSubject } from '../../facts/common/fact.ts'
 import type { InterruptedRun } from '../../facts/common/fact.ts'
 import type { FactStore, StoredFact } from '../../facts/common/factStore.ts'
@@ -43,6 +43,8 @@
 /** Many crashes at once are not caused by a request, and publishing every run would saturate the links between nodes. */
 const MAX_REPORTS_PER_SECOND = 8
 const MAX_REPORTED_RUNS = 16
+/** The system closes the connections of a killed process one by one, and some before it stops to accept others. */
+const EXIT_MS = 100
 const EXPIRE_PERIOD_MS = 10_000
 const MAX_LOGGED_DIGESTS = 4
 /** A cause may be in flight at many crashes before it is known everywhere. */
@@ -94,8 +96,9 @@
     const { id: upstream, address } = entry
     const current = registry.get(upstream)
     const listing = current === undefined ? 'none' : current.isLeaving ? 'leaving' : 'listed'
-    const [connection, identity] = await Promise.all([this._probeAgainIfSilent(address), this._options.readIdentity?.(entry) ?? 'unknown'])
-    const isRunning = identity === 'same' || (connection === 'accepted' && identity !== 'other' && !this._lostUpstreams.hasCrashed(upstream))
+    const identity = await this._options.readIdentity?.(entry) ?? 'unknown'
+    const connection = identity === 'unknown' ? await this._probeAfterExit(address) : 'none'
+    const isRunning = identity === 'same' || (connection === 'accepted' && !this._lostUpstreams.hasCrashed(upstream))
     log.info('unframed_answer_ended', { upstream, address, listing, connection, instance: identity, is_whole: isRunning })
     return isRunning
   }
@@ -148,8 +151,9 @@
     return facts.merge({ subject, incarnation: 1, counter: (held?.counter ?? 0) + 1, value: { kind: 'cleared', digest: key, isServed: reason === 'served' }, ageMs })
   }
 
-  /** This node may have been suspended during the first probe. */
-  private async _probeAgainIfSilent (address: string): Promise<ProbeResult> {
+  /** Probes an upstream that may just have been killed. A probe without an answer is repeated, since this node may have been suspended. */
+  private async _probeAfterExit (address: string): Promise<ProbeResult> {
+    await waitFor(EXIT_MS)
     const result = await this._probe(address)
     return result === 'silent' ? await this._probe(address) : result
   }
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -183,6 +183,12 @@
   }))
 }
 
+test('an upstream that is being killed still accepts connections for a moment, and its answer without framing is not whole', () => runFleet(async fleet => {
+  fleet.probeResult = 'accepted'
+  setTimeout(() => { fleet.probeResult = 'refused' }, 20)
+  assert.not(await fleet.getNode(0).service.confirmRunning({ id: 'u', role: 'u', address: 'h:1', hall: '', slots: 1, isLeaving: false }))
+}))
+
 test('an answer without framing is not whole if a peer knows that its upstream crashed', () => runFleet(async fleet => {
   await fleet.killUpstream(1, 'u1')
   const entry = { id: 'u1', role: 'u', address: 'u1:1', hall: '', slots: 1, isLeaving: false }
