Frame answers to callers by their length

What callers saw: when a node was killed or ended while a caller was receiving an answer that its upstream had sent without a length, or an answer above 256 kB over HTTP/1.0, the connection closed in order after a part: 56,226 of 250,000 bytes, 3 of 3 times each, and 2,809,856 of 3,000,000 bytes with a length that the upstream had stated. Cause: such answers were forwarded without framing, the former on purpose, since a reset of the upstream could look like their end. Change: a buffered answer has the length of its body, a larger one the length that its upstream stated, or chunks. Only streams and large answers without a length to HTTP/1.0 callers end with the connection.

--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -8,8 +8,6 @@
 
 /** An upstream's complete answer. */
 export interface BufferedAnswer {
-  /** False if the body was delimited only by the end of the connection; it is then forwarded in the same way. */
-  readonly isFramed: boolean
   readonly status: number
   readonly headers: readonly HeaderField[]
   readonly body: Buffer
@@ -51,7 +49,7 @@
   }
 
   /** Whether the caller knows chunks, as all but those that speak HTTP/1.0 do. */
-  get acceptsChunks (): boolean {
+  private get _acceptsChunks (): boolean {
     const { httpVersionMajor, httpVersionMinor } = this._request
     return httpVersionMajor > 1 || httpVersionMinor > 0
   }
@@ -61,12 +59,12 @@
     if (!this._hasBegun) this._response.shouldKeepAlive = false
   }
 
-  begin (status: number, headers: readonly HeaderField[], isFramed = true): void {
+  /** Begins an answer whose body follows: in chunks, unless its length is known, so that the end of this process does not look like its end. */
+  begin (status: number, headers: readonly HeaderField[], bodyBytes?: number): void {
     if (this._hasBegun || this._hasDisconnected) return
-    // Without a length, only chunks frame what follows.
-    const hasFraming = isFramed && this.acceptsChunks
+    const hasFraming = bodyBytes !== undefined || this._acceptsChunks
     if (!hasFraming) this._endBodyByClose()
-    this._writeHead(status, headers)
+    this._writeHead(status, bodyBytes === undefined ? headers : [...headers, createLength(bodyBytes)])
     this._isFramed = hasFraming
     this._response.flushHeaders()
   }
@@ -100,12 +98,9 @@
   send (answer: BufferedAnswer): void {
     if (this._hasBegun || this._hasEnded || this._hasDisconnected) return
     const hasBody = answer.status !== 204 && answer.status !== 304
-    this._isFramed = answer.isFramed
-    if (!answer.isFramed) this._endBodyByClose()
-    const length = hasBody && answer.isFramed ? [{ name: 'Content-Length', value: String(answer.body.length) }] : []
     // The rest of the current request would be parsed as the next one.
     if (!this._request.complete) this._response.shouldKeepAlive = false
-    this._writeHead(answer.status, [...answer.headers, ...length])
+    this._writeHead(answer.status, hasBody ? [...answer.headers, createLength(answer.body.length)] : answer.headers)
     this._response.end(hasBody ? answer.body : undefined)
     this._hasEnded = true
   }
@@ -143,6 +138,10 @@
   }
 }
 
+function createLength (bytes: number): HeaderField {
+  return { name: 'Content-Length', value: String(bytes) }
+}
+
 function toRawHeaders (headers: readonly HeaderField[]): string[] {
   return headers.flatMap(({ name, value }) => [name, value])
 }
--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -173,7 +173,7 @@
   private async _forwardAnswer (response: IncomingMessage, exchange: IExchange, verdict: AnswerVerdict & { readonly kind: 'answer' }): Promise<AttemptResult> {
     const { answer, onDidReceiveFirstOutput, onDidReceiveOutput, claimAnswer } = this._options
     const status = response.statusCode ?? 0
-    const hasFraming = this._hasCallerFraming(exchange)
+    const bodyBytes = exchange.framing === 'length' ? Number(response.headers['content-length']) : undefined
     const parts: Buffer[] = []
     let size = 0
     try {
@@ -184,7 +184,7 @@
         if (size <= MAX_BUFFERED_BYTES) continue
         if (!verdict.isSuccess) return { outcome: this._decideIncomplete('error response too large') }
         if (!claimAnswer()) break
-        answer.begin(status, verdict.headers, hasFraming)
+        answer.begin(status, verdict.headers, bodyBytes)
         for (const buffered of parts.splice(0)) if (!answer.write(buffered)) await answer.waitForDrain()
       }
     } catch {
@@ -197,7 +197,7 @@
     if (defect !== undefined) return { outcome: this._decideIncomplete(defect) }
     if (verdict.isSuccess && !claimAnswer()) return { outcome: this._decideIncomplete() }
     onDidReceiveFirstOutput()
-    const bufferedAnswer = { status, headers: verdict.headers, body: Buffer.concat(parts), isFramed: isSelfDelimited(exchange.framing) }
+    const bufferedAnswer = { status, headers: verdict.headers, body: Buffer.concat(parts) }
     if (!verdict.isSuccess) return { outcome: { kind: 'failed', status }, failure: bufferedAnswer }
     if (answer.hasBegun) {
       for (const buffered of parts) answer.write(buffered)
@@ -216,7 +216,6 @@
 
   private async _forwardStream (response: IncomingMessage, exchange: IExchange, verdict: AnswerVerdict & { readonly kind: 'answer' }): Promise<AttemptOutcome> {
     const { answer, call, pauseTimeoutMs } = this._options
-    const hasFraming = this._hasCallerFraming(exchange)
     const splitter = new EventSplitter()
     let lastEventId = call.lastEventId
     let count = 0
@@ -232,7 +231,7 @@
         if (!this._options.claimAnswer()) return this._decideBrokenStream(lastEventId)
         if (events.hasFields && count++ === 0) this._options.onDidReceiveFirstOutput()
         // A stream that resumes at another upstream keeps the head that the first one sent.
-        answer.begin(response.statusCode ?? 0, verdict.headers, hasFraming)
+        answer.begin(response.statusCode ?? 0, verdict.headers)
         // In one write, since each costs much more than the smallest event has bytes.
         const hasBufferSpace = answer.write(events.bytes)
         lastEventId = events.lastId ?? lastEventId
@@ -251,7 +250,7 @@
     }
     if (!this._options.claimAnswer()) return this._decideBrokenStream(lastEventId)
     if (count === 0) this._options.onDidReceiveFirstOutput()
-    answer.begin(response.statusCode ?? 0, verdict.headers, hasFraming)
+    answer.begin(response.statusCode ?? 0, verdict.headers)
     answer.finish()
     return { kind: 'delivered' }
   }
@@ -269,11 +268,6 @@
     return this._options.answer.hasBegun ? { kind: 'broken', lastEventId, reason } : { kind: 'lost', reason }
   }
 
-  /** In chunks, so that the end of this process or of its connections does not look like the end of the answer. */
-  private _hasCallerFraming (exchange: IExchange): boolean {
-    return isSelfDelimited(exchange.framing) || this._options.answer.acceptsChunks
-  }
-
   /**
    * Finds why an answer that has ended is not complete. The system closes the connections of a process that crashed as if the
    * process had, so without framing the answer is complete only if the upstream still runs.
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -294,7 +294,7 @@
       retry_after_ms: Math.round(retryAfterMs),
       configuration: this._options.describeConfiguration()
     })
-    answer.send({ status, headers, body: Buffer.from(body), isFramed: true })
+    answer.send({ status, headers, body: Buffer.from(body) })
   }
 }
 
