Count the crash of an upstream that still accepted a connection

Cause: a process that is being killed accepts connections until its listening socket is closed, and only a refused probe counts. Change: a probe that is accepted is repeated once, 100 ms later, while the request goes on; a refusal then counts. The test of upstreams that run on lets that time pass before it changes what its fake upstreams answer. Measured: the new test fails before. quarantine, crash and soak-plan tests pass.

--- a/src/services/quarantine/node/lostUpstreams.ts
+++ b/src/services/quarantine/node/lostUpstreams.ts
@@ -11,6 +11,7 @@
 import type { ILogService } from '../../log/node/logger.ts'
 import type { UpstreamChange, UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { LostRun, OpenRun } from '../common/quarantine.ts'
+import { MAX_EXIT_MS } from './upstreamProbe.ts'
 import type { ProbeResult } from './upstreamProbe.ts'
 
 export interface LostUpstreamsOptions {
@@ -42,6 +43,8 @@
   hasLostConnection = false
   /** Set while the address is probed; resolves to whether it refuses connections. */
   crashCheck: Promise<boolean> | undefined
+  /** Set while another probe follows one that was accepted. */
+  secondCheck: IDisposable | undefined
 
   constructor (readonly address: string) {}
 }
@@ -143,9 +146,20 @@
     log.info('upstream_lost', { upstream, address, connection: result })
     // The upstream may crash later, so the next lost connection starts a new probe.
     lost.crashCheck = undefined
+    if (result === 'accepted') this._scheduleSecondCheck(upstream, lost)
     return result === 'refused'
   }
 
+  /** A process that is being killed may have accepted the first probe. */
+  private _scheduleSecondCheck (upstream: string, lost: LostUpstream): void {
+    const { clock, registry, probe } = this._options
+    lost.secondCheck ??= clock.schedule(MAX_EXIT_MS, () => {
+      lost.secondCheck = undefined
+      if (this._isDisposed || this.hasCrashed(upstream) || registry.get(upstream)?.isLeaving === true) return
+      void probe(lost.address).then(result => { if (result === 'refused') this._confirmCrash(upstream, 'refused later') })
+    })
+  }
+
   private _handleRegistryChange ({ kind, entry }: UpstreamChange): void {
     if (kind === 'added') this._recordTakeover(entry)
     if (kind !== 'dropped' || entry.isLeaving) return
--- a/src/services/quarantine/node/quarantineService.ts
+++ b/src/services/quarantine/node/quarantineService.ts
@@ -21,7 +21,7 @@
 import type { IRequestIdentity } from '../common/requestIdentity.ts'
 import { LostUpstreams, MAX_LIST_DELAY_MS } from './lostUpstreams.ts'
 import type { UpstreamCrash } from './lostUpstreams.ts'
-import { probeUpstream } from './upstreamProbe.ts'
+import { MAX_EXIT_MS, probeUpstream } from './upstreamProbe.ts'
 import type { ProbeResult } from './upstreamProbe.ts'
 
 export interface QuarantineServiceOptions {
@@ -43,8 +43,6 @@
 /** Many crashes at once are not caused by a request, and publishing every run would saturate the links between nodes. */
 const MAX_REPORTS_PER_SECOND = 8
 const MAX_REPORTED_RUNS = 16
-/** The system closes the connections of a killed process one by one, and some before it stops to accept others. */
-const EXIT_MS = 100
 const EXPIRE_PERIOD_MS = 10_000
 const MAX_LOGGED_DIGESTS = 4
 /** A cause may be in flight at many crashes before it is known everywhere. */
@@ -153,7 +151,7 @@
 
   /** Probes an upstream that may just have been killed. A probe without an answer is repeated, since this node may have been suspended. */
   private async _probeAfterExit (address: string): Promise<ProbeResult> {
-    await waitFor(EXIT_MS)
+    await waitFor(MAX_EXIT_MS)
     const result = await this._probe(address)
     return result === 'silent' ? await this._probe(address) : result
   }
--- a/src/services/quarantine/test/quarantineService.test.ts
+++ b/src/services/quarantine/test/quarantineService.test.ts
@@ -155,6 +155,8 @@
 test('a lost connection to an upstream that is still running, or that was leaving, does not count against a request', () => runFleet(async fleet => {
   fleet.probeResult = 'accepted'
   for (const upstream of ['u1', 'u2', 'u3']) assert.not(await fleet.killUpstream(0, upstream))
+  // For their second probes.
+  fleet.clock.advance(100)
   fleet.probeResult = 'refused'
   for (const upstream of ['u4', 'u5', 'u6']) assert.not(await fleet.killUpstream(0, upstream, true))
   assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST).crashCount, 0)
@@ -163,6 +165,15 @@
   assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST).crashCount, 1)
 }))
 
+test('a crash counts although the process still accepted a connection while it was being killed', () => runFleet(async fleet => {
+  fleet.probeResult = 'accepted'
+  assert.not(await fleet.killUpstream(0, 'u1'))
+  fleet.probeResult = 'refused'
+  fleet.clock.advance(100)
+  await fleet.flush()
+  assert.is(fleet.getNode(0).service.getCrashRecord(REQUEST).crashCount, 1)
+}))
+
 for (const listing of ['listed', 'leaving', 'none'] as const) {
   test(`an answer without framing is whole only if its upstream is found running: ${listing}`, () => runFleet(async fleet => {
     const { registry, service } = fleet.getNode(0)
