End the check of an answer's end with its request

What callers saw: an answer without a length that ended shortly before its deadline was decided up to 1.4 s late, by reading; with a check of 400 ms a request with 300 ms was answered after 561 ms. Cause: nothing ended the check when the request was aborted. Measured: the new tests, with a deadline 50 ms after the end and a check of 100 ms, fail before.

--- a/src/services/relay/node/relayAttempt.ts
+++ b/src/services/relay/node/relayAttempt.ts
@@ -276,7 +276,16 @@
     const isComplete = await exchange.confirmComplete()
     if (isSelfDelimited(exchange.framing)) return isComplete ? undefined : 'answer incomplete'
     if (!isComplete) return 'connection reset'
-    return await this._options.confirmRunning() ? undefined : 'upstream ended with its answer'
+    const isRunning = await Promise.race([this._options.confirmRunning(), this._waitForAbort()])
+    return isRunning ? undefined : 'upstream ended with its answer'
+  }
+
+  private _waitForAbort (): Promise<false> {
+    const { signal } = this._controller
+    return new Promise(resolve => {
+      if (signal.aborted) resolve(false)
+      else signal.addEventListener('abort', () => resolve(false), { once: true })
+    })
   }
 
   /** Whether nothing is known against the upstream: the run was aborted, or another attempt answers the caller. */
--- a/src/services/relay/test/resetAnswers.test.ts
+++ b/src/services/relay/test/resetAnswers.test.ts
@@ -19,9 +19,9 @@
 }
 
 /** Sends the same request several times to an upstream; returns the answers. */
-async function collectAnswers (kind: RouteKind, createScript: (harness: () => RelayHarness, upstream: () => FakeUpstream) => UpstreamScript, { rounds = ROUNDS, body = '' } = {}): Promise<readonly ReceivedAnswer[]> {
+async function collectAnswers (kind: RouteKind, createScript: (harness: () => RelayHarness, upstream: () => FakeUpstream) => UpstreamScript, { rounds = ROUNDS, body = '', timeoutMs = 2000 } = {}): Promise<readonly ReceivedAnswer[]> {
   const upstream: FakeUpstream = new FakeUpstream(createScript(() => harness, () => upstream))
-  const harness: RelayHarness = new RelayHarness({ upstreams: [upstream], route: { kind, maxAttempts: 1 } })
+  const harness: RelayHarness = new RelayHarness({ upstreams: [upstream], route: { kind, maxAttempts: 1, timeoutMs } })
   const answers: ReceivedAnswer[] = []
   try {
     await harness.start()
@@ -53,6 +53,11 @@
     })
   }
 
+  test(`the check of an answer's end does not outlast the deadline: ${RouteKind[kind]}`, async () => {
+    const [answer] = await collectAnswers(kind, () => socket => { socket.write('HTTP/1.1 200 OK\r\nId: a\r\n\r\nid: 1\ndata: x\n\n'); setTimeout(() => socket.end(), 40) }, { rounds: 1, timeoutMs: 90 })
+    assert.match(answer?.text ?? '', kind === RouteKind.STREAM ? /data: x\n\n\r\n$/ : /deadlinePassed$/)
+  })
+
   for (const listing of ['leaving', 'removed'] as const) {
     test(`an answer is not whole if its upstream crashes while it is ${listing}: ${RouteKind[kind]}`, async () => {
       const [answer] = await collectAnswers(kind, (getHarness, getUpstream) => socket => {
