Open no tunnel that does not end in chunks

Cause: the end of a tunnel is believed because its chunks end, but openTunnel did not look for them. Measured: the new case of tunnel.test.ts fails before.

--- a/src/services/upstream/node/tunnelSocket.ts
+++ b/src/services/upstream/node/tunnelSocket.ts
@@ -8,6 +8,7 @@
 import { parseAddress } from '../../../base/common/address.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { resetSocket } from '../../../base/node/resetSocket.ts'
+import { findAnswerFraming } from '../common/answerFraming.ts'
 import { validateFinalHead } from '../common/responseHead.ts'
 
 export interface TunnelOptions {
@@ -82,9 +83,12 @@
     }
     call.on('response', response => {
       clearTimeout(timer)
-      const invalid = validateFinalHead(response)
+      const { statusCode: status = 0, headers } = response
+      // A tunnel without chunks would not tell the end of the peer from that of the upstream.
+      const isCuttable = status === OK && findAnswerFraming({ method: 'POST', status, headers }) !== 'chunked'
+      const invalid = validateFinalHead(response) ?? (isCuttable ? 'tunnel without chunks' : undefined)
       if (invalid !== undefined) return call.destroy(new Error(invalid))
-      if (response.statusCode === OK) return resolveOpened(new TunnelSocket(call, response))
+      if (status === OK) return resolveOpened(new TunnelSocket(call, response))
       resolve({ kind: 'refused', reason: response.statusMessage ?? '' })
       call.destroy()
     })
--- a/src/services/upstream/test/tunnel.test.ts
+++ b/src/services/upstream/test/tunnel.test.ts
@@ -76,6 +76,7 @@
 
 const INVALID_ANSWERS: readonly (readonly [string, string])[] = [
   ['is invalid right after its head', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n'],
+  ['ends only with its connection', 'HTTP/1.1 200 OK\r\n\r\n'],
   ['switches protocols', 'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n']
 ]
 for (const [name, answer] of INVALID_ANSWERS) {
