Copy the bytes of a long frame once

A frame that arrived in small parts kept a node busy: with each part, the bytes that had arrived before were copied once more.

Cause: FrameConnection joined the pending bytes and the new part by Buffer.concat.

Change: it collects parts in a ByteBuffer until the next frame can be complete, and reads the complete frames of a part in place.

--- a/src/base/node/frameConnection.ts
+++ b/src/base/node/frameConnection.ts
@@ -3,6 +3,7 @@
  */
 import type { Socket } from 'node:net'
 import { Encoder } from 'cbor-x'
+import { ByteBuffer } from '../common/byteBuffer.ts'
 import { Disposable, toDisposable } from '../common/disposable.ts'
 import { Emitter } from '../common/event.ts'
 
@@ -27,7 +28,9 @@
 export type FrameError = 'frameTooLarge' | 'frameUnreadable'
 
 export class FrameConnection extends Disposable {
-  private _pending: Buffer = Buffer.alloc(0)
+  private readonly _pending = new ByteBuffer()
+  /** How many bytes have to be pending before the next frame can be complete. */
+  private _neededBytes = LENGTH_BYTES
   private readonly _onDidReceive = this._register(new Emitter<unknown>())
   private readonly _onDidClose = this._register(new Emitter<FrameError | undefined>())
   readonly onDidReceive = this._onDidReceive.event
@@ -65,15 +68,21 @@
 
   private _receive (data: Buffer): void {
     this.bytesReceived += data.length
-    this._pending = this._pending.length === 0 ? data : Buffer.concat([this._pending, data])
-    while (!this._isClosed && this._pending.length >= LENGTH_BYTES) {
-      const length = this._pending.readUInt32BE()
+    this._pending.append(data)
+    if (this._pending.length < this._neededBytes) return
+    let rest = this._pending.take()
+    this._neededBytes = LENGTH_BYTES
+    while (!this._isClosed && rest.length >= LENGTH_BYTES) {
+      const length = rest.readUInt32BE()
       if (length > MAX_FRAME_BYTES) return this._close('frameTooLarge')
-      if (this._pending.length < LENGTH_BYTES + length) return
-      const body = this._pending.subarray(LENGTH_BYTES, LENGTH_BYTES + length)
-      this._pending = this._pending.subarray(LENGTH_BYTES + length)
+      this._neededBytes = LENGTH_BYTES + length
+      if (rest.length < this._neededBytes) break
+      const body = rest.subarray(LENGTH_BYTES, this._neededBytes)
+      rest = rest.subarray(this._neededBytes)
+      this._neededBytes = LENGTH_BYTES
       this._deliver(body)
     }
+    this._pending.append(rest)
   }
 
   private _deliver (body: Buffer): void {
