Check that bytes without end in tunnels are not kept

Cause: no test sent them through a tunnel. Ten tunnels with a body or with chunks of one byte without end, which nobody reads, and an upload to an upstream that reads nothing hold less than 24 MB a connection, and the node grows by less than 100 MB. Both directions were bounded before; no fault was found in this.

--- a/src/services/upstream/test/tunnel.test.ts
+++ b/src/services/upstream/test/tunnel.test.ts
@@ -1,12 +1,14 @@
 import { request } from 'node:http'
 import type { Agent } from 'node:http'
-import { connect } from 'node:net'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { waitFor } from '../../../base/node/interval.ts'
 import { SystemClock } from '../../../base/node/systemClock.ts'
 import { SeededRandom } from '../../../base/common/random.ts'
 import { DisposableStore, toDisposable } from '../../../base/common/disposable.ts'
+import { measureLoad, sendEndlessly } from '../../../base/test/endlessBytes.ts'
 import { waitUntil } from '../../../base/test/polling.ts'
 import { LogService } from '../../log/node/logger.ts'
 import { answerWith, FakeUpstream } from '../../relay/test/fakes.ts'
@@ -26,6 +28,9 @@
 
 const UNFRAMED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody'
 const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody'
+/** What the buffers of three connections hold. */
+const MAX_UNREAD_BYTES = 24 * 1024 * 1024
+const MAX_GROWTH_BYTES = 100e6
 const CLOSED_PORT = '127.0.0.1:1'
 
 interface Parts {
@@ -179,4 +184,51 @@
   })
 })
 
+for (const [name, beginning, part] of [
+  ['a body', 'HTTP/1.1 200 OK\r\n\r\n', 'x'.repeat(16384)],
+  ['chunks of one byte', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', '1\r\nx\r\n'.repeat(3000)]
+] as const) {
+  test(`${name} without end is read through ten tunnels no faster than it is wanted, and each ends with its request`, () => {
+    const sockets: Socket[] = []
+    const answer: UpstreamScript = socket => {
+      sockets.push(socket)
+      socket.write(beginning)
+      sendEndlessly(socket, part)
+    }
+    return runWith(answer, async ({ server, send }) => {
+      const starts: ExchangeStart[] = []
+      const load = await measureLoad(Promise.all(Array.from({ length: 10 }, async () => starts.push(await send()))).then(() => waitFor(300)))
+      const responses = starts.flatMap(start => start.kind === 'response' ? [start.response] : [])
+      assert.is(responses.length, 10)
+      assert.ok(sockets.every(({ bytesWritten }) => bytesWritten < MAX_UNREAD_BYTES), sockets.map(({ bytesWritten }) => bytesWritten).join())
+      assert.ok(load.grownBytes < MAX_GROWTH_BYTES, `grew by ${Math.round(load.grownBytes / 1e6)} MB`)
+      for (const response of responses) response.destroy()
+      assert.ok(await waitUntil(() => server.openCount === 0 && sockets.every(({ destroyed }) => destroyed), 1000))
+    })
+  })
+}
+
+test('a request body without end is written through a tunnel no faster than the upstream reads it', async () => {
+  const upstream = createServer(socket => socket.on('error', () => {}))
+  const store = new DisposableStore()
+  store.add(toDisposable(() => upstream.close()))
+  await new Promise<void>(resolve => { upstream.listen(0, '127.0.0.1', resolve) })
+  const server = store.add(new TunnelServer({ log: new LogService({ program: 'test', silent: true }), dial: address => connect(Number(address.split(':')[1]), '127.0.0.1').on('error', () => {}), findObstacle: () => undefined }))
+  const peer = `127.0.0.1:${await server.listen('127.0.0.1', 0)}`
+  try {
+    const start = await openTunnel({ peer, upstream: `127.0.0.1:${(upstream.address() as AddressInfo).port}`, timeoutMs: 400 })
+    if (start.kind !== 'opened') throw new Error(start.reason)
+    let sentBytes = 0
+    const part = Buffer.alloc(16384)
+    const sendAll = () => { while (start.socket.write(part)) sentBytes += part.length }
+    start.socket.on('drain', sendAll)
+    sendAll()
+    await waitFor(300)
+    assert.ok(sentBytes < MAX_UNREAD_BYTES, `${sentBytes} bytes`)
+    start.socket.destroy()
+  } finally {
+    store.dispose()
+  }
+})
+
 test.run()
