--- a/src/services/upstream/node/tunnelSocket.ts
+++ b/src/services/upstream/node/tunnelSocket.ts
@@ -85,8 +85,8 @@
       clearTimeout(timer)
       const { statusCode: status = 0, headers } = response
       // A tunnel without chunks would not tell the end of the peer from that of the upstream.
-      const isCuttable = status === OK && findAnswerFraming({ method: 'POST', status, headers }) !== 'chunked'
-      const invalid = validateFinalHead(response) ?? (isCuttable ? 'tunnel without chunks' : undefined)
+      const lacksChunks = status === OK && findAnswerFraming({ method: 'POST', status, headers }) !== 'chunked'
+      const invalid = validateFinalHead(response) ?? (lacksChunks ? 'tunnel without chunks' : undefined)
       if (invalid !== undefined) return call.destroy(new Error(invalid))
       if (status === OK) return resolveOpened(new TunnelSocket(call, response))
       resolve({ kind: 'refused', reason: response.statusMessage ?? '' })
