Learn by rank how much later than forecast jobs complete

Their jobs were in time by the forecast at their admission, and more urgent ones that arrived later overtook them.

A plan learns by how much jobs complete later than forecast and leaves that margin to new ones, but it counted all ranks together, so that those that overtake hid the error of those that are overtaken. And it counted jobs that completed only: those that were refused from the queue, which err most, were missing.

The errors are now kept by rank, and a waiting job that is refused counts with the least error that it can have. Such callers are refused, or their jobs declined, when they arrive. The new test fails if either is missing.

--- a/src/services/preparation/common/contendedAdmission.ts
+++ b/src/services/preparation/common/contendedAdmission.ts
@@ -4,6 +4,7 @@
 import { findReturnMs } from './capacityOutlook.ts'
 import type { RoleOutlook } from './capacityOutlook.ts'
 import { ForecastErrors } from './forecastErrors.ts'
+import type { JobClass } from './forecastErrors.ts'
 import { JobAdmission } from './jobAdmission.ts'
 import type { PlanContext } from './jobAdmission.ts'
 import { computeRetryAfterMs, decideAdmission, MIN_RETRY_MS } from './jobForecast.ts'
@@ -47,7 +48,7 @@
 
   override recordPrepared (state: JobState, now: number): void {
     if (state.forecastEndAt === undefined) return
-    this._errors.record(countDepth(state), now + state.expectedRequestMs - state.forecastEndAt, now)
+    this._errors.record(getClass(state), now + state.expectedRequestMs - state.forecastEndAt, now)
     // A job that is blocked or reopened after this says nothing more about its forecast.
     state.forecastEndAt = undefined
   }
@@ -58,6 +59,7 @@
 
   protected override refuseWaiting (forecast: JobForecast, context: PlanContext, now: number): JobRefusal {
     const { state } = forecast
+    this._recordMiss(state, now)
     return this._refuseWithReturn(state, context, now) ?? { reason: 'overloaded', retryAfterMs: computeRetryAfterMs(forecast, state.deadlineAt) }
   }
 
@@ -74,7 +76,7 @@
   }
 
   private _decideNew (state: JobState, capacities: Capacities, now: number, options: AdmissionOptions): JobRefusal | JobDecline | undefined {
-    state.admissionMarginMs = Math.min(MAX_MARGIN_RATIO * state.job.goalInMs, this._errors.computeMarginMs(countDepth(state), now))
+    state.admissionMarginMs = Math.min(MAX_MARGIN_RATIO * state.job.goalInMs, this._errors.computeMarginMs(getClass(state), now))
     const reservedPieces = this._reservations.sumPieces(state.goalAt, now, state.job.returnKey)
     const forecast = this._forecastPieces(state, capacities, now, reservedPieces)
     if (forecast === undefined) return undefined
@@ -104,6 +106,14 @@
     return isAdmitted ? undefined : decision
   }
 
+  /** Jobs that do not complete would otherwise be missing from the errors. They would complete after their goal at best. */
+  private _recordMiss (state: JobState, now: number): void {
+    if (state.forecastEndAt === undefined) return
+    const endAt = Math.max(state.goalAt, now + this._options.jobOrder.estimateRemainingMs(state, now))
+    this._errors.record(getClass(state), endAt - state.forecastEndAt, now)
+    state.forecastEndAt = undefined
+  }
+
   /** Refuses a job with a time of return, if its caller accepts one. */
   private _refuseWithReturn (state: JobState, context: PlanContext, now: number): JobRefusal | undefined {
     const { job } = state
@@ -150,9 +160,8 @@
   }
 }
 
-/** Returns the number of stages that the job runs one after the other. */
-function countDepth ({ heights }: JobState): number {
-  return Math.max(0, ...heights)
+function getClass ({ job, heights }: JobState): JobClass {
+  return { rank: job.rank, depth: Math.max(0, ...heights) }
 }
 
 /** Returns the role whose queue takes longest to work off. */
--- a/src/services/preparation/test/contendedAdmission.test.ts
+++ b/src/services/preparation/test/contendedAdmission.test.ts
@@ -119,6 +119,32 @@
   assert.ok(refusals.some(({ isReserved }) => isReserved === true), JSON.stringify(refusals))
 })
 
+// Only jobs that completed were once counted, and all ranks together, so jobs were admitted that more urgent ones overtook until they were refused.
+test('a rank whose waiting jobs are refused gets a larger margin, others keep theirs', () => {
+  const planner = createObservedPlanner({ a: 1 })
+  const options = { goalInMs: 3000, deadlineInMs: 6000, returnKey: undefined }
+  const addUrgent = (name: string, count: number, goalInMs: number, now: number) => {
+    for (let index = 0; index < count; index++) planner.addJob(createCallersJob(`${name}${index}`, { ...options, goalInMs }), now)
+  }
+  const offer = (rank: number, now: number) => {
+    const decision = planner.addJob(createJob(`offered${rank}`, [createStage('a', 1)], { ...options, rank }), now, { isOffer: true })
+    planner.releaseJob(`offered${rank}`)
+    return decision?.reason
+  }
+  addUrgent('before', 14, 2500, START)
+  assert.equal([offer(0, START), offer(2, START)], [undefined, undefined])
+  for (let index = 0; index < 14; index++) planner.releaseJob(`before${index}`)
+  for (let index = 0; index < 30; index++) planner.addJob(createJob(`patient${index}`, [createStage('a', 1)], { ...options, rank: 2 }), START)
+  addUrgent('overtaking', 18, 3200, START + 100)
+  planner.startCalls(START + 150)
+  const refused = planner.dequeueUpdates().filter(update => update.kind === 'refused').map(({ jobId }) => jobId)
+  assert.ok(refused.length > 20 && refused.every(id => id.startsWith('patient')), refused.join())
+  for (let index = 0; index < 30; index++) planner.releaseJob(`patient${index}`)
+  for (let index = 0; index < 18; index++) planner.releaseJob(`overtaking${index}`)
+  addUrgent('after', 14, 2500, START + 200)
+  assert.equal([offer(0, START + 200), offer(2, START + 200)], [undefined, 'late'])
+})
+
 test('without the switch, keys of returns change nothing', () => {
   const withKeys = createPlanner({ upstreams: { a: 1 } })
   const withoutKeys = createPlanner({ upstreams: { a: 1 } })
@@ -142,10 +168,11 @@
 // Jobs that the margin keeps out are not observed, so it would never shrink.
 test('a learned margin expires without new observations', () => {
   const errors = new ForecastErrors()
-  for (let index = 0; index < 50; index++) errors.record(3, 400, index)
-  assert.ok(errors.computeMarginMs(3, 50) > 300)
-  assert.ok(errors.computeMarginMs(3, 30_000) < 5)
-  assert.is(errors.computeMarginMs(1, 50), 0)
+  for (let index = 0; index < 50; index++) errors.record({ rank: 0, depth: 3 }, 400, index)
+  assert.ok(errors.computeMarginMs({ rank: 0, depth: 3 }, 50) > 300)
+  assert.ok(errors.computeMarginMs({ rank: 0, depth: 3 }, 30_000) < 5)
+  assert.is(errors.computeMarginMs({ rank: 0, depth: 1 }, 50), 0)
+  assert.is(errors.computeMarginMs({ rank: 1, depth: 3 }, 50), 0)
 })
 
 test('the window for a return is bounded, whatever deadline a caller states', () => {
