--- a/src/services/preparation/common/returnNotices.ts
+++ b/src/services/preparation/common/returnNotices.ts
@@ -1,6 +1,6 @@
 /**
- * The refused callers for which other plans have reserved capacity. A plan that is asked before those plans declines the
- * return once, so that it reaches its reservation.
+ * Refused callers for which other plans have reserved capacity. A plan that is asked before the one with the reservation declines
+ * a caller's return once, so that the return reaches the reservation.
  */
 import type { ReturnNotice } from './preparationJob.ts'
 import { hasReturnBegun, RETURN_GRACE_MS } from './returnWindow.ts'
--- a/src/services/preparation/common/returnWindow.ts
+++ b/src/services/preparation/common/returnWindow.ts
@@ -7,7 +7,7 @@
 /** Reservations are kept this long after the time of return, since the caller's retry still has to arrive. */
 export const RETURN_GRACE_MS = 400
 
-/** How long before that time a caller may return; without a limit, callers that return at once would be admitted before all others. */
+/** How long before the time of return a caller may return; without a limit, callers that return at once would be admitted before all others. */
 const EARLY_TOLERANCE_MS = 100
 
 /** Bounds the window, whatever deadline the caller states: an outlook further ahead says nothing. */
@@ -17,7 +17,7 @@
   return Math.min(MAX_RETURN_MS, Math.max(0, callerTimeLeftMs) * RETURN_FRACTION)
 }
 
-/** Whether a caller that was told to return at `returnAt` is not early. */
+/** Whether a caller may return by now; `returnAt` is the time that its refusal stated. */
 export function hasReturnBegun (returnAt: number, now: number): boolean {
   return now >= returnAt - EARLY_TOLERANCE_MS
 }
--- a/src/services/quarantine/node/upstreamProbe.ts
+++ b/src/services/quarantine/node/upstreamProbe.ts
@@ -10,7 +10,10 @@
 /** A running upstream accepts a connection within this time. Beyond it, a crash and a broken link cannot be distinguished. */
 const PROBE_TIMEOUT_MS = 200
 
-/** The system closes the connections of a killed process one by one, and some before it stops to accept others. */
+/**
+ * For how long a killed process may still accept connections after one of its own has ended: the system closes its sockets one by
+ * one, and the listening one not first.
+ */
 export const MAX_EXIT_MS = 100
 
 export function probeUpstream (address: string): Promise<ProbeResult> {
--- a/src/services/relay/common/eventSplitter.ts
+++ b/src/services/relay/common/eventSplitter.ts
@@ -1,6 +1,6 @@
 /**
- * Splits a stream of server-sent events after complete events without changing a byte, so that a partial event is never
- * forwarded.
+ * Separates the complete events of a stream of server-sent events from the partial one at its end, which must not be forwarded. No
+ * byte is changed.
  */
 
 import { ByteBuffer } from '../../../base/common/byteBuffer.ts'
@@ -14,7 +14,7 @@
   readonly hasFields: boolean
 }
 
-/** A stream with a larger event, or with more comments and blank lines between two events, is considered broken. */
+/** Bounds the buffer. A stream with a larger event, or with more comments and blank lines between two events, is considered broken. */
 const MAX_EVENT_BYTES = 1024 * 1024
 const BLANK_LINES = ['\n\n', '\n\r\n']
 const LINE_BREAK = Buffer.from('\n')
--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -43,7 +43,7 @@
     return this._hasEnded
   }
 
-  /** Whether the system has taken over all of the answer, or the connection is closed. */
+  /** Whether the answer is written completely to the operating system, or the connection is closed. */
   get isFlushed (): boolean {
     return this._response.writableFinished || this._request.socket.destroyed
   }
@@ -112,7 +112,7 @@
     this.cut()
   }
 
-  /** Like `abort`, also for an answer that has ended; one that the system has taken over stays as it is. */
+  /** Like `abort`, but also for an answer that has ended and is not written completely. */
   cut (): void {
     if (this.isFlushed) return
     // Without framing, an orderly close would mark the end of the body, so the connection is reset.
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -138,7 +138,7 @@
     if (!this._isAttemptSent() && this._endingCount === 0) this._refuseStopping()
   }
 
-  /** Ends the request because this process is about to end: states whether it may have run, or cuts an answer that has begun. */
+  /** Ends the request before the process ends: its answer states whether it may have run; one that has begun is cut. */
   abandon (): void {
     const { answer } = this._accepted
     if (answer.hasEnded) return
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -75,7 +75,7 @@
   /** Requests whose bodies have not arrived completely. */
   private readonly _uploads = new Set<AbortController>()
   private readonly _runs = new Set<RelayRun>()
-  /** Answers that the system has not taken over completely: those in progress, and those whose callers read slowly. */
+  /** Answers that are not written completely: those in progress, and those whose callers read slowly. */
   private readonly _openAnswers = new Set<CallerAnswer>()
 
   constructor (options: RelayServerOptions) {
@@ -97,7 +97,7 @@
     return this._activeCount
   }
 
-  /** Whether no request is in progress and the system has taken over all answers. */
+  /** Whether no request is in progress and all answers are written completely. */
   get isIdle (): boolean {
     return this._activeCount === 0 && this._openAnswers.size === 0
   }
@@ -145,12 +145,12 @@
     for (const run of [...this._runs]) run.stopSending()
   }
 
-  /** Ends the requests in progress, because the process is about to end: callers are told whether they may have run. */
+  /** Ends the requests in progress before the process ends; the answers state whether the requests may have run. */
   abandonRequests (): void {
     for (const run of [...this._runs]) run.abandon()
   }
 
-  /** Cuts the answers that the system has not taken over by now, so that they do not appear complete. */
+  /** Cuts the answers that are not written completely, so that they do not appear complete. */
   cutAnswers (): void {
     for (const answer of this._openAnswers) answer.cut()
   }
@@ -158,13 +158,13 @@
   /** Stops accepting connections and closes idle ones; all others close after the answer that is in progress. */
   close (): void {
     for (const answer of this._openAnswers) answer.closeAfterAnswer()
-    // The HTTP server's own method also closes connections.
+    // The HTTP server's own method also destroys connections whose answer is not written completely.
     NetServer.prototype.close.call(this._server)
     this._isClosing = true
     this._closeIdleConnections()
   }
 
-  /** Waits for answers that have ended and are not flushed: the HTTP server considers their connections idle. */
+  /** Does nothing while an answer has ended and is not written completely: the HTTP server considers its connection idle and would destroy it. */
   private _closeIdleConnections (): void {
     if (!this._isClosing || [...this._openAnswers].some(answer => answer.hasEnded && !answer.isFlushed)) return
     this._server.closeIdleConnections()
--- a/src/services/upstream/node/connectionEnd.ts
+++ b/src/services/upstream/node/connectionEnd.ts
@@ -31,8 +31,8 @@
     connection.prependOnceListener('end', () => {
       hasEnded = true
       connection.write(NO_BYTES, error => { if (error) settleError(error); else resolve('closed') })
-      // If an upload is still being written, the system reports a reset to that write, before this is called. A connection that was
-      // destroyed meanwhile can't tell any more.
+      // If an upload is still being written, its write reports a reset before this is called, unless the connection has been destroyed
+      // by then: its end is unknown and counts as a reset.
       setImmediate(() => resolve(connection.destroyed ? 'reset' : 'closed'))
     })
   })
