Hold the body of a request in blocks

Callers saw: one caller that sent a body inside the limit in chunks of one byte ended the process, and everyone's requests with it. Cause: each chunk was kept as it came, an object and a slice of some hundred bytes for each byte.

--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -8,6 +8,7 @@
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import type { CallerLimits } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
+import { BlockPool } from '../../../base/common/blockBuffer.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
 import { hashSha256 } from '../../../base/node/digest.ts'
@@ -56,12 +57,15 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 const BODY_TIMEOUT_MS = 60_000
 const MAX_CACHED_DIGESTS = 1000
+/** Blocks of bodies that are kept for later bodies. */
+const MAX_FREE_BLOCK_BYTES = 8 * 1024 * 1024
 
 export class RelayServer extends Disposable {
   private readonly _options: RelayServerOptions
   private readonly _context: RelayContext
   private readonly _server: Server
   private readonly _keyDigests = new Map<string, string>()
+  private readonly _blocks = new BlockPool({ maxFreeBytes: MAX_FREE_BLOCK_BYTES })
   private readonly _onDidEnd = this._register(new Emitter<CompletedRequest>())
   readonly onDidEnd = this._onDidEnd.event
   private _activeCount = 0
@@ -275,7 +279,11 @@
     const upload = new AbortController()
     this._uploads.add(upload)
     try {
-      return await readRequestBody(incoming, { maxBytes: this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES, signal: upload.signal })
+      return await readRequestBody(incoming, {
+        maxBytes: this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES,
+        blocks: { pool: this._blocks, reserve: () => true, release: () => {} },
+        signal: upload.signal
+      })
     } finally {
       this._uploads.delete(upload)
     }
--- a/src/services/relay/node/requestBody.ts
+++ b/src/services/relay/node/requestBody.ts
@@ -2,31 +2,32 @@
  * Reads the bodies of callers' requests.
  */
 import type { IncomingMessage } from 'node:http'
+import { BlockBuffer } from '../../../base/common/blockBuffer.ts'
+import type { BlockBufferOptions } from '../../../base/common/blockBuffer.ts'
 
 export interface ReadBodyOptions {
   readonly maxBytes: number
+  readonly blocks: BlockBufferOptions
   /** Gives up a body that has not arrived completely. The connection stays open, so that the caller can be answered. */
   readonly signal: AbortSignal
 }
 
 /** Resolves with undefined if the body is too large or incomplete. */
-export function readRequestBody (request: IncomingMessage, { maxBytes, signal }: ReadBodyOptions): Promise<Buffer | undefined> {
-  const parts: Buffer[] = []
-  let size = 0
+export function readRequestBody (request: IncomingMessage, { maxBytes, blocks, signal }: ReadBodyOptions): Promise<Buffer | undefined> {
+  const buffer = new BlockBuffer(blocks)
   return new Promise(resolve => {
     const settle = (body: Buffer | undefined) => {
       request.off('data', addPart).off('end', complete).off('close', abandon)
       signal.removeEventListener('abort', abandon)
+      buffer.clear()
       // What still arrives is discarded.
       request.resume()
       resolve(body)
     }
     const addPart = (part: Buffer) => {
-      parts.push(part)
-      size += part.length
-      if (size > maxBytes) settle(undefined)
+      if (buffer.length + part.length > maxBytes || !buffer.append(part)) settle(undefined)
     }
-    const complete = () => settle(request.complete ? Buffer.concat(parts) : undefined)
+    const complete = () => settle(request.complete ? buffer.take() : undefined)
     const abandon = () => settle(undefined)
     // An error is followed by the close.
     request.on('error', () => {})
