Count what requests hold, and take it back when there is too much

Callers saw: a hundred callers whose bodies stopped just before their end, or did not end, took all memory of the machine. Cause: each connection could hold a body up to the limit, and nothing counted the sum.

MemoryBudget counts heads, blocks of bodies, whole bodies until their requests end, an estimate for each request that runs, and answers that are not written. When it is used up, uploads that were not sent give way: the largest stalled one first, then the largest of the customer that holds the most. Their callers get 503 with Retry-After, which is true, since nothing was sent.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -19,6 +19,8 @@
 import { FeedService } from '../services/feed/node/feedService.ts'
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
+import { deriveIngressLimits } from '../services/ingress/common/ingressLimits.ts'
+import { MemoryBudget } from '../services/ingress/common/memoryBudget.ts'
 import { HallRegions } from '../services/locate/common/hallRegions.ts'
 import type { AddressAnswer, CallerLocation } from '../services/locate/common/nodeDirectory.ts'
 import { FleetMember } from '../services/membership/node/fleetMember.ts'
@@ -217,6 +219,8 @@
     }))
     this._quarantine = this._register(createNodeQuarantine({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, onDidJoin: this._fleetMember.onDidJoin, probe: address => this._connections.probe(address), instanceProbe: options.createInstanceProbe?.(this._connections.createAgent()), getTable }))
     const throttle = createThrottle({ clock, random, log })
+    const requestMemory = this._register(new MemoryBudget({ clock, maxBytes: deriveIngressLimits({ memoryMb: settings.memory_mb }).maxHeldBytes }))
+    this._register(requestMemory.onDidRunShort(({ request, heldBytes, stalledMs, usedBytes }) => log.warn('memory_short', { request, held_bytes: heldBytes, stalled_ms: Math.round(stalledMs), used_bytes: usedBytes })))
     this._retries = this._register(new NodeRetries({ clock, settings, membership: this._fleetMember.membership, registry: this._registry }))
     this._relayServer = this._register(new RelayServer({
       context: {
@@ -243,12 +247,13 @@
         quarantine: this._quarantine
       },
       callerProtocol: options.callerProtocol,
+      memory: requestMemory,
       getTable,
       describeConfiguration: () => this._describeConfiguration(),
       findReadinessError: () => this._findReadinessError(),
       estimateReadinessDelayMs: () => estimateReadyMs({ isOutage: this._fleetMember.isReady && this._relayTable === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, retries: this._retries, throttle, pauseDetector: this._pauseDetector }))
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, requestMemory, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, retries: this._retries, throttle, pauseDetector: this._pauseDetector }))
     this._register(this._statements.onDidRecordStatement(kind => this._metrics.countStatement(kind)))
     this._statusReporter = new NodeStatusReporter({
       clock,
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -2,6 +2,7 @@
  * Reads the current values of a node's gauges from its services.
  */
 import type { IClock } from '../base/common/clock.ts'
+import type { MemoryBudget } from '../services/ingress/common/memoryBudget.ts'
 import type { FleetMember } from '../services/membership/node/fleetMember.ts'
 import type { PauseDetector } from '../services/pause/common/pauseDetector.ts'
 import type { PreparationCoordinator } from '../services/preparation/node/preparationCoordinator.ts'
@@ -18,6 +19,7 @@
 export interface NodeGaugeSources {
   readonly clock: IClock
   readonly relay: RelayServer
+  readonly requestMemory: MemoryBudget
   readonly member: FleetMember
   readonly registry: UpstreamRegistry
   readonly coordinator: PreparationCoordinator
@@ -30,10 +32,12 @@
   readonly pauseDetector: PauseDetector
 }
 
-export function createNodeGauges ({ clock, relay, member, registry, coordinator, quota, statements, connections, quarantine, retries, throttle, pauseDetector }: NodeGaugeSources): NodeGauges {
+export function createNodeGauges ({ clock, relay, requestMemory, member, registry, coordinator, quota, statements, connections, quarantine, retries, throttle, pauseDetector }: NodeGaugeSources): NodeGauges {
   const { backoffs, guard } = statements
   return {
     countOpenRequests: () => relay.activeRequestCount,
+    getRequestMemoryBytes: () => requestMemory.usedBytes,
+    countMemoryShortages: () => requestMemory.shortageCount,
     countLiveNodes: () => member.membership.countLive(),
     countUpstreams: () => registry.size,
     countColdUpstreams: () => registry.list().filter(({ coldUntil = 0 }) => coldUntil > clock.now()).length,
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -8,6 +8,9 @@
 
 export interface NodeGauges {
   readonly countOpenRequests: () => number
+  /** What the requests in progress hold, see MemoryBudget. */
+  readonly getRequestMemoryBytes: () => number
+  readonly countMemoryShortages: () => number
   readonly countLiveNodes: () => number
   readonly countUpstreams: () => number
   readonly countColdUpstreams: () => number
@@ -53,6 +56,8 @@
   constructor (gauges: NodeGauges) {
     this.metrics.addProcessMetrics()
     this.metrics.createGauge('node_requests_open', 'Requests in progress', gauges.countOpenRequests)
+    this.metrics.createGauge('node_request_memory_bytes', 'Memory that requests hold', gauges.getRequestMemoryBytes)
+    this.metrics.createGauge('node_memory_shortages_total', 'Requests that gave back their memory or got none', gauges.countMemoryShortages)
     this.metrics.createGauge('node_members', 'Nodes taken for alive', gauges.countLiveNodes)
     this.metrics.createGauge('node_upstreams', 'Upstreams known', gauges.countUpstreams)
     this.metrics.createGauge('node_cold_upstreams', 'Upstreams that bear little for a while', gauges.countColdUpstreams)
--- a/src/entryNode/nodeSettings.ts
+++ b/src/entryNode/nodeSettings.ts
@@ -9,6 +9,7 @@
 const Port = Schema.Number.pipe(Schema.int(), Schema.between(1, 65_535))
 
 const DEFAULT_RETRY_WINDOW_S = 10
+const DEFAULT_MEMORY_MB = 350
 
 export const NodeSettingsSchema = Schema.Struct({
   name: Schema.NonEmptyString,
@@ -33,6 +34,8 @@
   core_share: Schema.Number.pipe(Schema.positive()),
   /** The speed of that core relative to the reference core. */
   core_speed: Schema.Number.pipe(Schema.positive()),
+  /** Memory that the node may use, in MB. Its requests hold a fifth of it at most. */
+  memory_mb: Schema.optionalWith(Schema.Number.pipe(Schema.positive()), { default: () => DEFAULT_MEMORY_MB }),
   /** Nodes that are contacted first to join the fleet. */
   seeds: Schema.Array(AddressText),
   /** The address from which configuration and upstreams are read. */
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -8,6 +8,8 @@
   const getZero = () => 0
   const metrics = new NodeMetrics({
     countOpenRequests: () => 3,
+    getRequestMemoryBytes: getZero,
+    countMemoryShortages: getZero,
     countLiveNodes: getZero,
     countUpstreams: getZero,
     countColdUpstreams: () => 4,
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -13,6 +13,7 @@
 import { Emitter } from '../../../base/common/event.ts'
 import { hashSha256 } from '../../../base/node/digest.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
+import type { MemoryBudget, MemoryLease } from '../../ingress/common/memoryBudget.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { OTHER_NODE_RETRY_MS } from '../common/relayProtocol.ts'
 import type { CallerProtocol, MessageHead, RelayRefusal } from '../common/relayProtocol.ts'
@@ -24,11 +25,14 @@
 import { RelayRun } from './relayRun.ts'
 import type { RelayOutcome } from './relayRun.ts'
 import { readRequestBody } from './requestBody.ts'
+import type { BodyResult } from './requestBody.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
 
 export interface RelayServerOptions {
   readonly context: Omit<RelayContext, 'refuse'>
   readonly callerProtocol: CallerProtocol
+  /** What the requests of all callers may hold. */
+  readonly memory: MemoryBudget
   /** Undefined until a configuration is available. */
   readonly getTable: () => RelayTable | undefined
   /** Number and age of the active configuration, for logs. */
@@ -57,6 +61,11 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 const BODY_TIMEOUT_MS = 60_000
 const MAX_CACHED_DIGESTS = 1000
+/** Retry delay of a request for which there is no memory. */
+const MEMORY_RETRY_MS = 500
+/** Approximate memory of a request besides its head and its body: parsed, and while it runs. */
+const REQUEST_BYTES = 8 * 1024
+const RUN_BYTES = 40 * 1024
 /** Blocks of bodies that are kept for later bodies. */
 const MAX_FREE_BLOCK_BYTES = 8 * 1024 * 1024
 
@@ -80,7 +89,7 @@
   private readonly _uploads = new Set<AbortController>()
   private readonly _runs = new Set<RelayRun>()
   /** Answers that are not written completely: those in progress, and those whose callers read slowly. */
-  private readonly _openAnswers = new Set<CallerAnswer>()
+  private readonly _openAnswers = new Map<CallerAnswer, MemoryLease>()
 
   constructor (options: RelayServerOptions) {
     super()
@@ -156,12 +165,12 @@
 
   /** Cuts the answers that are not written completely, so that they do not appear complete. */
   cutAnswers (): void {
-    for (const answer of this._openAnswers) answer.cut()
+    for (const answer of this._openAnswers.keys()) answer.cut()
   }
 
   /** Stops accepting connections and closes idle ones; all others close after the answer that is in progress. */
   close (): void {
-    for (const answer of this._openAnswers) answer.closeAfterAnswer()
+    for (const answer of this._openAnswers.keys()) answer.closeAfterAnswer()
     // The HTTP server's own method also destroys connections whose answer is not written completely.
     NetServer.prototype.close.call(this._server)
     this._isClosing = true
@@ -170,18 +179,19 @@
 
   /** Does nothing while an answer has ended and is not written completely: the HTTP server considers its connection idle and would destroy it. */
   private _closeIdleConnections (): void {
-    if (!this._isClosing || [...this._openAnswers].some(answer => answer.hasEnded && !answer.isFlushed)) return
+    if (!this._isClosing || [...this._openAnswers.keys()].some(answer => answer.hasEnded && !answer.isFlushed)) return
     this._server.closeIdleConnections()
   }
 
   private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const answer = new CallerAnswer(request, response)
+    const memory = this._options.memory.open(this._options.callerProtocol.findRequestId(readHead(request)))
     if (this._isDraining) answer.closeAfterAnswer()
-    this._openAnswers.add(answer)
+    this._openAnswers.set(answer, memory)
     this._activeCount++
     this._receivedCount++
     try {
-      await this._process(request, answer)
+      await this._process(request, answer, memory)
     } catch (thrown) {
       this._context.log.error('internal', { reason: String(thrown) })
       this._answerError(request, answer)
@@ -189,7 +199,7 @@
       this._activeCount--
       answer.dispose()
       if (answer.isFlushed) this._deleteAnswer(answer)
-      else response.once('finish', () => this._deleteAnswer(answer))
+      else this._retainUnsentAnswer(answer, memory, response)
     }
   }
 
@@ -204,17 +214,27 @@
     answer.abort()
   }
 
+  /** The bytes that the caller has not read stay in memory; without enough memory the answer is cut. */
+  private _retainUnsentAnswer (answer: CallerAnswer, memory: MemoryLease, response: ServerResponse): void {
+    response.once('finish', () => this._deleteAnswer(answer))
+    memory.release(memory.heldBytes)
+    // An answer without a connection waits for an earlier one.
+    if (response.socket !== null) memory.setEviction(() => answer.cut())
+    if (!memory.reserve(REQUEST_BYTES + response.writableLength)) answer.cut()
+  }
+
   private _deleteAnswer (answer: CallerAnswer): void {
+    this._openAnswers.get(answer)?.dispose()
     this._openAnswers.delete(answer)
     this._closeIdleConnections()
   }
 
   private _deleteFlushedAnswers (): void {
-    for (const answer of this._openAnswers) if (answer.isFlushed) this._openAnswers.delete(answer)
+    for (const answer of [...this._openAnswers.keys()]) if (answer.isFlushed) this._deleteAnswer(answer)
     this._closeIdleConnections()
   }
 
-  private async _process (incoming: IncomingMessage, answer: CallerAnswer): Promise<void> {
+  private async _process (incoming: IncomingMessage, answer: CallerAnswer, memory: MemoryLease): Promise<void> {
     const arrivedAt = this._context.clock.now()
     const head = readHead(incoming)
     const admission = this._options.callerProtocol.readRequest(head)
@@ -222,14 +242,14 @@
       .chain(request => this._admit(request))
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
-    const body = await this._readBody(incoming)
-    const isTooLate = this._isRefusingWaiting || this._isTooLate(admitted, arrivedAt)
-    if (body === undefined || isTooLate) {
-      const refusal = isTooLate ? createDrainingRefusal() : createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
-      if (!answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
+    memory.customer = admitted.customer
+    const result: BodyResult = memory.reserve(REQUEST_BYTES + countHeadBytes(head)) ? await this._readBody(incoming, memory) : { kind: 'noMemory' }
+    const refusal = this._refuseAfterUpload(admitted, arrivedAt, result, memory)
+    if (result.kind !== 'complete' || refusal !== undefined) {
+      if (refusal !== undefined && !answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
       return
     }
-    const run = new RelayRun(this._context, { ...admitted, body, answer, arrivedAt })
+    const run = new RelayRun(this._context, { ...admitted, body: result.body, answer, arrivedAt })
     this._runs.add(run)
     try {
       this._reportEnd(admitted, await run.run(), this._context.clock.now() - arrivedAt)
@@ -238,6 +258,13 @@
     }
   }
 
+  /** Decides whether a request whose upload has ended is refused; nothing of it was sent to an upstream. */
+  private _refuseAfterUpload (admitted: AdmittedRequest, arrivedAt: number, { kind }: BodyResult, memory: MemoryLease): RelayRefusal | undefined {
+    if (this._isRefusingWaiting || this._isTooLate(admitted, arrivedAt)) return createDrainingRefusal()
+    if (kind === 'tooLarge' || kind === 'incomplete') return createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
+    return kind === 'complete' && memory.reserve(RUN_BYTES) ? undefined : createMemoryRefusal()
+  }
+
   /** Whether the time that is left for requests is shorter than the route's goal and than the time for which the caller waits. */
   private _isTooLate ({ route, request }: Pick<AdmittedRequest, 'route' | 'request'>, arrivedAt: number): boolean {
     const now = this._context.clock.now()
@@ -275,13 +302,14 @@
     return digest
   }
 
-  private async _readBody (incoming: IncomingMessage): Promise<Buffer | undefined> {
+  private async _readBody (incoming: IncomingMessage, memory: MemoryLease): Promise<BodyResult> {
     const upload = new AbortController()
     this._uploads.add(upload)
     try {
       return await readRequestBody(incoming, {
         maxBytes: this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES,
-        blocks: { pool: this._blocks, reserve: () => true, release: () => {} },
+        pool: this._blocks,
+        memory,
         signal: upload.signal
       })
     } finally {
@@ -315,6 +343,15 @@
   return { method, target: url, headers, rawHeaders }
 }
 
+/** Parsed and unparsed copies of the head. */
+function countHeadBytes ({ target, rawHeaders }: MessageHead): number {
+  return 2 * rawHeaders.reduce((sum, { length }) => sum + length, target.length)
+}
+
+function createMemoryRefusal (): RelayRefusal {
+  return { error: new PepperwoodError({ name: 'overloaded', message: 'the requests at this node use all memory that they may use' }), isNotRun: true, retryAfterMs: MEMORY_RETRY_MS }
+}
+
 function createRefusal (name: 'gateNotReady' | 'routeUnknown' | 'keyWrong' | 'requestTooLarge', message: string, isNotRun: boolean, value = ''): RelayRefusal {
   return { error: new PepperwoodError({ name, message, value }), isNotRun, retryAfterMs: isNotRun ? STARTUP_RETRY_MS : undefined }
 }
--- a/src/services/relay/node/requestBody.ts
+++ b/src/services/relay/node/requestBody.ts
@@ -3,36 +3,57 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { BlockBuffer } from '../../../base/common/blockBuffer.ts'
-import type { BlockBufferOptions } from '../../../base/common/blockBuffer.ts'
+import type { BlockPool } from '../../../base/common/blockBuffer.ts'
+import type { MemoryLease } from '../../ingress/common/memoryBudget.ts'
 
 export interface ReadBodyOptions {
   readonly maxBytes: number
-  readonly blocks: BlockBufferOptions
+  readonly pool: BlockPool
+  /** What the request holds; a complete body stays part of it. */
+  readonly memory: MemoryLease
   /** Gives up a body that has not arrived completely. The connection stays open, so that the caller can be answered. */
   readonly signal: AbortSignal
 }
 
-/** Resolves with undefined if the body is too large or incomplete. */
-export function readRequestBody (request: IncomingMessage, { maxBytes, blocks, signal }: ReadBodyOptions): Promise<Buffer | undefined> {
-  const buffer = new BlockBuffer(blocks)
+export type BodyResult =
+  | { readonly kind: 'complete', readonly body: Buffer }
+  | { readonly kind: 'tooLarge' | 'incomplete' | 'noMemory' }
+
+/** A body makes progress with each part of this size. */
+const PROGRESS_BYTES = 4096
+
+export function readRequestBody (request: IncomingMessage, { maxBytes, pool, memory, signal }: ReadBodyOptions): Promise<BodyResult> {
+  const buffer = new BlockBuffer({ pool, reserve: bytes => memory.reserve(bytes), release: bytes => memory.release(bytes) })
+  let progressBytes = 0
   return new Promise(resolve => {
-    const settle = (body: Buffer | undefined) => {
+    const settle = (result: BodyResult) => {
       request.off('data', addPart).off('end', complete).off('close', abandon)
       signal.removeEventListener('abort', abandon)
+      memory.setEviction(undefined)
       buffer.clear()
       // What still arrives is discarded.
       request.resume()
-      resolve(body)
+      resolve(result)
     }
     const addPart = (part: Buffer) => {
-      if (buffer.length + part.length > maxBytes || !buffer.append(part)) settle(undefined)
+      if (buffer.length + part.length > maxBytes) return settle({ kind: 'tooLarge' })
+      if (!buffer.append(part)) return settle({ kind: 'noMemory' })
+      if (buffer.length - progressBytes < PROGRESS_BYTES) return
+      progressBytes = buffer.length
+      memory.recordProgress()
+    }
+    const complete = () => {
+      if (!request.complete) return settle({ kind: 'incomplete' })
+      const body = buffer.take()
+      settle(body === undefined ? { kind: 'noMemory' } : { kind: 'complete', body })
     }
-    const complete = () => settle(request.complete ? buffer.take() : undefined)
-    const abandon = () => settle(undefined)
+    const abandon = () => settle({ kind: 'incomplete' })
     // An error is followed by the close.
     request.on('error', () => {})
-    if (signal.aborted || request.destroyed || Number(request.headers['content-length'] ?? 0) > maxBytes) return settle(undefined)
+    if (signal.aborted || request.destroyed) return settle({ kind: 'incomplete' })
+    if (Number(request.headers['content-length'] ?? 0) > maxBytes) return settle({ kind: 'tooLarge' })
     request.on('data', addPart).on('end', complete).on('close', abandon)
     signal.addEventListener('abort', abandon, { once: true })
+    memory.setEviction(() => settle({ kind: 'noMemory' }))
   })
 }
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -18,6 +18,7 @@
 import { AlwaysHealthyTracker } from '../../health/common/healthTracker.ts'
 import { HallRegions } from '../../locate/common/hallRegions.ts'
 import { LogService } from '../../log/node/logger.ts'
+import { MemoryBudget } from '../../ingress/common/memoryBudget.ts'
 import type { IPreparationService } from '../../preparation/common/preparationService.ts'
 import { ReleaseDelay } from '../../preparation/common/releaseDelay.ts'
 import { CoordinatorLinks } from '../../preparation/node/coordinatorLinks.ts'
@@ -182,6 +183,8 @@
   readonly hallRegions?: Readonly<Record<string, string>>
   /** Opens the connections to upstreams; by default directly. */
   readonly agent?: CallAgent
+  /** What the requests may hold together; by default there is no limit. */
+  readonly maxHeldBytes?: number
   /** Protocols of callers and upstreams; by default the fake ones of this file. */
   readonly protocols?: { readonly caller: CallerProtocol, readonly upstream: UpstreamProtocol }
 }
@@ -243,6 +246,7 @@
         releaseDelay: new ReleaseDelay(),
         quarantine
       },
+      memory: this._register(new MemoryBudget({ clock, maxBytes: _options.maxHeldBytes ?? Infinity })),
       callerProtocol: _options.protocols?.caller ?? new FakeCallerProtocol(),
       getTable: () => table,
       describeConfiguration: () => '1.7 for 20 ms',
