Bound the requests that a connection sends ahead of their answers

Callers saw: two callers that sent requests ahead and read no answer ended the process (heap), and took all descriptors of the machine before. Cause: each request ran as soon as it was parsed, whatever waited before it on its connection, with a connection to an upstream, timers and log lines of its own.

CallerConnections handles eight requests of a connection at a time, and one while half as many requests run as may; the others wait. Beyond 32 open requests the connection reads no more and closes after their answers. What the parser still delivers then is counted as memory, so that many such connections cannot exhaust the heap. max_descriptors bounds the requests that run in all: the next one is refused, not run. A request behind another one now also ends when its caller leaves; before, it ran to its end, since Node reports the close to the first answer of a connection only.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -219,7 +219,8 @@
     }))
     this._quarantine = this._register(createNodeQuarantine({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, onDidJoin: this._fleetMember.onDidJoin, probe: address => this._connections.probe(address), instanceProbe: options.createInstanceProbe?.(this._connections.createAgent()), getTable }))
     const throttle = createThrottle({ clock, random, log })
-    const requestMemory = this._register(new MemoryBudget({ clock, maxBytes: deriveIngressLimits({ memoryMb: settings.memory_mb }).maxHeldBytes }))
+    const ingressLimits = deriveIngressLimits({ memoryMb: settings.memory_mb, maxDescriptors: settings.max_descriptors })
+    const requestMemory = this._register(new MemoryBudget({ clock, maxBytes: ingressLimits.maxHeldBytes }))
     this._register(requestMemory.onDidRunShort(({ request, heldBytes, stalledMs, usedBytes }) => log.warn('memory_short', { request, held_bytes: heldBytes, stalled_ms: Math.round(stalledMs), used_bytes: usedBytes })))
     this._retries = this._register(new NodeRetries({ clock, settings, membership: this._fleetMember.membership, registry: this._registry }))
     this._relayServer = this._register(new RelayServer({
@@ -248,6 +249,7 @@
       },
       callerProtocol: options.callerProtocol,
       memory: requestMemory,
+      maxRunningRequests: ingressLimits.maxRunningRequests,
       getTable,
       describeConfiguration: () => this._describeConfiguration(),
       findReadinessError: () => this._findReadinessError(),
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -37,6 +37,7 @@
   return {
     countOpenRequests: () => relay.activeRequestCount,
     getRequestMemoryBytes: () => requestMemory.usedBytes,
+    countOverruns: () => relay.overrunCount,
     countMemoryShortages: () => requestMemory.shortageCount,
     countLiveNodes: () => member.membership.countLive(),
     countUpstreams: () => registry.size,
--- a/src/entryNode/nodeSettings.ts
+++ b/src/entryNode/nodeSettings.ts
@@ -10,6 +10,7 @@
 
 const DEFAULT_RETRY_WINDOW_S = 10
 const DEFAULT_MEMORY_MB = 350
+const DEFAULT_MAX_DESCRIPTORS = 4096
 
 export const NodeSettingsSchema = Schema.Struct({
   name: Schema.NonEmptyString,
@@ -36,6 +37,8 @@
   core_speed: Schema.Number.pipe(Schema.positive()),
   /** Memory that the node may use, in MB. Its requests hold a fifth of it at most. */
   memory_mb: Schema.optionalWith(Schema.Number.pipe(Schema.positive()), { default: () => DEFAULT_MEMORY_MB }),
+  /** Files and connections that the node may have open. */
+  max_descriptors: Schema.optionalWith(Schema.Number.pipe(Schema.int(), Schema.positive()), { default: () => DEFAULT_MAX_DESCRIPTORS }),
   /** Nodes that are contacted first to join the fleet. */
   seeds: Schema.Array(AddressText),
   /** The address from which configuration and upstreams are read. */
--- a/src/services/ingress/common/ingressLimits.ts
+++ b/src/services/ingress/common/ingressLimits.ts
@@ -6,19 +6,27 @@
 export interface HostResources {
   /** Memory that the process may use, in MB. */
   readonly memoryMb: number
+  /** Files and connections that the process may have open. */
+  readonly maxDescriptors: number
 }
 
 export interface IngressLimits {
   /** What all requests may hold together, see `MemoryBudget`. */
   readonly maxHeldBytes: number
+  /** Each takes a connection to an upstream. */
+  readonly maxRunningRequests: number
 }
 
 /**
  * The rest is the process without requests, garbage that is not collected yet, and bytes in the buffers of connections.
  */
 const MEMORY_SHARE = 0.2
+const RUNNING_REQUEST_SHARE = 0.35
 const BYTES_PER_MB = 1024 * 1024
 
-export function deriveIngressLimits ({ memoryMb }: HostResources): IngressLimits {
-  return { maxHeldBytes: Math.floor(MEMORY_SHARE * memoryMb * BYTES_PER_MB) }
+export function deriveIngressLimits ({ memoryMb, maxDescriptors }: HostResources): IngressLimits {
+  return {
+    maxHeldBytes: Math.floor(MEMORY_SHARE * memoryMb * BYTES_PER_MB),
+    maxRunningRequests: Math.floor(RUNNING_REQUEST_SHARE * maxDescriptors)
+  }
 }
--- a/src/services/ingress/common/memoryBudget.ts
+++ b/src/services/ingress/common/memoryBudget.ts
@@ -43,6 +43,11 @@
     return this._usedBytes
   }
 
+  /** Whether requests hold more than half of what they may. */
+  get isUnderPressure (): boolean {
+    return this._usedBytes > this._options.maxBytes / 2
+  }
+
   /** Number of requests that gave back their memory or got none. */
   get shortageCount (): number {
     return this._shortageCount
--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -54,6 +54,11 @@
     return httpVersionMajor > 1 || httpVersionMinor > 0
   }
 
+  /** Records that the connection has closed. The answer does not notice it while an earlier one of its connection is not complete. */
+  disconnect (): void {
+    this._handleClose()
+  }
+
   /** Closes the connection after this answer. */
   closeAfterAnswer (): void {
     if (!this._hasBegun) this._response.shouldKeepAlive = false
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -13,6 +13,9 @@
 import { Emitter } from '../../../base/common/event.ts'
 import { hashSha256 } from '../../../base/node/digest.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
+import { MAX_OPEN_REQUESTS } from '../../ingress/common/pipelining.ts'
+import { CallerConnections, REQUEST_BYTES } from '../../ingress/node/callerConnections.ts'
+import type { OpenRequest } from '../../ingress/node/callerConnections.ts'
 import type { MemoryBudget, MemoryLease } from '../../ingress/common/memoryBudget.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { OTHER_NODE_RETRY_MS } from '../common/relayProtocol.ts'
@@ -33,6 +36,8 @@
   readonly callerProtocol: CallerProtocol
   /** What the requests of all callers may hold. */
   readonly memory: MemoryBudget
+  /** Further requests are refused once their bodies are complete. */
+  readonly maxRunningRequests?: number
   /** Undefined until a configuration is available. */
   readonly getTable: () => RelayTable | undefined
   /** Number and age of the active configuration, for logs. */
@@ -61,10 +66,10 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 const BODY_TIMEOUT_MS = 60_000
 const MAX_CACHED_DIGESTS = 1000
-/** Retry delay of a request for which there is no memory. */
-const MEMORY_RETRY_MS = 500
-/** Approximate memory of a request besides its head and its body: parsed, and while it runs. */
-const REQUEST_BYTES = 8 * 1024
+/** Retry delay of a request for which this node has no resources. */
+const OVERLOAD_RETRY_MS = 500
+const NO_MEMORY = 'the requests at this node use all memory that they may use'
+/** Approximate memory of a request while it runs, besides its head and its body. */
 const RUN_BYTES = 40 * 1024
 /** Blocks of bodies that are kept for later bodies. */
 const MAX_FREE_BLOCK_BYTES = 8 * 1024 * 1024
@@ -73,12 +78,14 @@
   private readonly _options: RelayServerOptions
   private readonly _context: RelayContext
   private readonly _server: Server
+  private readonly _connections: CallerConnections
   private readonly _keyDigests = new Map<string, string>()
   private readonly _blocks = new BlockPool({ maxFreeBytes: MAX_FREE_BLOCK_BYTES })
   private readonly _onDidEnd = this._register(new Emitter<CompletedRequest>())
   readonly onDidEnd = this._onDidEnd.event
   private _activeCount = 0
   private _receivedCount = 0
+  private _overrunCount = 0
   private _isDraining = false
   /** When the requests in progress are abandoned, because this node is stopping. */
   private _abandonAt = Infinity
@@ -95,7 +102,16 @@
     super()
     this._options = options
     this._context = { ...options.context, refuse: (answer, refusal, requestId) => this._refuse(answer, refusal, requestId) }
-    this._server = createServer({ ...STRICT_PARSING, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS }, (request, response) => { void this._handle(request, response) })
+    this._server = createServer({ ...STRICT_PARSING, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS }, (request, response) => this._accept(request, response))
+    this._connections = new CallerConnections({
+      server: this._server,
+      memory: options.memory,
+      isUnderPressure: () => this._isUnderPressure(),
+      onDidOverrun: address => {
+        this._overrunCount++
+        this._context.log.warn('pipeline_closed', { caller: address, open: MAX_OPEN_REQUESTS })
+      }
+    })
     this._server.on('connection', socket => socket.once('close', () => this._deleteFlushedAnswers()))
     this._server.on('clientError', (_error, socket) => { socket.destroy() })
     this._register(toDisposable(() => {
@@ -120,6 +136,11 @@
     return this._receivedCount
   }
 
+  /** Number of connections that were closed since too many requests arrived ahead of their answers. */
+  get overrunCount (): number {
+    return this._overrunCount
+  }
+
   /** Resolves with the port; port 0 selects a free one. */
   listen (host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
@@ -183,7 +204,21 @@
     this._server.closeIdleConnections()
   }
 
-  private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private get _maxRunningRequests (): number {
+    return this._options.maxRunningRequests ?? Infinity
+  }
+
+  private _isUnderPressure (): boolean {
+    return this._connections.activeCount >= this._maxRunningRequests / 2 || this._options.memory.isUnderPressure
+  }
+
+  private _accept (request: IncomingMessage, response: ServerResponse): void {
+    const open = this._connections.accept(request, response)
+    if (open !== undefined) void this._handle(request, response, open)
+  }
+
+  private async _handle (request: IncomingMessage, response: ServerResponse, open: OpenRequest): Promise<void> {
+    const arrivedAt = this._context.clock.now()
     const answer = new CallerAnswer(request, response)
     const memory = this._options.memory.open(this._options.callerProtocol.findRequestId(readHead(request)))
     if (this._isDraining) answer.closeAfterAnswer()
@@ -191,12 +226,14 @@
     this._activeCount++
     this._receivedCount++
     try {
-      await this._process(request, answer, memory)
+      if (!memory.reserve(REQUEST_BYTES + countHeadBytes(readHead(request)))) this._refuse(answer, createOverloadRefusal(NO_MEMORY), memory.request)
+      else if (await open.waitForTurn()) await this._process(request, answer, memory, arrivedAt)
     } catch (thrown) {
       this._context.log.error('internal', { reason: String(thrown) })
       this._answerError(request, answer)
     } finally {
       this._activeCount--
+      open.end()
       answer.dispose()
       if (answer.isFlushed) this._deleteAnswer(answer)
       else this._retainUnsentAnswer(answer, memory, response)
@@ -230,12 +267,15 @@
   }
 
   private _deleteFlushedAnswers (): void {
-    for (const answer of [...this._openAnswers.keys()]) if (answer.isFlushed) this._deleteAnswer(answer)
+    for (const answer of [...this._openAnswers.keys()]) {
+      if (!answer.isFlushed) continue
+      answer.disconnect()
+      this._deleteAnswer(answer)
+    }
     this._closeIdleConnections()
   }
 
-  private async _process (incoming: IncomingMessage, answer: CallerAnswer, memory: MemoryLease): Promise<void> {
-    const arrivedAt = this._context.clock.now()
+  private async _process (incoming: IncomingMessage, answer: CallerAnswer, memory: MemoryLease, arrivedAt: number): Promise<void> {
     const head = readHead(incoming)
     const admission = this._options.callerProtocol.readRequest(head)
       .mapLeft(error => ({ error, isNotRun: false }))
@@ -243,7 +283,7 @@
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     memory.customer = admitted.customer
-    const result: BodyResult = memory.reserve(REQUEST_BYTES + countHeadBytes(head)) ? await this._readBody(incoming, memory) : { kind: 'noMemory' }
+    const result = await this._readBody(incoming, memory)
     const refusal = this._refuseAfterUpload(admitted, arrivedAt, result, memory)
     if (result.kind !== 'complete' || refusal !== undefined) {
       if (refusal !== undefined && !answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
@@ -262,7 +302,8 @@
   private _refuseAfterUpload (admitted: AdmittedRequest, arrivedAt: number, { kind }: BodyResult, memory: MemoryLease): RelayRefusal | undefined {
     if (this._isRefusingWaiting || this._isTooLate(admitted, arrivedAt)) return createDrainingRefusal()
     if (kind === 'tooLarge' || kind === 'incomplete') return createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
-    return kind === 'complete' && memory.reserve(RUN_BYTES) ? undefined : createMemoryRefusal()
+    if (this._runs.size >= this._maxRunningRequests) return createOverloadRefusal('as many requests run at this node as may')
+    return kind === 'complete' && memory.reserve(RUN_BYTES) ? undefined : createOverloadRefusal(NO_MEMORY)
   }
 
   /** Whether the time that is left for requests is shorter than the route's goal and than the time for which the caller waits. */
@@ -348,8 +389,8 @@
   return 2 * rawHeaders.reduce((sum, { length }) => sum + length, target.length)
 }
 
-function createMemoryRefusal (): RelayRefusal {
-  return { error: new PepperwoodError({ name: 'overloaded', message: 'the requests at this node use all memory that they may use' }), isNotRun: true, retryAfterMs: MEMORY_RETRY_MS }
+function createOverloadRefusal (message: string): RelayRefusal {
+  return { error: new PepperwoodError({ name: 'overloaded', message }), isNotRun: true, retryAfterMs: OVERLOAD_RETRY_MS }
 }
 
 function createRefusal (name: 'gateNotReady' | 'routeUnknown' | 'keyWrong' | 'requestTooLarge', message: string, isNotRun: boolean, value = ''): RelayRefusal {
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -185,6 +185,7 @@
   readonly agent?: CallAgent
   /** What the requests may hold together; by default there is no limit. */
   readonly maxHeldBytes?: number
+  readonly maxRunningRequests?: number
   /** Protocols of callers and upstreams; by default the fake ones of this file. */
   readonly protocols?: { readonly caller: CallerProtocol, readonly upstream: UpstreamProtocol }
 }
@@ -247,6 +248,7 @@
         quarantine
       },
       memory: this._register(new MemoryBudget({ clock, maxBytes: _options.maxHeldBytes ?? Infinity })),
+      maxRunningRequests: _options.maxRunningRequests,
       callerProtocol: _options.protocols?.caller ?? new FakeCallerProtocol(),
       getTable: () => table,
       describeConfiguration: () => '1.7 for 20 ms',
