Replace connections without progress when there are too many

Callers saw: 3,000 connections with nothing on them, or 2,500 bodies of a byte at a time, took all descriptors of the machine; upstreams, peers and the store found none, and ordinary requests got nothing or 502. Cause: nothing bounded connections below the descriptors of the machine.

ConnectionLimiter keeps 45 of 100 descriptors for callers. At that number a new connection replaces the one that made no progress for the longest time, so the crowd pays and not the next caller; where a request runs, the connection stays. A byte now and then is no progress. An upload that gives way is answered with 503, since nothing of it was sent.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -249,6 +249,7 @@
       },
       callerProtocol: options.callerProtocol,
       memory: requestMemory,
+      maxConnections: ingressLimits.maxCallerConnections,
       maxRunningRequests: ingressLimits.maxRunningRequests,
       getTable,
       describeConfiguration: () => this._describeConfiguration(),
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -38,6 +38,7 @@
     countOpenRequests: () => relay.activeRequestCount,
     getRequestMemoryBytes: () => requestMemory.usedBytes,
     countOverruns: () => relay.overrunCount,
+    countReplacedConnections: () => relay.replacedConnectionCount,
     countMemoryShortages: () => requestMemory.shortageCount,
     countLiveNodes: () => member.membership.countLive(),
     countUpstreams: () => registry.size,
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -11,6 +11,8 @@
   /** What the requests in progress hold, see MemoryBudget. */
   readonly getRequestMemoryBytes: () => number
   readonly countMemoryShortages: () => number
+  /** Connections of callers that were closed in favour of others. */
+  readonly countReplacedConnections: () => number
   /** Connections that were closed since too many requests arrived ahead of their answers. */
   readonly countOverruns: () => number
   readonly countLiveNodes: () => number
@@ -61,6 +63,7 @@
     this.metrics.createGauge('node_request_memory_bytes', 'Memory that requests hold', gauges.getRequestMemoryBytes)
     this.metrics.createGauge('node_memory_shortages_total', 'Requests that gave back their memory or got none', gauges.countMemoryShortages)
     this.metrics.createGauge('node_pipelines_closed_total', 'Connections closed since too many requests arrived ahead of their answers', gauges.countOverruns)
+    this.metrics.createGauge('node_connections_replaced_total', 'Connections of callers closed in favour of others', gauges.countReplacedConnections)
     this.metrics.createGauge('node_members', 'Nodes taken for alive', gauges.countLiveNodes)
     this.metrics.createGauge('node_upstreams', 'Upstreams known', gauges.countUpstreams)
     this.metrics.createGauge('node_cold_upstreams', 'Upstreams that bear little for a while', gauges.countColdUpstreams)
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -10,6 +10,7 @@
     countOpenRequests: () => 3,
     getRequestMemoryBytes: getZero,
     countMemoryShortages: getZero,
+    countReplacedConnections: getZero,
     countOverruns: getZero,
     countLiveNodes: getZero,
     countUpstreams: getZero,
--- a/src/services/ingress/common/ingressLimits.ts
+++ b/src/services/ingress/common/ingressLimits.ts
@@ -13,6 +13,8 @@
 export interface IngressLimits {
   /** What all requests may hold together, see `MemoryBudget`. */
   readonly maxHeldBytes: number
+  /** Connections of callers. */
+  readonly maxCallerConnections: number
   /** Each takes a connection to an upstream. */
   readonly maxRunningRequests: number
 }
@@ -21,12 +23,15 @@
  * The rest is the process without requests, garbage that is not collected yet, and bytes in the buffers of connections.
  */
 const MEMORY_SHARE = 0.2
+/** The rest of the descriptors is for the connections to other nodes and to the source. */
+const CALLER_CONNECTION_SHARE = 0.45
 const RUNNING_REQUEST_SHARE = 0.35
 const BYTES_PER_MB = 1024 * 1024
 
 export function deriveIngressLimits ({ memoryMb, maxDescriptors }: HostResources): IngressLimits {
   return {
     maxHeldBytes: Math.floor(MEMORY_SHARE * memoryMb * BYTES_PER_MB),
+    maxCallerConnections: Math.floor(CALLER_CONNECTION_SHARE * maxDescriptors),
     maxRunningRequests: Math.floor(RUNNING_REQUEST_SHARE * maxDescriptors)
   }
 }
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import type { CallerLimits } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
@@ -15,6 +15,7 @@
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { MAX_OPEN_REQUESTS } from '../../ingress/common/pipelining.ts'
 import { CallerConnections, REQUEST_BYTES } from '../../ingress/node/callerConnections.ts'
+import { ConnectionLimiter } from '../../ingress/node/connectionLimiter.ts'
 import type { OpenRequest } from '../../ingress/node/callerConnections.ts'
 import type { MemoryBudget, MemoryLease } from '../../ingress/common/memoryBudget.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
@@ -36,6 +37,8 @@
   readonly callerProtocol: CallerProtocol
   /** What the requests of all callers may hold. */
   readonly memory: MemoryBudget
+  /** At this number a new connection replaces one on which no request runs. */
+  readonly maxConnections?: number
   /** Further requests are refused once their bodies are complete. */
   readonly maxRunningRequests?: number
   /** Undefined until a configuration is available. */
@@ -68,7 +71,7 @@
 const MAX_CACHED_DIGESTS = 1000
 /** Retry delay of a request for which this node has no resources. */
 const OVERLOAD_RETRY_MS = 500
-const NO_MEMORY = 'the requests at this node use all memory that they may use'
+const NO_RESOURCES = 'this node has no memory or no connection left for the request'
 /** Approximate memory of a request while it runs, besides its head and its body. */
 const RUN_BYTES = 40 * 1024
 /** Blocks of bodies that are kept for later bodies. */
@@ -79,6 +82,7 @@
   private readonly _context: RelayContext
   private readonly _server: Server
   private readonly _connections: CallerConnections
+  private readonly _limiter: ConnectionLimiter
   private readonly _keyDigests = new Map<string, string>()
   private readonly _blocks = new BlockPool({ maxFreeBytes: MAX_FREE_BLOCK_BYTES })
   private readonly _onDidEnd = this._register(new Emitter<CompletedRequest>())
@@ -93,7 +97,7 @@
   private _isRefusingWaiting = false
   private _isClosing = false
   /** Requests whose bodies have not arrived completely. */
-  private readonly _uploads = new Set<AbortController>()
+  private readonly _uploads = new Map<AbortController, Upload>()
   private readonly _runs = new Set<RelayRun>()
   /** Answers that are not written completely: those in progress, and those whose callers read slowly. */
   private readonly _openAnswers = new Map<CallerAnswer, MemoryLease>()
@@ -112,6 +116,13 @@
         this._context.log.warn('pipeline_closed', { caller: address, open: MAX_OPEN_REQUESTS })
       }
     })
+    this._limiter = new ConnectionLimiter({
+      server: this._server,
+      clock: this._context.clock,
+      maxConnections: options.maxConnections ?? Infinity,
+      refuseUpload: socket => this._refuseUpload(socket),
+      onDidClose: (address, idleMs) => this._context.log.warn('connection_replaced', { port: 'callers', caller: address, idle_ms: Math.round(idleMs) })
+    })
     this._server.on('connection', socket => socket.once('close', () => this._deleteFlushedAnswers()))
     this._server.on('clientError', (_error, socket) => { socket.destroy() })
     this._register(toDisposable(() => {
@@ -141,6 +152,11 @@
     return this._overrunCount
   }
 
+  /** Number of connections that were closed in favour of others. */
+  get replacedConnectionCount (): number {
+    return this._limiter.closedCount
+  }
+
   /** Resolves with the port; port 0 selects a free one. */
   listen (host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
@@ -175,7 +191,7 @@
   refuseWaiting (): void {
     this.refuseNew()
     this._isRefusingWaiting = true
-    for (const upload of this._uploads) upload.abort()
+    for (const upload of this._uploads.keys()) upload.abort()
     for (const run of [...this._runs]) run.stopSending()
   }
 
@@ -214,6 +230,7 @@
 
   private _accept (request: IncomingMessage, response: ServerResponse): void {
     const open = this._connections.accept(request, response)
+    this._limiter.recordProgress(request.socket)
     if (open !== undefined) void this._handle(request, response, open)
   }
 
@@ -226,7 +243,7 @@
     this._activeCount++
     this._receivedCount++
     try {
-      if (!memory.reserve(REQUEST_BYTES + countHeadBytes(readHead(request)))) this._refuse(answer, createOverloadRefusal(NO_MEMORY), memory.request)
+      if (!memory.reserve(REQUEST_BYTES + countHeadBytes(readHead(request)))) this._refuse(answer, createOverloadRefusal(NO_RESOURCES), memory.request)
       else if (await open.waitForTurn()) await this._process(request, answer, memory, arrivedAt)
     } catch (thrown) {
       this._context.log.error('internal', { reason: String(thrown) })
@@ -290,11 +307,14 @@
       return
     }
     const run = new RelayRun(this._context, { ...admitted, body: result.body, answer, arrivedAt })
+    const { socket } = incoming
     this._runs.add(run)
+    this._limiter.beginRequest(socket)
     try {
       this._reportEnd(admitted, await run.run(), this._context.clock.now() - arrivedAt)
     } finally {
       this._runs.delete(run)
+      this._limiter.endRequest(socket)
     }
   }
 
@@ -303,7 +323,7 @@
     if (this._isRefusingWaiting || this._isTooLate(admitted, arrivedAt)) return createDrainingRefusal()
     if (kind === 'tooLarge' || kind === 'incomplete') return createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
     if (this._runs.size >= this._maxRunningRequests) return createOverloadRefusal('as many requests run at this node as may')
-    return kind === 'complete' && memory.reserve(RUN_BYTES) ? undefined : createOverloadRefusal(NO_MEMORY)
+    return kind === 'complete' && memory.reserve(RUN_BYTES) ? undefined : createOverloadRefusal(NO_RESOURCES)
   }
 
   /** Whether the time that is left for requests is shorter than the route's goal and than the time for which the caller waits. */
@@ -343,14 +363,23 @@
     return digest
   }
 
+  /** Refuses the request whose body a connection receives. */
+  private _refuseUpload (socket: Socket): boolean {
+    const upload = [...this._uploads.values()].find(other => other.socket === socket)
+    upload?.memory.evict()
+    return upload !== undefined
+  }
+
   private async _readBody (incoming: IncomingMessage, memory: MemoryLease): Promise<BodyResult> {
     const upload = new AbortController()
-    this._uploads.add(upload)
+    const { socket } = incoming
+    this._uploads.set(upload, { socket, memory })
     try {
       return await readRequestBody(incoming, {
         maxBytes: this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES,
         pool: this._blocks,
         memory,
+        onDidProgress: () => this._limiter.recordProgress(socket),
         signal: upload.signal
       })
     } finally {
@@ -375,6 +404,12 @@
   }
 }
 
+/** A request whose body has not arrived completely. */
+interface Upload {
+  readonly socket: Socket
+  readonly memory: MemoryLease
+}
+
 type AdmittedRequest = Pick<AcceptedRequest, 'request' | 'route' | 'customer' | 'priority' | 'homeHalls'>
 
 /** Weight of a customer's priority, which takes precedence over a route's priority as long as that is lower than this. */
--- a/src/services/relay/node/requestBody.ts
+++ b/src/services/relay/node/requestBody.ts
@@ -11,6 +11,8 @@
   readonly pool: BlockPool
   /** What the request holds; a complete body stays part of it. */
   readonly memory: MemoryLease
+  /** Called for each PROGRESS_BYTES that have arrived. */
+  readonly onDidProgress: () => void
   /** Gives up a body that has not arrived completely. The connection stays open, so that the caller can be answered. */
   readonly signal: AbortSignal
 }
@@ -22,7 +24,7 @@
 /** A body makes progress with each part of this size. */
 const PROGRESS_BYTES = 4096
 
-export function readRequestBody (request: IncomingMessage, { maxBytes, pool, memory, signal }: ReadBodyOptions): Promise<BodyResult> {
+export function readRequestBody (request: IncomingMessage, { maxBytes, pool, memory, onDidProgress, signal }: ReadBodyOptions): Promise<BodyResult> {
   const buffer = new BlockBuffer({ pool, reserve: bytes => memory.reserve(bytes), release: bytes => memory.release(bytes) })
   let progressBytes = 0
   return new Promise(resolve => {
@@ -41,6 +43,7 @@
       if (buffer.length - progressBytes < PROGRESS_BYTES) return
       progressBytes = buffer.length
       memory.recordProgress()
+      onDidProgress()
     }
     const complete = () => {
       if (!request.complete) return settle({ kind: 'incomplete' })
