--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -20,6 +20,7 @@
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
 import { deriveIngressLimits } from '../services/ingress/common/ingressLimits.ts'
+import type { IngressLimits } from '../services/ingress/common/ingressLimits.ts'
 import { MemoryBudget } from '../services/ingress/common/memoryBudget.ts'
 import { HallRegions } from '../services/locate/common/hallRegions.ts'
 import type { AddressAnswer, CallerLocation } from '../services/locate/common/nodeDirectory.ts'
@@ -112,6 +113,7 @@
   private readonly _connections: NodeConnections
   private readonly _quota: NodeQuota
   private readonly _retries: NodeRetries
+  private readonly _ingressLimits: IngressLimits
   private readonly _statements: NodeStatements
   private readonly _relayServer: RelayServer
   private readonly _coordinator: PreparationCoordinator
@@ -219,8 +221,8 @@
     }))
     this._quarantine = this._register(createNodeQuarantine({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, onDidJoin: this._fleetMember.onDidJoin, probe: address => this._connections.probe(address), instanceProbe: options.createInstanceProbe?.(this._connections.createAgent()), getTable }))
     const throttle = createThrottle({ clock, random, log })
-    const ingressLimits = deriveIngressLimits({ memoryMb: settings.memory_mb, maxDescriptors: settings.max_descriptors })
-    const requestMemory = this._register(new MemoryBudget({ clock, maxBytes: ingressLimits.maxHeldBytes }))
+    this._ingressLimits = deriveIngressLimits({ memoryMb: settings.memory_mb, maxDescriptors: settings.max_descriptors })
+    const requestMemory = this._register(new MemoryBudget({ clock, maxBytes: this._ingressLimits.maxHeldBytes }))
     this._register(requestMemory.onDidRunShort(({ request, heldBytes, stalledMs, usedBytes }) => log.warn('memory_short', { request, held_bytes: heldBytes, stalled_ms: Math.round(stalledMs), used_bytes: usedBytes })))
     this._retries = this._register(new NodeRetries({ clock, settings, membership: this._fleetMember.membership, registry: this._registry }))
     this._relayServer = this._register(new RelayServer({
@@ -249,8 +251,8 @@
       },
       callerProtocol: options.callerProtocol,
       memory: requestMemory,
-      maxConnections: ingressLimits.maxCallerConnections,
-      maxRunningRequests: ingressLimits.maxRunningRequests,
+      maxConnections: this._ingressLimits.maxCallerConnections,
+      maxRunningRequests: this._ingressLimits.maxRunningRequests,
       getTable,
       describeConfiguration: () => this._describeConfiguration(),
       findReadinessError: () => this._findReadinessError(),
@@ -305,7 +307,8 @@
     const port = this._options.settings.metrics_port
     if (port === undefined) return
     try {
-      await this._register(new MetricsServer(this._metrics.metrics, [createQuarantineHandler(this._quarantine, this._options.clock), createLimitsHandler(this._quota.statedLimits), createStatementsHandler({ clock: this._options.clock, registry: this._registry, facts: this._fleetMember.facts, backoffs: this._statements.backoffs })])).listen(host, port)
+      const handlers = [createQuarantineHandler(this._quarantine, this._options.clock), createLimitsHandler(this._quota.statedLimits), createStatementsHandler({ clock: this._options.clock, registry: this._registry, facts: this._fleetMember.facts, backoffs: this._statements.backoffs })]
+      await this._register(new MetricsServer(this._metrics.metrics, handlers, { log: this._options.log, port: 'metrics', maxConnections: this._ingressLimits.maxQueryConnections })).listen(host, port)
     } catch (thrown) {
       this._options.log.warn('metrics_unavailable', { port, reason: String(thrown) })
     }
--- a/src/services/ingress/common/ingressLimits.ts
+++ b/src/services/ingress/common/ingressLimits.ts
@@ -15,6 +15,8 @@
   readonly maxHeldBytes: number
   /** Connections of callers. */
   readonly maxCallerConnections: number
+  /** Connections at each port whose server answers from the state of the process. */
+  readonly maxQueryConnections: number
   /** Each takes a connection to an upstream. */
   readonly maxRunningRequests: number
 }
@@ -25,6 +27,7 @@
 const MEMORY_SHARE = 0.2
 /** The rest of the descriptors is for the connections to other nodes and to the source. */
 const CALLER_CONNECTION_SHARE = 0.45
+const QUERY_CONNECTION_SHARE = 0.03
 const RUNNING_REQUEST_SHARE = 0.35
 const BYTES_PER_MB = 1024 * 1024
 
@@ -32,6 +35,7 @@
   return {
     maxHeldBytes: Math.floor(MEMORY_SHARE * memoryMb * BYTES_PER_MB),
     maxCallerConnections: Math.floor(CALLER_CONNECTION_SHARE * maxDescriptors),
+    maxQueryConnections: Math.ceil(QUERY_CONNECTION_SHARE * maxDescriptors),
     maxRunningRequests: Math.floor(RUNNING_REQUEST_SHARE * maxDescriptors)
   }
 }
--- a/src/services/metrics/node/metricsServer.ts
+++ b/src/services/metrics/node/metricsServer.ts
@@ -6,6 +6,8 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
+import { ServerGuard } from '../../ingress/node/serverGuard.ts'
+import type { ServerGuardOptions } from '../../ingress/node/serverGuard.ts'
 
 const LATENCY_BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000]
 
@@ -52,18 +54,22 @@
 export class MetricsServer extends Disposable {
   private readonly _server: Server
 
-  constructor (private readonly _metrics: MetricsRegistry, private readonly _handlers: readonly OperatorHandler[] = []) {
+  constructor (private readonly _metrics: MetricsRegistry, private readonly _handlers: readonly OperatorHandler[] = [], guardOptions: ServerGuardOptions = {}) {
     super()
-    this._server = createServer(STRICT_PARSING, (request, response) => {
-      if (request.url !== '/metrics') return this._answerOperatorRequest(request, response)
-      this._metrics.registry.metrics().then(
-        text => response.writeHead(200, { 'content-type': this._metrics.registry.contentType }).end(text),
-        () => response.writeHead(500).end()
-      )
-    })
+    this._server = createServer(STRICT_PARSING, (request, response) => { void guard.handle(request, response, () => this._answer(request, response)) })
+    const guard = this._register(new ServerGuard(this._server, guardOptions))
     this._register(toDisposable(() => { this._server.close() }))
   }
 
+  private async _answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url !== '/metrics') return this._answerOperatorRequest(request, response)
+    const { registry } = this._metrics
+    await registry.metrics().then(
+      text => response.writeHead(200, { 'content-type': registry.contentType }).end(text),
+      () => response.writeHead(500).end()
+    )
+  }
+
   private _answerOperatorRequest ({ method = 'GET', url = '/' }: IncomingMessage, response: ServerResponse): void {
     const handler = this._handlers.find(({ path }) => url === path || url.startsWith(`${path}/`))
     const answer = handler?.answer(method, url.slice(handler.path.length + 1))
