Give up uploads that are late or stop arriving

Callers saw: nothing, for up to 90 s. A body that its caller sent too slowly held its connection and its memory until the 60 s for any request had passed, also after the caller's own deadline or the route's timeout, when the request could not be answered in time any more; and the HTTP server looks only each 30 s for heads and bodies that take too long, so a limit of 3 s for a head meant up to 33 s.

The upload ends when the time of its caller or its route has passed, or nothing has arrived for the idle timeout of connections, and is refused as not run with a time to come back. The server looks each second.

--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -68,6 +68,8 @@
 const DEFAULT_HEADER_TIMEOUT_MS = 10_000
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000
 const BODY_TIMEOUT_MS = 60_000
+/** Period with which the HTTP server looks for heads and bodies that take too long. */
+const TIMEOUT_CHECK_PERIOD_MS = 1000
 const MAX_CACHED_DIGESTS = 1000
 /** Retry delay of a request for which this node has no resources. */
 const OVERLOAD_RETRY_MS = 500
@@ -106,7 +108,7 @@
     super()
     this._options = options
     this._context = { ...options.context, refuse: (answer, refusal, requestId) => this._refuse(answer, refusal, requestId) }
-    this._server = createServer({ ...STRICT_PARSING, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS }, (request, response) => this._accept(request, response))
+    this._server = createServer({ ...STRICT_PARSING, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS, connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS }, (request, response) => this._accept(request, response))
     this._connections = new CallerConnections({
       server: this._server,
       memory: options.memory,
@@ -300,7 +302,7 @@
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     memory.customer = admitted.customer
-    const result = await this._readBody(incoming, memory)
+    const result = await this._readBody(incoming, memory, arrivedAt + Math.min(admitted.route.timeoutMs, admitted.request.timeLeftMs ?? Infinity) - this._context.clock.now())
     const refusal = this._refuseAfterUpload(admitted, arrivedAt, result, memory)
     if (result.kind !== 'complete' || refusal !== undefined) {
       if (refusal !== undefined && !answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
@@ -322,6 +324,8 @@
   private _refuseAfterUpload (admitted: AdmittedRequest, arrivedAt: number, { kind }: BodyResult, memory: MemoryLease): RelayRefusal | undefined {
     if (this._isRefusingWaiting || this._isTooLate(admitted, arrivedAt)) return createDrainingRefusal()
     if (kind === 'tooLarge' || kind === 'incomplete') return createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
+    if (kind === 'late') return createLateRefusal('the request body did not arrive in time')
+    if (kind === 'stalled') return createLateRefusal('the request body stopped arriving')
     if (this._runs.size >= this._maxRunningRequests) return createOverloadRefusal('as many requests run at this node as may')
     return kind === 'complete' && memory.reserve(RUN_BYTES) ? undefined : createOverloadRefusal(NO_RESOURCES)
   }
@@ -370,12 +374,15 @@
     return upload !== undefined
   }
 
-  private async _readBody (incoming: IncomingMessage, memory: MemoryLease): Promise<BodyResult> {
+  private async _readBody (incoming: IncomingMessage, memory: MemoryLease, timeLeftMs: number): Promise<BodyResult> {
     const upload = new AbortController()
     const { socket } = incoming
     this._uploads.set(upload, { socket, memory })
     try {
       return await readRequestBody(incoming, {
+        clock: this._context.clock,
+        timeLeftMs,
+        idleTimeoutMs: this._server.keepAliveTimeout,
         maxBytes: this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES,
         pool: this._blocks,
         memory,
@@ -428,6 +435,11 @@
   return { error: new PepperwoodError({ name: 'overloaded', message }), isNotRun: true, retryAfterMs: OVERLOAD_RETRY_MS }
 }
 
+/** Another request of this caller can be answered at once. */
+function createLateRefusal (message: string): RelayRefusal {
+  return { error: new PepperwoodError({ name: 'deadlinePassed', message }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS }
+}
+
 function createRefusal (name: 'gateNotReady' | 'routeUnknown' | 'keyWrong' | 'requestTooLarge', message: string, isNotRun: boolean, value = ''): RelayRefusal {
   return { error: new PepperwoodError({ name, message, value }), isNotRun, retryAfterMs: isNotRun ? STARTUP_RETRY_MS : undefined }
 }
