--- a/src/services/relay/test/slowUploads.test.ts
+++ b/src/services/relay/test/slowUploads.test.ts
@@ -20,8 +20,10 @@
   socket.once('close', () => { isClosed = true })
   socket.write(`POST /x HTTP/1.1\r\nHost: h\r\nId: a\r\n${fields}Connection: close\r\n\r\n`)
   const timer = setInterval(() => { if (count++ < times) socket.write(part) }, PART_PERIOD_MS)
-  assert.ok(await waitUntil(() => isClosed, MAX_WAIT_MS))
+  const hasClosed = await waitUntil(() => isClosed, MAX_WAIT_MS)
   clearInterval(timer)
+  socket.destroy()
+  assert.ok(hasClosed)
   return received
 }
 
