Cache no digests of long keys

Found by reading, with no failure seen: the cache of digests counts entries, not bytes, so a thousand keys of 60 KB, which any caller can send, kept 60 MB. Keys of more than 256 characters are hashed each time; the others take 0.5 MB at most. The cache is a class of its own, and a unit test checks its bound (the class is new, so it could not fail before).

--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -11,7 +11,6 @@
 import { BlockPool } from '../../../base/common/blockBuffer.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
-import { hashSha256 } from '../../../base/node/digest.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import { MAX_OPEN_REQUESTS } from '../../ingress/common/pipelining.ts'
 import { CallerConnections, REQUEST_BYTES } from '../../ingress/node/callerConnections.ts'
@@ -25,6 +24,7 @@
 import type { RelayRequest } from '../common/relayRequest.ts'
 import type { RelayTable } from '../common/relayTable.ts'
 import { CallerAnswer } from './callerAnswer.ts'
+import { KeyDigests } from './keyDigests.ts'
 import type { RelayContext } from './relayContext.ts'
 import { RelayRun } from './relayRun.ts'
 import type { RelayOutcome } from './relayRun.ts'
@@ -70,7 +70,6 @@
 const BODY_TIMEOUT_MS = 60_000
 /** Period with which the HTTP server looks for heads and bodies that take too long. */
 const TIMEOUT_CHECK_PERIOD_MS = 1000
-const MAX_CACHED_DIGESTS = 1000
 /** Retry delay of a request for which this node has no resources. */
 const OVERLOAD_RETRY_MS = 500
 const NO_RESOURCES = 'this node has no memory or no connection left for the request'
@@ -85,7 +84,7 @@
   private readonly _server: Server
   private readonly _connections: CallerConnections
   private readonly _limiter: ConnectionLimiter
-  private readonly _keyDigests = new Map<string, string>()
+  private readonly _keyDigests = new KeyDigests()
   private readonly _blocks = new BlockPool({ maxFreeBytes: MAX_FREE_BLOCK_BYTES })
   private readonly _onDidEnd = this._register(new Emitter<CompletedRequest>())
   readonly onDidEnd = this._onDidEnd.event
@@ -352,21 +351,11 @@
     if (this._isTooLate({ route, request }, this._context.clock.now())) return Left(createDrainingRefusal())
     const { regions } = this._context
     if (route.isPublic || !table.requiresKeys) return Right({ request, route, customer: undefined, priority: route.priority, homeHalls: regions?.listHomeHalls(route.homeRegions) })
-    const customer = request.key === undefined ? undefined : table.findCustomer(this._digestKey(request.key))
+    const customer = request.key === undefined ? undefined : table.findCustomer(this._keyDigests.digest(request.key))
     if (customer === undefined) return Left(createRefusal('keyWrong', 'no customer has this key', false))
     return Right({ request, route, customer: customer.name, priority: customer.priority * CUSTOMER_PRIORITY_WEIGHT + route.priority, homeHalls: regions?.listHomeHalls(route.homeRegions, customer.homeRegions) })
   }
 
-  /** Returns the digest of a key; digests are cached, since callers send the same key with every request. */
-  private _digestKey (key: string): string {
-    const cached = this._keyDigests.get(key)
-    if (cached !== undefined) return cached
-    if (this._keyDigests.size >= MAX_CACHED_DIGESTS) this._keyDigests.clear()
-    const digest = hashSha256(key)
-    this._keyDigests.set(key, digest)
-    return digest
-  }
-
   /** Refuses the request whose body a connection receives. */
   private _refuseUpload (socket: Socket): boolean {
     const upload = [...this._uploads.values()].find(other => other.socket === socket)
