Split uploads and refusals from the relay server

CallerUploads owns the bodies that arrive, callerRefusals.ts creates what callers are told. The unit tests of the relay server, uploads, memory and pipelined requests pass as before.

--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -4,11 +4,10 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
-import type { AddressInfo, Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import type { CallerLimits } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
-import { BlockPool } from '../../../base/common/blockBuffer.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
@@ -18,17 +17,17 @@
 import type { OpenRequest } from '../../ingress/node/callerConnections.ts'
 import type { MemoryBudget, MemoryLease } from '../../ingress/common/memoryBudget.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
-import { OTHER_NODE_RETRY_MS } from '../common/relayProtocol.ts'
 import type { CallerProtocol, MessageHead, RelayRefusal } from '../common/relayProtocol.ts'
 import { getPath } from '../common/relayRequest.ts'
 import type { RelayRequest } from '../common/relayRequest.ts'
 import type { RelayTable } from '../common/relayTable.ts'
 import { CallerAnswer } from './callerAnswer.ts'
+import { createDrainingRefusal, createOverloadRefusal, createRefusal, createUploadRefusal } from './callerRefusals.ts'
+import { CallerUploads } from './callerUploads.ts'
 import { KeyDigests } from './keyDigests.ts'
 import type { RelayContext } from './relayContext.ts'
 import { RelayRun } from './relayRun.ts'
 import type { RelayOutcome } from './relayRun.ts'
-import { readRequestBody } from './requestBody.ts'
 import type { BodyResult } from './requestBody.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
 
@@ -60,8 +59,6 @@
   readonly end: RelayOutcome
 }
 
-/** Retry delay until a configuration, which is needed to check keys, is available; starting usually takes less time. */
-const STARTUP_RETRY_MS = 250
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 /** Limit of Node.js for the request head; the limit in the configuration is lower. */
 const MAX_HEADER_BYTES = 64 * 1024
@@ -70,13 +67,8 @@
 const BODY_TIMEOUT_MS = 60_000
 /** Period with which the HTTP server looks for heads and bodies that take too long. */
 const TIMEOUT_CHECK_PERIOD_MS = 1000
-/** Retry delay of a request for which this node has no resources. */
-const OVERLOAD_RETRY_MS = 500
-const NO_RESOURCES = 'this node has no memory or no connection left for the request'
 /** Approximate memory of a request while it runs, besides its head and its body. */
 const RUN_BYTES = 40 * 1024
-/** Blocks of bodies that are kept for later bodies. */
-const MAX_FREE_BLOCK_BYTES = 8 * 1024 * 1024
 
 export class RelayServer extends Disposable {
   private readonly _options: RelayServerOptions
@@ -85,7 +77,6 @@
   private readonly _connections: CallerConnections
   private readonly _limiter: ConnectionLimiter
   private readonly _keyDigests = new KeyDigests()
-  private readonly _blocks = new BlockPool({ maxFreeBytes: MAX_FREE_BLOCK_BYTES })
   private readonly _onDidEnd = this._register(new Emitter<CompletedRequest>())
   readonly onDidEnd = this._onDidEnd.event
   private _activeCount = 0
@@ -97,8 +88,7 @@
   private _isRefusingNew = false
   private _isRefusingWaiting = false
   private _isClosing = false
-  /** Requests whose bodies have not arrived completely. */
-  private readonly _uploads = new Map<AbortController, Upload>()
+  private readonly _uploads: CallerUploads
   private readonly _runs = new Set<RelayRun>()
   /** Answers that are not written completely: those in progress, and those whose callers read slowly. */
   private readonly _openAnswers = new Map<CallerAnswer, MemoryLease>()
@@ -121,9 +111,15 @@
       server: this._server,
       clock: this._context.clock,
       maxConnections: options.maxConnections ?? Infinity,
-      refuseUpload: socket => this._refuseUpload(socket),
+      refuseUpload: socket => this._uploads.abort(socket),
       onDidClose: (address, idleMs) => this._context.log.warn('connection_replaced', { port: 'callers', caller: address, idle_ms: Math.round(idleMs) })
     })
+    this._uploads = new CallerUploads({
+      clock: this._context.clock,
+      getMaxBodyBytes: () => this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES,
+      getIdleTimeoutMs: () => this._server.keepAliveTimeout,
+      onDidProgress: socket => this._limiter.recordProgress(socket)
+    })
     this._server.on('connection', socket => socket.once('close', () => this._deleteFlushedAnswers()))
     this._server.on('clientError', (_error, socket) => { socket.destroy() })
     this._register(toDisposable(() => {
@@ -192,7 +188,7 @@
   refuseWaiting (): void {
     this.refuseNew()
     this._isRefusingWaiting = true
-    for (const upload of this._uploads.keys()) upload.abort()
+    this._uploads.abortAll()
     for (const run of [...this._runs]) run.stopSending()
   }
 
@@ -244,7 +240,7 @@
     this._activeCount++
     this._receivedCount++
     try {
-      if (!memory.reserve(REQUEST_BYTES + countHeadBytes(readHead(request)))) this._refuse(answer, createOverloadRefusal(NO_RESOURCES), memory.request)
+      if (!memory.reserve(REQUEST_BYTES + countHeadBytes(readHead(request)))) this._refuse(answer, createOverloadRefusal(), memory.request)
       else if (await open.waitForTurn()) await this._process(request, answer, memory, arrivedAt)
     } catch (thrown) {
       this._context.log.error('internal', { reason: String(thrown) })
@@ -301,7 +297,7 @@
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     memory.customer = admitted.customer
-    const result = await this._readBody(incoming, memory, arrivedAt + Math.min(admitted.route.timeoutMs, admitted.request.timeLeftMs ?? Infinity) - this._context.clock.now())
+    const result = await this._uploads.read(incoming, memory, arrivedAt + Math.min(admitted.route.timeoutMs, admitted.request.timeLeftMs ?? Infinity) - this._context.clock.now())
     const refusal = this._refuseAfterUpload(admitted, arrivedAt, result, memory)
     if (result.kind !== 'complete' || refusal !== undefined) {
       if (refusal !== undefined && !answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
@@ -322,11 +318,10 @@
   /** Decides whether a request whose upload has ended is refused; nothing of it was sent to an upstream. */
   private _refuseAfterUpload (admitted: AdmittedRequest, arrivedAt: number, { kind }: BodyResult, memory: MemoryLease): RelayRefusal | undefined {
     if (this._isRefusingWaiting || this._isTooLate(admitted, arrivedAt)) return createDrainingRefusal()
-    if (kind === 'tooLarge' || kind === 'incomplete') return createRefusal('requestTooLarge', 'the request body is too large or incomplete', false)
-    if (kind === 'late') return createLateRefusal('the request body did not arrive in time')
-    if (kind === 'stalled') return createLateRefusal('the request body stopped arriving')
+    const uploadRefusal = createUploadRefusal(kind)
+    if (uploadRefusal !== undefined) return uploadRefusal
     if (this._runs.size >= this._maxRunningRequests) return createOverloadRefusal('as many requests run at this node as may')
-    return kind === 'complete' && memory.reserve(RUN_BYTES) ? undefined : createOverloadRefusal(NO_RESOURCES)
+    return memory.reserve(RUN_BYTES) ? undefined : createOverloadRefusal()
   }
 
   /** Whether the time that is left for requests is shorter than the route's goal and than the time for which the caller waits. */
@@ -356,33 +351,6 @@
     return Right({ request, route, customer: customer.name, priority: customer.priority * CUSTOMER_PRIORITY_WEIGHT + route.priority, homeHalls: regions?.listHomeHalls(route.homeRegions, customer.homeRegions) })
   }
 
-  /** Refuses the request whose body a connection receives. */
-  private _refuseUpload (socket: Socket): boolean {
-    const upload = [...this._uploads.values()].find(other => other.socket === socket)
-    upload?.memory.evict()
-    return upload !== undefined
-  }
-
-  private async _readBody (incoming: IncomingMessage, memory: MemoryLease, timeLeftMs: number): Promise<BodyResult> {
-    const upload = new AbortController()
-    const { socket } = incoming
-    this._uploads.set(upload, { socket, memory })
-    try {
-      return await readRequestBody(incoming, {
-        clock: this._context.clock,
-        timeLeftMs,
-        idleTimeoutMs: this._server.keepAliveTimeout,
-        maxBytes: this._options.getTable()?.limits?.maxBodyBytes || DEFAULT_MAX_BODY_BYTES,
-        pool: this._blocks,
-        memory,
-        onDidProgress: () => this._limiter.recordProgress(socket),
-        signal: upload.signal
-      })
-    } finally {
-      this._uploads.delete(upload)
-    }
-  }
-
   private _refuse (answer: CallerAnswer, refusal: RelayRefusal, requestId: string): void {
     const { status, headers, body } = this._options.callerProtocol.createAnswer(refusal)
     const { error, isNotRun, retryAfterMs = 0 } = refusal
@@ -400,12 +368,6 @@
   }
 }
 
-/** A request whose body has not arrived completely. */
-interface Upload {
-  readonly socket: Socket
-  readonly memory: MemoryLease
-}
-
 type AdmittedRequest = Pick<AcceptedRequest, 'request' | 'route' | 'customer' | 'priority' | 'homeHalls'>
 
 /** Weight of a customer's priority, which takes precedence over a route's priority as long as that is lower than this. */
@@ -419,20 +381,3 @@
 function countHeadBytes ({ target, rawHeaders }: MessageHead): number {
   return 2 * rawHeaders.reduce((sum, { length }) => sum + length, target.length)
 }
-
-function createOverloadRefusal (message: string): RelayRefusal {
-  return { error: new PepperwoodError({ name: 'overloaded', message }), isNotRun: true, retryAfterMs: OVERLOAD_RETRY_MS }
-}
-
-/** Another request of this caller can be answered at once. */
-function createLateRefusal (message: string): RelayRefusal {
-  return { error: new PepperwoodError({ name: 'deadlinePassed', message }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS }
-}
-
-function createRefusal (name: 'gateNotReady' | 'routeUnknown' | 'keyWrong' | 'requestTooLarge', message: string, isNotRun: boolean, value = ''): RelayRefusal {
-  return { error: new PepperwoodError({ name, message, value }), isNotRun, retryAfterMs: isNotRun ? STARTUP_RETRY_MS : undefined }
-}
-
-function createDrainingRefusal (): RelayRefusal {
-  return { error: new PepperwoodError({ name: 'gateDraining', message: 'this node is stopping' }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS }
-}
