Copy small parts of a body without a view of each

A body of 4 MiB in chunks of one byte takes the parser of Node.js some seconds; what of it is ours should be little. A part that fits into the last block is copied at once, and the time is read when the timer fires, not with each part; a body that stops arriving is given up after one to two idle timeouts.

The profile shows 0.3 s in this code, the rest in Node.js and the garbage collector.

--- a/src/base/common/blockBuffer.ts
+++ b/src/base/common/blockBuffer.ts
@@ -55,6 +55,18 @@
 
   /** Returns false if there is no memory for the part; the buffer then has some of its bytes. */
   append (part: Uint8Array): boolean {
+    const last = this._blocks.at(-1)
+    // The usual case of small parts, without a view of each.
+    if (last !== undefined && part.length <= last.length - this._lastLength) {
+      last.set(part, this._lastLength)
+      this._lastLength += part.length
+      this._length += part.length
+      return true
+    }
+    return this._appendAcrossBlocks(part)
+  }
+
+  private _appendAcrossBlocks (part: Uint8Array): boolean {
     for (let offset = 0; offset < part.length;) {
       const block = this._findFreeBlock() ?? this._addBlock(part.length - offset)
       if (block === undefined) return false
--- a/src/services/relay/node/requestBody.ts
+++ b/src/services/relay/node/requestBody.ts
@@ -14,7 +14,7 @@
   readonly maxBytes: number
   /** A body that is not complete after this time is given up: the request cannot be answered in time. */
   readonly timeLeftMs: number
-  /** A body of which nothing arrives for this time is given up. */
+  /** A body of which nothing arrives for this time is given up, at the latest after twice the time. */
   readonly idleTimeoutMs: number
   readonly pool: BlockPool
   /** What the request holds; a complete body stays part of it. */
@@ -36,7 +36,8 @@
   const buffer = new BlockBuffer({ pool, reserve: bytes => memory.reserve(bytes), release: bytes => memory.release(bytes) })
   const startedAt = clock.now()
   let progressBytes = 0
-  let partAt = startedAt
+  let checkedAt = startedAt
+  let hasReceived = true
   let timer: IDisposable | undefined
   return new Promise(resolve => {
     const settle = (result: BodyResult) => {
@@ -50,14 +51,16 @@
       resolve(result)
     }
     const checkTime = () => {
-      const lateInMs = startedAt + timeLeftMs - clock.now()
-      const stalledInMs = partAt + idleTimeoutMs - clock.now()
+      const now = clock.now()
+      const lateInMs = startedAt + timeLeftMs - now
+      if (hasReceived) checkedAt = now
+      hasReceived = false
       if (lateInMs <= 0) settle({ kind: 'late' })
-      else if (stalledInMs <= 0) settle({ kind: 'stalled' })
-      else timer = clock.schedule(Math.min(lateInMs, stalledInMs), checkTime)
+      else if (now - checkedAt >= idleTimeoutMs) settle({ kind: 'stalled' })
+      else timer = clock.schedule(Math.min(lateInMs, idleTimeoutMs), checkTime)
     }
     const addPart = (part: Buffer) => {
-      partAt = clock.now()
+      hasReceived = true
       if (buffer.length + part.length > maxBytes) return settle({ kind: 'tooLarge' })
       if (!buffer.append(part)) return settle({ kind: 'noMemory' })
       if (buffer.length - progressBytes < PROGRESS_BYTES) return
