--- a/src/services/ingress/node/connectionLimiter.ts
+++ b/src/services/ingress/node/connectionLimiter.ts
@@ -12,7 +12,7 @@
   readonly server: Server
   readonly clock: IClock
   readonly maxConnections: number
-  /** Closes a connection after the answer to the request whose body it receives; false if it receives none. */
+  /** Refuses the request whose body a connection receives, which closes the connection after the answer; false if it receives none. */
   readonly refuseUpload?: (socket: Socket) => boolean
   /** Called when a connection is closed in favour of another; `idleMs` is the time since its last progress. */
   readonly onDidClose: (remoteAddress: string, idleMs: number) => void
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -11,11 +11,11 @@
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
+import type { MemoryBudget, MemoryLease } from '../../ingress/common/memoryBudget.ts'
 import { MAX_OPEN_REQUESTS } from '../../ingress/common/pipelining.ts'
 import { CallerConnections, REQUEST_BYTES } from '../../ingress/node/callerConnections.ts'
-import { ConnectionLimiter } from '../../ingress/node/connectionLimiter.ts'
 import type { OpenRequest } from '../../ingress/node/callerConnections.ts'
-import type { MemoryBudget, MemoryLease } from '../../ingress/common/memoryBudget.ts'
+import { ConnectionLimiter } from '../../ingress/node/connectionLimiter.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import type { CallerProtocol, MessageHead, RelayRefusal } from '../common/relayProtocol.ts'
 import { getPath } from '../common/relayRequest.ts'
@@ -107,6 +107,7 @@
         this._context.log.warn('pipeline_closed', { caller: address, open: MAX_OPEN_REQUESTS })
       }
     })
+    // A caller whose connection is replaced is answered where that is possible.
     this._limiter = new ConnectionLimiter({
       server: this._server,
       clock: this._context.clock,
@@ -297,7 +298,8 @@
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     memory.customer = admitted.customer
-    const result = await this._uploads.read(incoming, memory, arrivedAt + Math.min(admitted.route.timeoutMs, admitted.request.timeLeftMs ?? Infinity) - this._context.clock.now())
+    const deadlineAt = arrivedAt + Math.min(admitted.route.timeoutMs, admitted.request.timeLeftMs ?? Infinity)
+    const result = await this._uploads.read(incoming, memory, deadlineAt - this._context.clock.now())
     const refusal = this._refuseAfterUpload(admitted, arrivedAt, result, memory)
     if (result.kind !== 'complete' || refusal !== undefined) {
       if (refusal !== undefined && !answer.hasDisconnected) this._refuse(answer, refusal, admitted.request.id)
