--- a/src/base/common/blockBuffer.ts
+++ b/src/base/common/blockBuffer.ts
@@ -1,6 +1,6 @@
 /**
- * Collects bytes that arrive in parts of any size in blocks that are kept for later use. Nothing is copied when it grows, and many
- * small parts take no more memory than their bytes.
+ * Collects bytes that arrive in parts of any size. It grows by whole blocks, so that nothing is copied, and at most half of its
+ * memory is unused, however small the parts are.
  */
 
 export interface BlockPoolOptions {
@@ -12,7 +12,7 @@
 const BLOCK_BYTES = 64 * 1024
 const MIN_BLOCK_BYTES = 1024
 
-/** Blocks that no buffer uses. Without them, the bytes of released blocks stay in use until the garbage collector runs. */
+/** Keeps released blocks for other buffers. Otherwise their memory would stay in use until the garbage collector runs. */
 export class BlockPool {
   private readonly _options: BlockPoolOptions
   private readonly _free: Buffer[] = []
@@ -34,7 +34,7 @@
   readonly pool: BlockPool
   /** Reserves memory for a block; false if there is none. */
   readonly reserve: (bytes: number) => boolean
-  /** Takes back reserved memory. */
+  /** Gives reserved memory back. */
   readonly release: (bytes: number) => void
 }
 
@@ -56,7 +56,7 @@
   /** Returns false if there is no memory for the part; the buffer then has some of its bytes. */
   append (part: Uint8Array): boolean {
     const last = this._blocks.at(-1)
-    // The usual case of small parts, without a view of each.
+    // Small parts usually fit into the last block, and are then copied without creating a view of each.
     if (last !== undefined && part.length <= last.length - this._lastLength) {
       last.set(part, this._lastLength)
       this._lastLength += part.length
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -37,7 +37,7 @@
   return {
     countOpenRequests: () => relay.activeRequestCount,
     getRequestMemoryBytes: () => requestMemory.usedBytes,
-    countOverruns: () => relay.overrunCount,
+    countClosedPipelines: () => relay.closedPipelineCount,
     countReplacedConnections: () => relay.replacedConnectionCount,
     countMemoryShortages: () => requestMemory.shortageCount,
     countLiveNodes: () => member.membership.countLive(),
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -14,7 +14,7 @@
   /** Connections of callers that were closed in favour of others. */
   readonly countReplacedConnections: () => number
   /** Connections that were closed since too many requests arrived ahead of their answers. */
-  readonly countOverruns: () => number
+  readonly countClosedPipelines: () => number
   readonly countLiveNodes: () => number
   readonly countUpstreams: () => number
   readonly countColdUpstreams: () => number
@@ -62,7 +62,7 @@
     this.metrics.createGauge('node_requests_open', 'Requests in progress', gauges.countOpenRequests)
     this.metrics.createGauge('node_request_memory_bytes', 'Memory that requests hold', gauges.getRequestMemoryBytes)
     this.metrics.createGauge('node_memory_shortages_total', 'Requests that gave back their memory or got none', gauges.countMemoryShortages)
-    this.metrics.createGauge('node_pipelines_closed_total', 'Connections closed since too many requests arrived ahead of their answers', gauges.countOverruns)
+    this.metrics.createGauge('node_pipelines_closed_total', 'Connections closed since too many requests arrived ahead of their answers', gauges.countClosedPipelines)
     this.metrics.createGauge('node_connections_replaced_total', 'Connections of callers closed in favour of others', gauges.countReplacedConnections)
     this.metrics.createGauge('node_members', 'Nodes taken for alive', gauges.countLiveNodes)
     this.metrics.createGauge('node_upstreams', 'Upstreams known', gauges.countUpstreams)
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -11,7 +11,7 @@
     getRequestMemoryBytes: getZero,
     countMemoryShortages: getZero,
     countReplacedConnections: getZero,
-    countOverruns: getZero,
+    countClosedPipelines: getZero,
     countLiveNodes: getZero,
     countUpstreams: getZero,
     countColdUpstreams: () => 4,
--- a/src/services/ingress/common/ingressLimits.ts
+++ b/src/services/ingress/common/ingressLimits.ts
@@ -21,9 +21,7 @@
   readonly maxRunningRequests: number
 }
 
-/**
- * The rest is the process without requests, garbage that is not collected yet, and bytes in the buffers of connections.
- */
+/** The rest of the memory is for the process without requests, garbage, and the buffers of connections. */
 const MEMORY_SHARE = 0.2
 /** The rest of the descriptors is for the connections to other nodes and to the source. */
 const CALLER_CONNECTION_SHARE = 0.45
--- a/src/services/ingress/common/memoryEviction.ts
+++ b/src/services/ingress/common/memoryEviction.ts
@@ -19,10 +19,10 @@
  */
 export function chooseHolderToEvict<T extends MemoryHolder> (holders: readonly T[], now: number): T | undefined {
   const stalled = holders.filter(({ progressAt }) => now - progressAt >= STALL_MS)
-  return findLargest(stalled.length > 0 ? stalled : listOfLargestCustomer(holders))
+  return findLargest(stalled.length > 0 ? stalled : listHoldersOfLargestCustomer(holders))
 }
 
-function listOfLargestCustomer<T extends MemoryHolder> (holders: readonly T[]): readonly T[] {
+function listHoldersOfLargestCustomer<T extends MemoryHolder> (holders: readonly T[]): readonly T[] {
   const sums = new Map<string | undefined, number>()
   for (const { customer, heldBytes } of holders) sums.set(customer, (sums.get(customer) ?? 0) + heldBytes)
   const largest = [...sums].reduce<readonly [string | undefined, number]>((first, second) => second[1] > first[1] ? second : first, [undefined, -1])
--- a/src/services/ingress/node/callerConnections.ts
+++ b/src/services/ingress/node/callerConnections.ts
@@ -14,7 +14,7 @@
   /** Whether requests use a large part of what the process can bear. */
   readonly isUnderPressure: () => boolean
   /** Called when a connection will close since too many requests arrived ahead of their answers. */
-  readonly onDidOverrun: (remoteAddress: string) => void
+  readonly onDidFillPipeline: (remoteAddress: string) => void
 }
 
 /** Approximate memory of a request that was parsed, besides its head and its body. */
@@ -137,7 +137,7 @@
     // The HTTP server resumes the connection whenever a body is read.
     this._socket.on('resume', () => this._socket.pause())
     this._socket.pause()
-    this._options.onDidOverrun(this._socket.remoteAddress ?? '')
+    this._options.onDidFillPipeline(this._socket.remoteAddress ?? '')
   }
 
   private _handleFinish (): void {
--- a/src/services/ingress/node/connectionLimiter.ts
+++ b/src/services/ingress/node/connectionLimiter.ts
@@ -15,7 +15,7 @@
   /** Refuses the request whose body a connection receives, which closes the connection after the answer; false if it receives none. */
   readonly refuseUpload?: (socket: Socket) => boolean
   /** Called when a connection is closed in favour of another; `idleMs` is the time since its last progress. */
-  readonly onDidClose: (remoteAddress: string, idleMs: number) => void
+  readonly onDidReplace: (remoteAddress: string, idleMs: number) => void
 }
 
 export class ConnectionLimiter {
@@ -23,15 +23,15 @@
   /** Connections without a request that runs, in the order of their last progress. */
   private readonly _unserved = new Set<LimitedConnection>()
   private readonly _served = new Set<LimitedConnection>()
-  private _closedCount = 0
+  private _replacedCount = 0
 
   constructor (private readonly _options: ConnectionLimiterOptions) {
     _options.server.on('connection', (socket: Socket) => this._add(socket))
   }
 
   /** Number of connections that were closed in favour of others. */
-  get closedCount (): number {
-    return this._closedCount
+  get replacedCount (): number {
+    return this._replacedCount
   }
 
   /** Records that a request or a part of one was read on a connection. */
@@ -73,8 +73,8 @@
     const now = this._options.clock.now()
     const closed = chooseConnectionToClose({ unserved: findFirst(this._unserved), served: findFirst(this._served), now }) ?? added
     this._removeFromOrder(closed)
-    this._closedCount++
-    this._options.onDidClose(closed.socket.remoteAddress ?? '', now - closed.progressAt)
+    this._replacedCount++
+    this._options.onDidReplace(closed.socket.remoteAddress ?? '', now - closed.progressAt)
     if (this._options.refuseUpload?.(closed.socket) !== true) closed.socket.destroy()
   }
 
--- a/src/services/ingress/node/serverGuard.ts
+++ b/src/services/ingress/node/serverGuard.ts
@@ -36,14 +36,14 @@
       server,
       clock,
       maxConnections,
-      onDidClose: (caller, idleMs) => log?.warn('connection_replaced', { port, caller, idle_ms: Math.round(idleMs) })
+      onDidReplace: (caller, idleMs) => log?.warn('connection_replaced', { port, caller, idle_ms: Math.round(idleMs) })
     })
     this._connections = new CallerConnections({
       server,
       memory: this._register(new MemoryBudget({ clock, maxBytes: MAX_DROPPED_BYTES })),
       // Each connection gets one answer at a time.
       isUnderPressure: () => true,
-      onDidOverrun: caller => log?.warn('pipeline_closed', { port, caller })
+      onDidFillPipeline: caller => log?.warn('pipeline_closed', { port, caller })
     })
   }
 
--- a/src/services/ingress/test/connectionLimiter.test.ts
+++ b/src/services/ingress/test/connectionLimiter.test.ts
@@ -18,7 +18,7 @@
   readonly closed = new Set<string>()
   readonly serverSockets: Socket[] = []
   private readonly _server = createServer((_request, response) => response.end())
-  readonly limiter = new ConnectionLimiter({ server: this._server, clock: this.clock, maxConnections: 2, onDidClose: () => {} })
+  readonly limiter = new ConnectionLimiter({ server: this._server, clock: this.clock, maxConnections: 2, onDidReplace: () => {} })
 
   constructor () {
     super()
@@ -63,7 +63,7 @@
     await fixture.connect('third')
     await waitUntil(() => fixture.closed.has('second'), MAX_WAIT_MS)
     assert.equal([...fixture.closed], ['second'])
-    assert.is(fixture.limiter.closedCount, 1)
+    assert.is(fixture.limiter.replacedCount, 1)
   })
 })
 
--- a/src/services/relay/node/callerRefusals.ts
+++ b/src/services/relay/node/callerRefusals.ts
@@ -36,7 +36,7 @@
   }
 }
 
-/** Another request of the caller can be answered at once. */
+/** The upload was too slow, not the node, so the caller may try again at once. */
 function createLateRefusal (message: string): RelayRefusal {
   return { error: new PepperwoodError({ name: 'deadlinePassed', message }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS }
 }
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -12,7 +12,6 @@
 import { Emitter } from '../../../base/common/event.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import type { MemoryBudget, MemoryLease } from '../../ingress/common/memoryBudget.ts'
-import { MAX_OPEN_REQUESTS } from '../../ingress/common/pipelining.ts'
 import { CallerConnections, REQUEST_BYTES } from '../../ingress/node/callerConnections.ts'
 import type { OpenRequest } from '../../ingress/node/callerConnections.ts'
 import { ConnectionLimiter } from '../../ingress/node/connectionLimiter.ts'
@@ -81,7 +80,7 @@
   readonly onDidEnd = this._onDidEnd.event
   private _activeCount = 0
   private _receivedCount = 0
-  private _overrunCount = 0
+  private _closedPipelineCount = 0
   private _isDraining = false
   /** When the requests in progress are abandoned, because this node is stopping. */
   private _abandonAt = Infinity
@@ -102,9 +101,9 @@
       server: this._server,
       memory: options.memory,
       isUnderPressure: () => this._isUnderPressure(),
-      onDidOverrun: address => {
-        this._overrunCount++
-        this._context.log.warn('pipeline_closed', { caller: address, open: MAX_OPEN_REQUESTS })
+      onDidFillPipeline: address => {
+        this._closedPipelineCount++
+        this._context.log.warn('pipeline_closed', { port: 'callers', caller: address })
       }
     })
     // A caller whose connection is replaced is answered where that is possible.
@@ -113,7 +112,7 @@
       clock: this._context.clock,
       maxConnections: options.maxConnections ?? Infinity,
       refuseUpload: socket => this._uploads.abort(socket),
-      onDidClose: (address, idleMs) => this._context.log.warn('connection_replaced', { port: 'callers', caller: address, idle_ms: Math.round(idleMs) })
+      onDidReplace: (address, idleMs) => this._context.log.warn('connection_replaced', { port: 'callers', caller: address, idle_ms: Math.round(idleMs) })
     })
     this._uploads = new CallerUploads({
       clock: this._context.clock,
@@ -146,13 +145,13 @@
   }
 
   /** Number of connections that were closed since too many requests arrived ahead of their answers. */
-  get overrunCount (): number {
-    return this._overrunCount
+  get closedPipelineCount (): number {
+    return this._closedPipelineCount
   }
 
   /** Number of connections that were closed in favour of others. */
   get replacedConnectionCount (): number {
-    return this._limiter.closedCount
+    return this._limiter.replacedCount
   }
 
   /** Resolves with the port; port 0 selects a free one. */
--- a/src/services/relay/test/pipelinedRequests.test.ts
+++ b/src/services/relay/test/pipelinedRequests.test.ts
@@ -77,7 +77,7 @@
     assert.equal(listAnswers(text), listIds(MAX_OPEN_REQUESTS))
     assert.ok(isClosed)
     assert.is(upstream.requestHeads.length, MAX_OPEN_REQUESTS)
-    assert.is(relay.server.overrunCount, 1)
+    assert.is(relay.server.closedPipelineCount, 1)
     assert.is(relay.logLines.filter(line => line.includes('event=pipeline_closed')).length, 1)
   })
 })
