--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -19,9 +19,6 @@
 import { FeedService } from '../services/feed/node/feedService.ts'
 import { EjectingTracker } from '../services/health/common/healthTracker.ts'
 import type { ILogService } from '../services/log/node/logger.ts'
-import { deriveIngressLimits } from '../services/ingress/common/ingressLimits.ts'
-import type { IngressLimits } from '../services/ingress/common/ingressLimits.ts'
-import { MemoryBudget } from '../services/ingress/common/memoryBudget.ts'
 import { HallRegions } from '../services/locate/common/hallRegions.ts'
 import type { AddressAnswer, CallerLocation } from '../services/locate/common/nodeDirectory.ts'
 import { FleetMember } from '../services/membership/node/fleetMember.ts'
@@ -55,6 +52,7 @@
 import { CoordinatorDirectory } from './coordinatorDirectory.ts'
 import { createNodeGauges } from './nodeGauges.ts'
 import { NodeConnections } from './nodeConnections.ts'
+import { NodeIngress } from './nodeIngress.ts'
 import { NodeMetrics } from './nodeMetrics.ts'
 import { createNodeQuarantine } from './nodeQuarantine.ts'
 import { NodeQuota } from './nodeQuota.ts'
@@ -113,7 +111,7 @@
   private readonly _connections: NodeConnections
   private readonly _quota: NodeQuota
   private readonly _retries: NodeRetries
-  private readonly _ingressLimits: IngressLimits
+  private readonly _ingress: NodeIngress
   private readonly _statements: NodeStatements
   private readonly _relayServer: RelayServer
   private readonly _coordinator: PreparationCoordinator
@@ -221,9 +219,7 @@
     }))
     this._quarantine = this._register(createNodeQuarantine({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, onDidJoin: this._fleetMember.onDidJoin, probe: address => this._connections.probe(address), instanceProbe: options.createInstanceProbe?.(this._connections.createAgent()), getTable }))
     const throttle = createThrottle({ clock, random, log })
-    this._ingressLimits = deriveIngressLimits({ memoryMb: settings.memory_mb, maxDescriptors: settings.max_descriptors })
-    const requestMemory = this._register(new MemoryBudget({ clock, maxBytes: this._ingressLimits.maxHeldBytes }))
-    this._register(requestMemory.onDidRunShort(({ request, heldBytes, stalledMs, usedBytes }) => log.warn('memory_short', { request, held_bytes: heldBytes, stalled_ms: Math.round(stalledMs), used_bytes: usedBytes })))
+    this._ingress = this._register(new NodeIngress({ clock, log, settings }))
     this._retries = this._register(new NodeRetries({ clock, settings, membership: this._fleetMember.membership, registry: this._registry }))
     this._relayServer = this._register(new RelayServer({
       context: {
@@ -250,15 +246,15 @@
         quarantine: this._quarantine
       },
       callerProtocol: options.callerProtocol,
-      memory: requestMemory,
-      maxConnections: this._ingressLimits.maxCallerConnections,
-      maxRunningRequests: this._ingressLimits.maxRunningRequests,
+      memory: this._ingress.memory,
+      maxConnections: this._ingress.limits.maxCallerConnections,
+      maxRunningRequests: this._ingress.limits.maxRunningRequests,
       getTable,
       describeConfiguration: () => this._describeConfiguration(),
       findReadinessError: () => this._findReadinessError(),
       estimateReadinessDelayMs: () => estimateReadyMs({ isOutage: this._fleetMember.isReady && this._relayTable === undefined, sinceMs: clock.now() - this._startedAt })
     }))
-    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, requestMemory, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, retries: this._retries, throttle, pauseDetector: this._pauseDetector }))
+    this._metrics = new NodeMetrics(createNodeGauges({ clock, relay: this._relayServer, requestMemory: this._ingress.memory, member: this._fleetMember, registry: this._registry, coordinator: this._coordinator, quota: this._quota, statements: this._statements, connections: this._connections, quarantine: this._quarantine, retries: this._retries, throttle, pauseDetector: this._pauseDetector }))
     this._register(this._statements.onDidRecordStatement(kind => this._metrics.countStatement(kind)))
     this._statusReporter = new NodeStatusReporter({
       clock,
@@ -308,7 +304,7 @@
     if (port === undefined) return
     try {
       const handlers = [createQuarantineHandler(this._quarantine, this._options.clock), createLimitsHandler(this._quota.statedLimits), createStatementsHandler({ clock: this._options.clock, registry: this._registry, facts: this._fleetMember.facts, backoffs: this._statements.backoffs })]
-      await this._register(new MetricsServer(this._metrics.metrics, handlers, { log: this._options.log, port: 'metrics', maxConnections: this._ingressLimits.maxQueryConnections })).listen(host, port)
+      await this._register(new MetricsServer(this._metrics.metrics, handlers, { log: this._options.log, port: 'metrics', maxConnections: this._ingress.limits.maxQueryConnections })).listen(host, port)
     } catch (thrown) {
       this._options.log.warn('metrics_unavailable', { port, reason: String(thrown) })
     }
