--- a/review/standins-2/configurationTrial.mjs
+++ b/review/standins-2/configurationTrial.mjs
@@ -15,12 +15,17 @@
 const DEADLINE_MS = 3000
 const ROUNDS = 20
 const ROUND_MS = 250
+const RECOVER_MS = 12_000
+const RECOVER_ROUNDS = 5
 const KEYS = { kept: 'kd83hs72hd02kfn3', added: 'p04hfyq62nd8sk1m', dropped: 'zz81msnq7dh3kf0w' }
 /** What each key's requests have to see once the newer version is in force. */
 const DUE = { kept: 'new', added: 'new', dropped: 'refused' }
 
-/** `createNewer` returns the newer version's number, and tenants beside the one that sends the requests. */
-export async function runConfigurationTrial (caseFolder, createNewer) {
+/**
+ * `createNewer` returns the newer version's number, and tenants beside the one that sends the requests. With `killsAll` the processes of
+ * all machines are killed afterwards, which is told and does not change the exit code.
+ */
+export async function runConfigurationTrial (caseFolder, createNewer, { killsAll = false } = {}) {
   const trial = new Trial(caseFolder)
   const store = new Store()
   const runs = new Map()
@@ -32,6 +37,7 @@
     result = nodes === undefined
       ? { code: COULD_NOT_RUN, summary: ['the nodes were not ready in time'] }
       : await writeAndJudge({ trial, store, nodes, runs, newer: createNewer(trial.hasTrouble) })
+    if (killsAll && result.code !== COULD_NOT_RUN) result.summary.push(await killAll(trial, nodes, runs))
   } catch (thrown) {
     result = { code: COULD_NOT_RUN, summary: [String(thrown)] }
   }
@@ -92,6 +98,20 @@
   return { code: wrong.length > 0 ? BROKEN : HELD, summary }
 }
 
+/** Kills the processes of all machines, which are started again, and tells how many requests are served `recover_s` after that. */
+async function killAll (trial, nodes, runs) {
+  trial.log('the processes of all machines are killed')
+  for (const node of nodes.nodes) nodes.signal(node, 'SIGKILL')
+  await wait(RECOVER_MS + 1000)
+  const answers = []
+  for (let round = 0; round < RECOVER_ROUNDS; round++) {
+    answers.push(...(await askAll(nodes, runs)).filter(({ name }) => name === 'kept'))
+    await wait(ROUND_MS)
+  }
+  for (const { id, node, status, sentAt } of answers) trial.log(`${id} is sent to node ${node} after the kill: status ${status}`, sentAt)
+  return `${RECOVER_MS} ms after a kill of all processes, which were started again at once, ${answers.filter(({ status }) => status === 200).length} of ${answers.length} requests with a key that both versions have are served`
+}
+
 function askAll (nodes, runs) {
   return Promise.all(nodes.nodes.flatMap(node => Object.entries(KEYS).map(async ([name, key]) => {
     const answer = await send({ address: node.front, host: HOST, path: `${PATH}${name}`, deadlineMs: DEADLINE_MS, key, body: 'handset 7' })
