--- a/review/standins-2/engineProcess.mjs
+++ b/review/standins-2/engineProcess.mjs
@@ -3,6 +3,7 @@
  */
 import { spawn } from 'node:child_process'
 import { createInterface } from 'node:readline'
+import { track } from './children.mjs'
 
 const PROGRAM = new URL('streamEngine.mjs', import.meta.url).pathname
 /** An entry goes after three check-ins of 1.2 s without a word. */
@@ -19,7 +20,7 @@
   async start () {
     const id = `i-${this.name}b${++this._starts}`
     this.id = id
-    const child = spawn(process.execPath, [PROGRAM, id, this.host, this._port, this.slots, this.eventCount, this.pauseMs, this.slowForMs, this.slowByMs].map(String), { stdio: ['ignore', 'pipe', 'inherit'] })
+    const child = track(spawn(process.execPath, [PROGRAM, id, this.host, this._port, this.slots, this.eventCount, this.pauseMs, this.slowForMs, this.slowByMs].map(String), { stdio: ['ignore', 'pipe', 'inherit'] }))
     this._child = child
     await new Promise((resolve, reject) => {
       child.once('error', reject)
--- a/review/standins-2/nodes.mjs
+++ b/review/standins-2/nodes.mjs
@@ -4,6 +4,7 @@
 import { spawn } from 'node:child_process'
 import { createWriteStream, readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
+import { track } from './children.mjs'
 
 const ROOT = new URL('../../', import.meta.url).pathname
 const RESTART_MS = 300
@@ -46,11 +47,11 @@
 
   start (node) {
     const [program, ...words] = this._command
-    const child = spawn(program === 'node' ? process.execPath : program, words, {
+    const child = track(spawn(program === 'node' ? process.execPath : program, words, {
       cwd: ROOT,
       env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG ?? 'C', PEPPERWOOD_NODE_FILE: node.file },
       stdio: ['ignore', 'pipe', 'pipe']
-    })
+    }))
     const log = createWriteStream(join(this._folder, `node-${node.index}.log`), { flags: 'a' })
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
