Put configurations of any length and number into force

Cause: readDocument accepted at most 1 MiB, but measured the document after its conversion, in which a key of 20 characters is a digest of 64. The class is a limit of this system's own form that is tighter than the platform's. Walking the platform's limits showed more of it: version 0 and versions from 2^28 on, counts above 32 bits (an error was thrown where the store is followed), watch answers above 8 MiB, which were repeated from the same revision, values above 6 MiB where value_bytes allows them, documents above 2 MiB between nodes, and a check of stages that took quadratic time.

Fix: no limit on the converted document; the bound of the store's answers is derived from value_bytes; a watch answer that is too long leads to a list; the higher bits of a version are part of the epoch; counts are clamped; documents above 1 MiB go between nodes in parts that the receiver requests one by one. The newest version that cannot be used shows in refused_configuration_age_ms and in the log lines.

--- a/src/cli/checkCommands.ts
+++ b/src/cli/checkCommands.ts
@@ -5,6 +5,7 @@
 import { defineCommand } from 'citty'
 import { GateSettingsSchema } from '../gate/gateSettings.ts'
 import { checkDocument } from '../services/configuration/common/configurationDocument.ts'
+import { isReadableValue } from '../services/configuration/node/platformReader.ts'
 import { exitCodes, exitWith } from '../services/program/node/program.ts'
 import { PepperwoodError } from '../services/result/common/pepperwoodError.ts'
 import { loadSettings } from '../services/settings/node/settingsFile.ts'
@@ -53,7 +54,8 @@
     } catch (thrown) {
       exitWith(new PepperwoodError({ name: 'configurationUnreadable', message: String(thrown), place: args.file }), exitCodes.usage)
     }
-    reportProblemsAndExit(checkDocument(text), args.file, args.json)
+    const tooLong = isReadableValue(text) ? [] : [new PepperwoodError({ name: 'configurationUnreadable', message: 'too long to be read from the platform', place: 'document', value: String(text.length) })]
+    reportProblemsAndExit([...tooLong, ...checkDocument(text)], args.file, args.json)
   }
 })
 
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -272,6 +272,7 @@
     this._register(this._fleetMember.onDidJoin(() => this._scheduleJobMove()))
     for (const source of [options.configurationSource, options.upstreamSource]) this._register(source)
     this._register(options.configurationSource.onDidRead(document => this._fleetMember.offer(document)))
+    this._register(options.configurationSource.onDidRefuse(({ revision, reason }) => this._fleetMember.configuration.recordRefusal(revision, reason)))
     this._register(options.configurationSource.onDidMissDocument(revision => this._scheduleMissedRead(revision)))
   }
 
@@ -341,9 +342,10 @@
   }
 
   private _describeConfiguration (): string {
-    const { current, number } = this._fleetMember.configuration
+    const { current, number, refused } = this._fleetMember.configuration
     const ageMs = current === undefined ? 0 : this._options.clock.now() - current.acceptedAt
-    return `${formatConfigurationNumber(number)} for ${Math.round(ageMs)} ms`
+    const description = `${formatConfigurationNumber(number)} for ${Math.round(ageMs)} ms`
+    return refused === undefined ? description : `${description}, refused revision ${formatPosition(refused.revision)}: ${refused.reason.message}`
   }
 
   private _findReadinessError (): PepperwoodError | undefined {
--- a/src/entryNode/nodeGauges.ts
+++ b/src/entryNode/nodeGauges.ts
@@ -47,6 +47,7 @@
     getUpstreamStateAgeMs: () => registry.computeFreshness(clock.now()).ageMs,
     countJobs: () => coordinator.jobCount,
     getConfigurationVersion: () => member.configuration.number.version,
+    getRefusedConfigurationAgeMs: () => member.configuration.refused === undefined ? 0 : clock.now() - member.configuration.refused.refusedAt,
     countQuarantinedRequests: () => quarantine.listQuarantined().filter(({ digest }) => digest !== undefined).length,
     countQuarantinedParts: () => quarantine.listQuarantined().filter(({ digest }) => digest === undefined).length,
     countQuarantineRefusals: () => quarantine.refusedCount,
--- a/src/entryNode/nodeMetrics.ts
+++ b/src/entryNode/nodeMetrics.ts
@@ -22,6 +22,8 @@
   readonly getUpstreamStateAgeMs: () => number
   readonly countJobs: () => number
   readonly getConfigurationVersion: () => number
+  /** 0 while the newest published configuration is in force. */
+  readonly getRefusedConfigurationAgeMs: () => number
   readonly countQuarantinedRequests: () => number
   readonly countQuarantinedParts: () => number
   readonly countQuarantineRefusals: () => number
@@ -71,6 +73,7 @@
     this.metrics.createGauge('node_known_age_ms', 'Milliseconds since the source last confirmed what is known of upstreams', gauges.getUpstreamStateAgeMs)
     this.metrics.createGauge('node_jobs', 'Jobs that this node coordinates', gauges.countJobs)
     this.metrics.createGauge('node_configuration_version', 'Version of the configuration in force', gauges.getConfigurationVersion)
+    this.metrics.createGauge('node_refused_configuration_age_ms', 'Milliseconds for which the newest published configuration has not been usable; 0 if it is in force', gauges.getRefusedConfigurationAgeMs)
     this.metrics.createGauge('node_quarantined_requests', 'Requests that are no longer sent, since upstreams ended under them', gauges.countQuarantinedRequests)
     this.metrics.createGauge('node_quarantined_parts', 'Parts of prompts, or sets of them, whose requests are no longer sent', gauges.countQuarantinedParts)
     this.metrics.createGauge('node_quarantine_refusals_total', 'Tries of such requests that were refused', gauges.countQuarantineRefusals)
--- a/src/entryNode/nodeSettings.ts
+++ b/src/entryNode/nodeSettings.ts
@@ -43,6 +43,8 @@
   seeds: Schema.Array(AddressText),
   /** The address from which configuration and upstreams are read. */
   source_address: AddressText,
+  /** The largest value that can be stored there, in bytes. */
+  source_value_bytes: Schema.optional(Schema.Number.pipe(Schema.int(), Schema.positive())),
   /** A stopping process is killed after this time. */
   stop_grace_s: PositiveSeconds,
   /** The longest time for which callers may cache an address answer. */
--- a/src/entryNode/test/nodeMetrics.test.ts
+++ b/src/entryNode/test/nodeMetrics.test.ts
@@ -18,6 +18,7 @@
     countEvacuatedHalls: () => 1,
     getUpstreamStateAgeMs: () => 250,
     countJobs: getZero,
+    getRefusedConfigurationAgeMs: () => 0,
     getConfigurationVersion: () => 41,
     countQuarantinedRequests: getZero,
     countQuarantinedParts: getZero,
--- a/src/services/configuration/common/configurationDocument.ts
+++ b/src/services/configuration/common/configurationDocument.ts
@@ -1,5 +1,6 @@
 /**
- * Parses and validates the text of configuration documents.
+ * Parses and validates the text of configuration documents. Their length is not limited here: whoever reads a document from a
+ * source bounds it by what that source may hold, and its converted form can be several times longer.
  */
 import { fromJsonString } from '@bufbuild/protobuf'
 import { Left, Right } from 'purify-ts'
@@ -23,13 +24,7 @@
   readonly configuration: Configuration
 }
 
-/** The platform's limit for one value, in characters. */
-const MAX_DOCUMENT_LENGTH = 1024 * 1024
-
 function parseDocument (text: string): Either<PepperwoodError, Configuration> {
-  if (text.length > MAX_DOCUMENT_LENGTH) {
-    return Left(new PepperwoodError({ name: 'configurationUnreadable', message: `expected at most ${MAX_DOCUMENT_LENGTH} characters`, place: 'document', value: String(text.length) }))
-  }
   try {
     return Right(fromJsonString(ConfigurationSchema, text))
   } catch (thrown) {
@@ -49,7 +44,7 @@
   return parseDocument(document.text).chain(configuration => {
     const problem = listProblems(configuration)[0]
     if (problem !== undefined) return Left(problem)
-    const number = { epoch: configuration.epoch, version: configuration.version }
+    const number = { epoch: configuration.epoch, version: configuration.version ?? 0 }
     return Right({ ...document, number, configuration })
   })
 }
--- a/src/services/configuration/common/configurationRules.ts
+++ b/src/services/configuration/common/configurationRules.ts
@@ -13,6 +13,7 @@
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/
 const MAX_DEADLINE_MS = 3_600_000
 const MAX_STAGES = 16
+const MAX_UINT32 = 2 ** 32 - 1
 
 function checkNames (path: string, items: readonly { readonly name: string }[], report: ProblemReporter): void {
   const seen = new Set<string>()
@@ -24,9 +25,11 @@
   })
 }
 
-/** Checks an epoch or version, which is part of the fencing numbers of orders and has to fit into them. */
-function checkRange (path: string, value: number, max: number, report: ProblemReporter): void {
-  if (value < 1 || value > max) report(path, String(value), `expected 1 to ${max}`)
+/** The number is part of the fencing numbers of orders and has to fit into them. Only documents with placements lead to orders. */
+function checkNumber ({ epoch, version, placements }: Configuration, report: ProblemReporter): void {
+  const maxEpoch = placements.length > 0 ? MAX_EPOCH : MAX_UINT32
+  if (epoch < 1 || epoch > maxEpoch) report('epoch', String(epoch), `expected 1 to ${maxEpoch}`)
+  if (version === undefined || version > MAX_VERSION) report('version', String(version ?? ''), `expected 0 to ${MAX_VERSION}`)
 }
 
 function checkPipeline (path: string, pipeline: Pipeline, roles: ReadonlySet<string>, report: ProblemReporter): void {
@@ -63,8 +66,7 @@
   }
   const roles = new Set(configuration.upstreams.map(upstream => upstream.role))
   const pipelines = new Set(configuration.pipelines.map(pipeline => pipeline.name))
-  checkRange('epoch', configuration.epoch, MAX_EPOCH, report)
-  checkRange('version', configuration.version, MAX_VERSION, report)
+  checkNumber(configuration, report)
   checkNames('pipelines', configuration.pipelines, report)
   checkNames('customers', configuration.customers, report)
   checkNames('upstreams', configuration.upstreams, report)
--- a/src/services/configuration/common/configurationService.ts
+++ b/src/services/configuration/common/configurationService.ts
@@ -21,10 +21,22 @@
   readonly acceptedAt: number
 }
 
+/** A document that was published but that this process cannot use. */
+export interface RefusedConfiguration {
+  readonly revision: number
+  readonly reason: PepperwoodError
+  /** Milliseconds on this process's clock. */
+  readonly refusedAt: number
+}
+
 export interface IConfigurationService {
   readonly onDidAccept: Event<AcceptedConfiguration>
   readonly current: AcceptedConfiguration | undefined
   readonly number: ConfigurationNumber
+  /** The newest published document that could not be used; undefined once a later one is in force. */
+  readonly refused: RefusedConfiguration | undefined
+  /** Records that a published document could not be read. */
+  recordRefusal (revision: number, reason: PepperwoodError): void
   /** Puts the document into force, or returns the reason for refusing it and leaves the current one unchanged. */
   offer (document: ConfigurationText, source: string): Either<PepperwoodError, AcceptedConfiguration>
 }
@@ -37,6 +49,7 @@
 
 export class ConfigurationService extends Disposable implements IConfigurationService {
   private _current: AcceptedConfiguration | undefined
+  private _refused: RefusedConfiguration | undefined
   private readonly _onDidAccept = this._register(new Emitter<AcceptedConfiguration>())
   readonly onDidAccept = this._onDidAccept.event
 
@@ -52,10 +65,20 @@
     return this._current?.number ?? NO_CONFIGURATION
   }
 
+  get refused (): RefusedConfiguration | undefined {
+    return this._refused
+  }
+
+  recordRefusal (revision: number, reason: PepperwoodError): void {
+    if (revision < (this._refused?.revision ?? 0) || revision <= (this._current?.revision ?? 0)) return
+    this._refused = { revision, reason, refusedAt: this._clock.now() }
+  }
+
   offer (document: ConfigurationText, source: string): Either<PepperwoodError, AcceptedConfiguration> {
-    return readDocument(document).chain(checked => {
+    return readDocument(document).ifLeft(error => this.recordRefusal(document.revision, error)).chain(checked => {
       if (this._current !== undefined && !isSuperseding(checked, this._current)) return Left(this._createNotHigherError(checked, source))
       this._current = { ...checked, source, acceptedAt: this._clock.now() }
+      if (this._refused !== undefined && this._refused.revision <= document.revision) this._refused = undefined
       this._onDidAccept.fire(this._current)
       return Right(this._current)
     })
--- a/src/services/configuration/common/fetchDeduplicator.ts
+++ b/src/services/configuration/common/fetchDeduplicator.ts
@@ -25,4 +25,9 @@
     this._requestedAt = now
     return true
   }
+
+  /** Records that a part of the document arrived and the next one was requested. */
+  recordProgress (): void {
+    this._requestedAt = this._clock.now()
+  }
 }
--- a/src/services/configuration/common/relayRules.ts
+++ b/src/services/configuration/common/relayRules.ts
@@ -52,12 +52,26 @@
   stages.forEach((stage, index) => {
     for (const after of stage.after) if (after >= stages.length) report(`${path}[${index}].after`, String(after), 'no such stage')
   })
-  const resolvedStages = new Set<number>()
-  for (let previousSize = -1; previousSize !== resolvedStages.size;) {
-    previousSize = resolvedStages.size
-    stages.forEach((stage, index) => { if (stage.after.every(after => resolvedStages.has(after) || after >= stages.length)) resolvedStages.add(index) })
+  if (hasCycle(stages)) report(path, '', 'the dependencies of the stages form a cycle')
+}
+
+/** Visits each dependency once, since routes may have thousands of stages. */
+function hasCycle (stages: readonly PreparationStage[]): boolean {
+  const dependents = stages.map((): number[] => [])
+  const pendingCounts = stages.map((stage, index) => {
+    const known = stage.after.filter(after => after < stages.length)
+    for (const after of known) dependents[after]?.push(index)
+    return known.length
+  })
+  const resolved = stages.flatMap((_, index) => pendingCounts[index] === 0 ? [index] : [])
+  for (const stage of resolved) {
+    for (const dependent of dependents[stage] ?? []) {
+      const pendingCount = (pendingCounts[dependent] ?? 0) - 1
+      pendingCounts[dependent] = pendingCount
+      if (pendingCount === 0) resolved.push(dependent)
+    }
   }
-  if (resolvedStages.size < stages.length) report(path, '', 'the dependencies of the stages form a cycle')
+  return resolved.length < stages.length
 }
 
 function checkPieceWork (path: string, work: PieceWork, report: ProblemReporter): void {
--- a/src/services/configuration/node/platformReader.ts
+++ b/src/services/configuration/node/platformReader.ts
@@ -26,7 +26,10 @@
 }
 
 const NO_CONTENT_STATUS = 204
-const MAX_VALUE_BYTES = 4 * 1024 * 1024
+/** Bound of an answer; a value is sent as a JSON string. */
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024
+/** The revision, the names of the fields and the punctuation of an answer. */
+const MAX_ENVELOPE_BYTES = 1024
 
 export class PlatformReader {
   private readonly _options: PlatformReaderOptions
@@ -60,7 +63,7 @@
       signal: AbortSignal.timeout(waitMs + (this._options.timeoutMs ?? 2000))
     })
     if (start.kind !== 'response') return Left(createUnreachableError(start.reason, address))
-    const body = await readBody(start, MAX_VALUE_BYTES)
+    const body = await readBody(start, MAX_ANSWER_BYTES)
     if (start.response.statusCode === NO_CONTENT_STATUS) return Right(undefined)
     if (body === undefined || start.response.statusCode !== 200) return Left(createUnreachableError(`status ${start.response.statusCode}`, address))
     return parseAnswer(body, address)
@@ -71,6 +74,11 @@
   }
 }
 
+/** Whether a value fits into an answer, so that `PlatformReader` can read it. */
+export function isReadableValue (value: string): boolean {
+  return Buffer.byteLength(JSON.stringify(value)) <= MAX_ANSWER_BYTES - MAX_ENVELOPE_BYTES
+}
+
 function parseAnswer (body: string, address: string): Either<PepperwoodError, PlatformValue> {
   try {
     const decoded = Schema.decodeUnknownEither(ValueAnswer)(JSON.parse(body))
--- a/src/services/facts/common/wireMessage.ts
+++ b/src/services/facts/common/wireMessage.ts
@@ -98,6 +98,9 @@
   /** Requests the receiver's configuration if it is higher than the sender's. */
   Schema.Struct({ kind: Schema.Literal('configurationWanted'), number: ConfigurationNumberSchema, revision: Count }),
   Schema.Struct({ kind: Schema.Literal('configuration'), text: Schema.String, revision: Count }),
+  /** One part of a document that is too long for one message. Earlier versions do not know the kinds for parts. */
+  Schema.Struct({ kind: Schema.Literal('configurationPart'), number: ConfigurationNumberSchema, revision: Count, offset: Count, text: Schema.String, isLast: Schema.Boolean }),
+  Schema.Struct({ kind: Schema.Literal('configurationPartWanted'), number: ConfigurationNumberSchema, revision: Count, offset: Count }),
   /** Subscribes to the changes after a revision that the receiver gets from its source. */
   Schema.Struct({ kind: Schema.Literal('feedWanted'), after: Count }),
   Schema.Struct({ kind: Schema.Literal('feedChanges'), after: Count, revision: Count, heardForMs: UninterruptedMs, ageMs: ConfirmedAgeMs, changes: Schema.Array(ChangeSchema) }),
--- a/src/services/facts/node/peerLink.ts
+++ b/src/services/facts/node/peerLink.ts
@@ -8,7 +8,10 @@
 import { FrameConnection } from '../../../base/node/frameConnection.ts'
 import { compareConfigurationStamps } from '../../configuration/common/configurationNumber.ts'
 import type { ConfigurationStamp } from '../../configuration/common/configurationNumber.ts'
+import type { ConfigurationText } from '../../configuration/common/configurationDocument.ts'
 import type { IConfigurationService } from '../../configuration/common/configurationService.ts'
+import { createDocumentPart, DocumentAssembler, MAX_WHOLE_BYTES } from '../../configuration/common/documentParts.ts'
+import type { DocumentPart } from '../../configuration/common/documentParts.ts'
 import type { FetchDeduplicator } from '../../configuration/common/fetchDeduplicator.ts'
 import type { ILogService } from '../../log/node/logger.ts'
 import { PepperwoodError } from '../../result/common/pepperwoodError.ts'
@@ -51,6 +54,7 @@
   private _syncedSequence = 0
   /** The highest sequence number that was sent. Some facts between the two numbers may still be unsent. */
   private _sentSequence = 0
+  private readonly _assembler = new DocumentAssembler()
   private readonly _onDidReceive = this._register(new Emitter<WireMessage>())
   private readonly _onDidClose = this._register(new Emitter<void>())
   /** Fired for every valid message, after the link itself has handled it. */
@@ -147,7 +151,31 @@
     const current = this._options.configuration.current
     if (current === undefined || !this._options.mayShareConfiguration()) return
     if (compareConfigurationStamps(current, peerStamp) <= 0) return
-    this.send({ kind: 'configuration', text: current.text, revision: current.revision })
+    if (Buffer.byteLength(current.text) <= MAX_WHOLE_BYTES) this.send({ kind: 'configuration', text: current.text, revision: current.revision })
+    else this.send({ kind: 'configurationPart', ...createDocumentPart(current, 0) })
+  }
+
+  /** Sends a part of the local configuration; if it has been replaced meanwhile, the peer is told of the new one instead. */
+  private _sendPart ({ offset, ...wanted }: ConfigurationStamp & { readonly offset: number }): void {
+    const current = this._options.configuration.current
+    if (current === undefined || compareConfigurationStamps(current, wanted) !== 0) return this.announceConfiguration()
+    this.send({ kind: 'configurationPart', ...createDocumentPart(current, offset) })
+  }
+
+  private _receivePart (part: DocumentPart): void {
+    const { number, revision } = part
+    const step = this._assembler.add(part)
+    if (step?.kind === 'complete') return this._offerConfiguration(step.document)
+    if (step === undefined) return
+    this._options.fetchGuard.recordProgress()
+    this.send({ kind: 'configurationPartWanted', number, revision, offset: step.offset })
+  }
+
+  private _offerConfiguration (document: ConfigurationText): void {
+    this._options.configuration.offer(document, this.peerAddress).ifLeft(error => {
+      if (error.resultName === 'configurationNotHigher') return
+      this._options.log.warn('configuration_refused', { code: error.code, reason: error.message, place: error.place, value: error.value, peer: this.peerAddress })
+    })
   }
 
   /**
@@ -186,13 +214,17 @@
   }
 
   private _handleMessage (message: WireMessage): void {
-    const { facts, configuration } = this._options
+    const { facts } = this._options
     if (message.kind === 'hello') {
       this._peer = message
     } else if (message.kind === 'facts') {
       for (const fact of message.facts) facts.merge(fact, this.peerAddress)
     } else if (message.kind === 'configuration') {
-      configuration.offer(message, this.peerAddress)
+      this._offerConfiguration(message)
+    } else if (message.kind === 'configurationPart') {
+      this._receivePart(message)
+    } else if (message.kind === 'configurationPartWanted') {
+      this._sendPart(message)
     } else if (message.kind === 'configurationHeld') {
       this._compareConfiguration(message)
     } else if (message.kind === 'refresh') {
--- a/src/services/relay/common/relayTable.ts
+++ b/src/services/relay/common/relayTable.ts
@@ -6,7 +6,7 @@
 import type { IRandom } from '../../../base/common/random.ts'
 
 export class RelayTable {
-  private readonly _routesByHost = new Map<string, readonly Route[]>()
+  private readonly _routesByHost = new Map<string, Route[]>()
   private readonly _customersByKey = new Map<string, RelayCustomer>()
   private readonly _roles: ReadonlyMap<string, Role>
   readonly limits: CallerLimits | undefined
@@ -14,10 +14,12 @@
   constructor (relay: Relay) {
     this.limits = relay.limits
     this._roles = new Map(relay.roles.map(role => [role.name, role]))
-    for (const route of relay.routes) this._routesByHost.set(route.host, [...this._routesByHost.get(route.host) ?? [], route])
-    for (const [host, routes] of this._routesByHost) {
-      this._routesByHost.set(host, [...routes].sort((a, b) => b.pathPrefix.length - a.pathPrefix.length))
+    for (const route of relay.routes) {
+      const routes = this._routesByHost.get(route.host)
+      if (routes === undefined) this._routesByHost.set(route.host, [route])
+      else routes.push(route)
     }
+    for (const routes of this._routesByHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
     for (const customer of relay.customers) for (const digest of customer.keySha256) this._customersByKey.set(digest, customer)
     this.requiresKeys = relay.customers.length > 0
   }
--- a/src/services/upstream/node/responseBody.ts
+++ b/src/services/upstream/node/responseBody.ts
@@ -10,8 +10,19 @@
 const MAX_DRAINED_BYTES = 64 * 1024
 const MAX_DRAIN_MS = 1000
 
+export type BodyResult =
+  | { readonly kind: 'whole', readonly text: string }
+  | { readonly kind: 'truncated' }
+  | { readonly kind: 'tooLong' }
+
 /** Reads a body of bounded size; undefined if it was truncated or is too large. The caller bounds the time. */
-export async function readBody ({ response, exchange }: StartedExchange, maxBytes: number): Promise<string | undefined> {
+export async function readBody (start: StartedExchange, maxBytes: number): Promise<string | undefined> {
+  const body = await readBodyResult(start, maxBytes)
+  return body.kind === 'whole' ? body.text : undefined
+}
+
+/** Like `readBody`, for callers that handle a body differently if it is too large. */
+export async function readBodyResult ({ response, exchange }: StartedExchange, maxBytes: number): Promise<BodyResult> {
   const chunks: Buffer[] = []
   let size = 0
   try {
@@ -19,14 +30,14 @@
       size += chunk.length
       if (size > maxBytes) {
         response.destroy()
-        return undefined
+        return { kind: 'tooLong' }
       }
       chunks.push(chunk)
     }
   } catch {
-    return undefined
+    return { kind: 'truncated' }
   }
-  return await exchange.confirmComplete() ? Buffer.concat(chunks).toString('utf8') : undefined
+  return await exchange.confirmComplete() ? { kind: 'whole', text: Buffer.concat(chunks).toString('utf8') } : { kind: 'truncated' }
 }
 
 /** Discards the rest of a response, so that its connection can be used again, or closes it if that is too long or takes too long. */
