Check a request's number of pieces before anything is created for them

Cause: the number became the length of an array before anything decided whether the pieces could be computed. The class is a number from outside that becomes a size, a count or a time unbounded. Related: the sum over many requests was not counted; a reservation above the whole memory budget made all others give back theirs; an invalid job closed the link to its coordinator, one after the other; numbers of tokens beyond 2^53 and more than 64 shared prefixes made jobs invalid; a call time above 2^31 ms was over at once.

Fix: the least time and the room that all upstreams of the stages have are compared with the deadline by arithmetic, before the body is read: 503 at once, not run. What is no list of numbers gets 400 on routes with stages. Pieces count in the memory of requests, and a coordinator bounds those of all its jobs. An invalid job is refused by an answer.

--- a/src/base/node/systemClock.ts
+++ b/src/base/node/systemClock.ts
@@ -7,7 +7,7 @@
 import type { IDisposable } from '../common/disposable.ts'
 
 /** The maximum of setTimeout; longer delays would fire at once. */
-const MAX_DELAY_MS = 2 ** 31 - 1
+export const MAX_DELAY_MS = 2 ** 31 - 1
 
 /** Runs a function at a given time of the clock, with a timer of the operating system. */
 class SystemTimer implements IDisposable {
--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -200,7 +200,8 @@
     const { backoffs, guard, loads } = this._statements
     const pieceProtocol = new BackoffPieceCalls(new RateLimitedPieceCalls(options.createPieceProtocol(this._connections.createAgent()), this._quota.service), backoffs, clock)
     this._register(pieceProtocol.onDidReceiveStatement(batch => this._statements.recordStatements(batch)))
-    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard, loads, handlesContention: settings.contention === 'on' }))
+    this._ingress = this._register(new NodeIngress({ clock, log, settings }))
+    this._coordinator = this._register(new PreparationCoordinator({ clock, log, protocol: pieceProtocol, registry: this._registry, getTable, limits: this._quota.limits, guard, loads, handlesContention: settings.contention === 'on', maxPieces: this._ingress.limits.maxPlannedPieces }))
     this._preparationServer = this._register(new PreparationServer(this._coordinator, log, (upstream, limit) => this._quota.acquireForPeer(upstream, limit), options.incarnation))
     const pieceUpstreams = new PieceUpstreamList(this._registry, getTable)
     this._preparationClient = this._register(new PreparationClient({
@@ -219,7 +220,6 @@
     }))
     this._quarantine = this._register(createNodeQuarantine({ clock, log, facts: this._fleetMember.facts, registry: this._registry, node: settings.address, incarnation: options.incarnation, onDidJoin: this._fleetMember.onDidJoin, probe: address => this._connections.probe(address), instanceProbe: options.createInstanceProbe?.(this._connections.createAgent()), getTable }))
     const throttle = createThrottle({ clock, random, log })
-    this._ingress = this._register(new NodeIngress({ clock, log, settings }))
     this._retries = this._register(new NodeRetries({ clock, settings, membership: this._fleetMember.membership, registry: this._registry }))
     this._relayServer = this._register(new RelayServer({
       context: {
--- a/src/services/ingress/common/memoryBudget.ts
+++ b/src/services/ingress/common/memoryBudget.ts
@@ -67,6 +67,11 @@
   }
 
   private _reserve (lease: MemoryLease, bytes: number): boolean {
+    // Nothing that others give back would be enough.
+    if (bytes > this._options.maxBytes) {
+      this._recordShortage(lease)
+      return false
+    }
     while (this._usedBytes + bytes > this._options.maxBytes) {
       const holder = chooseHolderToEvict([...this._leases].filter(({ isEvictable }) => isEvictable), this._options.clock.now())
       this._recordShortage(holder ?? lease)
--- a/src/services/ingress/test/memoryBudget.test.ts
+++ b/src/services/ingress/test/memoryBudget.test.ts
@@ -74,4 +74,17 @@
   assert.is(fixture.budget.shortageCount, 1)
 })
 
+// Guards against one request that wants more than there is and for which all others give back their memory.
+test('a reservation above the whole budget takes nothing from others', () => {
+  const budget = new MemoryBudget({ clock: new VirtualClock(), maxBytes: 100 })
+  const [holder, wanting] = [budget.open('holder'), budget.open('wanting')]
+  assert.ok(holder.reserve(50))
+  let isEvicted = false
+  holder.setEviction(() => { isEvicted = true })
+  assert.not(wanting.reserve(101))
+  assert.not(isEvicted)
+  assert.is(budget.usedBytes, 50)
+  assert.is(budget.shortageCount, 1)
+})
+
 test.run()
--- a/src/services/preparation/common/preparationMessage.ts
+++ b/src/services/preparation/common/preparationMessage.ts
@@ -6,11 +6,12 @@
 
 const Count = Schema.Number.pipe(Schema.int(), Schema.nonNegative())
 const NonNegative = Schema.Number.pipe(Schema.nonNegative())
-const Id = Schema.String.pipe(Schema.minLength(1), Schema.maxLength(512))
+/** Longer than any head of a caller's request, of which ids and keys are parts. */
+const MAX_TEXT_LENGTH = 64 * 1024
+const Id = Schema.String.pipe(Schema.minLength(1), Schema.maxLength(MAX_TEXT_LENGTH))
 
-const MAX_STAGES = 64
-const MAX_PIECES = 10_000
-const MAX_PREFIX_PARTS = 64
+/** Longest list of shared prefixes of a job. */
+export const MAX_PREFIX_PARTS = 64
 /** Maximum number of upstreams that a job may exclude as targets of its request. */
 export const MAX_EXCLUDED_TARGETS = 200
 /** Maximum number of prefix cache entries in one message. */
@@ -20,17 +21,18 @@
 
 const StageSchema = Schema.Struct({
   role: Id,
-  after: Schema.Array(Count).pipe(Schema.maxItems(MAX_STAGES)),
-  pieceCount: Count.pipe(Schema.lessThanOrEqualTo(MAX_PIECES)),
+  after: Schema.Array(Count),
+  /** The coordinator refuses a job with more pieces than it may keep. */
+  pieceCount: Count,
   resultBytes: NonNegative
 })
 
-const SharedPrefixesSchema = Schema.Array(Schema.Struct({ key: Schema.String.pipe(Schema.maxLength(4096)), tokens: Count })).pipe(Schema.maxItems(MAX_PREFIX_PARTS))
+const SharedPrefixesSchema = Schema.Array(Schema.Struct({ key: Schema.String.pipe(Schema.maxLength(MAX_TEXT_LENGTH)), tokens: Count })).pipe(Schema.maxItems(MAX_PREFIX_PARTS))
 
 const JobSchema = Schema.Struct({
   id: Id,
-  key: Schema.String.pipe(Schema.maxLength(4096)),
-  stages: Schema.Array(StageSchema).pipe(Schema.maxItems(MAX_STAGES)),
+  key: Schema.String.pipe(Schema.maxLength(MAX_TEXT_LENGTH)),
+  stages: Schema.Array(StageSchema),
   request: Schema.Struct({ role: Id, shared: SharedPrefixesSchema, inputTokens: Count }),
   rank: Count,
   goalInMs: NonNegative,
@@ -52,7 +54,7 @@
 const ReservationEntrySchema = Schema.Struct({
   key: Schema.String.pipe(Schema.maxLength(256)),
   returnInMs: NonNegative,
-  pieces: Schema.Array(Schema.Struct({ role: Id, count: Count })).pipe(Schema.maxItems(MAX_STAGES))
+  pieces: Schema.Array(Schema.Struct({ role: Id, count: Count }))
 })
 
 export const PreparationMessageSchema = Schema.Union(
@@ -69,7 +71,7 @@
     /** The coordinator may decline the job if it would miss its goal. */
     isOffer: Schema.optionalWith(Schema.Boolean, { default: () => false }),
     /** Results that were computed under an earlier coordinator. */
-    carried: Schema.Array(CarriedPieceSchema).pipe(Schema.maxItems(MAX_PIECES))
+    carried: Schema.Array(CarriedPieceSchema)
   }),
   /** An owner no longer needs the results. */
   Schema.Struct({ kind: Schema.Literal('release'), jobId: Id }),
@@ -140,3 +142,9 @@
 export type PreparationMessage = typeof PreparationMessageSchema.Type
 
 export const checkPreparationMessage = createMessageValidator(PreparationMessageSchema, listKinds(PreparationMessageSchema.members))
+
+/** Returns the id of the job that an invalid message submits, so that its owner can be answered. */
+export function readSubmittedJobId (frame: unknown): string | undefined {
+  const { kind, job } = (frame ?? {}) as { readonly kind?: unknown, readonly job?: { readonly id?: unknown } | null }
+  return kind === 'job' && typeof job?.id === 'string' && job.id !== '' ? job.id : undefined
+}
--- a/src/services/preparation/common/preparationPlanner.ts
+++ b/src/services/preparation/common/preparationPlanner.ts
@@ -26,6 +26,7 @@
 import type { PieceKey, ReadyPiece } from './readyPiece.ts'
 import { findMainHall } from './resultHalls.ts'
 import type { PrefixEntry } from './prefixIndex.ts'
+import { sumPieces } from './preparationFeasibility.ts'
 import type { ReturnCounts } from './returnReservations.ts'
 import type { TargetReport } from './targetPlanner.ts'
 
@@ -87,6 +88,13 @@
     return this._jobs.size
   }
 
+  /** Pieces of all jobs, whatever has become of them. */
+  get pieceCount (): number {
+    let count = 0
+    for (const { job } of this._jobs.values()) count += sumPieces(job.stages)
+    return count
+  }
+
   get hasPendingFrees (): boolean {
     return !this._pendingFrees.isEmpty
   }
--- a/src/services/preparation/node/preparationCoordinator.ts
+++ b/src/services/preparation/node/preparationCoordinator.ts
@@ -11,6 +11,7 @@
 import type { JobUpdate, PlannedCall, PlannedFree } from '../common/plannedCall.ts'
 import type { CarriedPiece, JobRefusal, PreparationJob, ReservationEntry, ReturnNotice } from '../common/preparationJob.ts'
 import type { PrefixEntry } from '../common/prefixIndex.ts'
+import { sumPieces } from '../common/preparationFeasibility.ts'
 import type { TargetReport } from '../common/targetPlanner.ts'
 import { PieceCallRunner } from './pieceCallRunner.ts'
 import type { PieceCallRunnerOptions } from './pieceCallRunner.ts'
@@ -26,6 +27,8 @@
   /** Loads that upstreams stated to this node; without it none has stated any. */
   readonly loads?: Pick<StatedLoads, 'getSlowness'>
   readonly handlesContention?: boolean
+  /** How many pieces all jobs together may have; without it any number. */
+  readonly maxPieces?: number
 }
 
 export interface JobSubmission {
@@ -45,6 +48,8 @@
 
 /** Interval at which deadlines and result lifetimes are checked while there are jobs. */
 const SWEEP_PERIOD_MS = 50
+/** Pause for the caller of a job for whose pieces there is no memory. */
+const FULL_RETRY_MS = 300
 /** Minimum time between two log lines on the load of a plan. */
 const LOAD_LOG_PERIOD_MS = 1000
 /** Events within this time are covered by one planning pass, because each pass examines all jobs. */
@@ -90,6 +95,11 @@
     return this._jobs.size
   }
 
+  /** Pieces of all jobs, whatever has become of them. */
+  get pieceCount (): number {
+    return [...this._shards.values(), ...this._drainingShards].reduce((sum, { planner }) => sum + planner.pieceCount, 0)
+  }
+
   /** What became of the reservations of all plans since the start of this process. */
   get returnCounts (): ReturnCounts {
     return [...this._shards.values(), ...this._drainingShards].reduce((sum, { planner }) => sumReturnCounts(sum, planner.returnCounts), this._endedReturns)
@@ -112,6 +122,7 @@
   /** Adds a job to the plan of a hall; the empty hall stands for all halls. */
   submit ({ job, hall, carried = [], isOffer, link }: JobSubmission, listener: JobListener): void {
     if (this._isDraining) return listener({ kind: 'moved', jobId: job.id })
+    if (!this._hasRoomFor(job)) return listener({ kind: 'refused', jobId: job.id, refusal: { reason: 'overloaded', retryAfterMs: FULL_RETRY_MS } })
     const shard = this._getShard(hall)
     if (carried.length > 0) this._options.log.info('preparation_carried', { request: job.id, hall, pieces: carried.length })
     this._forgetReplacedJob(job.id, link)
@@ -132,6 +143,16 @@
     this._scheduleSweep()
   }
 
+  /** Whether the pieces of all jobs, with those of a new one, fit into the memory that they may take. */
+  private _hasRoomFor (job: PreparationJob): boolean {
+    const { maxPieces = Infinity, log } = this._options
+    const wanted = sumPieces(job.stages)
+    const planned = this.pieceCount
+    if (planned + wanted <= maxPieces) return true
+    log.warn('preparation_full', { request: job.id, wanted, planned, max: maxPieces })
+    return false
+  }
+
   /**
    * Moves each job, with its results, to the next coordinator as soon as none of its calls is in flight. Jobs that are
    * submitted from now on are answered with `moved` at once.
--- a/src/services/preparation/node/preparationServer.ts
+++ b/src/services/preparation/node/preparationServer.ts
@@ -4,10 +4,11 @@
 import { Disposable } from '../../../base/common/disposable.ts'
 import type { FrameConnection } from '../../../base/node/frameConnection.ts'
 import type { ILogService } from '../../log/node/logger.ts'
+import type { PepperwoodError } from '../../result/common/pepperwoodError.ts'
 import { FrameServer } from '../../rpc/node/frameServer.ts'
 import type { QuotaDecision } from '../../quota/common/quotaOwner.ts'
 import type { PeerReportedLimit } from '../../quota/common/peerReportedLimits.ts'
-import { checkPreparationMessage } from '../common/preparationMessage.ts'
+import { checkPreparationMessage, readSubmittedJobId } from '../common/preparationMessage.ts'
 import type { PreparationMessage } from '../common/preparationMessage.ts'
 import type { PreparationCoordinator } from './preparationCoordinator.ts'
 
@@ -39,11 +40,7 @@
     let isRefused = false
     connection.onDidReceive(frame => {
       checkPreparationMessage(frame).caseOf({
-        Left: error => {
-          this._log.warn('frame_refused', { code: error.resultName, place: error.place })
-          // Kinds of messages that only newer owners send are ignored.
-          if (error.resultName !== 'messageUnknown') connection.dispose()
-        },
+        Left: error => this._rejectFrame(connection, frame, error),
         Right: message => {
           if (message.kind === 'hello' && message.incarnation < this._incarnation) isRefused = this._refuseLink(connection, message.incarnation)
           else if (!isRefused) this._handleMessage(connection, jobs, message)
@@ -53,6 +50,18 @@
     connection.onDidClose(() => { for (const jobId of jobs) this._coordinator.detach(jobId, connection) })
   }
 
+  /**
+   * Refuses an invalid job only: the other jobs of its owner would have to move with the link, and the owner would submit the job
+   * to the next coordinator. Kinds of messages that only newer owners send are ignored.
+   */
+  private _rejectFrame (connection: FrameConnection, frame: unknown, error: PepperwoodError): void {
+    const jobId = readSubmittedJobId(frame)
+    this._log.warn('frame_refused', { code: error.resultName, place: error.place, ...jobId === undefined ? {} : { request: jobId } })
+    if (error.resultName === 'messageUnknown') return
+    if (jobId === undefined) connection.dispose()
+    else connection.send({ kind: 'refused', jobId, refusal: { reason: 'tooLate', retryAfterMs: 0 } } satisfies PreparationMessage)
+  }
+
   /**
    * Refuses a link that was meant for an earlier process at this address. Its sender does not know yet that this process
    * may no longer be the right coordinator, and its jobs would start a plan beside the one that other nodes use.
--- a/src/services/preparation/test/preparationCoordinator.test.ts
+++ b/src/services/preparation/test/preparationCoordinator.test.ts
@@ -10,6 +10,7 @@
 import { PieceProtocol } from '../common/pieceProtocol.ts'
 import type { JobUpdate, PieceCallOutcome, PlannedPiece } from '../common/plannedCall.ts'
 import { PreparationCoordinator } from '../node/preparationCoordinator.ts'
+import type { PreparationCoordinatorOptions } from '../node/preparationCoordinator.ts'
 import { createJob, createStage } from './fakes.ts'
 
 const test = suite('preparationCoordinator')
@@ -33,14 +34,14 @@
   }
 }
 
-async function runWith (run: (parts: { readonly coordinator: PreparationCoordinator, readonly pieces: FakePieces, readonly updates: JobUpdate[], readonly advance: (ms: number) => Promise<void> }) => Promise<void>): Promise<void> {
+async function runWith (run: (parts: { readonly coordinator: PreparationCoordinator, readonly pieces: FakePieces, readonly updates: JobUpdate[], readonly advance: (ms: number) => Promise<void> }) => Promise<void>, options: Pick<PreparationCoordinatorOptions, 'maxPieces'> = {}): Promise<void> {
   const clock = new VirtualClock()
   const registry = new UpstreamRegistry()
   const pieces = new FakePieces()
   const updates: JobUpdate[] = []
   const work = { concurrentCalls: 1, maxPiecesPerCall: 4, callMs: 100, pieceMs: 10, resultRoomBytes: 1000, resultLifetimeMs: 4000 }
   const table = new RelayTable(create(RelaySchema, { roles: ['a', 'b'].map(name => ({ name, pieceWork: work })) }))
-  const coordinator = new PreparationCoordinator({ clock, log: new LogService({ program: 'test', silent: true }), protocol: pieces, registry, getTable: () => table })
+  const coordinator = new PreparationCoordinator({ clock, log: new LogService({ program: 'test', silent: true }), protocol: pieces, registry, getTable: () => table, ...options })
   for (const hall of ['x', 'y']) registry.update({ id: `a-${hall}`, role: 'a', address: '127.0.0.1:1', hall, slots: 1, isLeaving: false }, 'test')
   registry.update({ id: 'b-x', role: 'b', address: '127.0.0.1:2', hall: 'x', slots: 1, isLeaving: false }, 'test')
   const advance = async (ms: number) => {
@@ -77,6 +78,21 @@
   assert.equal(pieces.halls, [])
 }))
 
+// Guards against jobs whose pieces together take more memory than the process has; each alone is within the bound.
+test('a job is refused while the pieces of all jobs exceed the bound, and nothing of it is kept', () => runWith(async ({ coordinator, updates, advance }) => {
+  const submit = (id: string, count: number) => coordinator.submit({ job: createJob(id, [createStage('a', count)], { deadlineInMs: 60_000 }), hall: '' }, update => updates.push(update))
+  submit('j', 60)
+  submit('k', 60)
+  assert.equal(updates.map(update => [update.jobId, update.kind]), [['k', 'refused']])
+  assert.is(coordinator.pieceCount, 60)
+  submit('l', 40)
+  assert.is(coordinator.pieceCount, 100)
+  coordinator.release('j')
+  submit('m', 60)
+  assert.is(coordinator.pieceCount, 100)
+  await advance(10)
+}, { maxPieces: 100 }))
+
 test('the plan of a hall uses the upstreams of that hall only', () => runWith(async ({ coordinator, pieces, updates, advance }) => {
   for (const id of ['j', 'k', 'l']) coordinator.submit({ job: createJob(id, [createStage('a', 4)]), hall: 'y' }, update => updates.push(update))
   await advance(100)
--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -2,7 +2,8 @@
  * Creates the preparation job of a request from its route.
  */
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
-import { MAX_EXCLUDED_TARGETS } from '../../preparation/common/preparationMessage.ts'
+import type { PieceDemand } from '../../preparation/common/preparationFeasibility.ts'
+import { MAX_EXCLUDED_TARGETS, MAX_PREFIX_PARTS } from '../../preparation/common/preparationMessage.ts'
 import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
 import { computeReturnWithinMs } from '../../preparation/common/returnWindow.ts'
 import type { IRequestIdentity } from '../../quarantine/common/requestIdentity.ts'
@@ -36,6 +37,16 @@
 /** For a shared prefix of at least this length, processing it again takes longer than querying which upstream caches it. */
 const MIN_QUERY_TOKENS = 512
 
+/** Returns the pieces that the request needs, by stage of its route. */
+export function listPieceDemands ({ preparation }: Pick<RelayRequest, 'preparation'>, { stages }: Pick<Route, 'stages'>): readonly PieceDemand[] {
+  return stages.map(({ role, resultBytes }, index) => ({ role, pieceCount: preparation?.pieceCounts?.[index] ?? 0, resultBytes }))
+}
+
+/** How long the results of a request's pieces are of use; its caller gives up a stream without output after the route's patience. */
+export function computePreparationMs ({ patienceMs }: Pick<Route, 'patienceMs'>, deadlineInMs: number): number {
+  return patienceMs > 0 ? Math.min(patienceMs, deadlineInMs) : deadlineInMs
+}
+
 /**
  * Returns undefined if the request needs no preparation. A job without pieces only queries which upstream should run the
  * request: its prompt has a long shared prefix, and the planner knows which upstreams have it in their caches.
@@ -44,10 +55,11 @@
   const { request, route, role, priority, homeHalls, excludedTargets = [], deadlineInMs, returningCaller, isSuspect } = inputs
   if (route.stages.length === 0) return undefined
   const need = request.preparation
-  const counts = route.stages.map((_, index) => need?.pieceCounts[index] ?? 0)
+  const demands = listPieceDemands(request, route)
+  const counts = demands.map(({ pieceCount }) => pieceCount)
   const hasPieces = counts.some(count => count > 0)
   const { prompt } = request
-  const shared = prompt === undefined ? [] : listSharedPrefixes(prompt)
+  const shared = prompt === undefined ? [] : listSharedPrefixes(prompt).slice(0, MAX_PREFIX_PARTS)
   if (!hasPieces && (shared.at(-1)?.tokens ?? 0) < MIN_QUERY_TOKENS) return undefined
   const stages = route.stages.map((stage, index) => ({
     role: stage.role,
@@ -60,7 +72,7 @@
     shared,
     inputTokens: prompt?.inputTokens ?? 0
   }
-  return { id: request.id, key: need?.key ?? '', stages, request: targetRequest, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: route.patienceMs > 0 ? Math.min(route.patienceMs, deadlineInMs) : deadlineInMs, ...hasPieces ? createReturnFields(returningCaller) : {}, isSuspect, homeHalls, ...excludedTargets.length > 0 ? { excludedTargets: excludedTargets.slice(0, MAX_EXCLUDED_TARGETS) } : {} }
+  return { id: request.id, key: need?.key ?? '', stages, request: targetRequest, rank: priority, goalInMs: Math.min(route.goalMs, deadlineInMs), deadlineInMs: computePreparationMs(route, deadlineInMs), ...hasPieces ? createReturnFields(returningCaller) : {}, isSuspect, homeHalls, ...excludedTargets.length > 0 ? { excludedTargets: excludedTargets.slice(0, MAX_EXCLUDED_TARGETS) } : {} }
 }
 
 /** Only jobs with pieces are refused for lack of capacity, so no digest is computed for others. */
--- a/src/services/relay/common/relayRequest.ts
+++ b/src/services/relay/common/relayRequest.ts
@@ -26,8 +26,8 @@
 
 /** The preparation that a request needs. */
 export interface PreparationNeed {
-  /** Number of pieces for each stage of the route; 0 skips the stage. */
-  readonly pieceCounts: readonly number[]
+  /** Number of pieces for each stage of the route; 0 skips the stage. Undefined if the caller's statement is not a list of numbers. */
+  readonly pieceCounts: readonly number[] | undefined
   /** Identifies the input of the first stages. */
   readonly key: string
 }
--- a/src/services/relay/node/callerRefusals.ts
+++ b/src/services/relay/node/callerRefusals.ts
@@ -15,6 +15,15 @@
   return { error: new PepperwoodError({ name, message, value }), isNotRun, retryAfterMs: isNotRun ? STARTUP_RETRY_MS : undefined }
 }
 
+export function createInvalidRefusal (message: string): RelayRefusal {
+  return { error: new PepperwoodError({ name: 'requestInvalid', message }), isNotRun: false }
+}
+
+/** For a request that could not be done in time even alone, so that there is no better time to return. */
+export function createInfeasibleRefusal (message: string): RelayRefusal {
+  return { error: new PepperwoodError({ name: 'deadlineTooShort', message }), isNotRun: true }
+}
+
 export function createDrainingRefusal (): RelayRefusal {
   return { error: new PepperwoodError({ name: 'gateDraining', message: 'this node is stopping' }), isNotRun: true, retryAfterMs: OTHER_NODE_RETRY_MS }
 }
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -24,6 +24,7 @@
 import { createDrainingRefusal, createOverloadRefusal, createRefusal, createUploadRefusal } from './callerRefusals.ts'
 import { CallerUploads } from './callerUploads.ts'
 import { KeyDigests } from './keyDigests.ts'
+import { computePieceBytes, PreparationCheck } from './preparationCheck.ts'
 import type { RelayContext } from './relayContext.ts'
 import { RelayRun } from './relayRun.ts'
 import type { RelayOutcome } from './relayRun.ts'
@@ -88,6 +89,7 @@
   private _isRefusingWaiting = false
   private _isClosing = false
   private readonly _uploads: CallerUploads
+  private readonly _preparationCheck: PreparationCheck
   private readonly _runs = new Set<RelayRun>()
   /** Answers that are not written completely: those in progress, and those whose callers read slowly. */
   private readonly _openAnswers = new Map<CallerAnswer, MemoryLease>()
@@ -97,6 +99,7 @@
     this._options = options
     this._context = { ...options.context, refuse: (answer, refusal, requestId) => this._refuse(answer, refusal, requestId) }
     this._server = createServer({ ...STRICT_PARSING, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: BODY_TIMEOUT_MS, connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS }, (request, response) => this._accept(request, response))
+    this._preparationCheck = new PreparationCheck({ ...options.context, getTable: options.getTable })
     this._connections = new CallerConnections({
       server: this._server,
       memory: options.memory,
@@ -294,6 +297,7 @@
     const admission = this._options.callerProtocol.readRequest(head)
       .mapLeft(error => ({ error, isNotRun: false }))
       .chain(request => this._admit(request))
+      .chain(admitted => toEither(this._preparationCheck.findRefusal(admitted, arrivedAt), admitted))
     if (admission.isLeft()) return this._refuse(answer, admission.extract() as RelayRefusal, this._options.callerProtocol.findRequestId(head))
     const admitted = admission.unsafeCoerce()
     memory.customer = admitted.customer
@@ -322,7 +326,7 @@
     const uploadRefusal = createUploadRefusal(kind)
     if (uploadRefusal !== undefined) return uploadRefusal
     if (this._runs.size >= this._maxRunningRequests) return createOverloadRefusal('as many requests run at this node as may')
-    return memory.reserve(RUN_BYTES) ? undefined : createOverloadRefusal()
+    return memory.reserve(RUN_BYTES + computePieceBytes(admitted)) ? undefined : createOverloadRefusal()
   }
 
   /** Whether the time that is left for requests is shorter than the route's goal and than the time for which the caller waits. */
@@ -374,6 +378,10 @@
 /** Weight of a customer's priority, which takes precedence over a route's priority as long as that is lower than this. */
 const CUSTOMER_PRIORITY_WEIGHT = 10
 
+function toEither<T> (refusal: RelayRefusal | undefined, admitted: T): Either<RelayRefusal, T> {
+  return refusal === undefined ? Right(admitted) : Left(refusal)
+}
+
 function readHead ({ method = 'GET', url = '/', headers, rawHeaders }: IncomingMessage): MessageHead {
   return { method, target: url, headers, rawHeaders }
 }
