End answers at the deadline whatever their requests wait for

Cause, in the nodes: the deadline only aborted a signal, and the answer ended when what the run waited for returned, which may be a probe, the owner of a quota, the evidence of peers or a preparation. And the time counted from when the event loop read the request, up to 704 ms after its connection was accepted.

Fix: the deadline ends the answer itself, as a planned stop does. Timeouts count from the earliest time at which the request may have arrived, by the measured delay of the event loop. deadline_passed tells what the run waited for, how late the timer was, what was not written and how long the request was held.

Evidence: deadlines.test.ts, a request held up in each phase: 5 of 6 failed on (1,010 to 1,903 ms for a timeout of 400), 6 of 6 pass. requestArrivals.test.ts: 3 of 3.

--- a/src/entryNode/entryNode.ts
+++ b/src/entryNode/entryNode.ts
@@ -10,6 +10,7 @@
 import { Disposable } from '../base/common/disposable.ts'
 import { Emitter } from '../base/common/event.ts'
 import type { IRandom } from '../base/common/random.ts'
+import { LoopDelay } from '../base/node/loopDelay.ts'
 import { startInterval, waitFor } from '../base/node/interval.ts'
 import { BackoffPieceCalls } from '../services/backoff/node/backoffPieceCalls.ts'
 import type { ConfigurationSource } from '../services/configuration/common/configurationSource.ts'
@@ -248,6 +249,7 @@
       callerProtocol: options.callerProtocol,
       memory: this._ingress.memory,
       maxConnections: this._ingress.limits.maxCallerConnections,
+      loopDelay: this._register(new LoopDelay(clock)),
       maxRunningRequests: this._ingress.limits.maxRunningRequests,
       getTable,
       describeConfiguration: () => this._describeConfiguration(),
--- a/src/services/relay/node/acceptedRequest.ts
+++ b/src/services/relay/node/acceptedRequest.ts
@@ -15,6 +15,6 @@
   readonly homeHalls?: readonly string[] | undefined
   readonly body: Buffer
   readonly answer: CallerAnswer
-  /** On the process's clock, in milliseconds. */
+  /** When it may have arrived at the earliest, on the process's clock, in milliseconds. Its timeouts count from then. */
   readonly arrivedAt: number
 }
--- a/src/services/relay/node/callerAnswer.ts
+++ b/src/services/relay/node/callerAnswer.ts
@@ -48,6 +48,11 @@
     return this._response.writableFinished || this._request.socket.destroyed
   }
 
+  /** Bytes of the answer that are not written to the operating system yet. */
+  get unsentBytes (): number {
+    return this._response.writableLength
+  }
+
   /** Whether the caller knows chunks, as all but those that speak HTTP/1.0 do. */
   private get _acceptsChunks (): boolean {
     const { httpVersionMajor, httpVersionMinor } = this._request
--- a/src/services/relay/node/relayRun.ts
+++ b/src/services/relay/node/relayRun.ts
@@ -36,6 +36,8 @@
   readonly known: RegistryFreshness
 }
 
+type RunPhase = 'peers' | 'preparing' | 'selecting' | 'attempt' | 'replacing' | 'recording'
+
 interface EndedAttempt {
   readonly attempt: SentAttempt
   readonly result: AttemptResult
@@ -67,6 +69,8 @@
   private readonly _abortController = new AbortController()
   private readonly _preparationAbort = new AbortController()
   private readonly _deadlineAt: number
+  /** What the run waits for, for logs. */
+  private _phase: RunPhase = 'peers'
   private readonly _role: string
   private readonly _selector: UpstreamSelector
   private readonly _retries: RequestRetries
@@ -110,7 +114,7 @@
   async run (): Promise<RelayOutcome> {
     const disconnectListener = this._accepted.answer.onDidDisconnect(() => this._abortController.abort())
     // Enforces the route's timeout in every phase: preparation, waiting for an upstream, and attempts.
-    const deadlineTimer = this._context.clock.schedule(this._deadlineAt - ANSWER_MARGIN_MS - this._context.clock.now(), () => this._abortController.abort())
+    const deadlineTimer = this._context.clock.schedule(this._deadlineAt - ANSWER_MARGIN_MS - this._context.clock.now(), () => this._handleDeadline())
     try {
       this._retries.recordFirstAttempt()
       return this._createOutcome(await this._runAttempts())
@@ -146,6 +150,26 @@
     this._refuseStopping()
   }
 
+  /**
+   * Ends the answer at once. What the run waits for need not end in time: a probe of an upstream, an answer of a quota's owner, or
+   * a replacement of a stalled attempt.
+   */
+  private _handleDeadline (): void {
+    const { clock, log } = this._context
+    const { answer, request, arrivedAt } = this._accepted
+    this._abortController.abort()
+    if (answer.hasEnded || answer.hasDisconnected) return
+    log.info('deadline_passed', {
+      request: request.id,
+      phase: this._phase,
+      answer: answer.hasBegun ? 'begun' : 'none',
+      unsent_bytes: answer.unsentBytes,
+      timer_late_ms: Math.round(clock.now() - this._deadlineAt + ANSWER_MARGIN_MS),
+      held_ms: Math.round(clock.now() - arrivedAt)
+    })
+    this._ending.endAtDeadline()
+  }
+
   private _maySend (): boolean {
     return !this._isStopping || this._accepted.answer.hasBegun
   }
@@ -166,6 +190,7 @@
 
   private async _runAttempts (): Promise<RunResult> {
     await this._quarantine.waitForPeers()
+    this._phase = 'preparing'
     const initialRefusal = this._refuseQuarantined() ?? await this._prepare()
     if (initialRefusal !== undefined) return initialRefusal
     for (;;) {
@@ -175,6 +200,7 @@
         const preparationRefusal = await this._prepareAgain()
         if (preparationRefusal !== undefined) return preparationRefusal
       }
+      this._phase = 'selecting'
       const upstream = await this._selector.acquire({ suspectKey: this._quarantine.suspectKey, timeLeftMs: this._getTimeLeft() - MIN_ATTEMPT_MS })
       if (upstream === undefined) return this._ending.refuseWithoutUpstream(this._selector.scheduleCallerRetry())
       const { attempt, result } = await this._runAttempt(upstream)
@@ -219,6 +245,7 @@
   }
 
   private async _prepareAgain (): Promise<RunResult | undefined> {
+    this._phase = 'preparing'
     if (!this._inputs.isPrepared) return this._ending.refuse({ name: 'upstreamRefused', message: 'the upstream reported missing inputs, but the request has no prepared ones' })
     return await this._handlePreparation(await this._inputs.prepareAgain())
   }
@@ -232,8 +259,14 @@
   /** Resolves once the attempt, or the one that took over from it, has ended. */
   private async _runAttempt (upstream: UpstreamEntry): Promise<EndedAttempt> {
     let attempt = this._send(upstream)
-    while (!await attempt.waitForStall()) attempt = await this._stalledAttempt.replace(attempt)
+    this._phase = 'attempt'
+    while (!await attempt.waitForStall()) {
+      this._phase = 'replacing'
+      attempt = await this._stalledAttempt.replace(attempt)
+      this._phase = 'attempt'
+    }
     const result = await attempt.result
+    this._phase = 'recording'
     await this._recordAttemptEnd(attempt, result)
     return { attempt, result }
   }
--- a/src/services/relay/node/relayServer.ts
+++ b/src/services/relay/node/relayServer.ts
@@ -10,6 +10,7 @@
 import type { CallerLimits } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import { Disposable, toDisposable } from '../../../base/common/disposable.ts'
 import { Emitter } from '../../../base/common/event.ts'
+import type { LoopDelay } from '../../../base/node/loopDelay.ts'
 import { STRICT_PARSING } from '../../../base/node/httpParsing.ts'
 import type { MemoryBudget, MemoryLease } from '../../ingress/common/memoryBudget.ts'
 import { CallerConnections, REQUEST_BYTES } from '../../ingress/node/callerConnections.ts'
@@ -28,6 +29,7 @@
 import type { RelayContext } from './relayContext.ts'
 import { RelayRun } from './relayRun.ts'
 import type { RelayOutcome } from './relayRun.ts'
+import { RequestArrivals } from './requestArrivals.ts'
 import type { BodyResult } from './requestBody.ts'
 import type { AcceptedRequest } from './acceptedRequest.ts'
 
@@ -38,6 +40,8 @@
   readonly memory: MemoryBudget
   /** At this number a new connection replaces one on which no request runs. */
   readonly maxConnections?: number
+  /** How late the event loop is; without it requests count as read when they arrive. */
+  readonly loopDelay?: Pick<LoopDelay, 'delayMs'>
   /** Further requests are refused once their bodies are complete. */
   readonly maxRunningRequests?: number
   /** Undefined until a configuration is available. */
@@ -91,6 +95,7 @@
   private readonly _uploads: CallerUploads
   private readonly _preparationCheck: PreparationCheck
   private readonly _runs = new Set<RelayRun>()
+  private readonly _arrivals: RequestArrivals
   /** Answers that are not written completely: those in progress, and those whose callers read slowly. */
   private readonly _openAnswers = new Map<CallerAnswer, MemoryLease>()
 
@@ -123,6 +128,7 @@
       getIdleTimeoutMs: () => this._server.keepAliveTimeout,
       onDidProgress: socket => this._limiter.recordProgress(socket)
     })
+    this._arrivals = new RequestArrivals({ server: this._server, clock: this._context.clock, loopDelay: options.loopDelay })
     this._server.on('connection', socket => socket.once('close', () => this._deleteFlushedAnswers()))
     this._server.on('clientError', (_error, socket) => { socket.destroy() })
     this._register(toDisposable(() => {
@@ -235,7 +241,7 @@
   }
 
   private async _handle (request: IncomingMessage, response: ServerResponse, open: OpenRequest): Promise<void> {
-    const arrivedAt = this._context.clock.now()
+    const arrivedAt = this._arrivals.estimateArrival(request.socket)
     const answer = new CallerAnswer(request, response)
     const memory = this._options.memory.open(this._options.callerProtocol.findRequestId(readHead(request)))
     if (this._isDraining) answer.closeAfterAnswer()
--- a/src/services/relay/node/runEnding.ts
+++ b/src/services/relay/node/runEnding.ts
@@ -44,8 +44,8 @@
 
 export class RunEnding {
   private readonly _options: RunEndingOptions
-  /** The result of a request that was refused while it was in progress, since this node is stopping. */
-  private _stopResult: RunResult | undefined
+  /** The result of a request whose answer was ended while it was in progress. */
+  private _earlyResult: RunResult | undefined
 
   constructor (options: RunEndingOptions) {
     this._options = options
@@ -54,7 +54,7 @@
   /** Ends the request after an attempt that no other follows. */
   finish ({ outcome, failure }: AttemptResult): RunResult {
     const { answer } = this._options.accepted
-    if (this._stopResult !== undefined) return this._stopResult
+    if (this._earlyResult !== undefined) return this._earlyResult
     if (outcome.kind === 'delivered') return 'delivered'
     if (answer.hasDisconnected) return 'cancelled'
     if (answer.hasBegun) return this._abortAnswer(describeOutcome(outcome))
@@ -83,13 +83,19 @@
 
   /** Refuses the request because this node is stopping. Whatever ends it afterwards changes nothing. */
   refuseStopping (isNotRun: boolean): RunResult {
-    this._stopResult ??= this.refuse({ name: 'gateDraining', message: 'this node is stopping', isNotRun, retryAfterMs: OTHER_NODE_RETRY_MS })
-    return this._stopResult
+    this._earlyResult ??= this.refuse({ name: 'gateDraining', message: 'this node is stopping', isNotRun, retryAfterMs: OTHER_NODE_RETRY_MS })
+    return this._earlyResult
+  }
+
+  /** Ends the answer because the deadline has passed. Whatever ends the request afterwards changes nothing. */
+  endAtDeadline (): void {
+    const { answer } = this._options.accepted
+    this._earlyResult ??= answer.hasBegun ? this._abortAnswer('deadline exceeded') : this._refuseAborted()
   }
 
   refuse ({ name, message, isNotRun = this._options.getProgress().runCount === 0, retryAfterMs }: RefusalOptions): RunResult {
     const { context, accepted: { answer, request }, role } = this._options
-    if (this._stopResult !== undefined) return this._stopResult
+    if (this._earlyResult !== undefined) return this._earlyResult
     if (answer.hasDisconnected) return 'cancelled'
     if (answer.hasBegun) return this._abortAnswer(message)
     const refusal: RelayRefusal = { error: new PepperwoodError({ name, message, place: role }), isNotRun, retryAfterMs }
--- a/src/services/relay/test/fakes.ts
+++ b/src/services/relay/test/fakes.ts
@@ -2,6 +2,8 @@
  * Test harness: a relay with upstreams that answer with given bytes and callers that record every byte they receive.
  */
 import { connect, createServer } from 'node:net'
+import type { IQuotaService } from '../../quota/common/quota.ts'
+import type { ProbeResult } from '../../quarantine/node/upstreamProbe.ts'
 import type { AddressInfo, Socket } from 'node:net'
 import { create } from '@bufbuild/protobuf'
 import type { MessageInitShape } from '@bufbuild/protobuf'
@@ -175,6 +177,10 @@
   readonly retry?: RetryPolicy
   /** Fires when the node has the facts of its peers; by default it has none to wait for. */
   readonly onDidJoin?: Event<void>
+  /** Probes an upstream after a lost connection; by default by a connection of its own. */
+  readonly probe?: (address: string) => Promise<ProbeResult>
+  /** Grants the sends to upstreams; by default a service without limits does. */
+  readonly quota?: IQuotaService
   /** The facts that it shares with other nodes. */
   readonly facts?: FactStore
   readonly customers?: readonly { readonly name: string, readonly keySha256: string[], readonly homeRegions?: string[] }[]
@@ -216,14 +222,14 @@
       roles: [{ name: 'u' }],
       customers: [..._options.customers ?? []]
     }))
-    const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1, onDidJoin: _options.onDidJoin }))
+    const quarantine = this._register(new QuarantineService({ clock, log, facts, registry: this.registry, node: 'n', incarnation: 1, onDidJoin: _options.onDidJoin, probe: _options.probe }))
     const limits = this._register(new RateLimitService({ clock, log, facts, node: 'n', incarnation: 1 }))
     const statements = this._register(new NodeStatements({ clock, log, random: new SeededRandom(2), facts, registry: this.registry, countNodes: () => 1, recordRateLimit: (upstream, perS) => limits.recordLimit(upstream, perS) }))
     const { backoffs, guard } = statements
     const stated = new StatedLimits({ findStatedPerS: upstream => limits.findLimit(upstream) })
     const links = this._register(new CoordinatorLinks({ clock, log }))
     const owner = new QuotaOwner({ clock, limits: stated, isOwner: () => true, takeoverDelayMs: 0 })
-    const quota = this._register(new QuotaService({ clock, log, registry: this.registry, limits: stated, owner, links, findOwnerAddress: () => undefined, countNodes: () => 1 }))
+    const quota = _options.quota ?? this._register(new QuotaService({ clock, log, registry: this.registry, limits: stated, owner, links, findOwnerAddress: () => undefined, countNodes: () => 1 }))
     this.server = this._register(new RelayServer({
       context: {
         clock,
