--- a/src/services/relay/common/preparationNeed.ts
+++ b/src/services/relay/common/preparationNeed.ts
@@ -3,12 +3,12 @@
  */
 import type { Route } from '../../../generated/pepperwood/v1/pepperwood_pb.ts'
 import type { PieceDemand } from '../../preparation/common/preparationFeasibility.ts'
-import { MAX_EXCLUDED_TARGETS, MAX_PREFIX_PARTS } from '../../preparation/common/preparationMessage.ts'
+import { MAX_EXCLUDED_TARGETS } from '../../preparation/common/preparationMessage.ts'
 import type { PreparationJob } from '../../preparation/common/preparationJob.ts'
 import { computeReturnWithinMs } from '../../preparation/common/returnWindow.ts'
 import type { IRequestIdentity } from '../../quarantine/common/requestIdentity.ts'
-import { listSharedPrefixes } from './relayRequest.ts'
 import type { RelayRequest } from './relayRequest.ts'
+import { listSharedPrefixes } from './sharedPrefixes.ts'
 
 export interface ReturningCaller {
   /** The same for all tries of the caller. */
@@ -59,7 +59,7 @@
   const counts = demands.map(({ pieceCount }) => pieceCount)
   const hasPieces = counts.some(count => count > 0)
   const { prompt } = request
-  const shared = prompt === undefined ? [] : listSharedPrefixes(prompt).slice(0, MAX_PREFIX_PARTS)
+  const shared = prompt === undefined ? [] : listSharedPrefixes(prompt)
   if (!hasPieces && (shared.at(-1)?.tokens ?? 0) < MIN_QUERY_TOKENS) return undefined
   const stages = route.stages.map((stage, index) => ({
     role: stage.role,
--- a/src/services/relay/common/relayPool.ts
+++ b/src/services/relay/common/relayPool.ts
@@ -9,9 +9,9 @@
 import type { StatedLoads } from '../../upstream/common/statedLoads.ts'
 import type { UpstreamEntry, UpstreamRegistry } from '../../upstream/common/upstreamRegistry.ts'
 import type { AttemptOutcome } from './attemptDecision.ts'
-import { listSharedPrefixes } from './relayRequest.ts'
 import type { PromptShape } from './relayRequest.ts'
 import type { RelayCandidate, RelayRouter } from './relayRouter.ts'
+import { listSharedPrefixes } from './sharedPrefixes.ts'
 
 export interface RelayPoolOptions {
   readonly clock: IClock
--- a/src/services/relay/common/relayRequest.ts
+++ b/src/services/relay/common/relayRequest.ts
@@ -1,8 +1,6 @@
 /**
  * A caller's HTTP request in a form that does not depend on the header names of the callers' protocol.
  */
-import type { SharedPrefix } from '../../preparation/common/prefixIndex.ts'
-
 /** A header that is forwarded unchanged. */
 export interface HeaderField {
   readonly name: string
@@ -54,11 +52,3 @@
   const end = target.indexOf('?')
   return end < 0 ? target : target.slice(0, end)
 }
-
-/** Returns the prefixes of the prompt that other requests may have as well, the shortest first. */
-export function listSharedPrefixes (prompt: PromptShape): readonly SharedPrefix[] {
-  return prompt.parts.slice(0, -1).map((_, index, shared) => {
-    const parts = shared.slice(0, index + 1)
-    return { key: parts.map(part => part.id).join('/'), tokens: parts.reduce((sum, part) => sum + part.tokens, 0) }
-  })
-}
