Run the program under test without the options of the test runner

The runner sets NODE_OPTIONS to a loader that the program, started in a temporary folder, does not find; run by hand the test had no such option. The program now gets PATH only, as that of startCached.test.ts does.

--- a/scripts/test/countTests.test.ts
+++ b/scripts/test/countTests.test.ts
@@ -20,7 +20,7 @@
   writeFileSync(join(folder, 'KNOWN-RED.txt'), ['# A comment', ...known].join('\n'))
   writeFileSync(join(folder, 'log'), [...failed.map(name => `   FAIL  ${name}`), '  Total:     5', `  Passed:    ${5 - failed.length}`, '  Skipped:   0'].join('\n'))
   try {
-    return { isPassed: true, output: execFileSync(process.execPath, [PROGRAM, 'log', failed.length === 0 ? '0' : '1'], { cwd: folder, encoding: 'utf8' }) }
+    return { isPassed: true, output: execFileSync(process.execPath, [PROGRAM, 'log', failed.length === 0 ? '0' : '1'], { cwd: folder, encoding: 'utf8', env: { PATH: process.env.PATH } }) }
   } catch (thrown) {
     return { isPassed: false, output: String((thrown as { readonly stdout?: unknown }).stdout) }
   } finally {
