--- a/src/base/node/loopDelay.ts
+++ b/src/base/node/loopDelay.ts
@@ -1,13 +1,13 @@
 /**
- * Measures how late the event loop is, so that the time for which bytes have waited to be read is known. It uses the shared wake-ups
- * of `startInterval` and needs none of its own.
+ * Measures the delay of the event loop, which bounds how long received bytes have waited to be read. Uses the shared timer of
+ * `startInterval`, so it causes no wake-ups of its own.
  */
 import { Disposable } from '../common/disposable.ts'
 import type { IClock } from '../common/clock.ts'
 import { startInterval } from './interval.ts'
 
 const PERIOD_MS = 50
-/** A check may be left out if its wake-up comes slightly early. */
+/** `startInterval` skips a whole period if its timer fires slightly early, so shorter delays cannot be recognized. */
 const TOLERANCE_MS = PERIOD_MS + 10
 
 export class LoopDelay extends Disposable {
--- a/src/services/facts/node/peerLink.ts
+++ b/src/services/facts/node/peerLink.ts
@@ -155,7 +155,7 @@
     else this.send({ kind: 'configurationPart', ...createDocumentPart(current, 0) })
   }
 
-  /** Sends a part of the local configuration; if it has been replaced meanwhile, the peer is told of the new one instead. */
+  /** Sends a part of the local configuration; if that has been replaced meanwhile, announces the new one instead. */
   private _sendPart ({ offset, ...wanted }: ConfigurationStamp & { readonly offset: number }): void {
     const current = this._options.configuration.current
     if (current === undefined || compareConfigurationStamps(current, wanted) !== 0) return this.announceConfiguration()
--- a/src/services/ingress/common/memoryBudget.ts
+++ b/src/services/ingress/common/memoryBudget.ts
@@ -67,7 +67,7 @@
   }
 
   private _reserve (lease: MemoryLease, bytes: number): boolean {
-    // Nothing that others give back would be enough.
+    // Evicting all other holders would not free enough.
     if (bytes > this._options.maxBytes) {
       this._recordShortage(lease)
       return false
--- a/src/services/preparation/common/preparationFeasibility.ts
+++ b/src/services/preparation/common/preparationFeasibility.ts
@@ -44,7 +44,7 @@
   return undefined
 }
 
-/** Returns the time for so many pieces if all upstreams of the role compute nothing else, in full calls. */
+/** Returns the least time for so many pieces: all upstreams of the role compute nothing else, in full calls and at the highest speed. */
 function computeMinMs ({ work, upstreamCount }: PieceSupply, pieceCount: number): number {
   const workMs = Math.ceil(pieceCount / work.maxPiecesPerCall) * work.callMs + pieceCount * work.pieceMs
   return workMs / (work.concurrentCalls * upstreamCount * MAX_SPEEDUP)
--- a/src/services/relay/test/deadlines.test.ts
+++ b/src/services/relay/test/deadlines.test.ts
@@ -66,7 +66,7 @@
       assert.is(upstream.requestHeads.length, sendCount)
       assert.ok(harness.logLines.some(line => line.includes('deadline_passed') && line.includes(`phase=${phase} `)), harness.logLines.join('\n'))
       await new Promise(resolve => { setTimeout(resolve, OVERDUE_MS + 300) })
-      // Whatever ends the wait later sends nothing for a caller that was told that its request did not run.
+      // The answer stated whether the request ran, so nothing may be sent when the wait ends.
       assert.is(upstream.requestHeads.length, sendCount)
       assert.is(harness.server.activeRequestCount, name.includes('preparation') ? 1 : 0)
     } finally {
